--- /dev/null
+++ b/internal/decide/dispatch/dispatch.go
@@ -0,0 +1,150 @@
+// Package dispatch decides, for one service on one node, which leaf gets which
+// piece of work, how long to wait, and what an answer covers.
+//
+// A Dispatcher is a pure state machine: it owns no goroutine, socket, clock or
+// global random source. A driver calls its methods with the current time and
+// performs the actions returned, in order. The same code runs in a node over
+// real sockets and in the simulator in virtual time. It is not safe for
+// concurrent use; the driver serialises the calls.
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// Time is a reading of a monotonic clock: the time since an arbitrary origin.
+type Time = time.Duration
+
+// QueryID identifies a query within one Dispatcher.
+type QueryID uint64
+
+// AttemptID identifies an attempt within one Dispatcher. It is never reused.
+type AttemptID uint64
+
+// Query is a request that wants work from a set of shards.
+type Query struct {
+	ID    QueryID
+	Class catalog.Class
+	// KeyHash, if HasKey, names the only shard needed: KeyHash modulo the
+	// number of shards of the pinned partition. Otherwise all are needed.
+	KeyHash uint64
+	HasKey  bool
+	// Deadline is absolute, on the clock of Time.
+	Deadline Time
+	// MinimumCoverage is the share of needed shards, from 0 to 1, below which
+	// the query waits until its deadline instead of settling.
+	MinimumCoverage float64
+}
+
+// Leaf is what the topology says of one leaf. Work goes only to leaves that
+// are Usable.
+type Leaf struct {
+	Address  netip.AddrPort
+	Zone     string
+	BootID   string
+	Usable   bool // neither leaving nor gone nor unknown
+	Cold     bool
+	Slots    int
+	Holdings []leaf.Holding
+}
+
+// Topology is the set of leaves and partitions known at one moment. The
+// Dispatcher keeps it; the caller must not modify it afterwards.
+type Topology struct {
+	Revision   uint64
+	Partitions []catalog.Partition
+	Leaves     []Leaf
+	// Concurrency limits the queries that run at once; zero means no limit.
+	Concurrency int
+	Stopped     bool
+}
+
+// Outcome is the fate of a query.
+type Outcome string
+
+// The outcomes of a query.
+const (
+	// OutcomeAnswered means that every needed shard was merged.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomePartial means that some needed shards are missing, and named.
+	OutcomePartial Outcome = "partial"
+	// OutcomeNotRun means that the request ran nowhere and never will.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeFailed means that no answer can be given; a part may have run.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeUnknown means that a request which may not be repeated may or
+	// may not have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Reason says why a query ended without a whole answer.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone       Reason = ""
+	ReasonOverload   Reason = "overload"        // predicted wait beyond the remaining time
+	ReasonDeadline   Reason = "deadline"        // the deadline passed
+	ReasonStopped    Reason = "service_stopped" // the service is stopped
+	ReasonNoLeaf     Reason = "no_leaf"         // no usable leaf for a needed shard
+	ReasonNoSnapshot Reason = "no_snapshot"     // no snapshot is known yet
+	ReasonCancelled  Reason = "cancelled"       // the caller went away
+	ReasonLost       Reason = "connection_lost" // bytes left, no reply came
+	ReasonRefused    Reason = "refused"         // the leaves refused
+	ReasonInvalid    Reason = "invalid"         // the leaves cannot run the statement
+)
+
+// Action is what the driver has to do: one of Send, Abort and Finish.
+type Action interface{ action() }
+
+// Send starts an attempt: run the query's statement on Shard at Snapshot on
+// Leaf. The driver reports the end of each attempt exactly once, by Reply,
+// Refuse or Fail, also after Abort.
+type Send struct {
+	Attempt  AttemptID
+	Query    QueryID
+	Shard    int
+	Leaf     netip.AddrPort
+	Snapshot catalog.Snapshot
+	// Remaining is the time left until the query's deadline.
+	Remaining time.Duration
+	// Extra is set for hedges and retries: attempts beyond those needed.
+	Extra bool
+}
+
+// Abort cancels an attempt whose reply is not wanted any more.
+type Abort struct {
+	Attempt AttemptID
+}
+
+// Finish ends a query. It is returned exactly once for each submitted query,
+// at once when the query is given up on.
+type Finish struct {
+	Query    QueryID
+	Outcome  Outcome
+	Reason   Reason
+	Snapshot catalog.Snapshot
+	// Answered lists, for each shard merged, the attempt whose rows count.
+	Answered []ShardAnswer
+	// Missing lists the needed shards that are not merged, in order.
+	Missing []int
+	// Total is the number of shards needed at Snapshot.
+	Total int
+	// RetryAfter is when the caller may ask again, for OutcomeNotRun and
+	// OutcomeFailed; zero if no time is known.
+	RetryAfter time.Duration
+}
+
+// ShardAnswer names the attempt that answered a shard.
+type ShardAnswer struct {
+	Shard   int
+	Attempt AttemptID
+}
+
+func (Send) action()   {}
+func (Abort) action()  {}
+func (Finish) action() {}
