--- /dev/null
+++ b/internal/topology/topology.go
@@ -0,0 +1,352 @@
+// Package topology keeps what a node knows about leaves: which of them may get
+// work now, and what they hold.
+//
+// Four sources are combined: the catalog, the machine list, the leaves' own
+// reports and replies, and notices of other nodes. They lag and mislead, so one
+// rule decides: a leaf that any source called leaving gets no new work until a
+// new boot of the leaf is seen, or an operator adds it again.
+//
+// A Table is a pure value without goroutines, sockets or clocks. It is not safe
+// for concurrent use.
+package topology
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// Time is a reading of a monotonic clock: the time since an arbitrary origin.
+type Time = time.Duration
+
+// Source names who said that a leaf is leaving.
+type Source string
+
+// The sources.
+const (
+	SourceCatalog  Source = "catalog"
+	SourceMachines Source = "machine_list"
+	SourceReport   Source = "load_report"
+	SourceReply    Source = "reply"
+	SourcePeer     Source = "peer"
+)
+
+// Status is a leaf's place in its life, as this node sees it.
+type Status string
+
+// The statuses.
+const (
+	StatusUsable      Status = "usable"
+	StatusCold        Status = "cold"
+	StatusLeaving     Status = "leaving"
+	StatusUnreachable Status = "unreachable"
+	StatusUnknown     Status = "unknown" // never heard of
+)
+
+// Config holds the bounds of a Table.
+type Config struct {
+	// UnreachableAfter is the number of load polls in a row that must fail
+	// before a leaf counts as unreachable.
+	UnreachableAfter int
+	// ReportLifetime is how long a report stays usable without a newer one.
+	ReportLifetime time.Duration
+}
+
+// DefaultConfig returns the bounds used unless settings say otherwise.
+func DefaultConfig() Config {
+	return Config{UnreachableAfter: 3, ReportLifetime: 10 * time.Second}
+}
+
+// Notice says that a leaf is leaving. Nodes send it to each other.
+type Notice struct {
+	Address netip.AddrPort
+	// BootID is the boot that is leaving; empty means the boot that the
+	// receiver knows, or else the next one that it meets.
+	BootID string
+	// AddedAt is the catalog revision that added the leaf.
+	AddedAt uint64
+	Source  Source
+}
+
+// LeafStatus describes one leaf of one service for status pages.
+type LeafStatus struct {
+	Service string
+	Leaf    catalog.Leaf
+	Status  Status
+	Reason  string
+	Report  leaf.LoadReport
+}
+
+// mark remembers that one boot of a leaf is leaving.
+type mark struct {
+	bootID  string
+	addedAt uint64
+	source  Source
+}
+
+// observation is what a node has heard from one leaf.
+type observation struct {
+	report     leaf.LoadReport
+	reportedAt Time
+	heard      bool
+	failures   int
+	leaving    *mark
+}
+
+// Table combines the sources. The zero value is not usable; call New.
+type Table struct {
+	config   Config
+	catalog  *catalog.Catalog
+	observed map[netip.AddrPort]*observation
+	notices  []Notice
+}
+
+// New returns a Table over the empty catalog.
+func New(config Config) *Table {
+	return &Table{
+		config:   config,
+		catalog:  &catalog.Catalog{},
+		observed: make(map[netip.AddrPort]*observation),
+	}
+}
+
+// SetCatalog installs a catalog. Leaves that it no longer has are forgotten.
+func (t *Table) SetCatalog(current *catalog.Catalog) {
+	t.catalog = current
+	configured := make(map[netip.AddrPort]bool)
+	for _, service := range current.Services {
+		for address, configuredLeaf := range service.Leaves {
+			configured[address] = true
+			t.clearOlderMark(address, configuredLeaf.AddedAt)
+		}
+	}
+	for address := range t.observed {
+		if !configured[address] {
+			delete(t.observed, address)
+		}
+	}
+}
+
+// clearOlderMark drops a mark that an operator has overruled by adding the
+// leaf again.
+func (t *Table) clearOlderMark(address netip.AddrPort, addedAt uint64) {
+	seen := t.observed[address]
+	if seen == nil || seen.leaving == nil {
+		return
+	}
+	if addedAt > seen.leaving.addedAt {
+		seen.leaving = nil
+	}
+}
+
+// Addresses returns the configured leaves, in order.
+func (t *Table) Addresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, service := range t.catalog.Services {
+		for address := range service.Leaves {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return slices.Compact(addresses)
+}
+
+// Report takes a leaf's load report. A report that calls the leaf draining
+// marks it; a report that calls it serving never clears a mark of the same
+// boot.
+func (t *Table) Report(now Time, address netip.AddrPort, report leaf.LoadReport) {
+	seen := t.observe(address)
+	seen.report = report
+	seen.reportedAt = now
+	seen.heard = true
+	seen.failures = 0
+	t.bindMark(seen, report.BootID)
+	if report.State == leaf.StateDraining {
+		t.mark(address, report.BootID, SourceReport)
+	}
+}
+
+// bindMark ties a mark without a boot to the first boot met, and clears the
+// mark of an older boot.
+func (t *Table) bindMark(seen *observation, bootID string) {
+	if seen.leaving == nil || bootID == "" {
+		return
+	}
+	if seen.leaving.bootID == "" {
+		seen.leaving.bootID = bootID
+		return
+	}
+	if seen.leaving.bootID != bootID {
+		seen.leaving = nil
+	}
+}
+
+// ReportFailed counts a load poll that got no answer.
+func (t *Table) ReportFailed(address netip.AddrPort) {
+	t.observe(address).failures++
+}
+
+// Draining marks a leaf whose reply or refusal said that it is leaving.
+func (t *Table) Draining(address netip.AddrPort, bootID string) {
+	t.mark(address, bootID, SourceReply)
+}
+
+// MachineLeaving marks a leaf that the machine list calls leaving or gone.
+// The list lags: an entry for another boot than the one last met is ignored.
+func (t *Table) MachineLeaving(address netip.AddrPort, bootID string) {
+	t.mark(address, bootID, SourceMachines)
+}
+
+// Apply takes a notice of another node.
+func (t *Table) Apply(notice Notice) {
+	addedAt, configured := t.addedAt(notice.Address)
+	if !configured || notice.AddedAt < addedAt {
+		return
+	}
+	t.mark(notice.Address, notice.BootID, SourcePeer)
+}
+
+// Notices returns, once, the marks that this node learned at first hand and
+// that other nodes should hear of.
+func (t *Table) Notices() []Notice {
+	notices := t.notices
+	t.notices = nil
+	return notices
+}
+
+func (t *Table) mark(address netip.AddrPort, bootID string, source Source) {
+	addedAt, configured := t.addedAt(address)
+	if !configured {
+		return
+	}
+	seen := t.observe(address)
+	if seen.heard && bootID != "" && seen.report.BootID != bootID {
+		return
+	}
+	if bootID == "" && seen.heard {
+		bootID = seen.report.BootID
+	}
+	if seen.leaving != nil {
+		return
+	}
+	seen.leaving = &mark{bootID: bootID, addedAt: addedAt, source: source}
+	if source != SourcePeer {
+		t.notices = append(t.notices, Notice{Address: address, BootID: bootID, AddedAt: addedAt, Source: source})
+	}
+}
+
+func (t *Table) observe(address netip.AddrPort) *observation {
+	seen := t.observed[address]
+	if seen == nil {
+		seen = &observation{}
+		t.observed[address] = seen
+	}
+	return seen
+}
+
+// addedAt returns the newest revision that added the leaf to any service.
+func (t *Table) addedAt(address netip.AddrPort) (uint64, bool) {
+	var newest uint64
+	found := false
+	for _, service := range t.catalog.Services {
+		if configured, ok := service.Leaves[address]; ok {
+			newest = max(newest, configured.AddedAt)
+			found = true
+		}
+	}
+	return newest, found
+}
+
+// Service returns what the dispatcher of a service may use at this moment. It
+// reports false if the catalog has no such service.
+func (t *Table) Service(now Time, name string) (dispatch.Topology, bool) {
+	service, ok := t.catalog.Services[name]
+	if !ok {
+		return dispatch.Topology{}, false
+	}
+	topology := dispatch.Topology{
+		Revision:    t.catalog.Revision,
+		Partitions:  service.Partitions,
+		Concurrency: service.Concurrency,
+		Stopped:     service.Stopped,
+		Leaves:      make([]dispatch.Leaf, 0, len(service.Leaves)),
+	}
+	for _, configured := range sortedLeaves(service) {
+		topology.Leaves = append(topology.Leaves, t.dispatchLeaf(now, configured))
+	}
+	return topology, true
+}
+
+func (t *Table) dispatchLeaf(now Time, configured catalog.Leaf) dispatch.Leaf {
+	status, _ := t.status(now, configured)
+	described := dispatch.Leaf{
+		Address: configured.Address,
+		Zone:    configured.Zone,
+		Usable:  status == StatusUsable || status == StatusCold,
+		Cold:    status == StatusCold,
+	}
+	if seen := t.observed[configured.Address]; seen != nil {
+		described.BootID = seen.report.BootID
+		described.Slots = seen.report.Slots
+		described.Holdings = seen.report.Holdings
+	}
+	return described
+}
+
+// status decides a leaf's place in its life, and why.
+func (t *Table) status(now Time, configured catalog.Leaf) (Status, string) {
+	if configured.Retiring {
+		return StatusLeaving, string(SourceCatalog)
+	}
+	seen := t.observed[configured.Address]
+	switch {
+	case seen == nil || !seen.heard && seen.leaving == nil && seen.failures == 0:
+		return StatusUnknown, "no report yet"
+	case seen.leaving != nil:
+		return StatusLeaving, string(seen.leaving.source)
+	case !seen.heard || seen.failures >= t.config.UnreachableAfter:
+		return StatusUnreachable, "load polls fail"
+	case now-seen.reportedAt > t.config.ReportLifetime:
+		return StatusUnreachable, "report too old"
+	case seen.report.State == leaf.StateCold:
+		return StatusCold, string(SourceReport)
+	}
+	return StatusUsable, ""
+}
+
+// Statuses lists every leaf of every service, in order.
+func (t *Table) Statuses(now Time) []LeafStatus {
+	var statuses []LeafStatus
+	for name, service := range t.catalog.Services {
+		for _, configured := range service.Leaves {
+			statuses = append(statuses, t.leafStatus(now, name, configured))
+		}
+	}
+	slices.SortFunc(statuses, func(a, b LeafStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), a.Leaf.Address.Compare(b.Leaf.Address))
+	})
+	return statuses
+}
+
+func (t *Table) leafStatus(now Time, service string, configured catalog.Leaf) LeafStatus {
+	described := LeafStatus{Service: service, Leaf: configured}
+	described.Status, described.Reason = t.status(now, configured)
+	if seen := t.observed[configured.Address]; seen != nil {
+		described.Report = seen.report
+	}
+	return described
+}
+
+func sortedLeaves(service catalog.Service) []catalog.Leaf {
+	leaves := make([]catalog.Leaf, 0, len(service.Leaves))
+	for _, configured := range service.Leaves {
+		leaves = append(leaves, configured)
+	}
+	slices.SortFunc(leaves, func(a, b catalog.Leaf) int { return a.Address.Compare(b.Address) })
+	return leaves
+}
