--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets for a fresh machine. The only needs are Go, a C compiler and make;
+# libraries come through the module proxy that the go command is set to.
+
+BIN := bin
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unversioned)
+LDFLAGS := -X github.com/micaplank/micaplank/internal/version.Version=$(VERSION)
+PROGRAMS := micaplank micactl micarehearse
+
+.PHONY: all build test check fuzz demo bench clean
+
+all: build
+
+build:
+	mkdir -p $(BIN)
+	go build -ldflags "$(LDFLAGS)" -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
+
+test:
+	go test ./...
+
+# check is what continuous integration runs besides the tests.
+check:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "gofmt would change:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+demo: build
+	$(BIN)/micarehearse demo --binaries $(BIN)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
+
+clean:
+	rm -rf $(BIN) out
