peer: datagrams over one UDP socket, calls in gob over shared TCP connections

Nodes need two kinds of traffic: small messages that may be lost (membership, revision exchange) and calls with a response. Datagrams demultiplexes one socket by a kind byte. Server and Client multiplex calls over few connections; each direction is one gob stream in length-prefixed frames of at most 8 MiB, after a greeting line that names the protocol and its version.

An Error says whether a byte of the request can have left the process: a frame that is still queued when the caller gives up is withdrawn from the writer, so Sent is false only with proof. A type is described to the peer in a frame of its own before its first value, so that a message which turns out too large is dropped without ending the other calls on the connection.

--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// Greeting is the first line that each side of a call connection writes. A
+// peer that writes anything else speaks another protocol or version.
+const Greeting = "micaplank-peer 1\n"
+
+const (
+	// MaximumMessage bounds one request or response, in bytes of gob.
+	MaximumMessage = 8 << 20
+
+	maximumGreeting   = 64
+	frameLengthSize   = 4
+	handshakeTimeout  = 3 * time.Second
+	flushTimeout      = 10 * time.Second
+	outgoingQueueSize = 256
+)
+
+type frameKind byte
+
+const (
+	// frameTypes carries a zero value, so that gob sends the type's
+	// description by itself: a message that turns out too large can then be
+	// dropped without leaving the stream half described.
+	frameTypes frameKind = iota + 1
+	frameRequest
+	frameResponse
+	frameCancel
+	frameGoAway
+)
+
+// refusal says why a peer did not run the handler of a request.
+type refusal byte
+
+const (
+	refusedNone refusal = iota
+	refusedUnknownMethod
+	refusedDraining
+	refusedBusy
+	refusedMalformed
+	refusedLate
+)
+
+func (r refusal) String() string {
+	switch r {
+	case refusedNone:
+		return "none"
+	case refusedUnknownMethod:
+		return "unknown method"
+	case refusedDraining:
+		return "draining"
+	case refusedBusy:
+		return "too many calls"
+	case refusedMalformed:
+		return "malformed request"
+	case refusedLate:
+		return "no time left"
+	}
+	return fmt.Sprintf("refusal %d", byte(r))
+}
+
+// frameHeader precedes the body of each frame.
+type frameHeader struct {
+	Kind   frameKind
+	Call   uint64
+	Method string
+	// Remaining is the time left to the caller; zero means no deadline.
+	Remaining time.Duration
+	Refusal   refusal
+	// Failure is the text of the handler's error.
+	Failure string
+	HasBody bool
+}
+
+// frameReader strips the length prefixes off a stream and refuses frames that
+// are too long. It is an io.ByteReader, so that gob reads no further than it
+// has to.
+type frameReader struct {
+	source    io.Reader
+	remaining int
+	total     func(bytes int)
+	single    [1]byte
+}
+
+func (r *frameReader) Read(p []byte) (int, error) {
+	if r.remaining == 0 {
+		if err := r.next(); err != nil {
+			return 0, err
+		}
+	}
+	if len(p) > r.remaining {
+		p = p[:r.remaining]
+	}
+	n, err := r.source.Read(p)
+	r.remaining -= n
+	return n, err
+}
+
+func (r *frameReader) ReadByte() (byte, error) {
+	_, err := io.ReadFull(r, r.single[:])
+	return r.single[0], err
+}
+
+func (r *frameReader) next() error {
+	var prefix [frameLengthSize]byte
+	if _, err := io.ReadFull(r.source, prefix[:]); err != nil {
+		return err
+	}
+	length := binary.BigEndian.Uint32(prefix[:])
+	if length == 0 || length > MaximumMessage {
+		return fmt.Errorf("%w: frame of %d bytes, at most %d", ErrTooLarge, length, MaximumMessage)
+	}
+	r.remaining = int(length)
+	r.total(int(length) + frameLengthSize)
+	return nil
+}
+
+// greet writes this side's greeting.
+func greet(connection net.Conn) error {
+	_, err := io.WriteString(connection, Greeting)
+	return err
+}
+
+// expectGreeting reads the other side's greeting, byte by byte so that nothing
+// behind it is consumed.
+func expectGreeting(connection net.Conn) error {
+	line := make([]byte, 0, maximumGreeting)
+	var single [1]byte
+	for len(line) < maximumGreeting {
+		if _, err := io.ReadFull(connection, single[:]); err != nil {
+			return fmt.Errorf("%w: greeting %q ended early: %w", ErrHandshake, line, err)
+		}
+		line = append(line, single[0])
+		if single[0] == '\n' {
+			break
+		}
+	}
+	if string(line) != Greeting {
+		return fmt.Errorf("%w: got greeting %q, expected %q", ErrHandshake, line, Greeting)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,260 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/micaplank/micaplank/internal/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+type echoRequest struct {
+	Number int
+	Data   []byte
+}
+
+type echoResponse struct {
+	Number int
+	Data   []byte
+}
+
+// startServer serves echo (answers at once) and hold (answers on release).
+func startServer(t *testing.T) (server *peer.Server, started chan int, release chan struct{}) {
+	t.Helper()
+	server, err := peer.Listen(loopback, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	started, release = make(chan int, 1024), make(chan struct{})
+	echo := func(_ context.Context, _ netip.AddrPort, request *echoRequest) (*echoResponse, error) {
+		if request.Number < 0 {
+			return nil, errors.New("negative")
+		}
+		return &echoResponse{Number: request.Number, Data: request.Data}, nil
+	}
+	peer.Register(server, "echo", echo)
+	peer.Register(server, "hold", func(ctx context.Context, from netip.AddrPort, request *echoRequest) (*echoResponse, error) {
+		started <- request.Number
+		select {
+		case <-release:
+			return echo(ctx, from, request)
+		case <-ctx.Done():
+			started <- -request.Number
+			return nil, ctx.Err()
+		}
+	})
+	peer.Register(server, "grow", func(context.Context, netip.AddrPort, *echoRequest) (*echoResponse, error) {
+		return &echoResponse{Data: make([]byte, peer.MaximumMessage+1)}, nil
+	})
+	server.Serve()
+	t.Cleanup(func() { _ = server.Close(endedContext()) })
+	return server, started, release
+}
+
+func endedContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func newClient(t *testing.T, options peer.ClientOptions) *peer.Client {
+	t.Helper()
+	client := peer.NewClient(options, nil)
+	t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+func wantError(t *testing.T, err error, step peer.Step, sent, notExecuted bool) {
+	t.Helper()
+	var failure *peer.Error
+	if !errors.As(err, &failure) {
+		t.Fatalf("got %v, want a *peer.Error", err)
+	}
+	if failure.Step != step || failure.Sent != sent || failure.NotExecuted != notExecuted {
+		t.Fatalf("got step %s, sent %t, not executed %t (%v); want %s, %t, %t",
+			failure.Step, failure.Sent, failure.NotExecuted, err, step, sent, notExecuted)
+	}
+}
+
+func TestCallsShareConnectionsAndGetTheirOwnResponses(t *testing.T) {
+	server, _, _ := startServer(t)
+	client := newClient(t, peer.ClientOptions{ConnectionsPerPeer: 2})
+	var calls sync.WaitGroup
+	for number := range 200 {
+		calls.Go(func() {
+			data := bytes.Repeat([]byte{byte(number)}, number*100)
+			var response echoResponse
+			err := client.Call(context.Background(), server.Address(), "echo", &echoRequest{number, data}, &response)
+			if err != nil || response.Number != number || !bytes.Equal(response.Data, data) {
+				t.Errorf("call %d got %d with %d bytes, error %v", number, response.Number, len(response.Data), err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+func TestErrorsSayWhetherThePeerCanHaveExecuted(t *testing.T) {
+	server, started, release := startServer(t)
+	client := newClient(t, peer.ClientOptions{})
+	ctx := context.Background()
+	var response echoResponse
+
+	wantError(t, client.Call(ctx, netip.MustParseAddrPort("127.0.0.1:1"), "echo", &echoRequest{}, &response),
+		peer.StepDial, false, true)
+	wantError(t, client.Call(ctx, server.Address(), "nothing", &echoRequest{}, &response), peer.StepRefused, true, true)
+	wantError(t, client.Call(ctx, server.Address(), "echo", &echoRequest{Number: -1}, &response),
+		peer.StepHandler, true, false)
+	wantError(t, client.Call(ctx, server.Address(), "echo", &echoRequest{Data: make([]byte, peer.MaximumMessage+1)}, &response),
+		peer.StepEncode, false, true)
+	wantError(t, client.Call(ctx, server.Address(), "grow", &echoRequest{}, &response), peer.StepHandler, true, false)
+
+	limited, cancel := context.WithCancel(ctx)
+	go func() {
+		<-started
+		cancel()
+	}()
+	wantError(t, client.Call(limited, server.Address(), "hold", &echoRequest{Number: 7}, &response), peer.StepWait, true, false)
+	if stopped := <-started; stopped != -7 {
+		t.Fatalf("the handler ended with %d, want its context cancelled", stopped)
+	}
+	close(release)
+	if err := client.Call(ctx, server.Address(), "echo", &echoRequest{Number: 3}, &response); err != nil || response.Number != 3 {
+		t.Fatalf("the connection is unusable after failures: %v", err)
+	}
+}
+
+func TestCloseOfTheServerLetsCallsFinish(t *testing.T) {
+	server, started, release := startServer(t)
+	client := newClient(t, peer.ClientOptions{})
+	var calls sync.WaitGroup
+	for number := range 20 {
+		calls.Go(func() {
+			var response echoResponse
+			err := client.Call(context.Background(), server.Address(), "hold", &echoRequest{Number: number}, &response)
+			if err != nil || response.Number != number {
+				t.Errorf("call %d was cut off: %v", number, err)
+			}
+		})
+	}
+	for range 20 {
+		<-started
+	}
+	closed := make(chan error)
+	go func() { closed <- server.Close(context.Background()) }()
+	// Once the peer drains, new calls fail and provably do not execute.
+	for {
+		err := client.Call(context.Background(), server.Address(), "echo", &echoRequest{}, &echoResponse{})
+		if err == nil {
+			continue
+		}
+		if !peer.NotExecuted(err) {
+			t.Errorf("a call to a draining server: %v", err)
+		}
+		break
+	}
+	close(release)
+	if err := <-closed; err != nil {
+		t.Errorf("close: %v", err)
+	}
+	calls.Wait()
+}
+
+func TestLostConnectionEndsCallsAtOnce(t *testing.T) {
+	server, started, _ := startServer(t)
+	client := newClient(t, peer.ClientOptions{})
+	go func() {
+		<-started
+		_ = server.Close(endedContext())
+	}()
+	err := client.Call(context.Background(), server.Address(), "hold", &echoRequest{}, &echoResponse{})
+	var failure *peer.Error
+	if !errors.As(err, &failure) || !failure.Sent || failure.NotExecuted {
+		t.Fatalf("got %v, want an error that leaves execution open", err)
+	}
+}
+
+func TestIdleConnectionsAreClosedAndReopened(t *testing.T) {
+	server, _, _ := startServer(t)
+	client := newClient(t, peer.ClientOptions{IdleTimeout: time.Millisecond})
+	for range 20 {
+		if err := client.Call(context.Background(), server.Address(), "echo", &echoRequest{}, &echoResponse{}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func TestWrongPeerIsToldClearly(t *testing.T) {
+	web := httptest.NewServer(http.NotFoundHandler())
+	defer web.Close()
+	address := netip.MustParseAddrPort(web.Listener.Addr().String())
+	client := newClient(t, peer.ClientOptions{})
+	err := client.Call(context.Background(), address, "echo", &echoRequest{}, &echoResponse{})
+	wantError(t, err, peer.StepHandshake, false, true)
+	if !errors.Is(err, peer.ErrHandshake) || !bytes.Contains([]byte(err.Error()), []byte("HTTP/1.1 400")) {
+		t.Fatalf("got %v, want the greeting of the wrong peer", err)
+	}
+
+	server, _, _ := startServer(t)
+	connection, dialErr := net.Dial("tcp", server.Address().String())
+	if dialErr != nil {
+		t.Fatal(dialErr)
+	}
+	defer connection.Close()
+	_, _ = connection.Write([]byte("micaplank-peer 999\n"))
+	got := make([]byte, 64)
+	n, _ := connection.Read(got)
+	if string(got[:n]) != peer.Greeting {
+		t.Fatalf("a peer of another version was told %q", got[:n])
+	}
+}
+
+func TestDatagramsReachTheHandlerOfTheirKind(t *testing.T) {
+	server, left, err := peer.ListenPair(loopback, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close(context.Background()) }()
+	defer left.Close()
+	if server.Address() != left.Address() {
+		t.Fatalf("pair listens on %s and %s", server.Address(), left.Address())
+	}
+	right, err := peer.ListenDatagrams(loopback, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer right.Close()
+	type arrival struct {
+		from    netip.AddrPort
+		payload string
+	}
+	arrivals := make(chan arrival, 1)
+	right.Handle(peer.KindExchange, func(from netip.AddrPort, payload []byte) { arrivals <- arrival{from, string(payload)} })
+	right.Handle(peer.KindMembership, func(netip.AddrPort, []byte) { t.Error("wrong handler") })
+	if err := left.Send(peer.KindTopology, right.Address(), []byte("nobody listens")); err != nil {
+		t.Fatal(err)
+	}
+	if err := left.Send(peer.KindExchange, right.Address(), []byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-arrivals; got.from != left.Address() || got.payload != "hello" {
+		t.Fatalf("got %v", got)
+	}
+	err = left.Send(peer.KindExchange, right.Address(), make([]byte, peer.MaximumDatagram+1))
+	if !errors.Is(err, peer.ErrTooLarge) {
+		t.Fatalf("got %v, want ErrTooLarge", err)
+	}
+}
