Apply changes to the catalog

Apply is pure, copies what it changes and refuses with typed errors; the canonical statement text and a strict JSON form of catalog and change come with it. A leaf in use that is added again gets the new zone and shards and keeps AddedAt; a retiring leaf gets a new AddedAt.

--- /dev/null
+++ b/internal/catalog/apply_test.go
@@ -0,0 +1,244 @@
+package catalog_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// drawCommand draws a command over a small set of names, so that commands of
+// one log meet each other; a few of its numbers are out of range.
+func drawCommand(t *rapid.T) catalog.Command {
+	service := rapid.SampledFrom([]string{"rate-desk", "filing-vault", "Bad"}).Draw(t, "service")
+	name := rapid.SampledFrom([]string{"a", "b", "c-1", "", "x y"}).Draw(t, "name")
+	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(rapid.IntRange(0, 3).Draw(t, "port")))
+	number := rapid.OneOf(rapid.IntRange(0, 8), rapid.IntRange(catalog.MaximumShards, catalog.MaximumShards+1)).Draw(t, "number")
+	share := rapid.OneOf(rapid.Float64Range(0, 1), rapid.Float64(), rapid.SampledFrom([]float64{0, 1, 0.95, 0.999})).Draw(t, "share")
+	class := catalog.Class{
+		Name: name, Service: service, Priority: number,
+		Deadline: time.Duration(rapid.Int64Range(-1, int64(catalog.MaximumDeadline)).Draw(t, "deadline")),
+		Coverage: share, HedgePercentile: share, ExtraLoad: share / 2, Repeatable: number%2 == 0,
+	}
+	shards := rapid.SliceOfN(rapid.IntRange(0, 9), 0, 4).Draw(t, "shards")
+	return rapid.SampledFrom([]catalog.Command{
+		{CreateService: &catalog.CreateService{Name: service, Shards: number, Replicas: 2, KeyColumn: "quote"}},
+		{CreateService: &catalog.CreateService{Name: service, Shards: 8, Replicas: number}},
+		{DropService: &catalog.DropService{Name: service}},
+		{Repartition: &catalog.Repartition{Service: service, Shards: number}},
+		{DefineClass: &catalog.DefineClass{Class: class}},
+		{DropClass: &catalog.DropClass{Service: service, Name: name}},
+		{AddLeaf: &catalog.AddLeaf{Service: service, Address: address, Zone: name, Shards: shards}},
+		{RetireLeaf: &catalog.RetireLeaf{Address: address}},
+		{RemoveLeaf: &catalog.RemoveLeaf{Address: address}},
+		{LimitService: &catalog.LimitService{Service: service, Concurrency: number}},
+		{StopService: &catalog.StopService{Name: service}},
+		{StartService: &catalog.StartService{Name: service}},
+		{AddVoter: &catalog.AddVoter{Voter: catalog.Voter{Name: name, Zone: "a"}}},
+		{RemoveVoter: &catalog.RemoveVoter{Name: name}},
+		{},
+	}).Draw(t, "command")
+}
+
+func changeAt(revision uint64, command catalog.Command) catalog.Change {
+	at := time.Date(2026, 1, 2, 3, 4, 5, int(revision), time.FixedZone("JST", 9*3600))
+	return catalog.Change{Revision: revision, ID: fmt.Sprintf("%d-x", revision), Operator: "mori", At: at, Command: command}
+}
+
+func mustEncode(t rapid.TB, c *catalog.Catalog) []byte {
+	data, err := catalog.Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// TestApplyProperties checks along a random log that Apply never modifies its
+// input, grows the revision by one, refuses with a typed error, and that the
+// accepted changes, encoded and replayed, give the same digest.
+func TestApplyProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		current := catalog.Empty()
+		var log [][]byte
+		for range rapid.IntRange(1, 40).Draw(t, "length") {
+			before := mustEncode(t, current)
+			change := changeAt(current.Revision+1, drawCommand(t))
+			next, err := catalog.Apply(current, change)
+			if !bytes.Equal(before, mustEncode(t, current)) {
+				t.Fatalf("%s modified the catalog that it was applied to", change.Command)
+			}
+			if err != nil {
+				requireTyped(t, next, err)
+				continue
+			}
+			if next.Revision != current.Revision+1 {
+				t.Fatalf("revision went from %d to %d", current.Revision, next.Revision)
+			}
+			if applied, found := next.Lookup(change.ID); !found || applied.Revision != next.Revision {
+				t.Fatalf("change %s is not remembered: %+v", change.ID, applied)
+			}
+			encoded, err := catalog.EncodeChange(change)
+			if err != nil {
+				t.Fatal(err)
+			}
+			log = append(log, encoded)
+			current = next
+		}
+		requireReplay(t, log, current)
+	})
+}
+
+func requireTyped(t *rapid.T, next *catalog.Catalog, err error) {
+	var refused *catalog.Error
+	if next != nil || !errors.As(err, &refused) || !errors.Is(err, refused.Code) || refused.Message == "" {
+		t.Fatalf("refused with %#v and catalog %v", err, next)
+	}
+}
+
+func requireReplay(t *rapid.T, log [][]byte, want *catalog.Catalog) {
+	replayed := catalog.Empty()
+	for _, encoded := range log {
+		change, err := catalog.DecodeChange(encoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if replayed, err = catalog.Apply(replayed, change); err != nil {
+			t.Fatal(err)
+		}
+	}
+	decoded, err := catalog.Decode(mustEncode(t, want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if replayed.Digest() != want.Digest() || decoded.Digest() != want.Digest() {
+		t.Fatalf("digests differ: replayed %x, decoded %x, want %x", replayed.Digest(), decoded.Digest(), want.Digest())
+	}
+}
+
+var leafAddress = netip.MustParseAddrPort("127.0.0.1:7101")
+
+// build applies the commands to the empty catalog, one revision each.
+func build(t *testing.T, commands ...catalog.Command) *catalog.Catalog {
+	t.Helper()
+	current := catalog.Empty()
+	for _, command := range commands {
+		next, err := catalog.Apply(current, changeAt(current.Revision+1, command))
+		if err != nil {
+			t.Fatalf("%s: %v", command, err)
+		}
+		current = next
+	}
+	return current
+}
+
+func createService(shards int) catalog.Command {
+	return catalog.Command{CreateService: &catalog.CreateService{Name: "rate-desk", Shards: shards, Replicas: 2}}
+}
+
+func addLeaf(zone string, shards ...int) catalog.Command {
+	return catalog.Command{AddLeaf: &catalog.AddLeaf{Service: "rate-desk", Address: leafAddress, Zone: zone, Shards: shards}}
+}
+
+func retireLeaf() catalog.Command {
+	return catalog.Command{RetireLeaf: &catalog.RetireLeaf{Address: leafAddress}}
+}
+
+func TestAddLeafAgain(t *testing.T) {
+	updated := build(t, createService(8), addLeaf("a", 1, 0), addLeaf("b", 2))
+	leaf := updated.Services["rate-desk"].Leaves[leafAddress]
+	if leaf.AddedAt != 2 || leaf.Zone != "b" || !slices.Equal(leaf.Shards, []int{2}) {
+		t.Errorf("an update of a leaf in use gave %+v", leaf)
+	}
+	returned := build(t, createService(8), addLeaf("a", 1, 0), retireLeaf(), addLeaf("a", 0, 1))
+	leaf = returned.Services["rate-desk"].Leaves[leafAddress]
+	if leaf.AddedAt != 4 || leaf.Retiring {
+		t.Errorf("a retired leaf that was added again is %+v", leaf)
+	}
+}
+
+func TestRepartition(t *testing.T) {
+	commands := []catalog.Command{createService(8), addLeaf("a", 1, 7)}
+	for shards := 7; shards > 7-catalog.RetainedPartitions; shards-- {
+		commands = append(commands, catalog.Command{Repartition: &catalog.Repartition{Service: "rate-desk", Shards: shards}})
+	}
+	service := build(t, commands...).Services["rate-desk"]
+	want := []catalog.Partition{{Epoch: 2, Shards: 7}, {Epoch: 3, Shards: 6}, {Epoch: 4, Shards: 5}}
+	if !slices.Equal(service.Partitions, want) {
+		t.Errorf("partitions are %v, want %v", service.Partitions, want)
+	}
+	if got := service.Leaves[leafAddress].Shards; !slices.Equal(got, []int{1}) {
+		t.Errorf("the leaf keeps shards %v, want those that still exist", got)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	base := build(t, createService(8), addLeaf("a", 0), catalog.Command{AddVoter: &catalog.AddVoter{Voter: catalog.Voter{Name: "n1", Zone: "a"}}})
+	cases := []struct {
+		command catalog.Command
+		code    catalog.Code
+	}{
+		{createService(8), catalog.CodeUnchanged},
+		{createService(9), catalog.CodeDuplicate},
+		{createService(catalog.MaximumShards + 1), catalog.CodeLimit},
+		{addLeaf("a", 8), catalog.CodeUnknownShard},
+		{addLeaf("a", 0), catalog.CodeUnchanged},
+		{addLeaf("a", 1, 1), catalog.CodeInvalid},
+		{catalog.Command{StopService: &catalog.StopService{Name: "other"}}, catalog.CodeUnknownService},
+		{catalog.Command{StartService: &catalog.StartService{Name: "rate-desk"}}, catalog.CodeUnchanged},
+		{catalog.Command{DropService: &catalog.DropService{Name: "rate-desk"}}, catalog.CodeInUse},
+		{catalog.Command{DropClass: &catalog.DropClass{Service: "rate-desk", Name: "x"}}, catalog.CodeUnknownClass},
+		{catalog.Command{RemoveLeaf: &catalog.RemoveLeaf{Address: leafAddress}}, catalog.CodeInUse},
+		{catalog.Command{RetireLeaf: &catalog.RetireLeaf{Address: netip.MustParseAddrPort("127.0.0.1:1")}}, catalog.CodeUnknownLeaf},
+		{catalog.Command{RemoveVoter: &catalog.RemoveVoter{Name: "n2"}}, catalog.CodeUnknownVoter},
+		{catalog.Command{RemoveVoter: &catalog.RemoveVoter{Name: "n1"}}, catalog.CodeInUse},
+		{catalog.Command{}, catalog.CodeInvalid},
+	}
+	for _, c := range cases {
+		if _, err := catalog.Apply(base, changeAt(base.Revision+1, c.command)); !errors.Is(err, c.code) {
+			t.Errorf("%s: got %v, want code %s", c.command, err, c.code)
+		}
+	}
+	if _, err := catalog.Apply(base, changeAt(base.Revision, retireLeaf())); !errors.Is(err, catalog.CodeRevision) {
+		t.Errorf("an old revision: got %v", err)
+	}
+	repeated := changeAt(base.Revision+1, retireLeaf())
+	repeated.ID = "1-x"
+	if _, err := catalog.Apply(base, repeated); !errors.Is(err, catalog.CodeDuplicate) {
+		t.Errorf("a repeated id: got %v", err)
+	}
+}
+
+func TestDecodeIsStrict(t *testing.T) {
+	for _, text := range []string{`{"revision":1,"colour":2}`, `{"revision":1} {}`, `[]`, ``} {
+		if _, err := catalog.Decode([]byte(text)); err == nil {
+			t.Errorf("Decode took %q", text)
+		}
+	}
+	for _, text := range []string{`{"revision":1,"id":"1-x","command":{}}`, `{"revision":0,"id":"1-x","command":{"stop_service":{"name":"a"}}}`} {
+		if _, err := catalog.DecodeChange([]byte(text)); err == nil {
+			t.Errorf("DecodeChange took %q", text)
+		}
+	}
+}
+
+func TestRecentIsBounded(t *testing.T) {
+	current := build(t, createService(8))
+	for revision := uint64(2); revision <= catalog.RetainedChanges+5; revision++ {
+		limit := catalog.Command{LimitService: &catalog.LimitService{Service: "rate-desk", Concurrency: int(revision)}}
+		next, err := catalog.Apply(current, changeAt(revision, limit))
+		if err != nil {
+			t.Fatal(err)
+		}
+		current = next
+	}
+	if len(current.Recent) != catalog.RetainedChanges || current.Recent[0].Revision != 6 {
+		t.Errorf("%d changes are remembered from revision %d on", len(current.Recent), current.Recent[0].Revision)
+	}
+}
--- /dev/null
+++ b/internal/catalog/read.go
@@ -0,0 +1,42 @@
+package catalog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Lookup returns the record of a change that took effect, if it is among the
+// last RetainedChanges.
+func (c *Catalog) Lookup(changeID string) (AppliedChange, bool) {
+	for i := len(c.Recent) - 1; i >= 0; i-- {
+		if c.Recent[i].ID == changeID {
+			return c.Recent[i], true
+		}
+	}
+	return AppliedChange{}, false
+}
+
+// ServiceNames returns the names of the services in order.
+func (c *Catalog) ServiceNames() []string { return slices.Sorted(maps.Keys(c.Services)) }
+
+// VoterNames returns the names of the voting set in order.
+func (c *Catalog) VoterNames() []string { return slices.Sorted(maps.Keys(c.Voters)) }
+
+// Newest returns the newest partition; the zero Partition if there is none.
+func (s Service) Newest() Partition {
+	if len(s.Partitions) == 0 {
+		return Partition{}
+	}
+	return s.Partitions[len(s.Partitions)-1]
+}
+
+// ClassNames returns the names of the classes in order.
+func (s Service) ClassNames() []string { return slices.Sorted(maps.Keys(s.Classes)) }
+
+// SortedLeaves returns the leaves ordered by address.
+func (s Service) SortedLeaves() []Leaf {
+	return slices.SortedFunc(maps.Values(s.Leaves), func(a, b Leaf) int {
+		return cmp.Or(a.Address.Addr().Compare(b.Address.Addr()), cmp.Compare(a.Address.Port(), b.Address.Port()))
+	})
+}
--- /dev/null
+++ b/internal/catalog/render.go
@@ -0,0 +1,89 @@
+package catalog
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+func (o *CreateService) statement() string {
+	text := fmt.Sprintf("create service %s shards %d replicas %d", o.Name, o.Shards, o.Replicas)
+	if o.KeyColumn != "" {
+		text += " key " + o.KeyColumn
+	}
+	return text
+}
+
+func (o *DropService) statement() string  { return "drop service " + o.Name }
+func (o *StopService) statement() string  { return "stop service " + o.Name }
+func (o *StartService) statement() string { return "start service " + o.Name }
+func (o *RetireLeaf) statement() string   { return "retire leaf " + o.Address.String() }
+func (o *RemoveLeaf) statement() string   { return "remove leaf " + o.Address.String() }
+func (o *RemoveVoter) statement() string  { return "remove voter " + o.Name }
+
+func (o *Repartition) statement() string {
+	return fmt.Sprintf("repartition service %s shards %d", o.Service, o.Shards)
+}
+
+func (o *DefineClass) statement() string {
+	class := o.Class
+	var text strings.Builder
+	fmt.Fprintf(&text, "class %s on %s priority %d deadline %s coverage %s",
+		class.Name, class.Service, class.Priority, class.Deadline, formatDecimal(class.Coverage, 0))
+	if class.HedgePercentile != 0 {
+		text.WriteString(" hedge after p" + formatDecimal(class.HedgePercentile, 2))
+	}
+	if class.ExtraLoad != 0 {
+		text.WriteString(" extra " + formatDecimal(class.ExtraLoad, 2) + "%")
+	}
+	if class.Repeatable {
+		text.WriteString(" repeatable")
+	} else {
+		text.WriteString(" once")
+	}
+	return text.String()
+}
+
+func (o *DropClass) statement() string { return "drop class " + o.Name + " on " + o.Service }
+
+func (o *AddLeaf) statement() string {
+	return fmt.Sprintf("add leaf %s to %s zone %s shards %s", o.Address, o.Service, o.Zone, FormatShards(o.Shards))
+}
+
+func (o *LimitService) statement() string {
+	return fmt.Sprintf("limit %s concurrency %d", o.Service, o.Concurrency)
+}
+
+func (o *AddVoter) statement() string {
+	return fmt.Sprintf("add voter %s zone %s", o.Voter.Name, o.Voter.Zone)
+}
+
+// FormatShards returns the numbers separated by commas, as in a statement.
+func FormatShards(shards []int) string {
+	numbers := make([]string, len(shards))
+	for i, shard := range shards {
+		numbers[i] = strconv.Itoa(shard)
+	}
+	return strings.Join(numbers, ",")
+}
+
+// formatDecimal returns value times ten to the power of places in plain
+// decimal notation, exactly: reading the digits with the point moved back
+// gives the same value, which a multiplication in floating point would not.
+func formatDecimal(value float64, places int) string {
+	mantissa, exponentText, _ := strings.Cut(strconv.FormatFloat(value, 'e', -1, 64), "e")
+	digits := strings.Replace(mantissa, ".", "", 1)
+	exponent, _ := strconv.Atoi(exponentText)
+	point := exponent + 1 + places
+	if point <= 0 {
+		digits = strings.Repeat("0", 1-point) + digits
+		point = 1
+	}
+	if len(digits) < point {
+		digits += strings.Repeat("0", point-len(digits))
+	}
+	if len(digits) == point {
+		return digits
+	}
+	return digits[:point] + "." + digits[point:]
+}
--- /dev/null
+++ b/internal/catalog/validate.go
@@ -0,0 +1,167 @@
+package catalog
+
+import (
+	"math"
+	"net/netip"
+	"regexp"
+	"time"
+	"unicode/utf8"
+)
+
+// Limits of a catalog.
+const (
+	MaximumShards        = 65536
+	MaximumReplicas      = 64
+	MaximumServices      = 4096
+	MaximumClasses       = 256 // per service
+	MaximumLeaves        = 65536
+	MaximumShardsPerLeaf = 4096
+	MaximumVoters        = 255
+	MaximumPriority      = 100
+	MaximumConcurrency   = 1_000_000
+	MaximumDeadline      = time.Hour
+	MaximumOperator      = 128 // bytes
+)
+
+var (
+	namePattern     = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	columnPattern   = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_]{0,62}$`)
+	changeIDPattern = regexp.MustCompile(`^[0-9A-Za-z._-]{1,128}$`)
+)
+
+// ValidName says whether the text may name a service, class, zone or voter: a
+// lower-case letter followed by at most 62 letters, digits and hyphens.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
+// ValidColumn says whether the text may name a column: a letter or underscore
+// followed by at most 62 letters, digits and underscores.
+func ValidColumn(name string) bool { return columnPattern.MatchString(name) }
+
+// ValidChangeID says whether the text may be the id of a change: 1 to 128
+// letters, digits, dots, underscores and hyphens.
+func ValidChangeID(id string) bool { return changeIDPattern.MatchString(id) }
+
+// Validate checks the identity of the change and its command. Its errors are
+// of type *Error.
+func (c Change) Validate() error {
+	if c.Revision == 0 {
+		return refuse(CodeInvalid, "revision", "the revision of a change counts from 1")
+	}
+	if !ValidChangeID(c.ID) {
+		return refuse(CodeInvalid, c.ID, "%q is no change id", c.ID)
+	}
+	if len(c.Operator) > MaximumOperator || !utf8.ValidString(c.Operator) {
+		return refuse(CodeInvalid, "operator", "the operator's name must be UTF-8 of at most %d bytes", MaximumOperator)
+	}
+	if year := c.At.UTC().Year(); year < 1 || year > 9999 {
+		return refuse(CodeInvalid, "at", "the time of a change must lie in the years 1 to 9999")
+	}
+	return c.Command.Validate()
+}
+
+func (o *CreateService) validate() error {
+	if o.KeyColumn != "" && !ValidColumn(o.KeyColumn) {
+		return refuse(CodeInvalid, o.KeyColumn, "%q is no column name", o.KeyColumn)
+	}
+	return firstError(
+		checkName("service", o.Name),
+		checkRange("shards", o.Shards, 1, MaximumShards),
+		checkRange("replicas", o.Replicas, 1, MaximumReplicas),
+	)
+}
+
+func (o *DropService) validate() error  { return firstError(checkName("service", o.Name)) }
+func (o *StopService) validate() error  { return firstError(checkName("service", o.Name)) }
+func (o *StartService) validate() error { return firstError(checkName("service", o.Name)) }
+func (o *RetireLeaf) validate() error   { return firstError(checkAddress(o.Address)) }
+func (o *RemoveLeaf) validate() error   { return firstError(checkAddress(o.Address)) }
+func (o *RemoveVoter) validate() error  { return firstError(checkName("voter", o.Name)) }
+
+func (o *Repartition) validate() error {
+	return firstError(checkName("service", o.Service), checkRange("shards", o.Shards, 1, MaximumShards))
+}
+
+func (o *DefineClass) validate() error {
+	class := o.Class
+	if class.Deadline <= 0 || class.Deadline > MaximumDeadline {
+		return refuse(CodeLimit, "deadline", "the deadline must be more than 0s and at most %s, not %s", MaximumDeadline, class.Deadline)
+	}
+	return firstError(
+		checkName("class", class.Name),
+		checkName("service", class.Service),
+		checkRange("priority", class.Priority, 1, MaximumPriority),
+		checkShare("coverage", class.Coverage),
+		checkShare("hedge percentile", class.HedgePercentile),
+		checkShare("extra load", class.ExtraLoad),
+	)
+}
+
+func (o *DropClass) validate() error {
+	return firstError(checkName("service", o.Service), checkName("class", o.Name))
+}
+
+func (o *AddLeaf) validate() error {
+	if err := firstError(checkName("service", o.Service), checkAddress(o.Address), checkName("zone", o.Zone)); err != nil {
+		return err
+	}
+	if err := checkRange("number of shards of a leaf", len(o.Shards), 1, MaximumShardsPerLeaf); err != nil {
+		return err
+	}
+	seen := make(map[int]bool, len(o.Shards))
+	for _, shard := range o.Shards {
+		if err := checkRange("shard", shard, 0, MaximumShards-1); err != nil {
+			return err
+		}
+		if seen[shard] {
+			return refuse(CodeInvalid, "shards", "shard %d is listed twice", shard)
+		}
+		seen[shard] = true
+	}
+	return nil
+}
+
+func (o *LimitService) validate() error {
+	return firstError(checkName("service", o.Service), checkRange("concurrency", o.Concurrency, 0, MaximumConcurrency))
+}
+
+func (o *AddVoter) validate() error {
+	return firstError(checkName("voter", o.Voter.Name), checkName("zone", o.Voter.Zone))
+}
+
+// firstError returns the first error that is not nil, as a plain error.
+func firstError(errors ...*Error) error {
+	for _, err := range errors {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkName(what, name string) *Error {
+	if ValidName(name) {
+		return nil
+	}
+	return refuse(CodeInvalid, name, "%q is no %s name: it must be a lower-case letter followed by at most 62 letters, digits and hyphens", name, what)
+}
+
+func checkRange(what string, value, least, most int) *Error {
+	if value >= least && value <= most {
+		return nil
+	}
+	return refuse(CodeLimit, what, "%s must be from %d to %d, not %d", what, least, most, value)
+}
+
+func checkShare(what string, value float64) *Error {
+	if value >= 0 && value <= 1 && !math.Signbit(value) {
+		return nil
+	}
+	return refuse(CodeLimit, what, "%s must be from 0 to 1, not %v", what, value)
+}
+
+func checkAddress(address netip.AddrPort) *Error {
+	if address.IsValid() && address.Port() != 0 && address.Addr().Zone() == "" && !address.Addr().Is4In6() {
+		return nil
+	}
+	return refuse(CodeInvalid, "address", "%q is no IP address with a port", address)
+}
