Add the store and machine list clients with their stand-ins

The client of the etcd v3 HTTP/JSON gateway says of each failed call whether it may have taken effect, by counting the writes begun on the connection that carried it. The stand-in serves the same calls from memory, with rate limit, outages, delay, lost replies and lapsed leases.

--- /dev/null
+++ b/internal/machines/list.go
@@ -0,0 +1,59 @@
+// Package machines is the client of the platform's machine list: a lagging
+// list of live and leaving machines, over HTTP with JSON.
+package machines
+
+import (
+	"net/netip"
+	"time"
+)
+
+// ListPath is where the list is read by GET.
+const ListPath = "/v1/machines"
+
+// Kind says what runs on a machine.
+type Kind string
+
+// The kinds of machine.
+const (
+	KindLeaf Kind = "leaf"
+	KindNode Kind = "node"
+)
+
+// State is the platform's word on a machine.
+type State string
+
+// The states of a machine.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+	StateGone    State = "gone"
+)
+
+// Machine is one entry of the list.
+type Machine struct {
+	Address netip.AddrPort `json:"address"`
+	Kind    Kind           `json:"kind"`
+	State   State          `json:"state"`
+	// BootID changes with every start of the machine; empty if unknown.
+	BootID string `json:"boot_id,omitempty"`
+}
+
+// List is one reading of the machine list.
+type List struct {
+	// AsOfUnixMilliseconds is the platform's clock when the list was true.
+	AsOfUnixMilliseconds int64     `json:"as_of_unix_ms"`
+	Machines             []Machine `json:"machines"`
+}
+
+// AsOf returns the platform's time of the list.
+func (l List) AsOf() time.Time { return time.UnixMilli(l.AsOfUnixMilliseconds) }
+
+// Find returns the entry of an address.
+func (l List) Find(address netip.AddrPort) (Machine, bool) {
+	for _, machine := range l.Machines {
+		if machine.Address == address {
+			return machine, true
+		}
+	}
+	return Machine{}, false
+}
--- /dev/null
+++ b/internal/machines/poller.go
@@ -0,0 +1,153 @@
+package machines
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
+)
+
+const (
+	maximumListBytes = 16 << 20
+	stepFetch        = "machines.fetch"
+)
+
+// Config says where the machine list is and how often it is read.
+type Config struct {
+	Address netip.AddrPort
+	// Interval is the time between two readings; each is drawn evenly from
+	// Interval*(1-Jitter) to Interval*(1+Jitter).
+	Interval time.Duration
+	Jitter   float64
+	// Timeout bounds one reading.
+	Timeout time.Duration
+}
+
+// DefaultConfig returns a Config without an address.
+func DefaultConfig() Config {
+	return Config{Interval: time.Second, Jitter: 0.2, Timeout: time.Second}
+}
+
+// Reading is the last list that was read, with how old it is.
+type Reading struct {
+	List List
+	// Age is the time since the reading was asked for, on the monotonic
+	// clock. The list was already lagging by then.
+	Age time.Duration
+	// Known is false until the first reading succeeds.
+	Known bool
+	// Err is why the latest attempt failed; nil if it succeeded.
+	Err error
+}
+
+// Poller reads the machine list again and again, and keeps the last one. It
+// is safe for concurrent use.
+type Poller struct {
+	config  Config
+	client  *http.Client
+	random  *rand.Rand
+	metrics *metrics
+
+	mutex   sync.Mutex
+	list    List
+	asked   time.Time
+	known   bool
+	failure error
+}
+
+// NewPoller returns a poller and registers its metrics. It reads nothing until Run.
+func NewPoller(config Config, random *rand.Rand, registerer prometheus.Registerer) *Poller {
+	defaults := DefaultConfig()
+	if config.Interval <= 0 {
+		config.Interval = defaults.Interval
+	}
+	if config.Timeout <= 0 {
+		config.Timeout = defaults.Timeout
+	}
+	poller := &Poller{config: config, random: random, client: &http.Client{Transport: &http.Transport{}}}
+	poller.metrics = newMetrics(poller, registerer)
+	return poller
+}
+
+// Run reads the list at once and then at every interval, until ctx ends.
+// onReading, if not nil, is called after each successful reading, from the
+// goroutine of Run.
+func (p *Poller) Run(ctx context.Context, onReading func(List)) {
+	defer p.client.CloseIdleConnections()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if list, err := p.Poll(ctx); err == nil && onReading != nil {
+			onReading(list)
+		}
+		timer.Reset(p.pause())
+	}
+}
+
+// Poll reads the list once and keeps it. A failure leaves the last list in place.
+func (p *Poller) Poll(ctx context.Context) (List, error) {
+	asked := time.Now()
+	list, err := p.fetch(ctx)
+	p.metrics.count(err)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.failure = err
+	if err != nil {
+		return List{}, err
+	}
+	p.list, p.asked, p.known = list, asked, true
+	return list, nil
+}
+
+// Last returns the last list that was read. The caller must not modify it.
+func (p *Poller) Last() Reading {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	reading := Reading{List: p.list, Known: p.known, Err: p.failure}
+	if p.known {
+		reading.Age = time.Since(p.asked)
+	}
+	return reading
+}
+
+func (p *Poller) pause() time.Duration {
+	spread := p.config.Jitter * (2*p.random.Float64() - 1)
+	return time.Duration(float64(p.config.Interval) * (1 + spread))
+}
+
+func (p *Poller) fetch(ctx context.Context) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.Timeout)
+	defer cancel()
+	failed := oops.In("machines").With("step", stepFetch, "peer", p.config.Address.String())
+	url := "http://" + p.config.Address.String() + ListPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return List{}, failed.Wrap(err)
+	}
+	reply, err := p.client.Do(request)
+	if err != nil {
+		return List{}, failed.Wrap(err)
+	}
+	defer reply.Body.Close()
+	if reply.StatusCode != http.StatusOK {
+		return List{}, failed.Errorf("the machine list answered with HTTP status %d", reply.StatusCode)
+	}
+	var list List
+	if err := json.NewDecoder(io.LimitReader(reply.Body, maximumListBytes)).Decode(&list); err != nil {
+		return List{}, failed.Wrap(err)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maximumListBytes))
+	return list, nil
+}
--- /dev/null
+++ b/internal/rehearsal/machines/history.go
@@ -0,0 +1,63 @@
+package machines
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/machines"
+)
+
+// version is the list as it was from one moment on. It is not modified after
+// it has been appended to a history.
+type version struct {
+	since    time.Time
+	machines []machines.Machine
+}
+
+// history holds every version of the list, the newest last.
+type history struct {
+	versions []version
+}
+
+func newHistory(initial []machines.Machine, now time.Time) *history {
+	return &history{versions: []version{{since: now, machines: slices.Clone(initial)}}}
+}
+
+// at returns the list as it was at the given time, or the first one if the
+// time is before the start.
+func (h *history) at(when time.Time) machines.List {
+	found := h.versions[0]
+	for _, candidate := range h.versions {
+		if !candidate.since.After(when) {
+			found = candidate
+		}
+	}
+	return machines.List{AsOfUnixMilliseconds: when.UnixMilli(), Machines: found.machines}
+}
+
+func (h *history) change(request ControlRequest, now time.Time) {
+	list := slices.Clone(h.versions[len(h.versions)-1].machines)
+	for _, added := range request.Add {
+		list = slices.DeleteFunc(list, at(added.Address))
+		list = append(list, added)
+	}
+	setState(list, request.Leave, machines.StateLeaving)
+	setState(list, request.Gone, machines.StateGone)
+	for _, address := range request.Remove {
+		list = slices.DeleteFunc(list, at(address))
+	}
+	h.versions = append(h.versions, version{since: now, machines: list})
+}
+
+func at(address netip.AddrPort) func(machines.Machine) bool {
+	return func(machine machines.Machine) bool { return machine.Address == address }
+}
+
+func setState(list []machines.Machine, addresses []netip.AddrPort, state machines.State) {
+	for index := range list {
+		if slices.Contains(addresses, list[index].Address) {
+			list[index].State = state
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/machines/server_test.go
@@ -0,0 +1,90 @@
+package machines_test
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/micaplank/micaplank/internal/machines"
+	standin "github.com/micaplank/micaplank/internal/rehearsal/machines"
+	"github.com/micaplank/micaplank/internal/settings"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var leafAddress = netip.MustParseAddrPort("127.0.0.1:7101")
+
+func start(t *testing.T, lag time.Duration) (*standin.Server, *machines.Poller) {
+	t.Helper()
+	server, err := standin.Start(standin.Config{
+		Address: "127.0.0.1:0", Lag: settings.Duration(lag),
+		Machines: []machines.Machine{{Address: leafAddress, Kind: machines.KindLeaf, State: machines.StateLive, BootID: "b1"}},
+	}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	config := machines.Config{Address: netip.MustParseAddrPort(server.Address()), Interval: time.Millisecond, Jitter: 0.5}
+	return server, machines.NewPoller(config, rand.New(rand.NewPCG(1, 2)), nil)
+}
+
+func TestPollerSeesChanges(t *testing.T) {
+	server, poller := start(t, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	readings := make(chan machines.List)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		poller.Run(ctx, func(list machines.List) {
+			select {
+			case readings <- list:
+			case <-ctx.Done():
+			}
+		})
+	}()
+	<-readings
+	server.Control(standin.ControlRequest{Leave: []netip.AddrPort{leafAddress}})
+	for list := range readings {
+		if machine, _ := list.Find(leafAddress); machine.State == machines.StateLeaving {
+			break
+		}
+	}
+	cancel()
+	<-done
+}
+
+func TestLagHidesAChange(t *testing.T) {
+	server, poller := start(t, time.Hour)
+	server.Control(standin.ControlRequest{Remove: []netip.AddrPort{leafAddress}})
+	list, err := poller.Poll(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if machine, found := list.Find(leafAddress); !found || machine.State != machines.StateLive {
+		t.Fatalf("the change shows before its time: %+v", list)
+	}
+}
+
+func TestFailureKeepsTheLastList(t *testing.T) {
+	server, poller := start(t, 0)
+	if reading := poller.Last(); reading.Known {
+		t.Fatalf("known before the first reading: %+v", reading)
+	}
+	if _, err := poller.Poll(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	down := true
+	server.Control(standin.ControlRequest{Down: &down})
+	if _, err := poller.Poll(context.Background()); err == nil {
+		t.Fatal("expected the reading to fail")
+	}
+	reading := poller.Last()
+	if !reading.Known || reading.Err == nil || len(reading.List.Machines) != 1 || reading.Age <= 0 {
+		t.Fatalf("expected the last list with its age and the error, got %+v", reading)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/store/database.go
@@ -0,0 +1,180 @@
+package store
+
+import (
+	"errors"
+	"slices"
+	"sort"
+
+	"github.com/micaplank/micaplank/internal/store/wire"
+)
+
+var (
+	errCompacted      = errors.New("etcdserver: mvcc: required revision has been compacted")
+	errFutureRevision = errors.New("etcdserver: mvcc: required revision is a future revision")
+	errNoKey          = errors.New("etcdserver: key is not provided")
+	errNoLease        = errors.New("etcdserver: requested lease not found")
+	errPastRead       = errors.New("reads at a past revision are not served by the stand-in")
+	errUnknownTarget  = errors.New("unknown target or result of a compare")
+)
+
+// database is a multi-version key-value map: every write gets the next
+// revision of the whole store, and the history of writes is kept for watches
+// until it is compacted. It is not safe for concurrent use.
+type database struct {
+	revision int64
+	entries  map[string]wire.KeyValue
+	// history holds the changes of the revisions after compacted, in order.
+	history   []change
+	compacted int64
+	leases    map[int64]*lease
+	lastLease int64
+}
+
+// change is what one revision did to one key.
+type change struct {
+	revision int64
+	event    wire.Event
+}
+
+func newDatabase() *database {
+	return &database{revision: 1, entries: map[string]wire.KeyValue{}, leases: map[int64]*lease{}}
+}
+
+func (d *database) header() *wire.ResponseHeader {
+	return &wire.ResponseHeader{ClusterID: 1, MemberID: 1, Revision: wire.Integer(d.revision)}
+}
+
+// inRange follows the store's convention: no end means one key, and the end
+// "\x00" means all keys from key on.
+func inRange(candidate string, key, end []byte) bool {
+	if len(end) == 0 {
+		return candidate == string(key)
+	}
+	if candidate < string(key) {
+		return false
+	}
+	return (len(end) == 1 && end[0] == 0) || candidate < string(end)
+}
+
+func (d *database) keysIn(key, end []byte) []string {
+	if len(end) == 0 {
+		if _, found := d.entries[string(key)]; found {
+			return []string{string(key)}
+		}
+		return nil
+	}
+	var keys []string
+	for candidate := range d.entries {
+		if inRange(candidate, key, end) {
+			keys = append(keys, candidate)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (d *database) read(request *wire.RangeRequest) (*wire.RangeResponse, error) {
+	switch revision := int64(request.Revision); {
+	case len(request.Key) == 0:
+		return nil, errNoKey
+	case revision > d.revision:
+		return nil, errFutureRevision
+	case revision > 0 && revision < d.revision:
+		return nil, errPastRead
+	}
+	keys := d.keysIn(request.Key, request.RangeEnd)
+	response := &wire.RangeResponse{Header: d.header(), Count: wire.Integer(len(keys))}
+	if request.CountOnly {
+		return response, nil
+	}
+	if limit := int(request.Limit); limit > 0 && len(keys) > limit {
+		keys = keys[:limit]
+		response.More = true
+	}
+	for _, key := range keys {
+		entry := d.entries[key]
+		if request.KeysOnly {
+			entry.Value = nil
+		}
+		response.KeyValues = append(response.KeyValues, entry)
+	}
+	return response, nil
+}
+
+// put writes a key at the given revision.
+func (d *database) put(request *wire.PutRequest, revision int64) error {
+	if len(request.Key) == 0 {
+		return errNoKey
+	}
+	id := int64(request.Lease)
+	if id != 0 && d.leases[id] == nil {
+		return errNoLease
+	}
+	key := string(request.Key)
+	entry, found := d.entries[key]
+	if !found {
+		entry = wire.KeyValue{Key: slices.Clone(request.Key), CreateRevision: wire.Integer(revision)}
+	}
+	d.detach(key, int64(entry.Lease))
+	entry.ModRevision = wire.Integer(revision)
+	entry.Version++
+	entry.Value = slices.Clone(request.Value)
+	entry.Lease = request.Lease
+	if id != 0 {
+		d.leases[id].keys[key] = struct{}{}
+	}
+	d.entries[key] = entry
+	d.record(change{revision: revision, event: wire.Event{KeyValue: entry}})
+	return nil
+}
+
+// remove deletes the given keys at the given revision.
+func (d *database) remove(keys []string, revision int64) {
+	for _, key := range keys {
+		entry := d.entries[key]
+		d.detach(key, int64(entry.Lease))
+		delete(d.entries, key)
+		tombstone := wire.KeyValue{Key: entry.Key, ModRevision: wire.Integer(revision)}
+		d.record(change{revision: revision, event: wire.Event{Type: wire.EventDelete, KeyValue: tombstone}})
+	}
+}
+
+func (d *database) detach(key string, id int64) {
+	if held := d.leases[id]; held != nil {
+		delete(held.keys, key)
+	}
+}
+
+func (d *database) record(change change) {
+	d.revision = change.revision
+	d.history = append(d.history, change)
+}
+
+// compact drops the history up to and including revision.
+func (d *database) compact(revision int64) error {
+	switch {
+	case revision > d.revision:
+		return errFutureRevision
+	case revision <= d.compacted:
+		return errCompacted
+	}
+	kept := sort.Search(len(d.history), func(index int) bool { return d.history[index].revision > revision })
+	d.history = slices.Clone(d.history[kept:])
+	d.compacted = revision
+	return nil
+}
+
+// since returns the changes of the range from the given revision on.
+func (d *database) since(revision int64, key, end []byte) ([]wire.Event, error) {
+	if revision <= d.compacted {
+		return nil, errCompacted
+	}
+	first := sort.Search(len(d.history), func(index int) bool { return d.history[index].revision >= revision })
+	var events []wire.Event
+	for _, change := range d.history[first:] {
+		if inRange(string(change.event.KeyValue.Key), key, end) {
+			events = append(events, change.event)
+		}
+	}
+	return events, nil
+}
--- /dev/null
+++ b/internal/rehearsal/store/server.go
@@ -0,0 +1,125 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"golang.org/x/time/rate"
+)
+
+// Server is a running stand-in.
+type Server struct {
+	config   Config
+	logger   *slog.Logger
+	listener net.Listener
+	http     *http.Server
+	stopped  chan struct{}
+	working  sync.WaitGroup
+
+	mutex    sync.Mutex
+	database *database
+	// changed is closed and replaced whenever the database gets a new revision.
+	changed chan struct{}
+	faults  Faults
+	limiter *rate.Limiter
+	// faultsChanged is closed and replaced whenever the faults are set.
+	faultsChanged chan struct{}
+	// watchesBroken is closed and replaced to break the open watches.
+	watchesBroken chan struct{}
+	counters      Counters
+}
+
+// Counters counts what the stand-in did since it started.
+type Counters struct {
+	Calls       int64 `json:"calls"`
+	RateLimited int64 `json:"rate_limited"`
+	Failed      int64 `json:"failed"`
+	RepliesLost int64 `json:"replies_lost"`
+	Writes      int64 `json:"writes"`
+	Watches     int64 `json:"watches"`
+}
+
+// Start listens and serves until Close.
+func Start(config Config, logger *slog.Logger) (*Server, error) {
+	if err := config.Check(); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		return nil, oops.In("rehearsal.store").With("step", "listen", "peer", config.Address).Wrap(err)
+	}
+	server := &Server{
+		config: config, logger: logger, listener: listener, stopped: make(chan struct{}),
+		database: newDatabase(), changed: make(chan struct{}), faultsChanged: make(chan struct{}),
+		watchesBroken: make(chan struct{}),
+	}
+	server.SetFaults(config.Faults)
+	server.http = &http.Server{Handler: server.handler(), ReadHeaderTimeout: headerTimeout}
+	server.working.Go(server.serve)
+	server.working.Go(server.expireLeases)
+	return server, nil
+}
+
+const headerTimeout = 5 * time.Second
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, config Config, logger *slog.Logger) error {
+	server, err := Start(config, logger)
+	if err != nil {
+		return err
+	}
+	logger.Info("store stand-in is serving", "address", server.Address())
+	<-ctx.Done()
+	server.Close()
+	return nil
+}
+
+// Address is the address that the stand-in listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops serving, breaks every connection and waits for the server's
+// goroutines. It may be called once.
+func (s *Server) Close() {
+	close(s.stopped)
+	_ = s.http.Close()
+	s.working.Wait()
+}
+
+func (s *Server) serve() {
+	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.logger.Error("store stand-in stopped", "error", err)
+	}
+}
+
+func (s *Server) expireLeases() {
+	ticker := time.NewTicker(leaseTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			s.mutex.Lock()
+			if s.database.expire(now) {
+				s.announce()
+			}
+			s.mutex.Unlock()
+		case <-s.stopped:
+			return
+		}
+	}
+}
+
+// announce wakes the watches; the mutex is held.
+func (s *Server) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	limit := s.config.HistoryLimit
+	if oldest := s.database.revision - limit; limit > 0 && oldest > s.database.compacted {
+		_ = s.database.compact(oldest)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/store/server_test.go
@@ -0,0 +1,159 @@
+package store_test
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	standin "github.com/micaplank/micaplank/internal/rehearsal/store"
+	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs a stand-in and a client without a rate limit.
+func start(t *testing.T, change func(*standin.Config, *store.Config)) (*standin.Server, *store.Client) {
+	t.Helper()
+	serverConfig := standin.Config{Address: "127.0.0.1:0"}
+	clientConfig := store.Config{Timeout: 5 * time.Second}
+	if change != nil {
+		change(&serverConfig, &clientConfig)
+	}
+	server, err := standin.Start(serverConfig, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	clientConfig.Endpoints = append(clientConfig.Endpoints, netip.MustParseAddrPort(server.Address()))
+	client, err := store.New(clientConfig, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close(); server.Close() })
+	return server, client
+}
+
+func TestCreateIfAbsentReturnsTheWinner(t *testing.T) {
+	_, client := start(t, nil)
+	ctx := context.Background()
+	first, err := client.CreateIfAbsent(ctx, "/a", []byte("one"))
+	if err != nil || !first.Created {
+		t.Fatalf("first create: %+v, %v", first, err)
+	}
+	second, err := client.CreateIfAbsent(ctx, "/a", []byte("two"))
+	if err != nil || second.Created || string(second.Existing.Value) != "one" {
+		t.Fatalf("second create: %+v, %v", second, err)
+	}
+	if second.Existing.ModRevision != first.StoreRevision {
+		t.Fatalf("mod revision %d, created at %d", second.Existing.ModRevision, first.StoreRevision)
+	}
+}
+
+func TestLostReplyMayHaveBeenApplied(t *testing.T) {
+	server, client := start(t, nil)
+	server.SetFaults(standin.Faults{LoseReplies: 1})
+	ctx := context.Background()
+	_, err := client.CreateIfAbsent(ctx, "/a", []byte("one"))
+	if store.KindOf(err) != store.KindReplyLost || !store.MaybeApplied(err) {
+		t.Fatalf("expected a lost reply, got %v", err)
+	}
+	found, err := client.Range(ctx, "/a", "", 0)
+	if err != nil || len(found.Entries) != 1 || found.Entries[0].Version != 1 {
+		t.Fatalf("expected the write once: %+v, %v", found, err)
+	}
+}
+
+func TestFaultsAreTyped(t *testing.T) {
+	cases := map[string]struct {
+		faults       standin.Faults
+		kind         store.Kind
+		maybeApplied bool
+	}{
+		"unavailable": {standin.Faults{Outage: standin.OutageUnavailable}, store.KindUnavailable, true},
+		"closed":      {standin.Faults{Outage: standin.OutageClose}, store.KindReplyLost, true},
+		"hanging":     {standin.Faults{Outage: standin.OutageHang}, store.KindTimeout, true},
+		"slow":        {standin.Faults{Delay: settings.Duration(time.Minute)}, store.KindTimeout, true},
+		"limited":     {standin.Faults{RatePerSecond: 1e-9, Burst: 1}, store.KindRateLimited, false},
+	}
+	for name, expected := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, client := start(t, func(_ *standin.Config, config *store.Config) { config.Timeout = 100 * time.Millisecond })
+			server.SetFaults(expected.faults)
+			if expected.kind == store.KindRateLimited {
+				_, _ = client.Range(context.Background(), "/a", "", 0)
+			}
+			_, err := client.CreateIfAbsent(context.Background(), "/a", nil)
+			if store.KindOf(err) != expected.kind || store.MaybeApplied(err) != expected.maybeApplied {
+				t.Fatalf("expected %s (may be applied: %v), got %v", expected.kind, expected.maybeApplied, err)
+			}
+		})
+	}
+}
+
+func TestWatchDeliversEveryChangeAndSaysWhenCompacted(t *testing.T) {
+	server, client := start(t, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	created, err := client.CreateIfAbsent(ctx, "/a/1", []byte("one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	events, err := client.Watch(ctx, "/a/", store.PrefixEnd("/a/"), created.StoreRevision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.CreateIfAbsent(ctx, "/a/2", []byte("two")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.DeleteRange(ctx, "/a/1", ""); err != nil {
+		t.Fatal(err)
+	}
+	for _, expected := range []struct {
+		kind store.WatchKind
+		key  string
+	}{{store.WatchPut, "/a/1"}, {store.WatchPut, "/a/2"}, {store.WatchDelete, "/a/1"}} {
+		if event := <-events; event.Kind != expected.kind || event.Entry.Key != expected.key {
+			t.Fatalf("expected %+v, got %+v", expected, event)
+		}
+	}
+	server.Control(standin.ControlRequest{CompactNow: true, BreakWatches: true})
+	if event := <-events; store.KindOf(event.Err) != store.KindReplyLost {
+		t.Fatalf("expected the stream to break, got %+v", event)
+	}
+	old, err := client.Watch(ctx, "/a/", store.PrefixEnd("/a/"), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if event := <-old; store.KindOf(event.Err) != store.KindCompacted {
+		t.Fatalf("expected a compacted watch, got %+v", event)
+	}
+}
+
+func TestLapsedLeaseDeletesItsKeys(t *testing.T) {
+	server, client := start(t, nil)
+	ctx := context.Background()
+	lease, err := client.Grant(ctx, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.CreateIfAbsent(ctx, "/held", nil, store.WithLease(lease.ID)); err != nil {
+		t.Fatal(err)
+	}
+	if renewed, err := client.KeepAlive(ctx, lease.ID); err != nil || renewed.TimeToLive != time.Minute {
+		t.Fatalf("renewed %+v, %v", renewed, err)
+	}
+	server.Control(standin.ControlRequest{LapseLeases: true})
+	if found, err := client.Range(ctx, "/held", "", 0); err != nil || len(found.Entries) != 0 {
+		t.Fatalf("the key outlived its lease: %+v, %v", found, err)
+	}
+	if _, err := client.KeepAlive(ctx, lease.ID); store.KindOf(err) != store.KindLeaseNotFound {
+		t.Fatalf("expected the lease to be gone, got %v", err)
+	}
+	if err := client.Revoke(ctx, lease.ID); store.KindOf(err) != store.KindLeaseNotFound {
+		t.Fatalf("expected the lease to be gone, got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/store/call.go
@@ -0,0 +1,211 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/store/wire"
+)
+
+// call posts one request and decodes the response into response.
+func (c *Client) call(ctx context.Context, step Step, path string, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	defer cancel()
+	begun := time.Now()
+	err := c.try(ctx, step, path, request, response)
+	c.metrics.observe(step, err, time.Since(begun))
+	return err
+}
+
+func (c *Client) try(ctx context.Context, step Step, path string, request, response any) error {
+	if err := c.wait(ctx, step); err != nil {
+		return annotate(err.(*Error))
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return annotate(&Error{Step: step, Kind: KindRefused, Cause: err})
+	}
+	reply, endpoint, failure := c.post(ctx, step, path, body)
+	if failure != nil {
+		return annotate(failure)
+	}
+	defer reply.Body.Close()
+	limited := io.LimitReader(reply.Body, maximumResponseBytes)
+	if err := json.NewDecoder(limited).Decode(response); err != nil {
+		return annotate(lost(ctx, step, endpoint, err))
+	}
+	if step != StepKeepAlive {
+		drain(limited)
+	}
+	return nil
+}
+
+// drain reads the end of a response, so that the connection can be used again.
+// The response of a keep-alive may stay open: it is closed instead.
+func drain(body io.Reader) { _, _ = io.Copy(io.Discard, body) }
+
+// post sends the body to the first endpoint that can be reached, and returns
+// the response if its status is OK.
+func (c *Client) post(ctx context.Context, step Step, path string, body []byte) (*http.Response, netip.AddrPort, *Error) {
+	var failure *Error
+	for try := range c.config.Endpoints {
+		endpoint := c.endpoint(try)
+		reply, err := c.postTo(ctx, step, endpoint, path, body)
+		if err == nil {
+			return reply, endpoint, nil
+		}
+		failure = err
+		if failure.Kind != KindUnreachable || failure.MaybeApplied || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, netip.AddrPort{}, failure
+}
+
+func (c *Client) postTo(ctx context.Context, step Step, endpoint netip.AddrPort, path string, body []byte) (*http.Response, *Error) {
+	sent := &departure{}
+	request, err := newRequest(sent.trace(ctx), endpoint, path, body)
+	if err != nil {
+		return nil, &Error{Step: step, Peer: endpoint.String(), Kind: KindRefused, Cause: err}
+	}
+	reply, err := c.http.Do(request)
+	if err != nil {
+		failure := broken(ctx, step, endpoint, sent.abandon(), err)
+		if failure.Kind != KindCanceled {
+			c.avoid(endpoint)
+		}
+		return nil, failure
+	}
+	if reply.StatusCode == http.StatusOK {
+		return reply, nil
+	}
+	defer reply.Body.Close()
+	failure := answered(step, endpoint, reply)
+	if failure.Kind == KindUnavailable {
+		c.avoid(endpoint)
+	}
+	return nil, failure
+}
+
+// newRequest builds a request that net/http cannot send twice: it has a body
+// and no GetBody, so that neither a broken idle connection nor a redirect can
+// replay it.
+func newRequest(ctx context.Context, endpoint netip.AddrPort, path string, body []byte) (*http.Request, error) {
+	url := "http://" + endpoint.String() + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// broken classifies a call that got no response header.
+func broken(ctx context.Context, step Step, endpoint netip.AddrPort, mayHaveLeft bool, cause error) *Error {
+	failure := &Error{Step: step, Peer: endpoint.String(), MaybeApplied: mayHaveLeft, Cause: cause}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		failure.Kind = KindCanceled
+	case ctx.Err() != nil:
+		failure.Kind = KindTimeout
+	case !mayHaveLeft:
+		failure.Kind = KindUnreachable
+	case isTimeout(cause):
+		failure.Kind = KindTimeout
+	default:
+		failure.Kind = KindReplyLost
+	}
+	return failure
+}
+
+// lost classifies a call whose response broke off or cannot be read.
+func lost(ctx context.Context, step Step, endpoint netip.AddrPort, cause error) *Error {
+	failure := broken(ctx, step, endpoint, true, cause)
+	if failure.Kind == KindUnreachable {
+		failure.Kind = KindReplyLost
+	}
+	return failure
+}
+
+// answered classifies a response with an error status.
+func answered(step Step, endpoint netip.AddrPort, reply *http.Response) *Error {
+	failure := &Error{Step: step, Peer: endpoint.String(), RetryAfter: retryAfter(reply.Header)}
+	content, _ := io.ReadAll(io.LimitReader(reply.Body, maximumErrorBytes))
+	var body wire.ErrorBody
+	decoded := json.Unmarshal(content, &body)
+	if decoded != nil || body.Message == "" {
+		body.Message = "HTTP status " + strconv.Itoa(reply.StatusCode)
+	}
+	if decoded != nil || body.Code == wire.CodeOK {
+		body.Code = codeOfStatus(reply.StatusCode)
+	}
+	failure.Kind, failure.MaybeApplied = classify(body.Code, body.Message)
+	failure.Cause = errors.New(body.Message)
+	return failure
+}
+
+const maximumErrorBytes = 64 << 10
+
+// Messages by which the store tells apart refusals with the same code.
+const (
+	messageCompacted = "mvcc: required revision has been compacted"
+)
+
+// classify says what kind of failure a status code is and whether the call
+// may have had effect. The store answers "unavailable", "deadline exceeded",
+// "unknown" and "internal" also after it has proposed a write.
+func classify(code wire.Code, message string) (kind Kind, maybeApplied bool) {
+	switch code {
+	case wire.CodeResourceExhausted:
+		return KindRateLimited, false
+	case wire.CodeNotFound:
+		return KindLeaseNotFound, false
+	case wire.CodeOutOfRange:
+		if strings.Contains(message, messageCompacted) {
+			return KindCompacted, false
+		}
+		return KindRefused, false
+	case wire.CodeInvalidArgument, wire.CodePermissionDenied, wire.CodeFailedPrecondition,
+		wire.CodeUnimplemented, wire.CodeUnauthenticated:
+		return KindRefused, false
+	case wire.CodeCanceled:
+		return KindCanceled, true
+	default:
+		return KindUnavailable, true
+	}
+}
+
+func codeOfStatus(status int) wire.Code {
+	switch status {
+	case http.StatusTooManyRequests:
+		return wire.CodeResourceExhausted
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return wire.CodeInvalidArgument
+	case http.StatusUnauthorized:
+		return wire.CodeUnauthenticated
+	case http.StatusForbidden:
+		return wire.CodePermissionDenied
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+		return wire.CodeUnimplemented
+	default:
+		return wire.CodeUnavailable
+	}
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/store/keys.go
@@ -0,0 +1,158 @@
+package store
+
+import (
+	"context"
+
+	"github.com/micaplank/micaplank/internal/store/wire"
+)
+
+// Entry is one key with its value and revisions.
+type Entry struct {
+	Key   string
+	Value []byte
+	// CreateRevision and ModRevision are the store's revisions at which the
+	// key was created and last written.
+	CreateRevision int64
+	ModRevision    int64
+	// Version counts the writes since the key was created.
+	Version int64
+	Lease   LeaseID
+}
+
+// RangeResult is what a Range found.
+type RangeResult struct {
+	// Entries are in order of their keys.
+	Entries []Entry
+	// More is set if the limit cut the range short.
+	More bool
+	// Count is the number of keys in the range, whatever the limit.
+	Count int64
+	// StoreRevision is the store's revision of the read. A watch from
+	// StoreRevision+1 misses nothing.
+	StoreRevision int64
+}
+
+// CreateResult is the outcome of a CreateIfAbsent.
+type CreateResult struct {
+	Created bool
+	// Existing is the entry that was there before, if Created is false.
+	Existing Entry
+	// StoreRevision is the store's revision after the call; if Created, the
+	// revision of the new key.
+	StoreRevision int64
+}
+
+// SwapResult is the outcome of a CompareAndSwap.
+type SwapResult struct {
+	Swapped bool
+	// Existing is the entry found, if Swapped is false; its ModRevision is
+	// zero if the key does not exist.
+	Existing      Entry
+	StoreRevision int64
+}
+
+// PutOption changes how a value is written.
+type PutOption func(*wire.PutRequest)
+
+// WithLease attaches the key to a lease: it is deleted when the lease ends.
+func WithLease(id LeaseID) PutOption {
+	return func(put *wire.PutRequest) { put.Lease = wire.Integer(id) }
+}
+
+// Range reads the keys from key up to, not including, end, at most limit of
+// them (0 means all). An empty end reads the one key. The read is linearizable.
+func (c *Client) Range(ctx context.Context, key, end string, limit int64) (RangeResult, error) {
+	request := wire.RangeRequest{Key: []byte(key), RangeEnd: []byte(end), Limit: wire.Integer(limit)}
+	var response wire.RangeResponse
+	if err := c.call(ctx, StepRange, wire.RangePath, request, &response); err != nil {
+		return RangeResult{}, err
+	}
+	result := RangeResult{
+		More:          response.More,
+		Count:         int64(response.Count),
+		StoreRevision: revisionOf(response.Header),
+	}
+	for _, keyValue := range response.KeyValues {
+		result.Entries = append(result.Entries, entryOf(keyValue))
+	}
+	return result, nil
+}
+
+// CreateIfAbsent writes the key if it does not exist, and returns the entry
+// that is there otherwise.
+func (c *Client) CreateIfAbsent(ctx context.Context, key string, value []byte, options ...PutOption) (CreateResult, error) {
+	result, err := c.CompareAndSwap(ctx, key, 0, value, options...)
+	return CreateResult{Created: result.Swapped, Existing: result.Existing, StoreRevision: result.StoreRevision}, err
+}
+
+// CompareAndSwap writes the key if its mod revision is modRevision (0: the key
+// does not exist), and returns the entry that is there otherwise.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, modRevision int64, value []byte, options ...PutOption) (SwapResult, error) {
+	put := &wire.PutRequest{Key: []byte(key), Value: value}
+	for _, option := range options {
+		option(put)
+	}
+	revision := wire.Integer(modRevision)
+	request := wire.TxnRequest{
+		Compare: []wire.Compare{{
+			Result: wire.ResultEqual, Target: wire.TargetMod, Key: []byte(key), ModRevision: &revision,
+		}},
+		Success: []wire.RequestOp{{Put: put}},
+		Failure: []wire.RequestOp{{Range: &wire.RangeRequest{Key: []byte(key)}}},
+	}
+	var response wire.TxnResponse
+	if err := c.call(ctx, StepTxn, wire.TxnPath, request, &response); err != nil {
+		return SwapResult{}, err
+	}
+	result := SwapResult{Swapped: response.Succeeded, StoreRevision: revisionOf(response.Header)}
+	if !response.Succeeded {
+		result.Existing = firstOf(response.Responses, key)
+	}
+	return result, nil
+}
+
+// DeleteRange deletes the keys from key up to, not including, end (only key if
+// end is empty) and returns how many there were.
+func (c *Client) DeleteRange(ctx context.Context, key, end string) (deleted int64, err error) {
+	request := wire.DeleteRangeRequest{Key: []byte(key), RangeEnd: []byte(end)}
+	var response wire.DeleteRangeResponse
+	err = c.call(ctx, StepDeleteRange, wire.DeleteRangePath, request, &response)
+	return int64(response.Deleted), err
+}
+
+// PrefixEnd returns the end of the range of all keys that start with prefix.
+func PrefixEnd(prefix string) string {
+	end := []byte(prefix)
+	for last := len(end) - 1; last >= 0; last-- {
+		if end[last] < 0xff {
+			end[last]++
+			return string(end[:last+1])
+		}
+	}
+	return "\x00"
+}
+
+func firstOf(responses []wire.ResponseOp, key string) Entry {
+	if len(responses) == 0 || responses[0].Range == nil || len(responses[0].Range.KeyValues) == 0 {
+		return Entry{Key: key}
+	}
+	return entryOf(responses[0].Range.KeyValues[0])
+}
+
+func entryOf(keyValue wire.KeyValue) Entry {
+	return Entry{
+		Key:            string(keyValue.Key),
+		Value:          keyValue.Value,
+		CreateRevision: int64(keyValue.CreateRevision),
+		ModRevision:    int64(keyValue.ModRevision),
+		Version:        int64(keyValue.Version),
+		Lease:          LeaseID(keyValue.Lease),
+	}
+}
+
+func revisionOf(header *wire.ResponseHeader) int64 {
+	if header == nil {
+		return 0
+	}
+	return int64(header.Revision)
+}
--- /dev/null
+++ b/internal/store/wire/messages.go
@@ -0,0 +1,189 @@
+// Package wire holds the messages of the part of the etcd v3 HTTP/JSON gateway
+// that micaplank uses. Field names, the base64 form of keys and values, and
+// 64-bit integers as strings follow the published gateway; fields at their
+// zero value are left out, as the gateway does.
+package wire
+
+// Paths of the gateway. All are called with POST.
+const (
+	RangePath          = "/v3/kv/range"
+	TxnPath            = "/v3/kv/txn"
+	DeleteRangePath    = "/v3/kv/deleterange"
+	CompactionPath     = "/v3/kv/compaction"
+	LeaseGrantPath     = "/v3/lease/grant"
+	LeaseKeepAlivePath = "/v3/lease/keepalive"
+	LeaseRevokePath    = "/v3/lease/revoke"
+	// LeaseRevokeOldPath is the path of older gateways, still served by newer ones.
+	LeaseRevokeOldPath = "/v3/kv/lease/revoke"
+	WatchPath          = "/v3/watch"
+)
+
+// ResponseHeader comes with every response.
+type ResponseHeader struct {
+	ClusterID Integer `json:"cluster_id,omitempty"`
+	MemberID  Integer `json:"member_id,omitempty"`
+	// Revision is the store's revision when the response was made.
+	Revision Integer `json:"revision,omitempty"`
+}
+
+// KeyValue is one key with its value and revisions.
+type KeyValue struct {
+	Key            []byte  `json:"key,omitempty"`
+	CreateRevision Integer `json:"create_revision,omitempty"`
+	ModRevision    Integer `json:"mod_revision,omitempty"`
+	Version        Integer `json:"version,omitempty"`
+	Value          []byte  `json:"value,omitempty"`
+	Lease          Integer `json:"lease,omitempty"`
+}
+
+// RangeRequest reads the keys from Key up to, not including, RangeEnd; only
+// Key if RangeEnd is empty.
+type RangeRequest struct {
+	Key       []byte  `json:"key,omitempty"`
+	RangeEnd  []byte  `json:"range_end,omitempty"`
+	Limit     Integer `json:"limit,omitempty"`
+	Revision  Integer `json:"revision,omitempty"`
+	KeysOnly  bool    `json:"keys_only,omitempty"`
+	CountOnly bool    `json:"count_only,omitempty"`
+}
+
+// RangeResponse lists the keys found, in order.
+type RangeResponse struct {
+	Header    *ResponseHeader `json:"header,omitempty"`
+	KeyValues []KeyValue      `json:"kvs,omitempty"`
+	More      bool            `json:"more,omitempty"`
+	Count     Integer         `json:"count,omitempty"`
+}
+
+// PutRequest writes one key.
+type PutRequest struct {
+	Key   []byte  `json:"key,omitempty"`
+	Value []byte  `json:"value,omitempty"`
+	Lease Integer `json:"lease,omitempty"`
+}
+
+// PutResponse answers a PutRequest.
+type PutResponse struct {
+	Header *ResponseHeader `json:"header,omitempty"`
+}
+
+// DeleteRangeRequest deletes the keys from Key up to RangeEnd.
+type DeleteRangeRequest struct {
+	Key      []byte `json:"key,omitempty"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// DeleteRangeResponse says how many keys were deleted.
+type DeleteRangeResponse struct {
+	Header  *ResponseHeader `json:"header,omitempty"`
+	Deleted Integer         `json:"deleted,omitempty"`
+}
+
+// CompareTarget is the field of a key that a Compare looks at.
+type CompareTarget string
+
+// The targets used here.
+const (
+	TargetVersion CompareTarget = "VERSION"
+	TargetCreate  CompareTarget = "CREATE"
+	TargetMod     CompareTarget = "MOD"
+)
+
+// CompareResult is the relation that a Compare asks for.
+type CompareResult string
+
+// The relations.
+const (
+	ResultEqual    CompareResult = "EQUAL"
+	ResultGreater  CompareResult = "GREATER"
+	ResultLess     CompareResult = "LESS"
+	ResultNotEqual CompareResult = "NOT_EQUAL"
+)
+
+// Compare is one condition of a transaction. A missing key has version and
+// revisions zero.
+type Compare struct {
+	Result         CompareResult `json:"result,omitempty"`
+	Target         CompareTarget `json:"target,omitempty"`
+	Key            []byte        `json:"key,omitempty"`
+	Version        *Integer      `json:"version,omitempty"`
+	CreateRevision *Integer      `json:"create_revision,omitempty"`
+	ModRevision    *Integer      `json:"mod_revision,omitempty"`
+}
+
+// RequestOp is one operation of a transaction; exactly one field is set.
+type RequestOp struct {
+	Range       *RangeRequest       `json:"request_range,omitempty"`
+	Put         *PutRequest         `json:"request_put,omitempty"`
+	DeleteRange *DeleteRangeRequest `json:"request_delete_range,omitempty"`
+}
+
+// ResponseOp answers a RequestOp.
+type ResponseOp struct {
+	Range       *RangeResponse       `json:"response_range,omitempty"`
+	Put         *PutResponse         `json:"response_put,omitempty"`
+	DeleteRange *DeleteRangeResponse `json:"response_delete_range,omitempty"`
+}
+
+// TxnRequest runs Success if all of Compare hold, and Failure otherwise, as
+// one atomic step.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []RequestOp `json:"success,omitempty"`
+	Failure []RequestOp `json:"failure,omitempty"`
+}
+
+// TxnResponse says which branch ran and what it returned.
+type TxnResponse struct {
+	Header    *ResponseHeader `json:"header,omitempty"`
+	Succeeded bool            `json:"succeeded,omitempty"`
+	Responses []ResponseOp    `json:"responses,omitempty"`
+}
+
+// CompactionRequest discards the history before Revision.
+type CompactionRequest struct {
+	Revision Integer `json:"revision,omitempty"`
+}
+
+// CompactionResponse answers a CompactionRequest.
+type CompactionResponse struct {
+	Header *ResponseHeader `json:"header,omitempty"`
+}
+
+// LeaseGrantRequest asks for a lease of TTL seconds; the store chooses the id
+// if ID is zero.
+type LeaseGrantRequest struct {
+	TTL Integer `json:"TTL,omitempty"`
+	ID  Integer `json:"ID,omitempty"`
+}
+
+// LeaseGrantResponse carries the granted lease.
+type LeaseGrantResponse struct {
+	Header *ResponseHeader `json:"header,omitempty"`
+	ID     Integer         `json:"ID,omitempty"`
+	TTL    Integer         `json:"TTL,omitempty"`
+	Error  string          `json:"error,omitempty"`
+}
+
+// LeaseKeepAliveRequest renews a lease.
+type LeaseKeepAliveRequest struct {
+	ID Integer `json:"ID,omitempty"`
+}
+
+// LeaseKeepAliveResponse carries the new time to live in seconds; zero if the
+// lease does not exist any more.
+type LeaseKeepAliveResponse struct {
+	Header *ResponseHeader `json:"header,omitempty"`
+	ID     Integer         `json:"ID,omitempty"`
+	TTL    Integer         `json:"TTL,omitempty"`
+}
+
+// LeaseRevokeRequest ends a lease and deletes the keys attached to it.
+type LeaseRevokeRequest struct {
+	ID Integer `json:"ID,omitempty"`
+}
+
+// LeaseRevokeResponse answers a LeaseRevokeRequest.
+type LeaseRevokeResponse struct {
+	Header *ResponseHeader `json:"header,omitempty"`
+}
