--- /dev/null
+++ b/internal/membership/digest.go
@@ -0,0 +1,69 @@
+package membership
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	digestBuckets     = 256
+	minimumBuckets    = 8
+	membersPerBucket  = 8
+	bytesPerBucket    = 4
+	maximumDigestSize = digestBuckets * bytesPerBucket
+)
+
+// digest is the exclusive or of the fingerprints of all members that are not
+// gone, by bucket of the name.
+type digest [digestBuckets]uint32
+
+// bucketOf returns the bucket of a name out of a power of two of buckets.
+func bucketOf(name string, buckets int) int {
+	return int(xxhash.Sum64String(name) % uint64(buckets))
+}
+
+// toggle adds a fingerprint, or takes it out again.
+func (d *digest) toggle(name string, fingerprint uint32) {
+	d[bucketOf(name, digestBuckets)] ^= fingerprint
+}
+
+// fold returns the digest with fewer buckets.
+func (d *digest) fold(buckets int) []uint32 {
+	folded := make([]uint32, buckets)
+	for i, value := range d {
+		folded[i%buckets] ^= value
+	}
+	return folded
+}
+
+// encode returns the digest with a number of buckets fit for the number of
+// members.
+func (d *digest) encode(members int) []byte {
+	buckets := minimumBuckets
+	for buckets < digestBuckets && buckets*membersPerBucket < members {
+		buckets *= 2
+	}
+	encoded := make([]byte, 0, buckets*bytesPerBucket)
+	for _, value := range d.fold(buckets) {
+		encoded = binary.BigEndian.AppendUint32(encoded, value)
+	}
+	return encoded
+}
+
+// differing returns the number of buckets of an encoded digest and those in
+// which d differs from it; zero buckets if it is malformed.
+func (d *digest) differing(encoded []byte) (buckets int, differ []int) {
+	buckets = len(encoded) / bytesPerBucket
+	valid := len(encoded)%bytesPerBucket == 0 && buckets > 0 &&
+		buckets <= digestBuckets && buckets&(buckets-1) == 0
+	if !valid {
+		return 0, nil
+	}
+	for i, value := range d.fold(buckets) {
+		if binary.BigEndian.Uint32(encoded[i*bytesPerBucket:]) != value {
+			differ = append(differ, i)
+		}
+	}
+	return buckets, differ
+}
--- /dev/null
+++ b/internal/membership/merge.go
@@ -0,0 +1,203 @@
+package membership
+
+import "net/netip"
+
+// merge takes one update in and passes it on if it is news.
+func (c *Core) merge(update Update) {
+	if update.Name == c.self.Name {
+		c.mergeSelf(update)
+		return
+	}
+	known := c.view.byName[update.Name]
+	switch {
+	case known == nil:
+		c.mergeUnknown(update)
+	case c.isNewer(update, known):
+		c.mergeNewer(update, known)
+	case update.State == StateSuspect && known.version() == update.version():
+		c.confirmSuspicion(known, update)
+	}
+}
+
+func (c *Core) isNewer(update Update, known *peer) bool {
+	if c.config.disabled.incarnations {
+		return update.full() || update.version().newerThan(known.version())
+	}
+	return update.version().newerThan(known.version())
+}
+
+// mergeUnknown adds a member. One that is gone already, or that comes without
+// addresses, is left out: the first does no harm, the second will follow.
+func (c *Core) mergeUnknown(update Update) {
+	if update.State == StateGone || !update.full() {
+		return
+	}
+	c.adopt(update, Member{})
+}
+
+// mergeNewer replaces the record of a known member.
+func (c *Core) mergeNewer(update Update, known *peer) {
+	if !update.full() {
+		if update.Incarnation != known.Incarnation {
+			return
+		}
+		record := known.Member
+		record.Refutation, record.State = update.Refutation, update.State
+		accuser := update.Accuser
+		update = fullUpdate(record)
+		update.Accuser = accuser
+	}
+	c.adopt(update, known.Member)
+}
+
+// adopt stores a record, tells the node and passes the update on.
+func (c *Core) adopt(update Update, previous Member) {
+	record := update.member()
+	if previous.State == StateSuspect && record.State != StateSuspect {
+		if record.State != StateGone {
+			c.statistics.SuspicionsRefuted++
+		}
+	}
+	p := c.view.set(c.now, record)
+	p.suspicion = nil
+	if record.State == StateSuspect {
+		c.beginSuspicion(p, update.Accuser)
+	}
+	isNew := previous.Name == "" || previous.State == StateGone
+	if isNew && !p.gone() {
+		c.probing.include(c.random, p)
+	}
+	c.broadcasts.add(c.forwarded(update, previous))
+	c.event(Event{Kind: EventChanged, Member: record, Previous: previous})
+}
+
+// forwarded drops the addresses from an update that receivers can do without:
+// those that know the incarnation need them no more.
+func (c *Core) forwarded(update Update, previous Member) Update {
+	if previous.Incarnation == update.Incarnation && previous.Name != "" {
+		short := shortUpdate(update.member())
+		short.Accuser = update.Accuser
+		return short
+	}
+	return update
+}
+
+// mergeSelf takes in what others say of this node.
+func (c *Core) mergeSelf(update Update) {
+	if update.Incarnation > c.self.Incarnation {
+		c.mergeSuccessor(update)
+		return
+	}
+	stale := update.Incarnation < c.self.Incarnation || update.Refutation < c.self.Refutation
+	if stale || update.State == c.self.State || c.config.disabled.refutation {
+		return
+	}
+	if update.State != StateSuspect && update.State != StateGone {
+		return
+	}
+	c.self.Refutation = update.Refutation
+	c.announce(c.self.State)
+	c.statistics.SelfRefutations++
+	c.worsen()
+}
+
+// mergeSuccessor handles a higher incarnation of this node's own name. If that
+// process is gone, and this one has only just started with a clock that lags,
+// it takes a still higher incarnation; else it has been replaced.
+func (c *Core) mergeSuccessor(update Update) {
+	if update.State == StateGone && !c.joined {
+		c.self.Incarnation = update.Incarnation + 1
+		c.broadcasts.add(fullUpdate(c.self))
+		return
+	}
+	if c.superseded || c.config.disabled.incarnations {
+		return
+	}
+	c.superseded = true
+	c.event(Event{Kind: EventSuperseded, Member: update.member(), Previous: c.self})
+}
+
+// observeSender takes in the sender's own record. A sender that is unknown is
+// asked for its addresses; one that others have judged, or replaced, is told.
+func (c *Core) observeSender(from netip.AddrPort, packet Packet) {
+	sender := packet.From
+	if sender.Name == "" || sender.Name == c.self.Name {
+		c.mergeSelf(sender)
+		return
+	}
+	known := c.view.byName[sender.Name]
+	if known == nil || sender.Incarnation > known.Incarnation {
+		c.send(from, Packet{Kind: PacketIdentify})
+		return
+	}
+	c.merge(sender)
+	if known.version().newerThan(sender.version()) {
+		c.send(from, Packet{Kind: PacketGossip, Updates: []Update{c.describe(known)}})
+	}
+	if !c.joined {
+		c.joined = true
+	}
+}
+
+// describe returns the full record of a peer, with an accuser if suspected.
+func (c *Core) describe(p *peer) Update {
+	update := fullUpdate(p.Member)
+	if p.suspicion != nil {
+		update.Accuser = p.suspicion.accusers[0]
+	}
+	return update
+}
+
+// send queues a packet and fills it up with waiting updates.
+func (c *Core) send(to netip.AddrPort, packet Packet) {
+	packet.From = shortUpdate(c.self)
+	packet.Revision = c.revision
+	room := c.config.PacketLimit - packet.size()
+	packet.Updates = append(packet.Updates, c.broadcasts.take(room, c.config.retransmissions(c.members()))...)
+	c.ready.Packets = append(c.ready.Packets, Outgoing{To: to, Packet: packet})
+}
+
+// sendTo sends to a peer. One that is suspected or gone is told so, that it
+// can refute.
+func (c *Core) sendTo(p *peer, packet Packet) {
+	if p.State == StateSuspect || p.State == StateGone {
+		packet.Updates = append(packet.Updates, c.describe(p))
+	}
+	c.send(p.Address, packet)
+}
+
+// tickGossip sends waiting updates on packets of their own.
+func (c *Core) tickGossip() {
+	if c.now < c.nextGossip {
+		return
+	}
+	c.nextGossip = c.now + c.config.GossipInterval
+	for i := range c.config.GossipFanout {
+		if c.broadcasts.empty() {
+			return
+		}
+		if p := c.gossipTarget(i); p != nil {
+			c.sendTo(p, Packet{Kind: PacketGossip})
+		}
+	}
+}
+
+// gossipTarget picks a member to send updates to: every third one anywhere,
+// the others in this node's own zone.
+func (c *Core) gossipTarget(turn int) *peer {
+	const anywhere = 3
+	any := func(*peer) bool { return true }
+	if turn%anywhere != anywhere-1 {
+		if p := pick(c.random, c.view.zone(c.self.Zone).live, any); p != nil {
+			return p
+		}
+	}
+	return pick(c.random, c.view.live, any)
+}
+
+// tickGone forgets members that have been gone for long.
+func (c *Core) tickGone() {
+	for len(c.view.gone) > 0 && c.now-c.view.gone[0].goneAt >= c.config.GoneRetention {
+		c.view.forget(c.view.gone[0])
+	}
+}
--- /dev/null
+++ b/internal/membership/metrics.go
@@ -0,0 +1,103 @@
+package membership
+
+import "github.com/prometheus/client_golang/prometheus"
+
+const (
+	metricNamespace = "micaplank"
+	metricSubsystem = "membership"
+)
+
+// metrics holds the counters that the driver keeps itself; the others are
+// read from the core when they are collected.
+type metrics struct {
+	packets    prometheus.Counter
+	sent       prometheus.Counter
+	received   prometheus.Counter
+	malformed  prometheus.Counter
+	sendErrors prometheus.Counter
+	overruns   prometheus.Counter
+}
+
+func newMetrics(s *Service, registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		packets:    counter("packets_sent_total", "Packets sent."),
+		sent:       counter("sent_bytes_total", "Payload bytes sent."),
+		received:   counter("received_bytes_total", "Payload bytes received."),
+		malformed:  counter("packets_malformed_total", "Packets dropped because they could not be decoded."),
+		sendErrors: counter("send_errors_total", "Packets that could not be sent."),
+		overruns:   counter("subscriber_overruns_total", "Subscriptions ended because the reader lagged."),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.packets, m.sent, m.received, m.malformed, m.sendErrors, m.overruns)
+		registerer.MustRegister(&coreCollector{service: s})
+	}
+	return m
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: metricNamespace, Subsystem: metricSubsystem, Name: name, Help: help,
+	})
+}
+
+func description(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(metricNamespace, metricSubsystem, name), help, labels, nil)
+}
+
+var (
+	membersDescription = description("members", "Known members by state, this node included.", "state")
+	zonesDescription   = description("held_zones", "Zones held because most of their members do not answer.")
+	healthDescription  = description("health_score", "Doubt in this node's own health; 0 is healthy.")
+	counterReaders     = []counterReader{
+		{description("probes_total", "Probes begun."), func(s Statistics) uint64 { return s.Probes }},
+		{description("probes_indirect_total", "Probes that asked relays."), func(s Statistics) uint64 { return s.ProbesIndirect }},
+		{description("probes_failed_total", "Probes that nobody answered."), func(s Statistics) uint64 { return s.ProbesFailed }},
+		{description("suspicions_raised_total", "Suspicions that this node raised."), func(s Statistics) uint64 { return s.SuspicionsRaised }},
+		{description("suspicions_refuted_total", "Suspicions that the suspected member refuted."), func(s Statistics) uint64 { return s.SuspicionsRefuted }},
+		{description("declared_gone_total", "Members that this node declared gone."), func(s Statistics) uint64 { return s.DeclaredGone }},
+		{description("self_refutations_total", "Suspicions of this node that it refuted."), func(s Statistics) uint64 { return s.SelfRefutations }},
+		{description("synchronisations_total", "Exchanges of digests begun."), func(s Statistics) uint64 { return s.Syncs }},
+		{description("synchronisation_records_total", "Records sent in answer to digests."), func(s Statistics) uint64 { return s.SyncRecords }},
+		{description("pauses_total", "Times that this process did not run for long."), func(s Statistics) uint64 { return s.Pauses }},
+	}
+)
+
+type counterReader struct {
+	description *prometheus.Desc
+	read        func(Statistics) uint64
+}
+
+// coreCollector reads the core's statistics when metrics are collected.
+type coreCollector struct {
+	service *Service
+}
+
+// Describe implements prometheus.Collector.
+func (c *coreCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- membersDescription
+	descriptions <- zonesDescription
+	descriptions <- healthDescription
+	for _, reader := range counterReaders {
+		descriptions <- reader.description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *coreCollector) Collect(collected chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
+		collected <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+	}
+	counts := make(map[State]int)
+	for _, member := range c.service.Members() {
+		counts[member.State]++
+	}
+	for _, state := range []State{StateAlive, StateLeaving, StateSuspect} {
+		gauge(membersDescription, float64(counts[state]), state.String())
+	}
+	statistics := c.service.Statistics()
+	gauge(zonesDescription, float64(len(c.service.HeldZones())))
+	gauge(healthDescription, float64(statistics.HealthScore))
+	for _, reader := range counterReaders {
+		collected <- prometheus.MustNewConstMetric(reader.description, prometheus.CounterValue, float64(reader.read(statistics)))
+	}
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,231 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// probing is the state of this node's own probes and of those it relays.
+type probing struct {
+	next     time.Duration
+	sequence uint64
+	// order is the members in the order in which they are probed; position is
+	// the next one.
+	order    []*peer
+	position int
+
+	target      *peer
+	incarnation uint64
+	current     uint64
+	sentAt      time.Duration
+	relayed     bool
+	nacksDue    int
+	nacks       int
+
+	relays []relay
+}
+
+// relay is a probe that this node makes for another.
+type relay struct {
+	sequence uint64
+	origin   netip.AddrPort
+	original uint64
+	target   string
+	deadline time.Duration
+	nackSent bool
+}
+
+// include puts a new member at a random place of what is left of the order.
+func (p *probing) include(random *rand.Rand, member *peer) {
+	p.order = append(p.order, member)
+	last := len(p.order) - 1
+	place := p.position + random.IntN(last-p.position+1)
+	p.order[place], p.order[last] = p.order[last], p.order[place]
+}
+
+// abandon drops the running probe without a verdict.
+func (p *probing) abandon() { p.target = nil }
+
+// nextTarget returns the next member in the shuffled order, or nil.
+func (c *Core) nextTarget() *peer {
+	p := &c.probing
+	for range 2 {
+		for p.position < len(p.order) {
+			candidate := p.order[p.position]
+			p.position++
+			if !candidate.gone() && c.view.byName[candidate.Name] == candidate {
+				return candidate
+			}
+		}
+		p.order = append(p.order[:0], c.view.live...)
+		p.position = 0
+		c.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+	}
+	return nil
+}
+
+// tickProbe ends the running probe, asks relays, or begins the next probe.
+func (c *Core) tickProbe() {
+	c.tickRelays()
+	p := &c.probing
+	if p.target != nil && !p.relayed && c.now >= p.sentAt+c.patience(c.config.ProbeTimeout) {
+		c.askRelays()
+	}
+	if c.now < p.next {
+		return
+	}
+	if p.target != nil {
+		c.failProbe()
+	}
+	p.next = c.now + c.patience(c.config.ProbeInterval)
+	if target := c.nextTarget(); target != nil {
+		c.beginProbe(target)
+	}
+	c.reprobeSuspects()
+}
+
+// patience stretches a time while this node's own health is in doubt.
+func (c *Core) patience(interval time.Duration) time.Duration {
+	return interval * time.Duration(c.health+1)
+}
+
+func (c *Core) beginProbe(target *peer) {
+	p := &c.probing
+	p.sequence++
+	p.target, p.incarnation, p.current = target, target.Incarnation, p.sequence
+	p.sentAt, p.relayed, p.nacks, p.nacksDue = c.now, false, 0, 0
+	c.statistics.Probes++
+	c.ping(target, p.sequence)
+}
+
+func (c *Core) ping(target *peer, sequence uint64) {
+	c.sendTo(target, Packet{Kind: PacketPing, Sequence: sequence, Target: target.Name})
+}
+
+// askRelays pings the target again and through relays.
+func (c *Core) askRelays() {
+	p := &c.probing
+	p.relayed = true
+	c.statistics.ProbesIndirect++
+	c.ping(p.target, p.current)
+	if c.config.disabled.indirectProbes {
+		return
+	}
+	for _, relay := range c.chooseRelays(p.target) {
+		p.nacksDue++
+		c.sendTo(relay, Packet{
+			Kind: PacketIndirectPing, Sequence: p.current,
+			Target: p.target.Name, TargetAddress: p.target.Address,
+		})
+	}
+}
+
+// chooseRelays picks one member in the target's zone, one in this node's own
+// zone, and the others anywhere, so that a broken link between two zones or
+// two machines does not look like a broken target.
+func (c *Core) chooseRelays(target *peer) []*peer {
+	var relays []*peer
+	usable := func(p *peer) bool {
+		return p != target && p.State == StateAlive && !slices.Contains(relays, p)
+	}
+	add := func(candidates []*peer) {
+		if len(relays) >= c.config.IndirectProbes {
+			return
+		}
+		if p := pick(c.random, candidates, usable); p != nil {
+			relays = append(relays, p)
+		}
+	}
+	add(c.view.zone(target.Zone).live)
+	add(c.view.zone(c.self.Zone).live)
+	for range c.config.IndirectProbes {
+		add(c.view.live)
+	}
+	return relays
+}
+
+// failProbe ends a probe that nobody answered.
+func (c *Core) failProbe() {
+	p := &c.probing
+	target := p.target
+	p.target = nil
+	c.statistics.ProbesFailed++
+	if p.nacks < p.nacksDue || p.nacksDue == 0 {
+		c.worsen()
+	}
+	if target.gone() || target.Incarnation != p.incarnation || c.now < c.quietUntil {
+		return
+	}
+	c.accuse(target)
+}
+
+// stepPing answers a ping that is meant for this node.
+func (c *Core) stepPing(from netip.AddrPort, packet Packet) {
+	if packet.Target == c.self.Name {
+		c.send(from, Packet{Kind: PacketAck, Sequence: packet.Sequence})
+	}
+}
+
+// stepAck ends this node's probe, or passes the ack on to who asked for it.
+func (c *Core) stepAck(packet Packet) {
+	subject := packet.From
+	if packet.Subject.Name != "" {
+		subject = packet.Subject
+		if known := c.view.byName[subject.Name]; known != nil && known.Incarnation == subject.Incarnation {
+			c.merge(subject)
+		}
+	}
+	p := &c.probing
+	if p.target != nil && packet.Sequence == p.current && subject.Name == p.target.Name {
+		p.target = nil
+		c.improve()
+		return
+	}
+	for i, relay := range p.relays {
+		if relay.sequence == packet.Sequence && relay.target == subject.Name {
+			c.send(relay.origin, Packet{Kind: PacketAck, Sequence: relay.original, Subject: subject})
+			p.relays = slices.Delete(p.relays, i, i+1)
+			return
+		}
+	}
+}
+
+// maximumRelays bounds the probes that one node makes for others at a time.
+const maximumRelays = 64
+
+func (c *Core) stepIndirectPing(from netip.AddrPort, packet Packet) {
+	p := &c.probing
+	if len(p.relays) >= maximumRelays {
+		return
+	}
+	p.sequence++
+	p.relays = append(p.relays, relay{
+		sequence: p.sequence, origin: from, original: packet.Sequence,
+		target: packet.Target, deadline: c.now + c.config.ProbeTimeout,
+	})
+	c.send(packet.TargetAddress, Packet{Kind: PacketPing, Sequence: p.sequence, Target: packet.Target})
+}
+
+func (c *Core) stepNack(packet Packet) {
+	if packet.Sequence == c.probing.current {
+		c.probing.nacks++
+	}
+}
+
+// tickRelays sends nacks for relayed probes that are late, and drops those
+// that no answer can help any more.
+func (c *Core) tickRelays() {
+	p := &c.probing
+	for i := range p.relays {
+		relay := &p.relays[i]
+		if !relay.nackSent && c.now >= relay.deadline {
+			relay.nackSent = true
+			c.send(relay.origin, Packet{Kind: PacketNack, Sequence: relay.original, Target: relay.target})
+		}
+	}
+	p.relays = slices.DeleteFunc(p.relays, func(r relay) bool {
+		return c.now >= r.deadline+maximumHealthScore*c.config.ProbeInterval
+	})
+}
--- /dev/null
+++ b/internal/membership/service.go
@@ -0,0 +1,294 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Datagrams sends the payloads of this package to other nodes. Send must not
+// block for long; a datagram may be lost.
+type Datagrams interface {
+	Send(to netip.AddrPort, payload []byte) error
+}
+
+// Options are what a Service needs besides its configuration.
+type Options struct {
+	Config Config
+	// Self is this node. If its incarnation is zero, the wall clock in
+	// milliseconds is taken, which is higher for each later process.
+	Self  Member
+	Seeds []netip.AddrPort
+	// Datagrams carries the packets out; those that arrive are handed to
+	// Service.Receive.
+	Datagrams Datagrams
+	Logger    *slog.Logger
+	// Registerer takes the metrics; nil for none.
+	Registerer prometheus.Registerer
+	// Seed fixes the random choices; zero for a seed from the clock.
+	Seed uint64
+}
+
+// Service runs the membership of one node over datagrams. Its methods may be
+// called by any goroutine.
+type Service struct {
+	options Options
+	origin  time.Time
+	metrics *metrics
+	logger  *slog.Logger
+
+	mutex       sync.Mutex
+	core        *Core
+	subscribers map[int]chan Event
+	nextID      int
+	closed      bool
+
+	stop    chan struct{}
+	stopped sync.WaitGroup
+}
+
+// subscriberBuffer is how many events a subscriber may lag behind.
+const subscriberBuffer = 256
+
+// NewService returns a service that is not yet started.
+func NewService(options Options) *Service {
+	if options.Self.Incarnation == 0 {
+		options.Self.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	if options.Seed == 0 {
+		options.Seed = options.Self.Incarnation ^ uint64(nameHash(options.Self.Name))<<32
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	random := rand.New(rand.NewPCG(options.Seed, uint64(nameHash(options.Self.Name))))
+	s := &Service{
+		options: options, origin: time.Now(),
+		logger:      options.Logger.With("subsystem", "membership"),
+		core:        New(options.Config, options.Self, options.Seeds, random),
+		subscribers: make(map[int]chan Event),
+		stop:        make(chan struct{}),
+	}
+	s.metrics = newMetrics(s, options.Registerer)
+	return s
+}
+
+// Start begins to probe and to send. It does not block.
+func (s *Service) Start() {
+	s.stopped.Add(1)
+	go s.run()
+}
+
+func (s *Service) run() {
+	defer s.stopped.Done()
+	ticker := time.NewTicker(s.options.Config.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+			s.do(func(now time.Duration) { s.core.Tick(now) })
+		}
+	}
+}
+
+// Receive takes one datagram in. It is called by the owner of the socket.
+func (s *Service) Receive(from netip.AddrPort, payload []byte) {
+	packet, err := DecodePacket(payload)
+	if err != nil {
+		s.metrics.malformed.Inc()
+		return
+	}
+	s.metrics.received.Add(float64(len(payload)))
+	s.do(func(now time.Duration) { s.core.Step(now, from, packet) })
+}
+
+// do runs one step of the core and carries out what it asks for.
+func (s *Service) do(step func(now time.Duration)) {
+	s.mutex.Lock()
+	if s.closed {
+		s.mutex.Unlock()
+		return
+	}
+	step(time.Since(s.origin))
+	ready := s.core.Ready()
+	s.publish(ready.Events)
+	s.mutex.Unlock()
+	s.transmit(ready.Packets)
+}
+
+func (s *Service) transmit(packets []Outgoing) {
+	for _, outgoing := range packets {
+		payload, err := EncodePacket(outgoing.Packet)
+		if err == nil {
+			err = s.options.Datagrams.Send(outgoing.To, payload)
+		}
+		if err != nil {
+			s.metrics.sendErrors.Inc()
+			continue
+		}
+		s.metrics.sent.Add(float64(len(payload)))
+		s.metrics.packets.Inc()
+	}
+}
+
+// publish hands events to the subscribers. One that does not keep up has its
+// channel closed, so that it cannot miss an event without noticing.
+func (s *Service) publish(events []Event) {
+	for _, event := range events {
+		s.log(event)
+		for id, subscriber := range s.subscribers {
+			select {
+			case subscriber <- event:
+			default:
+				close(subscriber)
+				delete(s.subscribers, id)
+				s.metrics.overruns.Inc()
+			}
+		}
+	}
+}
+
+func (s *Service) log(event Event) {
+	switch event.Kind {
+	case EventChanged:
+		s.logger.Info("member changed", "peer", event.Member.Name, "zone", event.Member.Zone,
+			"state", event.Member.State.String(), "previous_state", event.Previous.State.String(),
+			"incarnation", event.Member.Incarnation)
+	case EventSuperseded:
+		s.logger.Error("another process holds the name of this node",
+			"peer", event.Member.Address.String(), "incarnation", event.Member.Incarnation)
+	case EventZoneHeld:
+		s.logger.Warn("zone does not answer", "zone", event.Zone)
+	case EventZoneReleased:
+		s.logger.Info("zone is no longer held", "zone", event.Zone)
+	case EventPaused:
+		s.logger.Warn("process did not run", "pause", event.Pause)
+	case EventRevision:
+	}
+}
+
+// Members returns all known members that are not gone, this node first.
+func (s *Service) Members() []Member {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Members()
+}
+
+// Lookup returns what is known of a member, gone ones included.
+func (s *Service) Lookup(name string) (Member, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Lookup(name)
+}
+
+// Self returns this node's own record.
+func (s *Service) Self() Member {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Self()
+}
+
+// Joined reports whether this node has heard from any other, or has no seeds.
+func (s *Service) Joined() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Joined()
+}
+
+// Superseded reports whether a newer process holds the name of this node.
+func (s *Service) Superseded() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Superseded()
+}
+
+// HeldZones returns the names of the zones that are held.
+func (s *Service) HeldZones() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.HeldZones()
+}
+
+// Statistics returns the counts of the core so far.
+func (s *Service) Statistics() Statistics {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Statistics()
+}
+
+// SetRevision sets the catalog revision that packets announce.
+func (s *Service) SetRevision(revision uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.SetRevision(revision)
+}
+
+// Subscribe returns a channel of all events from now on, and a function that
+// ends the subscription. The channel is closed by that, by Close, or if the
+// reader lags too far behind: it then subscribes again and reads Members.
+func (s *Service) Subscribe() (<-chan Event, func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	events := make(chan Event, subscriberBuffer)
+	if s.closed {
+		close(events)
+		return events, func() {}
+	}
+	id := s.nextID
+	s.nextID++
+	s.subscribers[id] = events
+	return events, func() { s.unsubscribe(id) }
+}
+
+func (s *Service) unsubscribe(id int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if subscriber, ok := s.subscribers[id]; ok {
+		close(subscriber)
+		delete(s.subscribers, id)
+	}
+}
+
+// Leave announces a planned stop to the others. It blocks until the word has
+// been sent a few times, or until ctx ends. The node goes on answering probes
+// until Close.
+func (s *Service) Leave(ctx context.Context) error {
+	s.do(func(time.Duration) { s.core.Leave() })
+	const rounds = 5
+	timer := time.NewTimer(rounds * s.options.Config.GossipInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.stop:
+		return nil
+	}
+}
+
+// Close tells some members that this node is gone and stops. It blocks until
+// the service no longer sends. A second call does nothing.
+func (s *Service) Close() {
+	s.do(func(time.Duration) { s.core.Depart() })
+	s.mutex.Lock()
+	if s.closed {
+		s.mutex.Unlock()
+		return
+	}
+	s.closed = true
+	for id, subscriber := range s.subscribers {
+		close(subscriber)
+		delete(s.subscribers, id)
+	}
+	s.mutex.Unlock()
+	close(s.stop)
+	s.stopped.Wait()
+}
--- /dev/null
+++ b/internal/membership/sync.go
@@ -0,0 +1,171 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+)
+
+// syncing is the state of the exchange of digests.
+type syncing struct {
+	next          time.Duration
+	nextSeed      time.Duration
+	nextReconnect time.Duration
+	// rounds is how many more digests may follow in the exchange that runs.
+	rounds int
+	// replies is how many digests were answered since repliesSince.
+	replies      int
+	repliesSince time.Duration
+}
+
+// maximumRounds bounds how many digests one exchange may take.
+const maximumRounds = 128
+
+// joinInterval is the time between attempts to join.
+const joinInterval = time.Second
+
+// tickSync begins exchanges: with a seed until this node has joined and now
+// and then after that, with a random member, and with one that is gone.
+func (c *Core) tickSync() {
+	s := &c.syncing
+	if c.now >= s.nextSeed {
+		s.nextSeed = c.now + c.config.SeedInterval
+		if !c.Joined() {
+			s.nextSeed = c.now + joinInterval
+		}
+		c.syncWithSeed()
+	}
+	if c.config.disabled.synchronisation {
+		return
+	}
+	if c.now >= s.next {
+		s.next = c.now + c.config.SyncInterval/2 + c.fraction(c.config.SyncInterval)
+		if p := pick(c.random, c.view.live, func(*peer) bool { return true }); p != nil {
+			c.beginSync(p.Address)
+		}
+	}
+	if c.now >= s.nextReconnect {
+		s.nextReconnect = c.now + c.config.ReconnectInterval
+		c.reconnect()
+	}
+}
+
+func (c *Core) syncWithSeed() {
+	const attempts = 2
+	for range min(attempts, len(c.seeds)) {
+		c.beginSync(c.seeds[c.random.IntN(len(c.seeds))])
+		if c.Joined() {
+			return
+		}
+	}
+}
+
+// reconnect tries a member that is gone, with such a chance that all nodes
+// together try each about once an interval.
+func (c *Core) reconnect() {
+	gone := len(c.view.gone)
+	if gone == 0 || c.random.IntN(c.members()) >= gone {
+		return
+	}
+	c.sendTo(c.view.gone[c.random.IntN(gone)], c.digestPacket())
+}
+
+func (c *Core) beginSync(to netip.AddrPort) {
+	c.statistics.Syncs++
+	c.syncing.rounds = maximumRounds
+	c.send(to, c.digestPacket())
+}
+
+// digestPacket asks for differences; it brings this node's own full record.
+func (c *Core) digestPacket() Packet {
+	d := c.view.digest
+	d.toggle(c.self.Name, c.self.fingerprint())
+	return Packet{
+		Kind:    PacketDigest,
+		Digest:  d.encode(c.members()),
+		Updates: []Update{fullUpdate(c.self)},
+	}
+}
+
+// stepDigest answers with the records of buckets that differ, from a random
+// one on, in a few packets.
+func (c *Core) stepDigest(from netip.AddrPort, packet Packet) {
+	d := c.view.digest
+	d.toggle(c.self.Name, c.self.fingerprint())
+	buckets, differ := d.differing(packet.Digest)
+	if len(differ) == 0 || !c.mayReply() {
+		return
+	}
+	wanted := make([]bool, buckets)
+	for _, bucket := range differ {
+		wanted[bucket] = true
+	}
+	c.sendRecords(from, c.recordsOf(wanted, buckets))
+}
+
+// mayReply limits the digests that are answered in one second.
+func (c *Core) mayReply() bool {
+	s := &c.syncing
+	if c.now-s.repliesSince >= time.Second {
+		s.replies, s.repliesSince = 0, c.now
+	}
+	s.replies++
+	return s.replies <= c.config.SyncRepliesPerSecond
+}
+
+// recordsOf returns the records in the wanted buckets, in an order that begins
+// at a random place.
+func (c *Core) recordsOf(wanted []bool, buckets int) []Update {
+	var records []Update
+	collect := func(m Member, p *peer) {
+		if !wanted[bucketOf(m.Name, buckets)] {
+			return
+		}
+		if p == nil {
+			records = append(records, fullUpdate(m))
+			return
+		}
+		records = append(records, c.describe(p))
+	}
+	collect(c.self, nil)
+	for _, p := range c.view.live {
+		collect(p.Member, p)
+	}
+	for _, p := range c.view.gone {
+		collect(p.Member, p)
+	}
+	start := c.random.IntN(len(records) + 1)
+	return append(records[start:], records[:start]...)
+}
+
+// sendRecords sends as many records as the limit of packets allows.
+func (c *Core) sendRecords(to netip.AddrPort, records []Update) {
+	for i := range c.config.SyncPackets {
+		if len(records) == 0 {
+			return
+		}
+		packet := Packet{Kind: PacketRecords, From: shortUpdate(c.self)}
+		room := c.config.PacketLimit - packet.size()
+		used := 0
+		for used < len(records) && records[used].size() <= room {
+			room -= records[used].size()
+			used++
+		}
+		packet.Updates, records = records[:used:used], records[used:]
+		packet.More = len(records) > 0 && i == c.config.SyncPackets-1
+		c.statistics.SyncRecords += uint64(used)
+		c.send(to, packet)
+	}
+}
+
+// stepRecords goes on with the exchange if the answer was not complete. The
+// next digest goes to any member, so that a seed need not serve all who join.
+func (c *Core) stepRecords(packet Packet) {
+	s := &c.syncing
+	if !packet.More || s.rounds == 0 {
+		return
+	}
+	s.rounds--
+	if p := pick(c.random, c.view.live, func(p *peer) bool { return p.State == StateAlive }); p != nil {
+		c.send(p.Address, c.digestPacket())
+	}
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,136 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// peer is a member other than this node, with what is kept about it.
+type peer struct {
+	Member
+	// fingerprint is the share of this member in the digest; zero while gone.
+	fingerprint uint32
+	suspicion   *suspicion
+	goneAt      time.Duration
+	// liveIndex and zoneIndex are the places in view.live and zone.live; they
+	// mean nothing while the member is gone.
+	liveIndex int
+	zoneIndex int
+}
+
+func (p *peer) gone() bool { return p.State == StateGone }
+
+// zone counts the members of one zone, this node included.
+type zone struct {
+	name     string
+	live     []*peer
+	suspects int
+	// held is set while the zone is held, since heldSince; spent is set once
+	// the hold has lasted its time and the zone has not answered since.
+	held      bool
+	spent     bool
+	heldSince time.Duration
+}
+
+// view indexes the known members other than this node. It holds no map that
+// is iterated over, so that a seeded run repeats.
+type view struct {
+	byName map[string]*peer
+	live   []*peer
+	zones  []*zone
+	// gone is ordered by goneAt.
+	gone []*peer
+	// suspects lists the members with a running suspicion.
+	suspects []*peer
+	digest   digest
+}
+
+func newView() view { return view{byName: make(map[string]*peer)} }
+
+// zone returns the zone of that name, made if new. Zones are few.
+func (v *view) zone(name string) *zone {
+	index, found := slices.BinarySearchFunc(v.zones, name, func(z *zone, name string) int {
+		return strings.Compare(z.name, name)
+	})
+	if !found {
+		v.zones = slices.Insert(v.zones, index, &zone{name: name})
+	}
+	return v.zones[index]
+}
+
+// set stores a new record of a member, in place of the old one, and keeps the
+// indexes.
+func (v *view) set(now time.Duration, record Member) *peer {
+	p := v.byName[record.Name]
+	if p == nil {
+		p = &peer{}
+		v.byName[record.Name] = p
+	} else {
+		v.unlink(p)
+	}
+	p.Member = record
+	v.link(now, p)
+	return p
+}
+
+func (v *view) link(now time.Duration, p *peer) {
+	if p.gone() {
+		p.goneAt = now
+		v.gone = append(v.gone, p)
+		return
+	}
+	p.fingerprint = p.Member.fingerprint()
+	v.digest.toggle(p.Name, p.fingerprint)
+	p.liveIndex = len(v.live)
+	v.live = append(v.live, p)
+	z := v.zone(p.Zone)
+	p.zoneIndex = len(z.live)
+	z.live = append(z.live, p)
+	if p.State == StateSuspect {
+		z.suspects++
+		v.suspects = append(v.suspects, p)
+	}
+}
+
+func (v *view) unlink(p *peer) {
+	if p.gone() {
+		v.gone = slices.DeleteFunc(v.gone, func(other *peer) bool { return other == p })
+		return
+	}
+	v.digest.toggle(p.Name, p.fingerprint)
+	last := v.live[len(v.live)-1]
+	v.live[p.liveIndex], last.liveIndex = last, p.liveIndex
+	v.live = v.live[:len(v.live)-1]
+	z := v.zone(p.Zone)
+	lastOfZone := z.live[len(z.live)-1]
+	z.live[p.zoneIndex], lastOfZone.zoneIndex = lastOfZone, p.zoneIndex
+	z.live = z.live[:len(z.live)-1]
+	if p.State == StateSuspect {
+		z.suspects--
+		v.suspects = slices.DeleteFunc(v.suspects, func(other *peer) bool { return other == p })
+	}
+}
+
+// forget drops a member that is gone.
+func (v *view) forget(p *peer) {
+	v.unlink(p)
+	delete(v.byName, p.Name)
+}
+
+// pick returns a random element of peers that is acceptable, or nil if none
+// was found in a few attempts.
+func pick(random *rand.Rand, peers []*peer, acceptable func(*peer) bool) *peer {
+	if len(peers) == 0 {
+		return nil
+	}
+	const attempts = 8
+	for range attempts {
+		p := peers[random.IntN(len(peers))]
+		if acceptable(p) {
+			return p
+		}
+	}
+	return nil
+}
