--- a/internal/catalog/render.go
+++ b/internal/catalog/render.go
@@ -33,9 +33,7 @@
 	if class.HedgePercentile != 0 {
 		text.WriteString(" hedge after p" + formatDecimal(class.HedgePercentile, 2))
 	}
-	if class.ExtraLoad != 0 {
-		text.WriteString(" extra " + formatDecimal(class.ExtraLoad, 2) + "%")
-	}
+	text.WriteString(" extra " + formatDecimal(class.ExtraLoad, 2) + "%")
 	if class.Repeatable {
 		text.WriteString(" repeatable")
 	} else {
@@ -71,6 +69,9 @@
 // decimal notation, exactly: reading the digits with the point moved back
 // gives the same value, which a multiplication in floating point would not.
 func formatDecimal(value float64, places int) string {
+	if value == 0 {
+		return "0"
+	}
 	mantissa, exponentText, _ := strings.Cut(strconv.FormatFloat(value, 'e', -1, 64), "e")
 	digits := strings.Replace(mantissa, ".", "", 1)
 	exponent, _ := strconv.Atoi(exponentText)
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -86,6 +86,9 @@
 	if class.Deadline <= 0 || class.Deadline > MaximumDeadline {
 		return refuse(CodeLimit, "deadline", "the deadline must be more than 0s and at most %s, not %s", MaximumDeadline, class.Deadline)
 	}
+	if class.HedgePercentile != 0 && !class.Repeatable {
+		return refuse(CodeInvalid, class.Name, "class %q runs its requests once, so it cannot hedge", class.Name)
+	}
 	return firstError(
 		checkName("class", class.Name),
 		checkName("service", class.Service),
--- /dev/null
+++ b/internal/language/canonical.go
@@ -0,0 +1,164 @@
+package language
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// String implements Statement.
+func (c *ChangeStatement) String() string {
+	if c.IfRevision == nil {
+		return c.Command.String()
+	}
+	return fmt.Sprintf("%s if revision %d", c.Command, *c.IfRevision)
+}
+
+// String implements Statement.
+func (s *ShowStatement) String() string {
+	if s.Service == "" {
+		return "show " + string(s.Subject)
+	}
+	return "show " + string(s.Subject) + " of " + s.Service
+}
+
+// String implements Statement.
+func (s *Select) String() string {
+	var text strings.Builder
+	text.WriteString("select ")
+	if len(s.Items) == 0 {
+		text.WriteString("*")
+	}
+	text.WriteString(join(s.Items, Item.String))
+	text.WriteString(" from " + s.Service)
+	if s.Where != nil {
+		text.WriteString(" where " + s.Where.String())
+	}
+	if len(s.GroupBy) > 0 {
+		text.WriteString(" group by " + strings.Join(s.GroupBy, ", "))
+	}
+	if len(s.OrderBy) > 0 {
+		text.WriteString(" order by " + join(s.OrderBy, Order.String))
+	}
+	if s.Limit > 0 {
+		text.WriteString(" limit " + strconv.Itoa(s.Limit))
+	}
+	return text.String()
+}
+
+// String returns the text of the item, which is also its column's name in the
+// result.
+func (i Item) String() string {
+	if i.Function == NoFunction {
+		return i.Column
+	}
+	return string(i.Function) + "(" + i.Column + ")"
+}
+
+// String returns the text of one term of an order by.
+func (o Order) String() string {
+	if o.Descending {
+		return o.Item.String() + " desc"
+	}
+	return o.Item.String()
+}
+
+// String implements Statement.
+func (i *Insert) String() string {
+	return fmt.Sprintf("insert into %s (%s) values (%s)", i.Service, strings.Join(i.Columns, ", "), join(i.Values, FormatValue))
+}
+
+// String implements Where.
+func (a *And) String() string { return joinTerms(a.Terms, " and ") }
+
+// String implements Where.
+func (o *Or) String() string { return joinTerms(o.Terms, " or ") }
+
+// String implements Where.
+func (n *Not) String() string {
+	switch n.Term.(type) {
+	case *And, *Or, *Not:
+		return "not (" + n.Term.String() + ")"
+	default:
+		return "not " + n.Term.String()
+	}
+}
+
+// String implements Where.
+func (c *Comparison) String() string {
+	return fmt.Sprintf("%s %s %s", c.Column, c.Operator, FormatValue(c.Value))
+}
+
+// String implements Where.
+func (i *In) String() string {
+	return fmt.Sprintf("%s in (%s)", i.Column, join(i.Values, FormatValue))
+}
+
+// String implements Where.
+func (l *Like) String() string {
+	return fmt.Sprintf("%s like %s", l.Column, quote(l.Pattern))
+}
+
+// String implements Where.
+func (n *IsNull) String() string {
+	if n.Negated {
+		return n.Column + " is not null"
+	}
+	return n.Column + " is null"
+}
+
+// FormatValue returns a value as the language writes it. A number must be
+// finite.
+func FormatValue(value rows.Value) string {
+	switch value.Kind {
+	case rows.Number:
+		return formatNumber(value.Number)
+	case rows.Text:
+		return quote(value.Text)
+	default:
+		return "null"
+	}
+}
+
+// Bounds outside of which a number is written with an exponent.
+const (
+	leastPlainNumber = 1e-6
+	mostPlainNumber  = 1e15
+)
+
+func formatNumber(number float64) string {
+	size := math.Abs(number)
+	if size == 0 || (size >= leastPlainNumber && size < mostPlainNumber) {
+		return strconv.FormatFloat(number, 'f', -1, 64)
+	}
+	return strconv.FormatFloat(number, 'e', -1, 64)
+}
+
+func quote(text string) string {
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
+}
+
+func join[T any](items []T, format func(T) string) string {
+	texts := make([]string, len(items))
+	for i, item := range items {
+		texts[i] = format(item)
+	}
+	return strings.Join(texts, ", ")
+}
+
+// joinTerms puts parentheses around conjunctions and disjunctions, so that the
+// text keeps the nesting of the value.
+func joinTerms(terms []Where, separator string) string {
+	texts := make([]string, len(terms))
+	for i, term := range terms {
+		texts[i] = term.String()
+		switch term.(type) {
+		case *And, *Or:
+			texts[i] = "(" + texts[i] + ")"
+		}
+	}
+	return strings.Join(texts, separator)
+}
--- /dev/null
+++ b/internal/language/convert.go
@@ -0,0 +1,177 @@
+package language
+
+import (
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// converter turns nodes of the grammar into values and keeps the first error.
+type converter struct {
+	err *SyntaxError
+}
+
+func convert(node *statementNode, start lexer.Position) (Statement, *SyntaxError) {
+	c := &converter{}
+	statement := c.statement(node, start)
+	if c.err != nil {
+		return nil, c.err
+	}
+	return statement, nil
+}
+
+func (c *converter) statement(node *statementNode, start lexer.Position) Statement {
+	switch {
+	case node.Change != nil:
+		return &ChangeStatement{Command: c.command(node.Change), IfRevision: c.revision(node.IfRevision)}
+	case node.Show != nil:
+		return c.show(node.Show)
+	case node.Select != nil:
+		return c.selection(node.Select, start)
+	default:
+		return c.insert(node.Insert, start)
+	}
+}
+
+func (c *converter) fail(position lexer.Position, token, format string, arguments ...any) {
+	if c.err == nil {
+		c.err = invalidAt(position, token, format, arguments...)
+	}
+}
+
+// expect fails with the words for what should stand in the token's place.
+func (c *converter) expect(position lexer.Position, token, expected string) {
+	if c.err == nil {
+		c.err = unexpected(lexer.Token{Pos: position, Value: token, Type: identType}, expected)
+	}
+}
+
+func (c *converter) name(node nameNode) string {
+	if !catalog.ValidName(node.Text) {
+		c.expect(node.Pos, node.Text, "a name: a lower-case letter followed by at most 62 letters, digits and hyphens")
+	}
+	return node.Text
+}
+
+func (c *converter) column(node columnNode) string {
+	if !catalog.ValidColumn(node.Text) || Reserved(node.Text) {
+		c.expect(node.Pos, node.Text, "a column: a letter followed by at most 62 letters, digits and underscores, and no keyword")
+	}
+	return node.Text
+}
+
+func (c *converter) columns(nodes []columnNode) []string {
+	var names []string
+	for _, node := range nodes {
+		name := c.column(node)
+		for _, earlier := range names {
+			if earlier == name {
+				c.fail(node.Pos, node.Text, "column %q is listed twice", name)
+			}
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// maximumWhole bounds whole numbers so that they fit into an int anywhere.
+const maximumWhole = math.MaxInt32
+
+func (c *converter) whole(node wholeNode) int {
+	value, err := strconv.Atoi(node.Text)
+	if err != nil || value < 0 || value > maximumWhole {
+		c.expect(node.Pos, node.Text, "a whole number from 0 to "+strconv.Itoa(maximumWhole))
+	}
+	return value
+}
+
+func (c *converter) revision(node *wholeNode) *uint64 {
+	if node == nil {
+		return nil
+	}
+	value, err := strconv.ParseUint(node.Text, 10, 64)
+	if err != nil {
+		c.expect(node.Pos, node.Text, "a revision: a whole number")
+	}
+	return &value
+}
+
+// share reads plain digits times ten to the power of exponent, which must be
+// from 0 to 1.
+func (c *converter) share(position lexer.Position, text string, exponent int, expected string) float64 {
+	value, ok := shiftedShare(text, exponent)
+	if !ok {
+		c.expect(position, text, expected)
+	}
+	return value
+}
+
+// shiftedShare moves the point in the text, so that no rounding comes in.
+func shiftedShare(text string, exponent int) (float64, bool) {
+	value, err := strconv.ParseFloat(text+"e"+strconv.Itoa(exponent), 64)
+	return value, err == nil && value >= 0 && value <= 1 && !strings.HasPrefix(text, "-")
+}
+
+func (c *converter) percentile(node percentileNode) float64 {
+	const expected = "a percentile from p0 to p100 such as p95"
+	if text := node.Text; text[0] != 'p' && text[0] != 'P' {
+		c.expect(node.Pos, node.Text, expected)
+	}
+	share, ok := shiftedShare(node.Text[1:], -2)
+	if !ok {
+		c.expect(node.Pos, node.Text, expected)
+	}
+	return share
+}
+
+func (c *converter) duration(node durationNode) time.Duration {
+	duration, err := time.ParseDuration(node.Text)
+	if err != nil {
+		c.expect(node.Pos, node.Text, "a duration such as 150ms")
+	}
+	return duration
+}
+
+func (c *converter) address(node addressNode) netip.AddrPort {
+	address, err := netip.ParseAddrPort(node.Text)
+	if err != nil || address.Port() == 0 || address.Addr().Is4In6() {
+		c.expect(node.Pos, node.Text, phrases["AddressNode"])
+	}
+	return address
+}
+
+func (c *converter) number(node numberNode) rows.Value {
+	number, err := strconv.ParseFloat(node.Text, 64)
+	if err != nil {
+		c.expect(node.Pos, node.Text, "a number of at most 308 digits")
+	}
+	if number == 0 {
+		number = 0 // without the sign of -0
+	}
+	return rows.Value{Kind: rows.Number, Number: number}
+}
+
+func (c *converter) literal(node literalNode) rows.Value {
+	if node.Number != nil {
+		return c.number(*node.Number)
+	}
+	return rows.Value{Kind: rows.Text, Text: unquote(node.Text.Text)}
+}
+
+func (c *converter) value(node valueNode) rows.Value {
+	if node.Null {
+		return rows.Value{}
+	}
+	return c.literal(*node.Literal)
+}
+
+func unquote(text string) string {
+	return strings.ReplaceAll(text[1:len(text)-1], "''", "'")
+}
--- /dev/null
+++ b/internal/language/convert_query.go
@@ -0,0 +1,163 @@
+package language
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+func (c *converter) selection(node *selectNode, start lexer.Position) *Select {
+	statement := &Select{Service: c.name(node.Service), GroupBy: c.columns(node.GroupBy)}
+	for _, itemNode := range node.Items {
+		item := c.item(itemNode)
+		if slices.Contains(statement.Items, item) {
+			c.fail(itemNode.Pos, item.String(), "%s is selected twice", item)
+		}
+		statement.Items = append(statement.Items, item)
+	}
+	if node.Where != nil {
+		statement.Where = c.or(node.Where)
+	}
+	if node.Limit != nil {
+		statement.Limit = c.whole(*node.Limit)
+		if statement.Limit == 0 {
+			c.expect(node.Limit.Pos, node.Limit.Text, "a whole number of at least 1")
+		}
+	}
+	c.checkGroups(statement, node, start)
+	for _, orderNode := range node.OrderBy {
+		statement.OrderBy = append(statement.OrderBy, c.order(statement, orderNode))
+	}
+	return statement
+}
+
+// checkGroups refuses plain columns that are not the same in a whole group.
+func (c *converter) checkGroups(statement *Select, node *selectNode, start lexer.Position) {
+	if !statement.Grouped() {
+		return
+	}
+	if len(statement.Items) == 0 {
+		c.fail(start, "", "select * cannot be grouped: name the columns")
+	}
+	for i, item := range statement.Items {
+		if item.Function == NoFunction && !slices.Contains(statement.GroupBy, item.Column) {
+			c.fail(node.Items[i].Pos, item.Column, "column %q must be in the group by, or inside of a function", item.Column)
+		}
+	}
+}
+
+// order resolves a term of the order by to an item of the result. A column
+// that is not selected stands for the only selected function of it, as in
+// "select min(price) ... order by price".
+func (c *converter) order(statement *Select, node orderNode) Order {
+	order := Order{Item: c.item(node.Item), Descending: node.Descending}
+	if slices.Contains(statement.Items, order.Item) {
+		return order
+	}
+	if len(statement.Items) == 0 && order.Item.Function == NoFunction {
+		return order
+	}
+	var candidates []Item
+	for _, item := range statement.Items {
+		if order.Item.Function == NoFunction && item.Column == order.Item.Column {
+			candidates = append(candidates, item)
+		}
+	}
+	if len(candidates) != 1 {
+		c.fail(node.Item.Pos, order.Item.String(), "%s must be selected to be ordered by", order.Item)
+		return order
+	}
+	order.Item = candidates[0]
+	return order
+}
+
+func (c *converter) item(node itemNode) Item {
+	switch {
+	case node.Function != "":
+		return Item{Function: Function(strings.ToLower(node.Function)), Column: c.column(*node.Argument)}
+	case node.Count && node.Counted == AllColumns:
+		return Item{Function: Count, Column: AllColumns}
+	case node.Count:
+		return Item{Function: Count, Column: c.column(columnNode{Pos: node.Pos, Text: node.Counted})}
+	default:
+		return Item{Column: c.column(*node.Column)}
+	}
+}
+
+func (c *converter) or(node *orNode) Where {
+	terms := make([]Where, len(node.Terms))
+	for i := range node.Terms {
+		terms[i] = c.and(&node.Terms[i])
+	}
+	if len(terms) == 1 {
+		return terms[0]
+	}
+	return &Or{Terms: terms}
+}
+
+func (c *converter) and(node *andNode) Where {
+	terms := make([]Where, len(node.Terms))
+	for i := range node.Terms {
+		terms[i] = c.not(&node.Terms[i])
+	}
+	if len(terms) == 1 {
+		return terms[0]
+	}
+	return &And{Terms: terms}
+}
+
+func (c *converter) not(node *notNode) Where {
+	var term Where
+	if node.Group != nil {
+		term = c.or(node.Group)
+	} else {
+		term = c.condition(node.Condition)
+	}
+	if node.Not {
+		return &Not{Term: term}
+	}
+	return term
+}
+
+func (c *converter) condition(node *conditionNode) Where {
+	column := c.column(node.Column)
+	switch {
+	case node.Like != nil:
+		return &Like{Column: column, Pattern: unquote(node.Like.Text)}
+	case node.Is != nil:
+		return &IsNull{Column: column, Negated: node.Is.Not}
+	case node.Operator != nil:
+		return &Comparison{Column: column, Operator: operator(node.Operator.Text), Value: c.literal(*node.Value)}
+	default:
+		return &In{Column: column, Values: c.literals(node.In)}
+	}
+}
+
+func (c *converter) literals(nodes []literalNode) []rows.Value {
+	values := make([]rows.Value, len(nodes))
+	for i, node := range nodes {
+		values[i] = c.literal(node)
+	}
+	return values
+}
+
+func operator(text string) Operator {
+	if text == "<>" {
+		return NotEqual
+	}
+	return Operator(text)
+}
+
+func (c *converter) insert(node *insertNode, start lexer.Position) *Insert {
+	statement := &Insert{Service: c.name(node.Service), Columns: c.columns(node.Columns)}
+	for _, value := range node.Values {
+		statement.Values = append(statement.Values, c.value(value))
+	}
+	if len(statement.Columns) != len(statement.Values) {
+		c.fail(start, "", "there are %d columns and %d values", len(statement.Columns), len(statement.Values))
+	}
+	return statement
+}
--- /dev/null
+++ b/internal/language/language_test.go
@@ -0,0 +1,259 @@
+package language
+
+import (
+	"bufio"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil { // deterministic unless a flag says otherwise
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// readStatements returns the lines of a file of statements.
+func readStatements(t testing.TB, path string) []string {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	var lines []string
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		lines = append(lines, scanner.Text())
+	}
+	return lines
+}
+
+// TestGolden holds the canonical text or the error of every statement of the
+// two files of examples.
+func TestGolden(t *testing.T) {
+	for _, name := range []string{"valid", "invalid"} {
+		var report strings.Builder
+		for _, line := range readStatements(t, "testdata/"+name+".txt") {
+			fmt.Fprintf(&report, "> %s\n", line)
+			statement, err := ParseOne(line)
+			if (err == nil) != (name == "valid") {
+				t.Errorf("%q: error %v", line, err)
+			}
+			if err != nil {
+				fmt.Fprintf(&report, "  %s\n", err)
+				continue
+			}
+			fmt.Fprintf(&report, "  %s\n", statement)
+			requireRoundTrip(t, statement)
+		}
+		goldie.New(t).Assert(t, name, []byte(report.String()))
+	}
+}
+
+func requireRoundTrip(t rapid.TB, statement Statement) {
+	t.Helper()
+	parsed, err := ParseOne(statement.String())
+	if err != nil {
+		t.Fatalf("%s: %v", statement, err)
+	}
+	if !reflect.DeepEqual(parsed, statement) {
+		t.Fatalf("%s parsed to %#v, want %#v", statement, parsed, statement)
+	}
+}
+
+var columnNames = rapid.SampledFrom([]string{"lane", "price", "Weight_2", "count", "p95", "_"})
+
+func drawValue(t *rapid.T) rows.Value {
+	if rapid.Bool().Draw(t, "is number") {
+		number := rapid.OneOf(rapid.Float64(), rapid.Map(rapid.IntRange(-3, 3), func(n int) float64 { return float64(n) })).Draw(t, "number")
+		return rows.Value{Kind: rows.Number, Number: number + 0}
+	}
+	return rows.Value{Kind: rows.Text, Text: rapid.OneOf(rapid.SampledFrom([]string{"a", "it's", "x\ny;--z", ""}), rapid.String()).Draw(t, "text")}
+}
+
+func drawWhere(t *rapid.T, depth int) Where {
+	kind := rapid.IntRange(0, 6).Draw(t, "kind")
+	column := columnNames.Draw(t, "column")
+	if depth == 0 && kind < 3 {
+		kind += 3
+	}
+	switch kind {
+	case 0:
+		return &And{Terms: drawTerms(t, depth)}
+	case 1:
+		return &Or{Terms: drawTerms(t, depth)}
+	case 2:
+		return &Not{Term: drawWhere(t, depth-1)}
+	case 3:
+		operator := rapid.SampledFrom([]Operator{Equal, Equal, NotEqual, Less, LessOrEqual, Greater, GreaterOrEqual}).Draw(t, "operator")
+		return &Comparison{Column: column, Operator: operator, Value: drawValue(t)}
+	case 4:
+		return &In{Column: column, Values: rapid.SliceOfN(rapid.Custom(drawValue), 1, 3).Draw(t, "values")}
+	case 5:
+		return &Like{Column: column, Pattern: rapid.StringOf(rapid.SampledFrom([]rune("a%_'"))).Draw(t, "pattern")}
+	default:
+		return &IsNull{Column: column, Negated: rapid.Bool().Draw(t, "negated")}
+	}
+}
+
+func drawTerms(t *rapid.T, depth int) []Where {
+	terms := make([]Where, rapid.IntRange(2, 3).Draw(t, "terms"))
+	for i := range terms {
+		terms[i] = drawWhere(t, depth-1)
+	}
+	return terms
+}
+
+func drawSelect(t *rapid.T) *Select {
+	statement := &Select{Service: "rate-desk", Limit: rapid.IntRange(0, 3).Draw(t, "limit")}
+	if rapid.Bool().Draw(t, "grouped") {
+		statement.GroupBy = append(statement.GroupBy, rapid.SliceOfNDistinct(columnNames, 0, 2, rapid.ID[string]).Draw(t, "group")...)
+		statement.Items = []Item{{Function: Count, Column: AllColumns}, {Function: Minimum, Column: "price"}, {Function: Count, Column: "lane"}}
+	}
+	for _, column := range statement.GroupBy {
+		statement.Items = append(statement.Items, Item{Column: column})
+	}
+	for _, item := range statement.Items {
+		if rapid.Bool().Draw(t, "ordered") {
+			statement.OrderBy = append(statement.OrderBy, Order{Item: item, Descending: rapid.Bool().Draw(t, "descending")})
+		}
+	}
+	if rapid.Bool().Draw(t, "restricted") {
+		statement.Where = drawWhere(t, 3)
+	}
+	return statement
+}
+
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		requireRoundTrip(t, drawSelect(t))
+		insert := &Insert{Service: "filing-vault", Columns: rapid.SliceOfNDistinct(columnNames, 1, 4, rapid.ID[string]).Draw(t, "columns")}
+		for range insert.Columns {
+			insert.Values = append(insert.Values, rapid.OneOf(rapid.Custom(drawValue), rapid.Just(rows.Value{})).Draw(t, "value"))
+		}
+		requireRoundTrip(t, insert)
+		if value, found := insert.Value(insert.Columns[0]); !found || value != insert.Values[0] {
+			t.Fatalf("Value gave %v, want %v", value, insert.Values[0])
+		}
+	})
+}
+
+// TestKeyEqualityIsSound checks that a row that matches has the pinned value.
+func TestKeyEqualityIsSound(t *testing.T) {
+	pinnedAndMatched := 0
+	rapid.Check(t, func(t *rapid.T) {
+		statement := &Select{Service: "x", Where: drawWhere(t, 2)}
+		value, pinned := statement.KeyEquality("lane")
+		if !pinned {
+			return
+		}
+		row := map[string]rows.Value{"lane": rapid.OneOf(rapid.Just(value), rapid.Custom(drawValue)).Draw(t, "lane")}
+		columns := func(name string) (rows.Value, bool) { v, found := row[name]; return v, found }
+		if statement.Matches(columns) {
+			pinnedAndMatched++
+			if row["lane"] != value {
+				t.Fatalf("%s matches %v though the key is pinned to %v", statement, row["lane"], value)
+			}
+		}
+	})
+	if pinnedAndMatched == 0 {
+		t.Error("no drawn row was pinned and matched")
+	}
+}
+
+func TestMatches(t *testing.T) {
+	row := map[string]rows.Value{
+		"lane":   {Kind: rows.Text, Text: "OTR-SPK"},
+		"weight": {Kind: rows.Number, Number: 900},
+		"note":   {},
+	}
+	columns := func(name string) (rows.Value, bool) { v, found := row[name]; return v, found }
+	cases := map[string]bool{
+		"lane = 'OTR-SPK' and weight <= 900":                   true,
+		"lane <> 'OTR-SPK' or weight > 900":                    false,
+		"weight < '901'":                                       false, // a number and a text
+		"not weight < '901'":                                   true,
+		"note = 0":                                             false,
+		"note is null and missing is null":                     true,
+		"weight is not null and not (note is not null)":        true,
+		"lane in ('A', 'OTR-SPK')":                             true,
+		"note in (0) or weight in ('900')":                     false,
+		"lane like 'OTR%' and lane like '%SP_'":                true,
+		"lane like 'OTR' or lane like '_' or weight like '9%'": false,
+		"lane like '%T%-%K%' and not lane like '%KK'":          true,
+		"lane >= 'OTR' and lane < 'OTS' and weight != -1":      true,
+	}
+	for text, want := range cases {
+		statement, err := ParseOne("select * from x where " + text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := statement.(*Select).Matches(columns); got != want {
+			t.Errorf("%s: got %v, want %v", text, got, want)
+		}
+	}
+}
+
+func TestLimits(t *testing.T) {
+	cases := map[string]string{
+		"length":  "stop service " + strings.Repeat("x", MaximumStatement),
+		"nesting": "select * from x where " + strings.Repeat("(", maximumNesting+1) + "a = 1" + strings.Repeat(")", maximumNesting+1),
+		"bytes":   "stop service x\nstop service \xff",
+		"two":     "stop service x; start service x",
+		"none":    " -- nothing\n;",
+	}
+	for name, text := range cases {
+		var syntaxError *SyntaxError
+		if _, err := ParseOne(text); !errors.As(err, &syntaxError) || syntaxError.Line == 0 || syntaxError.Column == 0 {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	if located, err := ParseFile("-- first\n\nstop service x; start service x\r\nshow nodes"); err != nil || len(located) != 3 || located[2].Line != 4 {
+		t.Errorf("ParseFile gave %v, %v", located, err)
+	}
+}
+
+// FuzzParse checks that no text panics, that errors carry a place, and that
+// what is taken has a canonical text that parses to the same text.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"valid", "invalid"} {
+		for _, line := range readStatements(f, "testdata/"+name+".txt") {
+			f.Add(line)
+		}
+	}
+	f.Add("stop service 'x\nshow nodes")
+	f.Fuzz(func(t *testing.T, text string) {
+		statements, err := Parse(text)
+		var syntaxError *SyntaxError
+		if err != nil && (!errors.As(err, &syntaxError) || syntaxError.Line < 1 || syntaxError.Column < 1 || syntaxError.Message == "") {
+			t.Fatalf("the error has no place or message: %#v", err)
+		}
+		for _, statement := range statements {
+			again, err := ParseOne(statement.String())
+			if err != nil || again.String() != statement.String() {
+				t.Fatalf("%q became %v, %v", statement, again, err)
+			}
+		}
+	})
+}
+
+func BenchmarkParseSelect(b *testing.B) {
+	const text = "select lane, min(price), count(*) from rate-desk where lane = 'OTR-SPK' and weight <= 900 group by lane order by price limit 20"
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ParseOne(text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/language/tokens.go
@@ -0,0 +1,153 @@
+package language
+
+import (
+	"strings"
+	"unicode/utf8"
+
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// definition splits text into tokens; the first rule that matches wins. Other
+// takes what no rule knows, so that the error names the place.
+var definition = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Comment", Pattern: `--[^\n]*`},
+	{Name: "Newline", Pattern: `\n`},
+	{Name: "Space", Pattern: `[ \t\r]+`},
+	{Name: "Address", Pattern: `\[[0-9A-Fa-f:.]+\](:[0-9]+)?|[0-9]+\.[0-9]+\.[0-9]+\.[0-9]+(:[0-9]+)?`},
+	{Name: "Duration", Pattern: `([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+`},
+	{Name: "Percentile", Pattern: `[pP][0-9]+\.[0-9]+`},
+	{Name: "Ident", Pattern: `[A-Za-z_][A-Za-z0-9_-]*`},
+	{Name: "Number", Pattern: `-?[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?`},
+	{Name: "Text", Pattern: `'([^']|'')*'`},
+	{Name: "Unclosed", Pattern: `'[^\n]*`},
+	{Name: "Operator", Pattern: `!=|<>|<=|>=|[=<>]`},
+	{Name: "Punctuation", Pattern: `[(),*%;]`},
+	{Name: "Keyword", Pattern: `\x00keyword`}, // made of Ident by markKeywords
+	{Name: "Other", Pattern: `(?s).`},
+})
+
+// The token types that the code asks for.
+var (
+	commentType  = definition.Symbols()["Comment"]
+	newlineType  = definition.Symbols()["Newline"]
+	spaceType    = definition.Symbols()["Space"]
+	identType    = definition.Symbols()["Ident"]
+	keywordType  = definition.Symbols()["Keyword"]
+	unclosedType = definition.Symbols()["Unclosed"]
+)
+
+// reserved words cannot be column names, so that a forgotten column shows.
+var reserved = map[string]bool{
+	"select": true, "from": true, "where": true, "and": true, "or": true,
+	"not": true, "in": true, "like": true, "is": true, "null": true,
+	"group": true, "order": true, "by": true, "asc": true, "desc": true,
+	"limit": true, "insert": true, "into": true, "values": true,
+}
+
+// Reserved says whether a word cannot be the name of a column.
+func Reserved(word string) bool { return reserved[strings.ToLower(word)] }
+
+// tokenLine is the tokens of one statement; end stands for its end.
+type tokenLine struct {
+	tokens []lexer.Token
+	end    lexer.Token
+}
+
+// tokenize splits text into the tokens of its statements, without spaces,
+// comments and empty statements.
+func tokenize(text string) ([]tokenLine, *SyntaxError) {
+	if err := checkUTF8(text); err != nil {
+		return nil, err
+	}
+	source, err := definition.LexString("", text)
+	if err != nil {
+		return nil, invalidAt(lexer.Position{Line: 1, Column: 1}, "", "%s", err)
+	}
+	var lines []tokenLine
+	var current []lexer.Token
+	for {
+		token, err := source.Next()
+		if err != nil {
+			return nil, invalidAt(lexer.Position{Line: 1, Column: 1}, "", "%s", err)
+		}
+		switch {
+		case token.EOF(), token.Type == newlineType, token.Value == ";":
+			if len(current) > 0 {
+				lines = append(lines, tokenLine{tokens: current, end: lexer.EOFToken(token.Pos)})
+			}
+			if token.EOF() {
+				return lines, nil
+			}
+			current = nil
+		case token.Type == unclosedType:
+			return nil, invalidAt(token.Pos, token.Value, "the text that starts here has no closing quote")
+		case token.Type != spaceType && token.Type != commentType:
+			current = append(current, token)
+		}
+	}
+}
+
+func checkUTF8(text string) *SyntaxError {
+	if utf8.ValidString(text) {
+		return nil
+	}
+	position := lexer.Position{Line: 1, Column: 1}
+	for index, character := range text {
+		if character == utf8.RuneError {
+			if _, width := utf8.DecodeRuneInString(text[index:]); width == 1 {
+				position.Advance(text[:index])
+				break
+			}
+		}
+	}
+	return invalidAt(position, "", "the text is not valid UTF-8 here")
+}
+
+// markKeywords turns the reserved words of a select or insert into keywords
+// in lower case, so that they are not taken for columns.
+func markKeywords(tokens []lexer.Token) {
+	first := strings.ToLower(tokens[0].Value)
+	if first != "select" && first != "insert" {
+		return
+	}
+	for i, token := range tokens {
+		if token.Type == identType && Reserved(token.Value) {
+			tokens[i].Type = keywordType
+			tokens[i].Value = strings.ToLower(token.Value)
+		}
+	}
+}
+
+// maximumNesting is how deep parentheses may be nested.
+const maximumNesting = 64
+
+func checkNesting(tokens []lexer.Token) *SyntaxError {
+	depth := 0
+	for _, token := range tokens {
+		switch token.Value {
+		case "(":
+			depth++
+		case ")":
+			depth--
+		}
+		if depth > maximumNesting {
+			return invalidAt(token.Pos, token.Value, "parentheses are nested more than %d deep", maximumNesting)
+		}
+	}
+	return nil
+}
+
+// tokenSource feeds the tokens of one statement to the parser.
+type tokenSource struct {
+	line *tokenLine
+	next int
+}
+
+// Next implements lexer.Lexer.
+func (s *tokenSource) Next() (lexer.Token, error) {
+	if s.next >= len(s.line.tokens) {
+		return s.line.end, nil
+	}
+	s.next++
+	return s.line.tokens[s.next-1], nil
+}
--- /dev/null
+++ b/internal/language/where.go
@@ -0,0 +1,189 @@
+package language
+
+import (
+	"cmp"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// Columns returns the value of a column of one row, and whether it has one.
+type Columns func(name string) (rows.Value, bool)
+
+// Where is a condition on a row: one of *And, *Or, *Not, *Comparison, *In,
+// *Like and *IsNull. A column that is missing counts as null. A comparison
+// with null, or of a number with a text, is false, and its negation true.
+type Where interface {
+	// Matches says whether the condition holds for the row.
+	Matches(columns Columns) bool
+	// String returns the canonical text.
+	String() string
+}
+
+// And holds if all of its two or more terms hold.
+type And struct{ Terms []Where }
+
+// Or holds if any of its two or more terms holds.
+type Or struct{ Terms []Where }
+
+// Not holds if its term does not.
+type Not struct{ Term Where }
+
+// Operator compares two values.
+type Operator string
+
+// The operators.
+const (
+	Equal          Operator = "="
+	NotEqual       Operator = "!="
+	Less           Operator = "<"
+	LessOrEqual    Operator = "<="
+	Greater        Operator = ">"
+	GreaterOrEqual Operator = ">="
+)
+
+// Comparison compares a column with a value that is not null. Texts are
+// ordered by their bytes.
+type Comparison struct {
+	Column   string
+	Operator Operator
+	Value    rows.Value
+}
+
+// In holds if the column equals one of the values.
+type In struct {
+	Column string
+	Values []rows.Value
+}
+
+// Like holds if the column is a text of the pattern, in which "%" stands for
+// any characters and "_" for one.
+type Like struct {
+	Column  string
+	Pattern string
+}
+
+// IsNull holds if the column is null, or if it is not null when Negated.
+type IsNull struct {
+	Column  string
+	Negated bool
+}
+
+// Matches implements Where.
+func (a *And) Matches(columns Columns) bool {
+	for _, term := range a.Terms {
+		if !term.Matches(columns) {
+			return false
+		}
+	}
+	return true
+}
+
+// Matches implements Where.
+func (o *Or) Matches(columns Columns) bool {
+	for _, term := range o.Terms {
+		if term.Matches(columns) {
+			return true
+		}
+	}
+	return false
+}
+
+// Matches implements Where.
+func (n *Not) Matches(columns Columns) bool { return !n.Term.Matches(columns) }
+
+// Matches implements Where.
+func (c *Comparison) Matches(columns Columns) bool {
+	value, _ := columns(c.Column)
+	if value.Kind != c.Value.Kind || value.Kind == rows.Null {
+		return false
+	}
+	order := cmp.Or(cmp.Compare(value.Number, c.Value.Number), strings.Compare(value.Text, c.Value.Text))
+	switch c.Operator {
+	case Equal:
+		return order == 0
+	case NotEqual:
+		return order != 0
+	case Less:
+		return order < 0
+	case LessOrEqual:
+		return order <= 0
+	case Greater:
+		return order > 0
+	case GreaterOrEqual:
+		return order >= 0
+	default:
+		return false
+	}
+}
+
+// Matches implements Where.
+func (i *In) Matches(columns Columns) bool {
+	value, _ := columns(i.Column)
+	if value.Kind == rows.Null {
+		return false
+	}
+	for _, candidate := range i.Values {
+		if candidate == value {
+			return true
+		}
+	}
+	return false
+}
+
+// Matches implements Where.
+func (l *Like) Matches(columns Columns) bool {
+	value, _ := columns(l.Column)
+	return value.Kind == rows.Text && matchesPattern(value.Text, l.Pattern)
+}
+
+// Matches implements Where.
+func (n *IsNull) Matches(columns Columns) bool {
+	value, _ := columns(n.Column)
+	return (value.Kind == rows.Null) != n.Negated
+}
+
+// matchesPattern returns to the last "%" on a mismatch, so that its time is at
+// most the product of the two lengths.
+func matchesPattern(text, pattern string) bool {
+	textAt, patternAt := 0, 0
+	resumeText, resumePattern := 0, -1
+	for textAt < len(text) {
+		_, width := utf8.DecodeRuneInString(text[textAt:])
+		switch {
+		case patternAt < len(pattern) && pattern[patternAt] == '%':
+			resumeText, resumePattern = textAt, patternAt+1
+			patternAt++
+		case patternAt < len(pattern) && pattern[patternAt] == '_':
+			textAt += width
+			patternAt++
+		case patternAt < len(pattern) && strings.HasPrefix(pattern[patternAt:], text[textAt:textAt+width]):
+			textAt += width
+			patternAt += width
+		case resumePattern >= 0:
+			_, skipped := utf8.DecodeRuneInString(text[resumeText:])
+			resumeText += skipped
+			textAt, patternAt = resumeText, resumePattern
+		default:
+			return false
+		}
+	}
+	return strings.Trim(pattern[patternAt:], "%") == ""
+}
+
+func pinnedValue(where Where, column string) (rows.Value, bool) {
+	switch condition := where.(type) {
+	case *Comparison:
+		if condition.Column == column && condition.Operator == Equal {
+			return condition.Value, true
+		}
+	case *And:
+		for _, term := range condition.Terms {
+			if value, pinned := pinnedValue(term, column); pinned {
+				return value, true
+			}
+		}
+	}
+	return rows.Value{}, false
+}
