Set up logs, metrics and latency recording

The list of metrics is read from what was registered, so that the page generated from it cannot drift; vectors without a sample are listed too. Log lines put step, peer and request id first and take these from errors.

--- /dev/null
+++ b/internal/telemetry/list.go
@@ -0,0 +1,114 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
+)
+
+// MetricType is the type of a metric, as Prometheus names it.
+type MetricType string
+
+// The types.
+const (
+	TypeCounter   MetricType = "counter"
+	TypeGauge     MetricType = "gauge"
+	TypeHistogram MetricType = "histogram"
+	TypeSummary   MetricType = "summary"
+	TypeUnknown   MetricType = "untyped"
+)
+
+// Metric describes one metric of a registry.
+type Metric struct {
+	Name   string
+	Type   MetricType
+	Help   string
+	Labels []string
+}
+
+// Metrics lists the registered metrics whose name starts with prefix, in the
+// order of their names.
+func (r *Registry) Metrics(prefix string) ([]Metric, error) {
+	families, err := r.Gather()
+	if err != nil {
+		return nil, oops.In("telemetry").With("step", "telemetry.gather").Wrap(err)
+	}
+	gathered := map[string]MetricType{}
+	for _, family := range families {
+		gathered[family.GetName()] = MetricType(strings.ToLower(family.GetType().String()))
+	}
+	var metrics []Metric
+	for _, metric := range describe(r.Registry) {
+		if strings.HasPrefix(metric.Name, prefix) {
+			metric.Type = r.typeOf(metric.Name, gathered)
+			metrics = append(metrics, metric)
+		}
+	}
+	slices.SortFunc(metrics, func(left, right Metric) int { return strings.Compare(left.Name, right.Name) })
+	return slices.CompactFunc(metrics, func(left, right Metric) bool { return left.Name == right.Name }), nil
+}
+
+func (r *Registry) typeOf(name string, gathered map[string]MetricType) MetricType {
+	if kind, found := r.types[name]; found {
+		return kind
+	}
+	if kind, found := gathered[name]; found {
+		return kind
+	}
+	return TypeUnknown
+}
+
+// WriteMetrics writes metrics as a Markdown table.
+func WriteMetrics(writer io.Writer, metrics []Metric) error {
+	var text strings.Builder
+	text.WriteString("| Metric | Type | Labels | Meaning |\n| --- | --- | --- | --- |\n")
+	for _, metric := range metrics {
+		labels := ""
+		if len(metric.Labels) > 0 {
+			labels = "`" + strings.Join(metric.Labels, "`, `") + "`"
+		}
+		help := strings.ReplaceAll(metric.Help, "|", `\|`)
+		fmt.Fprintf(&text, "| `%s` | %s | %s | %s |\n", metric.Name, metric.Type, labels, help)
+	}
+	_, err := io.WriteString(writer, text.String())
+	return err
+}
+
+// A description has no accessors; its text is the only way to its fields.
+var descriptionPattern = regexp.MustCompile(
+	`^Desc\{fqName: ("(?:[^"\\]|\\.)*"), help: ("(?:[^"\\]|\\.)*"),.* variableLabels: \{([^}]*)\}\}$`)
+
+func describe(collector prometheus.Collector) []Metric {
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		defer close(descriptions)
+		collector.Describe(descriptions)
+	}()
+	var metrics []Metric
+	for description := range descriptions {
+		parts := descriptionPattern.FindStringSubmatch(description.String())
+		if parts == nil {
+			continue
+		}
+		metric := Metric{Name: unquote(parts[1]), Help: unquote(parts[2])}
+		if parts[3] != "" {
+			metric.Labels = strings.Split(parts[3], ",")
+		}
+		metrics = append(metrics, metric)
+	}
+	return metrics
+}
+
+func unquote(text string) string {
+	plain, err := strconv.Unquote(text)
+	if err != nil {
+		return text
+	}
+	return plain
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,94 @@
+// Package telemetry sets up logs and metrics: slog with a fixed order of
+// attributes, a Prometheus registry, the attributes of errors, and a recorder
+// of latencies.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"strings"
+
+	"github.com/samber/oops"
+)
+
+// Format is how log lines are written.
+type Format string
+
+// The formats.
+const (
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+)
+
+// Names of the attributes that log lines and errors share.
+const (
+	AttributeNode      = "node"
+	AttributePeer      = "peer"
+	AttributeStep      = "step"
+	AttributeRequestID = "request_id"
+	AttributeError     = "error"
+)
+
+// LogConfig says how the log is written. The zero value is text at level info.
+type LogConfig struct {
+	Format Format
+	// Level is debug, info, warn or error; info if it is none of them.
+	Level string
+}
+
+// NewLogger returns a logger whose lines carry the node's name, if there is
+// one, before their own attributes. The writer must take whole lines.
+func NewLogger(writer io.Writer, config LogConfig, node string) *slog.Logger {
+	options := &slog.HandlerOptions{Level: levelOf(config.Level)}
+	var handler slog.Handler = slog.NewTextHandler(writer, options)
+	if config.Format == FormatJSON {
+		handler = slog.NewJSONHandler(writer, options)
+	}
+	logger := slog.New(newOrderingHandler(handler))
+	if node == "" {
+		return logger
+	}
+	return logger.With(AttributeNode, node)
+}
+
+func levelOf(name string) slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(strings.ToUpper(name))); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
+
+// Error returns the attributes of an error: step and peer, as far as it
+// carries them, and its text last. Stack traces are left out.
+func Error(err error) slog.Attr {
+	if err == nil {
+		return slog.Attr{}
+	}
+	attributes := make([]any, 0, 3)
+	if detailed, ok := oops.AsOops(err); ok {
+		values := detailed.Context()
+		for _, name := range []string{AttributeStep, AttributePeer} {
+			if value, found := values[name]; found {
+				attributes = append(attributes, slog.Any(name, value))
+			}
+		}
+	}
+	attributes = append(attributes, slog.String(AttributeError, err.Error()))
+	return slog.Group("", attributes...)
+}
+
+// StepOf returns the step at which an error arose, or "".
+func StepOf(err error) string { return textOf(err, AttributeStep) }
+
+// PeerOf returns the peer at which an error arose, or "".
+func PeerOf(err error) string { return textOf(err, AttributePeer) }
+
+func textOf(err error, name string) string {
+	detailed, ok := oops.AsOops(err)
+	if !ok {
+		return ""
+	}
+	text, _ := detailed.Context()[name].(string)
+	return text
+}
