--- /dev/null
+++ b/internal/gateway/handlers.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// defaultOperatorTimeout is how long an operator's command waits unless it
+// says otherwise.
+const defaultOperatorTimeout = 10 * time.Second
+
+// maximumOperatorTimeout bounds the time that an operator may ask for.
+const maximumOperatorTimeout = 5 * time.Minute
+
+func (g *Gateway) query(c echo.Context) error {
+	var request api.QueryRequest
+	if err := decode(c, &request); err != nil {
+		return err
+	}
+	answer, err := g.config.Queries.Query(c.Request().Context(), c.Param("service"), request)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (g *Gateway) statement(c echo.Context) error {
+	var request api.StatementRequest
+	if err := decode(c, &request); err != nil {
+		return err
+	}
+	ctx, cancel, err := operatorContext(c, request.TimeoutMilliseconds)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	response, err := g.config.Operations.Statement(ctx, request)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, response)
+}
+
+func (g *Gateway) change(c echo.Context) error {
+	var milliseconds int64
+	if text := c.QueryParam(api.TimeoutParameter); text != "" {
+		parsed, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return api.NewProblem(api.ProblemInvalidRequest, api.TimeoutParameter+" must be a whole number of milliseconds.")
+		}
+		milliseconds = parsed
+	}
+	ctx, cancel, err := operatorContext(c, milliseconds)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	response, err := g.config.Operations.Change(ctx, c.Param("id"))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, response)
+}
+
+// operatorContext bounds an operator's command in time.
+func operatorContext(c echo.Context, milliseconds int64) (context.Context, context.CancelFunc, error) {
+	timeout := time.Duration(milliseconds) * time.Millisecond
+	if timeout == 0 {
+		timeout = defaultOperatorTimeout
+	}
+	if timeout < 0 || timeout > maximumOperatorTimeout {
+		return nil, nil, api.NewProblem(api.ProblemInvalidDeadline, "timeout_ms must be between 1 and "+strconv.FormatInt(maximumOperatorTimeout.Milliseconds(), 10)+".")
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
+	return ctx, cancel, nil
+}
+
+func (g *Gateway) status(c echo.Context) error {
+	response, err := g.config.Operations.Status(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, response)
+}
+
+func (g *Gateway) catalog(c echo.Context) error {
+	encoded, err := catalog.Encode(g.config.Operations.Catalog())
+	if err != nil {
+		return err
+	}
+	return c.JSONBlob(http.StatusOK, encoded)
+}
+
+func (g *Gateway) drain(c echo.Context) error {
+	response, err := g.config.Operations.Drain(c.Request().Context(), c.Param("name"))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusAccepted, response)
+}
+
+// decode reads a JSON body strictly: an unknown key, a wrong type or a second
+// value is an error that says where.
+func decode(c echo.Context, target any) error {
+	decoder := json.NewDecoder(c.Request().Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return decodeProblem(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return api.NewProblem(api.ProblemInvalidRequest, "The body must hold one JSON object.")
+	}
+	return nil
+}
+
+func decodeProblem(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return err
+	}
+	return api.NewProblem(api.ProblemInvalidRequest, err.Error())
+}
+
+// writeError sends a problem document, with Retry-After where a time is known.
+func (g *Gateway) writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	problem := asProblem(err)
+	if problem.RetryAfterMilliseconds > 0 {
+		seconds := (problem.RetryAfterMilliseconds + 999) / 1000
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	encoded, err := json.Marshal(problem)
+	if err != nil {
+		g.config.Logger.Error("problem not encoded", "error", err)
+		return
+	}
+	// A write error means that the caller went away; nobody is left to tell.
+	_ = c.Blob(problem.Status, api.ProblemContentType, encoded)
+}
--- /dev/null
+++ b/internal/rehearsal/cluster/plan.go
@@ -0,0 +1,91 @@
+package cluster
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+)
+
+// Service describes one service of a deployment and its leaves.
+type Service struct {
+	Name      string
+	Shards    int
+	Replicas  int
+	KeyColumn string
+	// Leaves is the number of leaves; leaf i holds Shards*Replicas/Leaves
+	// shards, so that each shard has Replicas leaves.
+	Leaves int
+	Slots  int
+	// Classes are statements that define the classes.
+	Classes []string
+}
+
+// Plan describes a deployment.
+type Plan struct {
+	// Binaries is the folder of the programs.
+	Binaries string
+	Zones    []string
+	// Nodes is the number of nodes; node i is in zone i modulo the zones.
+	Nodes    int
+	Services []Service
+}
+
+// shardsOf returns the shards that leaf number index of a service holds.
+func (s Service) shardsOf(index int) []int {
+	perLeaf := s.Shards * s.Replicas / s.Leaves
+	shards := make([]int, perLeaf)
+	for i := range shards {
+		shards[i] = (index*perLeaf + i) % s.Shards
+	}
+	return shards
+}
+
+func joinShards(shards []int) string {
+	texts := make([]string, len(shards))
+	for i, shard := range shards {
+		texts[i] = fmt.Sprint(shard)
+	}
+	return strings.Join(texts, ",")
+}
+
+// statements returns the commands that describe a service with its leaves.
+func (s Service) statements(leaves []*Leaf) []string {
+	create := fmt.Sprintf("create service %s shards %d replicas %d", s.Name, s.Shards, s.Replicas)
+	if s.KeyColumn != "" {
+		create += " key " + s.KeyColumn
+	}
+	statements := append([]string{create}, s.Classes...)
+	for _, leaf := range leaves {
+		if leaf.Service == s.Name {
+			statements = append(statements, leaf.addStatement())
+		}
+	}
+	return statements
+}
+
+// Leaf is one leaf process of a deployment.
+type Leaf struct {
+	*Process
+	Service string
+	Zone    string
+	Shards  []int
+}
+
+// Address is where the leaf serves.
+func (l *Leaf) Address() netip.AddrPort {
+	return l.HTTP
+}
+
+func (l *Leaf) addStatement() string {
+	return fmt.Sprintf("add leaf %s to %s zone %s shards %s", l.HTTP, l.Service, l.Zone, joinShards(l.Shards))
+}
+
+// Holds reports whether the leaf holds a shard.
+func (l *Leaf) Holds(shard int) bool {
+	for _, held := range l.Shards {
+		if held == shard {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scatter/conn.go
@@ -0,0 +1,316 @@
+package scatter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// The steps of an attempt before the leaf client takes over.
+const (
+	stepGuard    leaf.Step = "scatter_guard"
+	stepDeadline leaf.Step = "scatter_deadline"
+)
+
+// Conn runs the queries of one service. It is safe for concurrent use.
+type Conn struct {
+	config Config
+
+	mutex      sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	lastQuery  dispatch.QueryID
+	queries    map[dispatch.QueryID]*query
+	attempts   map[dispatch.AttemptID]*attempt
+	timer      *time.Timer
+	closed     bool
+	running    sync.WaitGroup
+}
+
+// query is one query in progress.
+type query struct {
+	request  Request
+	deadline dispatch.Time
+	tables   map[dispatch.AttemptID]rows.Table
+	detail   string
+	done     chan Result
+}
+
+// attempt is one send in progress.
+type attempt struct {
+	send   dispatch.Send
+	cancel context.CancelFunc
+	// aborted is set before cancel is called, under the Conn's mutex.
+	aborted bool
+}
+
+// NewConn returns a Conn that owns the dispatcher from now on.
+func NewConn(config Config, dispatcher *dispatch.Dispatcher) *Conn {
+	conn := &Conn{
+		config:     config,
+		dispatcher: dispatcher,
+		queries:    make(map[dispatch.QueryID]*query),
+		attempts:   make(map[dispatch.AttemptID]*attempt),
+	}
+	conn.timer = time.AfterFunc(time.Hour, conn.tick)
+	conn.timer.Stop()
+	return conn
+}
+
+// Execute runs a query and blocks until it ends. When ctx ends, because the
+// caller went away, the attempts in flight are cancelled.
+func (c *Conn) Execute(ctx context.Context, request Request) Result {
+	running := c.submit(request)
+	select {
+	case result := <-running.done:
+		return result
+	case <-ctx.Done():
+	}
+	c.step(func(now dispatch.Time) []dispatch.Action {
+		for id, candidate := range c.queries {
+			if candidate == running {
+				return c.dispatcher.Cancel(now, id)
+			}
+		}
+		return nil
+	})
+	return <-running.done
+}
+
+func (c *Conn) submit(request Request) *query {
+	running := &query{
+		request: request,
+		tables:  make(map[dispatch.AttemptID]rows.Table),
+		done:    make(chan Result, 1),
+	}
+	c.step(func(now dispatch.Time) []dispatch.Action {
+		if c.closed {
+			running.done <- Result{Finish: closedFinish()}
+			return nil
+		}
+		c.lastQuery++
+		running.deadline = now + request.Timeout
+		c.queries[c.lastQuery] = running
+		return c.dispatcher.Submit(now, dispatch.Query{
+			ID:              c.lastQuery,
+			Class:           request.Class,
+			KeyHash:         request.KeyHash,
+			HasKey:          request.HasKey,
+			Deadline:        running.deadline,
+			MinimumCoverage: request.MinimumCoverage,
+		})
+	})
+	return running
+}
+
+func closedFinish() dispatch.Finish {
+	return dispatch.Finish{Outcome: dispatch.OutcomeNotRun, Reason: dispatch.ReasonStopped}
+}
+
+// SetTopology hands the dispatcher a new view of the leaves.
+func (c *Conn) SetTopology(topology dispatch.Topology) {
+	c.step(func(now dispatch.Time) []dispatch.Action {
+		return c.dispatcher.SetTopology(now, topology)
+	})
+}
+
+// Observe hands the dispatcher a leaf's own word on its load.
+func (c *Conn) Observe(address netip.AddrPort, load leaf.LoadSummary) {
+	c.step(func(now dispatch.Time) []dispatch.Action {
+		return c.dispatcher.Observe(now, address, load)
+	})
+}
+
+// LeafStates describes the leaves as the dispatcher sees them.
+func (c *Conn) LeafStates() []dispatch.LeafState {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.dispatcher.LeafStates()
+}
+
+// Counters returns the dispatcher's counts.
+func (c *Conn) Counters() dispatch.Counters {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.dispatcher.Counters()
+}
+
+// InFlight returns the number of queries that have not ended.
+func (c *Conn) InFlight() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.queries)
+}
+
+// Close refuses new queries and blocks until the running ones have ended and
+// every attempt has reported.
+func (c *Conn) Close() {
+	c.mutex.Lock()
+	c.closed = true
+	c.mutex.Unlock()
+	c.running.Wait()
+	c.timer.Stop()
+}
+
+// step runs one call to the dispatcher and performs what it decided.
+func (c *Conn) step(decide func(now dispatch.Time) []dispatch.Action) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	actions := decide(c.config.Clock.Now())
+	for _, action := range actions {
+		c.perform(action)
+	}
+	c.schedule()
+}
+
+func (c *Conn) perform(action dispatch.Action) {
+	switch action := action.(type) {
+	case dispatch.Send:
+		c.start(action)
+	case dispatch.Abort:
+		c.abort(action.Attempt)
+	case dispatch.Finish:
+		c.finish(action)
+	}
+}
+
+// schedule sets the timer to the dispatcher's next deadline.
+func (c *Conn) schedule() {
+	next, wanted := c.dispatcher.NextTick()
+	if !wanted {
+		c.timer.Stop()
+		return
+	}
+	c.timer.Reset(max(next-c.config.Clock.Now(), 0))
+}
+
+func (c *Conn) tick() {
+	c.step(c.dispatcher.Tick)
+}
+
+func (c *Conn) start(send dispatch.Send) {
+	running := c.queries[send.Query]
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &attempt{send: send, cancel: cancel}
+	c.attempts[send.Attempt] = started
+	c.running.Add(1)
+	go c.run(ctx, started, running)
+}
+
+func (c *Conn) abort(id dispatch.AttemptID) {
+	started := c.attempts[id]
+	if started == nil {
+		return
+	}
+	started.aborted = true
+	started.cancel()
+}
+
+func (c *Conn) finish(finish dispatch.Finish) {
+	ended := c.queries[finish.Query]
+	if ended == nil {
+		return
+	}
+	delete(c.queries, finish.Query)
+	result := Result{Finish: finish, Detail: ended.detail}
+	for _, answer := range finish.Answered {
+		result.Tables = append(result.Tables, ShardTable{Shard: answer.Shard, Table: ended.tables[answer.Attempt]})
+	}
+	ended.done <- result
+}
+
+// run performs one attempt and reports its end, exactly once.
+func (c *Conn) run(ctx context.Context, started *attempt, running *query) {
+	defer c.running.Done()
+	defer started.cancel()
+	response, err := c.execute(ctx, started.send, running)
+	c.step(func(now dispatch.Time) []dispatch.Action {
+		delete(c.attempts, started.send.Attempt)
+		return c.report(now, started, running, response, err)
+	})
+	c.noteDraining(started.send.Leaf, response)
+}
+
+// execute sends one attempt, unless the guard or the deadline forbids it. The
+// checks come directly before the send: the process may have been frozen since
+// the decision was made.
+func (c *Conn) execute(ctx context.Context, send dispatch.Send, running *query) (*leaf.ExecuteResponse, error) {
+	if err := c.config.Guard(); err != nil {
+		return nil, notSent(stepGuard, send.Leaf, err)
+	}
+	remaining := running.deadline - c.config.Clock.Now()
+	if remaining <= 0 {
+		return nil, notSent(stepDeadline, send.Leaf, context.DeadlineExceeded)
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	return c.config.Leaves.Execute(ctx, send.Leaf, leaf.ExecuteRequest{
+		RequestID:             running.request.RequestID,
+		AttemptID:             fmt.Sprintf("%s/%d", c.config.AttemptPrefix, send.Attempt),
+		Service:               c.config.Service,
+		Shard:                 send.Shard,
+		Snapshot:              send.Snapshot,
+		Statement:             running.request.Statement,
+		RemainingMilliseconds: max(remaining.Milliseconds(), 1),
+		Repeatable:            running.request.Class.Repeatable,
+	})
+}
+
+func notSent(step leaf.Step, peer netip.AddrPort, err error) error {
+	return &leaf.TransportError{Step: step, Peer: peer, Sent: false, Err: err}
+}
+
+// report tells the dispatcher how an attempt ended.
+func (c *Conn) report(now dispatch.Time, started *attempt, running *query, response *leaf.ExecuteResponse, err error) []dispatch.Action {
+	id := started.send.Attempt
+	if err != nil {
+		failure := dispatch.Failure{Sent: mayHaveBeenSent(err), Aborted: started.aborted}
+		c.config.Metrics.countFailure(failure)
+		return c.dispatcher.Fail(now, id, failure)
+	}
+	if !response.Executed {
+		c.config.Metrics.countRefusal(response.Refusal)
+		if response.Refusal == leaf.RefusedInvalid {
+			running.detail = response.Detail
+		}
+		return c.dispatcher.Refuse(now, id, dispatch.Refusal{
+			Reason: response.Refusal,
+			BootID: response.BootID,
+			Load:   response.Load,
+		})
+	}
+	if _, active := c.queries[started.send.Query]; active {
+		running.tables[id] = response.Table
+	}
+	return c.dispatcher.Reply(now, id, dispatch.Reply{
+		Shard:    response.Shard,
+		Snapshot: response.Snapshot,
+		BootID:   response.BootID,
+		Load:     response.Load,
+	})
+}
+
+// mayHaveBeenSent reports whether the leaf may have run the attempt. Only a
+// transport error that proves the opposite counts as not sent.
+func mayHaveBeenSent(err error) bool {
+	var transport *leaf.TransportError
+	if errors.As(err, &transport) {
+		return transport.Sent
+	}
+	return true
+}
+
+func (c *Conn) noteDraining(address netip.AddrPort, response *leaf.ExecuteResponse) {
+	if response == nil || c.config.OnDraining == nil {
+		return
+	}
+	if response.Refusal == leaf.RefusedDraining || response.Load.State == leaf.StateDraining {
+		c.config.OnDraining(address, response.BootID)
+	}
+}
--- /dev/null
+++ b/internal/scatter/metrics.go
@@ -0,0 +1,45 @@
+package scatter
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// Metrics counts the ends of attempts. One value serves all Conns of a node.
+type Metrics struct {
+	refusals *prometheus.CounterVec
+	failures *prometheus.CounterVec
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	metrics := &Metrics{
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "micaplank_scatter_refusals_total",
+			Help: "Attempts that a leaf refused without running them, by reason.",
+		}, []string{"reason"}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "micaplank_scatter_failures_total",
+			Help: "Attempts that ended without a reply, by kind: aborted, not_sent or lost.",
+		}, []string{"kind"}),
+	}
+	registerer.MustRegister(metrics.refusals, metrics.failures)
+	return metrics
+}
+
+func (m *Metrics) countRefusal(reason leaf.Refusal) {
+	m.refusals.WithLabelValues(string(reason)).Inc()
+}
+
+func (m *Metrics) countFailure(failure dispatch.Failure) {
+	switch {
+	case failure.Aborted:
+		m.failures.WithLabelValues("aborted").Inc()
+	case !failure.Sent:
+		m.failures.WithLabelValues("not_sent").Inc()
+	default:
+		m.failures.WithLabelValues("lost").Inc()
+	}
+}
