--- a/internal/language/tokens.go
+++ b/internal/language/tokens.go
@@ -7,21 +7,22 @@
 	"github.com/alecthomas/participle/v2/lexer"
 )
 
-// definition splits text into tokens; the first rule that matches wins. Other
-// takes what no rule knows, so that the error names the place.
+// definition splits text into tokens; the first rule that matches wins, so the
+// frequent ones come first where the order is free. Other takes what no rule
+// knows, so that the error names the place.
 var definition = lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "Comment", Pattern: `--[^\n]*`},
-	{Name: "Newline", Pattern: `\n`},
 	{Name: "Space", Pattern: `[ \t\r]+`},
-	{Name: "Address", Pattern: `\[[0-9A-Fa-f:.]+\](:[0-9]+)?|[0-9]+\.[0-9]+\.[0-9]+\.[0-9]+(:[0-9]+)?`},
-	{Name: "Duration", Pattern: `([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+`},
 	{Name: "Percentile", Pattern: `[pP][0-9]+\.[0-9]+`},
 	{Name: "Ident", Pattern: `[A-Za-z_][A-Za-z0-9_-]*`},
-	{Name: "Number", Pattern: `-?[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?`},
-	{Name: "Text", Pattern: `'([^']|'')*'`},
-	{Name: "Unclosed", Pattern: `'[^\n]*`},
 	{Name: "Operator", Pattern: `!=|<>|<=|>=|[=<>]`},
 	{Name: "Punctuation", Pattern: `[(),*%;]`},
+	{Name: "Text", Pattern: `'([^']|'')*'`},
+	{Name: "Address", Pattern: `\[[0-9A-Fa-f:.]+\](:[0-9]+)?|[0-9]+\.[0-9]+\.[0-9]+\.[0-9]+(:[0-9]+)?`},
+	{Name: "Duration", Pattern: `([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+`},
+	{Name: "Number", Pattern: `-?[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?`},
+	{Name: "Newline", Pattern: `\n`},
+	{Name: "Comment", Pattern: `--[^\n]*`},
+	{Name: "Unclosed", Pattern: `'[^\n]*`},
 	{Name: "Keyword", Pattern: `\x00keyword`}, // made of Ident by markKeywords
 	{Name: "Other", Pattern: `(?s).`},
 })
