--- /dev/null
+++ b/internal/decide/coverage/coverage.go
@@ -0,0 +1,57 @@
+// Package coverage decides when a query with missing shards is settled. It is
+// pure.
+package coverage
+
+import "time"
+
+// Progress is the state of a query's shards. Shards that are neither answered
+// nor unavailable are still awaited.
+type Progress struct {
+	Total       int
+	Answered    int
+	Unavailable int // no leaf is left that could answer
+}
+
+// Config holds the policy of settling.
+type Config struct {
+	// Margin is how long before its deadline a query with enough coverage is
+	// settled. Default 5 ms.
+	Margin time.Duration
+	// MarginShare bounds Margin by a share of the time that the query was
+	// given. Default 0.05.
+	MarginShare float64
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{Margin: 5 * time.Millisecond, MarginShare: 0.05}
+}
+
+// SettleAt returns the time from which a query that was submitted at start
+// settles if its coverage is enough.
+func (c Config) SettleAt(start, deadline time.Duration) time.Duration {
+	margin := min(c.Margin, time.Duration(c.MarginShare*float64(deadline-start)))
+	return deadline - max(margin, 0)
+}
+
+// Whole reports whether every shard is answered.
+func (p Progress) Whole() bool {
+	return p.Answered == p.Total
+}
+
+// Hopeless reports whether no shard is answered and none can be.
+func (p Progress) Hopeless() bool {
+	return p.Unavailable == p.Total
+}
+
+// Enough reports whether the share of answered shards reaches the minimum.
+// No answer at all is never enough.
+func (p Progress) Enough(minimum float64) bool {
+	const tolerance = 1e-9
+	return p.Answered > 0 && float64(p.Answered) >= minimum*float64(p.Total)-tolerance
+}
+
+// Exhausted reports whether no awaited shard is left.
+func (p Progress) Exhausted() bool {
+	return p.Answered+p.Unavailable == p.Total
+}
--- /dev/null
+++ b/internal/decide/dispatch/attempt.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import "github.com/micaplank/micaplank/internal/catalog"
+
+// cause says why an attempt was sent.
+type cause uint8
+
+const (
+	causeNeeded  cause = iota // the first attempt of a shard
+	causeResend               // after proof that the former did not execute
+	causeRetry                // after one that was lost
+	causeRestart              // again, at another snapshot
+	causeHedge                // beside one that is late
+	causeProbe                // beside one, to measure a slow leaf
+)
+
+func (c cause) extra() bool {
+	return c >= causeRetry
+}
+
+// attempt is one request to one leaf, from its Send until its end is
+// reported, also after its Abort.
+type attempt struct {
+	id       AttemptID
+	query    *query
+	wanted   bool // until its Abort
+	leaf     *leafState
+	snapshot catalog.Snapshot
+	shard    int
+	position int32 // of the shard in the query
+	next     int32 // the next attempt of the same shard
+	running  int32 // place among the running attempts of the leaf
+	cause    cause
+	sentAt   Time
+	// expected is the time in seconds that an ordinary leaf with the same
+	// queue needs.
+	expected float64
+}
+
+// none is the index of no attempt.
+const none int32 = -1
+
+// Attempt ids hold the slot in the table in the low bits and a serial number
+// in the high bits, so that no id is used twice.
+const slotBits = 24
+
+// attemptTable holds the attempts whose end was not reported yet. Pointers
+// into it are valid until the next add.
+type attemptTable struct {
+	slots  []attempt
+	free   []int32
+	serial uint64
+}
+
+func (t *attemptTable) add() (int32, *attempt) {
+	var slot int32
+	if last := len(t.free) - 1; last >= 0 {
+		slot = t.free[last]
+		t.free = t.free[:last]
+	} else {
+		slot = int32(len(t.slots))
+		t.slots = append(t.slots, attempt{})
+	}
+	t.serial++
+	entry := &t.slots[slot]
+	entry.id = AttemptID(t.serial<<slotBits | uint64(slot))
+	return slot, entry
+}
+
+// find returns nil if the end of the attempt was reported already.
+func (t *attemptTable) find(id AttemptID) *attempt {
+	slot := uint64(id) & (1<<slotBits - 1)
+	if slot >= uint64(len(t.slots)) || t.slots[slot].id != id {
+		return nil
+	}
+	return &t.slots[slot]
+}
+
+func (t *attemptTable) remove(entry *attempt) {
+	slot := int32(uint64(entry.id) & (1<<slotBits - 1))
+	*entry = attempt{}
+	t.free = append(t.free, slot)
+}
--- /dev/null
+++ b/internal/decide/dispatch/dispatcher.go
@@ -0,0 +1,245 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"github.com/micaplank/micaplank/internal/decide/hedge"
+	"github.com/micaplank/micaplank/internal/decide/replica"
+	"github.com/micaplank/micaplank/internal/decide/snapshot"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// Dispatcher is the state machine of one service on one node. Its methods
+// never block; the times handed to them should not decrease, and an earlier
+// one counts as the latest one seen. The actions returned belong to the
+// caller.
+type Dispatcher struct {
+	config Config
+	random *rand.Rand
+	now    Time
+
+	topology   Topology
+	leaves     []*leafState // those of the topology, in its order
+	byAddress  map[netip.AddrPort]*leafState
+	views      []view          // newest first
+	snapshots  []snapshot.View // of the views
+	topologies uint64          // number of topologies so far
+	goneUntil  Time            // when the next override of a holding ends; zero if none
+
+	byID     map[QueryID]*query
+	running  []*query // all unfinished queries, started or not
+	pending  []*query // those that wait for the concurrency limit, in order
+	started  int
+	starting bool // startPending must not start any now
+	attempts attemptTable
+	timers   timerHeap
+
+	classes  map[string]*classState
+	meanWork float64 // mean base of the attempts, in seconds
+	budget   hedge.Budget
+
+	waiters   int
+	parked    []waiter
+	order     uint64
+	pumpRound uint64
+	reviewAt  Time
+
+	counters Counters
+	actions  []Action
+	// Scratch space of choose.
+	candidates      []replica.Candidate
+	candidateLeaves []*leafState
+}
+
+// New returns a Dispatcher without a topology: it answers every query with
+// OutcomeNotRun until SetTopology is called. It keeps random.
+func New(config Config, random *rand.Rand) *Dispatcher {
+	return &Dispatcher{
+		config:    config,
+		random:    random,
+		byAddress: make(map[netip.AddrPort]*leafState),
+		byID:      make(map[QueryID]*query),
+		classes:   make(map[string]*classState),
+		meanWork:  config.InitialLatency.Seconds(),
+		budget:    hedge.NewBudget(config.Budget),
+	}
+}
+
+// begin starts a call.
+func (d *Dispatcher) begin(now Time) {
+	d.now = max(d.now, now)
+	d.actions = nil
+}
+
+// Submit takes a query. Its id must not be in use; a query whose id is in use
+// is ignored.
+func (d *Dispatcher) Submit(now Time, request Query) []Action {
+	d.begin(now)
+	if _, known := d.byID[request.ID]; known {
+		return nil
+	}
+	d.counters.Submitted++
+	q := &query{
+		Query:     request,
+		class:     d.classOf(request.Class.Name),
+		submitted: d.now,
+		settleAt:  d.config.Settle.SettleAt(d.now, request.Deadline),
+		timer:     -1,
+	}
+	if reason := d.unfit(q); reason != ReasonNone {
+		d.reject(q, reason)
+		return d.actions
+	}
+	q.index = len(d.running)
+	d.running = append(d.running, q)
+	d.byID[q.ID] = q
+	if d.topology.Concurrency > 0 && d.started >= d.topology.Concurrency {
+		d.postpone(q)
+		return d.actions
+	}
+	d.start(q)
+	return d.actions
+}
+
+// unfit returns why a query cannot be taken at all.
+func (d *Dispatcher) unfit(q *query) Reason {
+	switch {
+	case d.topology.Stopped:
+		return ReasonStopped
+	case q.Deadline <= d.now:
+		return ReasonDeadline
+	case len(d.views) == 0:
+		return ReasonNoSnapshot
+	default:
+		return ReasonNone
+	}
+}
+
+// reject answers a query that was not taken.
+func (d *Dispatcher) reject(q *query, reason Reason) {
+	d.counters.NotRun++
+	d.actions = append(d.actions, Finish{Query: q.ID, Outcome: OutcomeNotRun, Reason: reason})
+}
+
+// postpone lets a query wait for the concurrency limit.
+func (d *Dispatcher) postpone(q *query) {
+	at, _ := slices.BinarySearchFunc(d.pending, q, func(a, b *query) int {
+		if a.Class.Priority < b.Class.Priority ||
+			a.Class.Priority == b.Class.Priority && a.Deadline <= b.Deadline {
+			return -1
+		}
+		return 1
+	})
+	d.pending = slices.Insert(d.pending, at, q)
+	d.timers.set(q, q.Deadline)
+}
+
+// startPending starts postponed queries as the concurrency limit allows.
+func (d *Dispatcher) startPending() {
+	if d.starting {
+		return
+	}
+	d.starting = true
+	defer func() { d.starting = false }()
+	for len(d.pending) > 0 && (d.topology.Concurrency == 0 || d.started < d.topology.Concurrency) {
+		q := d.pending[0]
+		d.pending = slices.Delete(d.pending, 0, 1)
+		d.start(q)
+	}
+}
+
+// start pins a snapshot and places all needed shards.
+func (d *Dispatcher) start(q *query) {
+	q.started = true
+	d.started++
+	if reason := d.pin(q); reason != ReasonNone {
+		d.finish(q, q.failure(), reason)
+		return
+	}
+	if !q.Class.Repeatable && q.progress.Total != 1 {
+		d.finish(q, OutcomeNotRun, ReasonInvalid)
+		return
+	}
+	if wait, admitted := d.admit(q); !admitted {
+		d.counters.Overloaded++
+		q.retryAfter = d.config.Admission.RetryAfter(wait)
+		d.finish(q, OutcomeNotRun, ReasonOverload)
+		return
+	}
+	for position := range q.shards {
+		d.place(q, int32(position))
+	}
+	d.review(q)
+}
+
+// Cancel ends a query whose caller went away, and aborts its attempts.
+func (d *Dispatcher) Cancel(now Time, id QueryID) []Action {
+	d.begin(now)
+	if q, known := d.byID[id]; known {
+		d.finish(q, q.failure(), ReasonCancelled)
+	}
+	return d.actions
+}
+
+// Observe takes in a load report that did not come with a reply. It may lag
+// or mislead, except that a leaf which says it drains gets no more work.
+func (d *Dispatcher) Observe(now Time, address netip.AddrPort, load leaf.LoadSummary) []Action {
+	d.begin(now)
+	if l, known := d.byAddress[address]; known {
+		d.observe(l, l.boot(), load, len(l.running))
+		d.pump(l)
+	}
+	return d.actions
+}
+
+// Tick performs what is due; see NextTick.
+func (d *Dispatcher) Tick(now Time) []Action {
+	d.begin(now)
+	if d.goneUntil > 0 && d.now >= d.goneUntil {
+		d.rebuild()
+	}
+	for len(d.timers) > 0 && d.timers[0].timerAt <= d.now {
+		q := d.timers[0]
+		if q.hedgeAt > 0 && q.hedgeAt <= d.now && q.Deadline > d.now {
+			d.hedge(q)
+		}
+		d.review(q)
+	}
+	if d.busy() && d.now >= d.reviewAt {
+		d.pumpAll()
+	}
+	return d.actions
+}
+
+// busy reports whether shards wait in the node.
+func (d *Dispatcher) busy() bool {
+	return d.waiters > 0 || len(d.parked) > 0
+}
+
+// NextTick returns when Tick has to be called next, and false if no time is
+// known. It changes with each call of the other methods.
+func (d *Dispatcher) NextTick() (Time, bool) {
+	next, known := Time(0), false
+	consider := func(at Time) {
+		if !known || at < next {
+			next, known = at, true
+		}
+	}
+	if len(d.timers) > 0 {
+		consider(d.timers[0].timerAt)
+	}
+	if d.busy() {
+		consider(d.reviewAt)
+	}
+	if d.goneUntil > 0 {
+		consider(d.goneUntil)
+	}
+	return next, known
+}
+
+// Counters returns the counts so far.
+func (d *Dispatcher) Counters() Counters {
+	return d.counters
+}
--- /dev/null
+++ b/internal/decide/dispatch/ends.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// Reply takes in the answer of an executed attempt. If no Finish or Abort
+// dropped the attempt, the answer counts for its shard.
+func (d *Dispatcher) Reply(now Time, id AttemptID, reply Reply) []Action {
+	d.begin(now)
+	ended, known := d.resolve(id)
+	if !known {
+		return d.actions
+	}
+	d.counters.Replies++
+	l, q := ended.leaf, ended.query
+	q.executed = true
+	switch {
+	case !ended.wanted || q.shards[ended.position].status == shardAnswered:
+		d.counters.LateReplies++
+	case reply.Shard != ended.shard || reply.Snapshot != ended.snapshot:
+		d.counters.CrossedReplies++
+		d.lost(&ended)
+	default:
+		d.answer(&ended)
+	}
+	d.measure(&ended, reply)
+	d.placeDue(&ended)
+	d.review(q)
+	d.pump(l)
+	return d.actions
+}
+
+// measure learns from the time that an attempt took.
+func (d *Dispatcher) measure(ended *attempt, reply Reply) {
+	l, q := ended.leaf, ended.query
+	latency := d.now - ended.sentAt
+	l.speed.Completed(latency.Seconds() / ended.expected)
+	l.succeeded(latency)
+	q.class.learn(latency, ended.expected/q.class.base)
+	l.limiter.Succeeded(d.now, len(l.running)+1, reply.Load.Queue)
+	d.observe(l, reply.BootID, reply.Load, len(l.running))
+}
+
+// observe takes in what a leaf says of itself.
+func (d *Dispatcher) observe(l *leafState, boot string, load leaf.LoadSummary, own int) {
+	if l.sawBoot(boot) {
+		d.restarted(l, load.State == leaf.StateCold)
+	}
+	if load.Slots > 0 {
+		l.report(d.now, load, own)
+	}
+	if load.State == leaf.StateDraining && l.drains(boot) {
+		d.rebuild()
+	}
+}
+
+// answer merges the answer of a shard and aborts the attempts beside it. A
+// probe goes on until the query ends, to measure its leaf.
+func (d *Dispatcher) answer(ended *attempt) {
+	q := ended.query
+	shard := &q.shards[ended.position]
+	shard.status = shardAnswered
+	shard.answer = ended.id
+	q.progress.Answered++
+	if ended.cause == causeHedge || ended.cause == causeProbe {
+		d.counters.HedgesWon++
+	}
+	for slot := shard.first; slot != none; {
+		entry := &d.attempts.slots[slot]
+		slot = entry.next
+		if entry.cause != causeProbe {
+			d.abort(entry)
+		}
+	}
+}
+
+// Refuse takes in the proof that an attempt did not execute.
+func (d *Dispatcher) Refuse(now Time, id AttemptID, refusal Refusal) []Action {
+	d.begin(now)
+	ended, known := d.resolve(id)
+	if !known {
+		return d.actions
+	}
+	d.counters.Refusals++
+	l, q := ended.leaf, ended.query
+	awaited := ended.wanted && q.shards[ended.position].status != shardAnswered
+	if awaited {
+		d.refused(&ended, refusal)
+	}
+	d.observe(l, refusal.BootID, refusal.Load, len(l.running))
+	d.heed(&ended, refusal)
+	if awaited {
+		d.placeDue(&ended)
+	}
+	d.review(q)
+	d.pump(l)
+	return d.actions
+}
+
+// heed learns from a refusal about the leaf.
+func (d *Dispatcher) heed(ended *attempt, refusal Refusal) {
+	l := ended.leaf
+	switch refusal.Reason {
+	case leaf.RefusedShed:
+		l.limiter.Refused(d.now)
+		l.hold(d.now + pause(refusal.RetryAfter, d.config.Backoff.Shed))
+	case leaf.RefusedCold:
+		l.limiter.Restart(true)
+		l.hold(d.now + pause(refusal.RetryAfter, d.config.Backoff.Initial))
+	case leaf.RefusedDraining:
+		if l.drains(refusal.BootID) {
+			d.rebuild()
+		}
+	case leaf.RefusedSnapshot:
+		d.forget(l, goneHolding{snapshot: ended.snapshot, shard: allShards})
+	case leaf.RefusedMoved:
+		d.forget(l, goneHolding{snapshot: ended.snapshot, shard: ended.shard})
+	}
+}
+
+func pause(asked, otherwise time.Duration) time.Duration {
+	if asked > 0 {
+		return asked
+	}
+	return otherwise
+}
+
+// refused books a refused attempt with its query.
+func (d *Dispatcher) refused(ended *attempt, refusal Refusal) {
+	q := ended.query
+	shard := &q.shards[ended.position]
+	q.lastReason = ReasonRefused
+	if refusal.Reason == leaf.RefusedInvalid {
+		d.finish(q, q.failure(), ReasonInvalid)
+		return
+	}
+	if refusal.Reason == leaf.RefusedShed {
+		q.retryAfter = max(q.retryAfter, refusal.RetryAfter)
+	}
+	shard.resend = true
+	shard.fallDue()
+}
+
+// Fail takes in the end of an attempt without a word of the leaf.
+func (d *Dispatcher) Fail(now Time, id AttemptID, failure Failure) []Action {
+	d.begin(now)
+	ended, known := d.resolve(id)
+	if !known {
+		return d.actions
+	}
+	l, q := ended.leaf, ended.query
+	ratio := (d.now - ended.sentAt).Seconds() / ended.expected
+	if failure.Sent {
+		d.counters.FailedSent++
+		q.executed = true
+		l.speed.GaveUp(ratio)
+	} else {
+		d.counters.FailedUnsent++
+	}
+	if ended.wanted && !failure.Aborted {
+		l.failed(d.now, d.config.Backoff)
+	}
+	if ended.wanted && q.shards[ended.position].status != shardAnswered {
+		d.failed(&ended, failure)
+		d.placeDue(&ended)
+	}
+	d.review(q)
+	d.pump(l)
+	return d.actions
+}
+
+func (d *Dispatcher) failed(ended *attempt, failure Failure) {
+	if failure.Sent {
+		d.lost(ended)
+		return
+	}
+	q := ended.query
+	shard := &q.shards[ended.position]
+	q.lastReason = ReasonLost
+	shard.resend = true
+	shard.fallDue()
+}
+
+// placeDue places the shard of an attempt that has ended, unless that was
+// done, or the query ended or was pinned anew, meanwhile.
+func (d *Dispatcher) placeDue(ended *attempt) {
+	q := ended.query
+	if ended.wanted && !q.finished && q.snapshot == ended.snapshot && q.shards[ended.position].due() {
+		d.place(q, ended.position)
+	}
+}
+
+// lost handles an attempt that may have executed and whose answer is lost.
+func (d *Dispatcher) lost(ended *attempt) {
+	q := ended.query
+	shard := &q.shards[ended.position]
+	q.lastReason = ReasonLost
+	if !q.Class.Repeatable {
+		d.finish(q, OutcomeUnknown, ReasonLost)
+		return
+	}
+	shard.lost++
+	shard.spent = true
+	shard.fallDue()
+}
+
+// resolve takes the attempt whose end is reported out of the tables.
+func (d *Dispatcher) resolve(id AttemptID) (attempt, bool) {
+	entry := d.attempts.find(id)
+	if entry == nil {
+		d.counters.UnknownAttempts++
+		return attempt{}, false
+	}
+	if entry.wanted {
+		d.unlink(entry)
+	}
+	ended := *entry
+	ended.query.unresolved--
+	l := ended.leaf
+	last := len(l.running) - 1
+	moved := l.running[last]
+	l.running[ended.running] = moved
+	d.attempts.slots[moved].running = ended.running
+	l.running = l.running[:last]
+	d.attempts.remove(entry)
+	return ended, true
+}
+
+// unlink takes a wanted attempt out of the list of its shard.
+func (d *Dispatcher) unlink(entry *attempt) {
+	entry.query.inFlight--
+	shard := &entry.query.shards[entry.position]
+	link := &shard.first
+	for d.attempts.slots[*link].id != entry.id {
+		link = &d.attempts.slots[*link].next
+	}
+	*link = entry.next
+}
+
+// abort cancels a wanted attempt. It stays in the tables until its end is
+// reported.
+func (d *Dispatcher) abort(entry *attempt) {
+	d.unlink(entry)
+	entry.wanted = false
+	d.counters.Aborts++
+	d.actions = append(d.actions, Abort{Attempt: entry.id})
+}
--- /dev/null
+++ b/internal/decide/dispatch/hedging.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"github.com/micaplank/micaplank/internal/decide/replica"
+)
+
+func (d *Dispatcher) mayHedge(q *query) bool {
+	return !d.config.Hedge.Disabled && q.Class.Repeatable && q.Class.HedgePercentile > 0
+}
+
+// armHedges sets the time of the next look at hedges, once few enough shards
+// are outstanding.
+func (d *Dispatcher) armHedges(q *query) {
+	if q.hedgesArmed || !d.mayHedge(q) || q.inFlight == 0 {
+		return
+	}
+	allowed := max(1, int(d.config.Hedge.Outstanding*float64(q.progress.Total)))
+	if q.outstanding() > allowed {
+		return
+	}
+	q.hedgesArmed = true
+	d.hedge(q)
+}
+
+// hedge sends second attempts for the shards that are late, and sets the time
+// of the next look.
+func (d *Dispatcher) hedge(q *query) {
+	q.hedgeAt = 0
+	if q.class.latency.Samples() < d.config.Hedge.Samples {
+		return
+	}
+	delay := q.class.latency.Quantile(q.Class.HedgePercentile)
+	next := q.Deadline
+	for position := range q.shards {
+		shard := &q.shards[position]
+		if shard.status != shardInFlight {
+			continue
+		}
+		only := &d.attempts.slots[shard.first]
+		if only.next != none {
+			continue
+		}
+		due := only.sentAt + delay
+		if due <= d.now && !d.hedgeShard(q, int32(position), only) {
+			due = d.now + delay/4 + 1
+		}
+		if due > d.now {
+			next = min(next, due)
+		}
+	}
+	q.hedgeAt = next
+}
+
+// hedgeShard sends a second attempt if another leaf has room and is expected
+// to answer before the first.
+func (d *Dispatcher) hedgeShard(q *query, position int32, first *attempt) bool {
+	shard := &q.shards[position]
+	if shard.group == nil || shard.group.waiting.live > 0 || int(shard.sends) >= d.config.MaximumSends {
+		return false
+	}
+	if d.collect(shard, shard.tried) != choiceSend {
+		return false
+	}
+	work := replica.Work{Base: q.class.base, Mean: d.meanWork}
+	index := replica.Choose(d.config.Policy, d.random, d.candidates, work)
+	chosen := &d.candidates[index]
+	idle := float64(chosen.InFlight)+chosen.Others+1 <= float64(chosen.Slots)
+	if chosen.Full() || !idle {
+		return false
+	}
+	remaining := d.slowness(first.leaf) * q.class.base
+	if replica.Completion(chosen, work) > remaining*hedgeTolerance || !d.budget.SpendHedge() {
+		return false
+	}
+	d.send(q, position, d.candidateLeaves[index], causeHedge)
+	return true
+}
+
+// hedgeTolerance is how much longer than the first attempt the second may be
+// expected to take.
+const hedgeTolerance = 1.2
+
+// probe sends a second attempt, beside the one to the chosen leaf, to a slow
+// leaf of the group that had none for long, to learn whether it is still slow.
+func (d *Dispatcher) probe(q *query, position int32, chosen *leafState) {
+	shard := &q.shards[position]
+	if d.config.Probation.Disabled || !q.Class.Repeatable || len(shard.group.leaves) < 2 {
+		return
+	}
+	for _, l := range shard.group.leaves {
+		if l == chosen || len(l.running) > 0 || d.now-l.lastSent < d.config.Probation.ProbeInterval {
+			continue
+		}
+		if !l.takesWork() || l.held(d.now) {
+			continue
+		}
+		if d.slowness(l) > d.config.Probation.Slowness*d.slowness(chosen) && d.budget.SpendHedge() {
+			d.send(q, position, l, causeProbe)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/dispatch/machine_test.go
@@ -0,0 +1,404 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// machine drives a Dispatcher with random events and checks after each event
+// that what it promises holds.
+type machine struct {
+	d        *Dispatcher
+	now      Time
+	topology Topology
+	queries  map[QueryID]*watched
+	open     []*sent // attempts whose end was not reported
+	all      map[AttemptID]*sent
+	drained  map[string]bool // boot ids that said they drain
+	nextID   QueryID
+}
+
+type watched struct {
+	Query
+	finish   *Finish
+	inFlight int  // sent, end not reported
+	executed bool // an attempt may have executed and has ended
+}
+
+type sent struct {
+	Send
+	query    *watched
+	boot     string
+	aborted  bool
+	answered bool // a matching reply came while it was wanted
+}
+
+func address(index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7101+index))
+}
+
+func newMachine(t *rapid.T) *machine {
+	config := DefaultConfig()
+	config.Zone = "a"
+	config.Hedge.Samples = 1
+	config.Hedge.Outstanding = 1
+	config.Probation.ProbeInterval = time.Millisecond
+	config.Budget.Initial = 10
+	seed := rapid.Uint64().Draw(t, "seed")
+	return &machine{
+		d:       New(config, rand.New(rand.NewPCG(seed, 1))),
+		queries: make(map[QueryID]*watched),
+		all:     make(map[AttemptID]*sent),
+		drained: make(map[string]bool),
+	}
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"submit":   m.submit,
+		"reply":    m.reply,
+		"crossed":  m.crossed,
+		"refuse":   m.refuse,
+		"fail":     m.fail,
+		"cancel":   m.cancel,
+		"topology": m.setTopology,
+		"observe":  m.observe,
+		"tick":     m.tick,
+		"":         m.check,
+	}
+}
+
+func (m *machine) advance(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(0, 8).Draw(t, "ms")) * time.Millisecond
+}
+
+func (m *machine) submit(t *rapid.T) {
+	m.advance(t)
+	m.nextID++
+	once := rapid.IntRange(0, 3).Draw(t, "once") == 0
+	class := catalog.Class{Name: "sweep", Priority: rapid.IntRange(1, 3).Draw(t, "priority"), HedgePercentile: 0.5, Repeatable: true}
+	if once {
+		class.Name, class.Repeatable = "file", false
+	}
+	query := Query{
+		ID:              m.nextID,
+		Class:           class,
+		HasKey:          once || rapid.Bool().Draw(t, "key"),
+		KeyHash:         rapid.Uint64Range(0, 11).Draw(t, "hash"),
+		Deadline:        m.now + time.Duration(rapid.IntRange(1, 150).Draw(t, "deadline"))*time.Millisecond,
+		MinimumCoverage: float64(rapid.IntRange(0, 4).Draw(t, "coverage")) / 4,
+	}
+	m.queries[query.ID] = &watched{Query: query}
+	actions := m.d.Submit(m.now, query)
+	if m.topology.Stopped {
+		finish, ok := actions[0].(Finish)
+		if len(actions) != 1 || !ok || finish.Reason != ReasonStopped || finish.Outcome != OutcomeNotRun {
+			t.Fatalf("a stopped service took a query: %v", actions)
+		}
+	}
+	m.perform(t, actions)
+}
+
+// end draws an attempt that has not ended and takes it off the list.
+func (m *machine) end(t *rapid.T) *sent {
+	if len(m.open) == 0 {
+		t.Skip("nothing in flight")
+	}
+	m.advance(t)
+	index := rapid.IntRange(0, len(m.open)-1).Draw(t, "attempt")
+	entry := m.open[index]
+	m.open = slices.Delete(m.open, index, index+1)
+	entry.query.inFlight--
+	return entry
+}
+
+func (m *machine) load(t *rapid.T, boot string) leaf.LoadSummary {
+	load := leaf.LoadSummary{State: leaf.StateServing, Slots: 3, Queue: rapid.IntRange(0, 4).Draw(t, "queue")}
+	if rapid.IntRange(0, 19).Draw(t, "draining") == 0 {
+		load.State = leaf.StateDraining
+		m.drained[boot] = true
+	}
+	return load
+}
+
+func (m *machine) reply(t *rapid.T) {
+	entry := m.end(t)
+	entry.query.executed = true
+	entry.answered = !entry.aborted && entry.query.finish == nil
+	reply := Reply{Shard: entry.Shard, Snapshot: entry.Snapshot, BootID: entry.boot, Load: m.load(t, entry.boot)}
+	m.perform(t, m.d.Reply(m.now, entry.Attempt, reply))
+}
+
+func (m *machine) crossed(t *rapid.T) {
+	entry := m.end(t)
+	entry.query.executed = true
+	reply := Reply{Shard: entry.Shard, Snapshot: entry.Snapshot, BootID: entry.boot}
+	if rapid.Bool().Draw(t, "version") {
+		reply.Snapshot.Version++
+	} else {
+		reply.Shard++
+	}
+	m.perform(t, m.d.Reply(m.now, entry.Attempt, reply))
+}
+
+func (m *machine) refuse(t *rapid.T) {
+	entry := m.end(t)
+	reasons := []leaf.Refusal{leaf.RefusedShed, leaf.RefusedDraining, leaf.RefusedCold, leaf.RefusedSnapshot, leaf.RefusedMoved, leaf.RefusedLate, leaf.RefusedInvalid}
+	refusal := Refusal{Reason: rapid.SampledFrom(reasons).Draw(t, "reason"), BootID: entry.boot, Load: m.load(t, entry.boot)}
+	if refusal.Reason == leaf.RefusedDraining {
+		m.drained[entry.boot] = true
+	}
+	refusal.RetryAfter = time.Duration(rapid.IntRange(0, 5).Draw(t, "retry")) * time.Millisecond
+	m.perform(t, m.d.Refuse(m.now, entry.Attempt, refusal))
+}
+
+func (m *machine) fail(t *rapid.T) {
+	entry := m.end(t)
+	failure := Failure{Sent: rapid.Bool().Draw(t, "sent"), Aborted: entry.aborted}
+	entry.query.executed = entry.query.executed || failure.Sent
+	m.perform(t, m.d.Fail(m.now, entry.Attempt, failure))
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	if m.nextID == 0 {
+		t.Skip("no query")
+	}
+	m.advance(t)
+	id := QueryID(rapid.Uint64Range(1, uint64(m.nextID)).Draw(t, "query"))
+	m.perform(t, m.d.Cancel(m.now, id))
+	if m.queries[id].finish == nil {
+		t.Fatalf("query %d not finished after Cancel", id)
+	}
+}
+
+func (m *machine) observe(t *rapid.T) {
+	if len(m.topology.Leaves) == 0 {
+		t.Skip("no leaf")
+	}
+	m.advance(t)
+	listed := rapid.SampledFrom(m.topology.Leaves).Draw(t, "leaf")
+	load := leaf.LoadSummary{State: leaf.StateServing, Slots: 3, SlotsBusy: rapid.IntRange(0, 3).Draw(t, "busy")}
+	m.perform(t, m.d.Observe(m.now, listed.Address, load))
+}
+
+func (m *machine) setTopology(t *rapid.T) {
+	m.advance(t)
+	m.topology = Topology{
+		Partitions:  []catalog.Partition{{Epoch: 1, Shards: 3}, {Epoch: 2, Shards: 4}},
+		Concurrency: rapid.SampledFrom([]int{0, 0, 3}).Draw(t, "concurrency"),
+		Stopped:     rapid.IntRange(0, 5).Draw(t, "stopped") == 0,
+	}
+	for index := range 5 {
+		if rapid.IntRange(0, 7).Draw(t, "listed") == 0 {
+			continue
+		}
+		listed := Leaf{
+			Address: address(index),
+			Zone:    string(rune('a' + index%2)),
+			BootID:  fmt.Sprintf("%d-%d", index, rapid.IntRange(0, 1).Draw(t, "boot")),
+			Usable:  rapid.IntRange(0, 4).Draw(t, "usable") > 0,
+			Cold:    rapid.IntRange(0, 4).Draw(t, "cold") == 0,
+			Slots:   rapid.IntRange(1, 3).Draw(t, "slots"),
+		}
+		for epoch := uint64(1); epoch <= 2; epoch++ {
+			held := rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 0, 4, rapid.ID[int]).Draw(t, "shards")
+			slices.Sort(held)
+			snapshot := catalog.Snapshot{Epoch: epoch, Version: rapid.Uint64Range(1, 2).Draw(t, "version")}
+			listed.Holdings = append(listed.Holdings, leaf.Holding{Snapshot: snapshot, Shards: held})
+		}
+		m.topology.Leaves = append(m.topology.Leaves, listed)
+	}
+	m.perform(t, m.d.SetTopology(m.now, m.topology))
+}
+
+func (m *machine) tick(t *rapid.T) {
+	if at, known := m.d.NextTick(); known && rapid.Bool().Draw(t, "due") {
+		m.now = max(m.now, at)
+	} else {
+		m.advance(t)
+	}
+	m.perform(t, m.d.Tick(m.now))
+	for range 100 {
+		at, known := m.d.NextTick()
+		if !known || at > m.now {
+			return
+		}
+		m.perform(t, m.d.Tick(m.now))
+	}
+	t.Fatal("Tick does not get past the present")
+}
+
+// perform checks the actions as a driver would perform them.
+func (m *machine) perform(t *rapid.T, actions []Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case Send:
+			m.send(t, action)
+		case Abort:
+			entry := m.all[action.Attempt]
+			if entry.aborted || !slices.Contains(m.open, entry) {
+				t.Fatalf("abort of an attempt that has ended or was aborted: %+v", entry.Send)
+			}
+			entry.aborted = true
+		case Finish:
+			m.finish(t, action)
+		}
+	}
+}
+
+func (m *machine) send(t *rapid.T, send Send) {
+	query := m.queries[send.Query]
+	entry := &sent{Send: send, query: query}
+	index := slices.IndexFunc(m.topology.Leaves, func(l Leaf) bool { return l.Address == send.Leaf })
+	if index < 0 || !m.topology.Leaves[index].Usable {
+		t.Fatalf("send to a leaf that is not usable: %+v", send)
+	}
+	listed := m.topology.Leaves[index]
+	entry.boot = cmp.Or(m.d.byAddress[send.Leaf].boot(), listed.BootID)
+	if m.drained[entry.boot] {
+		t.Fatalf("send to a leaf that drains: %+v", send)
+	}
+	holds := slices.ContainsFunc(listed.Holdings, func(h leaf.Holding) bool {
+		return h.Snapshot == send.Snapshot && slices.Contains(h.Shards, send.Shard)
+	})
+	if !holds {
+		t.Fatalf("send to a leaf that does not hold the shard: %+v", send)
+	}
+	if query.finish != nil || send.Remaining <= 0 || m.all[send.Attempt] != nil {
+		t.Fatalf("send for a finished query, past its deadline, or with a used id: %+v", send)
+	}
+	if !query.Class.Repeatable && mayHaveRun(query) {
+		t.Fatalf("second attempt of a query that may not be repeated: %+v", send)
+	}
+	query.inFlight++
+	m.open = append(m.open, entry)
+	m.all[send.Attempt] = entry
+}
+
+func mayHaveRun(query *watched) bool {
+	return query.executed || query.inFlight > 0
+}
+
+func (m *machine) finish(t *rapid.T, finish Finish) {
+	query := m.queries[finish.Query]
+	if query.finish != nil {
+		t.Fatalf("second finish: %+v", finish)
+	}
+	query.finish = &finish
+	if len(finish.Answered)+len(finish.Missing) != finish.Total {
+		t.Fatalf("answered and missing do not make up the total: %+v", finish)
+	}
+	m.checkShards(t, finish, query)
+	switch {
+	case finish.Outcome == OutcomeNotRun && mayHaveRun(query):
+		t.Fatalf("not run, but an attempt may have executed: %+v", finish)
+	case finish.Outcome == OutcomeAnswered && (len(finish.Missing) > 0 || finish.Total == 0):
+		t.Fatalf("answered with missing shards: %+v", finish)
+	case finish.Outcome == OutcomePartial && (len(finish.Answered) == 0 || len(finish.Missing) == 0):
+		t.Fatalf("partial without answered or missing shards: %+v", finish)
+	case finish.Outcome == OutcomeUnknown && (query.Class.Repeatable || !mayHaveRun(query)):
+		t.Fatalf("unknown without need: %+v", finish)
+	case finish.Outcome == OutcomeFailed && !query.Class.Repeatable:
+		t.Fatalf("failed, but it may not be repeated: %+v", finish)
+	}
+	covered := float64(len(finish.Answered)) >= query.MinimumCoverage*float64(finish.Total)
+	if finish.Outcome == OutcomePartial && !covered && m.now < query.Deadline {
+		t.Fatalf("settled below the minimum before the deadline: %+v", finish)
+	}
+}
+
+// checkShards checks that all counted replies are of the pinned snapshot and
+// that the total is the partition's of its epoch.
+func (m *machine) checkShards(t *rapid.T, finish Finish, query *watched) {
+	for _, partition := range m.topology.Partitions {
+		if finish.Total > 0 && !query.HasKey && partition.Epoch == finish.Snapshot.Epoch && finish.Total != partition.Shards {
+			t.Fatalf("the total is not the number of shards of the epoch: %+v", finish)
+		}
+	}
+	seen := make(map[int]bool)
+	for _, answer := range finish.Answered {
+		entry := m.all[answer.Attempt]
+		if !entry.answered || entry.query != query || entry.Shard != answer.Shard || entry.Snapshot != finish.Snapshot {
+			t.Fatalf("counted a reply that does not belong: %+v of %+v", answer, finish)
+		}
+		if seen[answer.Shard] {
+			t.Fatalf("shard counted twice: %+v", finish)
+		}
+		seen[answer.Shard] = true
+	}
+	for _, shard := range finish.Missing {
+		if seen[shard] {
+			t.Fatalf("shard both answered and missing: %+v", finish)
+		}
+		seen[shard] = true
+	}
+}
+
+// check runs after each event.
+func (m *machine) check(t *rapid.T) {
+	for id, query := range m.queries {
+		if query.finish == nil && m.d.byID[id] == nil {
+			t.Fatalf("query %d is forgotten without a finish", id)
+		}
+		if at, known := m.d.NextTick(); query.finish == nil && (!known || at > query.Deadline) {
+			t.Fatalf("no tick is due by the deadline of query %d", id)
+		}
+		if query.finish != nil {
+			delete(m.queries, id)
+			m.queries[id] = query
+		}
+	}
+	inFlight := 0
+	for _, entry := range m.d.attempts.slots {
+		if entry.id != 0 {
+			inFlight++
+		}
+	}
+	if inFlight != len(m.open) {
+		t.Fatalf("%d attempts in the table, %d in flight", inFlight, len(m.open))
+	}
+	for _, entry := range m.open {
+		if entry.query.finish != nil && !entry.aborted {
+			t.Fatalf("attempt not aborted after the finish: %+v", entry.Send)
+		}
+	}
+}
+
+// settle lets all deadlines pass and all attempts end.
+func (m *machine) settle(t *rapid.T) {
+	m.now += time.Second
+	m.perform(t, m.d.Tick(m.now))
+	for len(m.open) > 0 {
+		entry := m.open[0]
+		m.open = m.open[1:]
+		entry.query.inFlight--
+		m.perform(t, m.d.Fail(m.now, entry.Attempt, Failure{Sent: true, Aborted: entry.aborted}))
+	}
+	for id, query := range m.queries {
+		if query.finish == nil {
+			t.Fatalf("query %d never finished", id)
+		}
+	}
+	if m.d.waiters != 0 || m.d.started != 0 || len(m.d.running) != 0 || len(m.d.pending) != 0 {
+		t.Fatalf("left over: %d waiters, %d started, %d running, %d pending", m.d.waiters, m.d.started, len(m.d.running), len(m.d.pending))
+	}
+}
+
+func TestPromisesUnderRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		m.setTopology(t)
+		t.Repeat(m.actions())
+		m.settle(t)
+	})
+}
--- /dev/null
+++ b/internal/decide/dispatch/place.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"github.com/micaplank/micaplank/internal/decide/replica"
+)
+
+// group is the set of leaves that hold one shard at one snapshot.
+type group struct {
+	leaves  []*leafState
+	waiting waitQueue
+	skipped uint64 // the round of pump that passed it over
+}
+
+// choice is the outcome of looking for a leaf for a shard.
+type choice uint8
+
+const (
+	choiceNone choice = iota // no leaf holds the shard
+	choiceHeld               // all that hold it are held off, or full
+	choiceSend               // take the leaf
+)
+
+// place sends the next attempt of a shard without one, or lets it wait. It
+// never ends the query; see review.
+func (d *Dispatcher) place(q *query, position int32) {
+	d.placeNext(q, position, false)
+}
+
+// placeWaiting does the same for a shard that waits; it keeps its place if it
+// is not sent. It reports whether the shard left the queue.
+func (d *Dispatcher) placeWaiting(q *query, position int32) bool {
+	return d.placeNext(q, position, true)
+}
+
+func (d *Dispatcher) placeNext(q *query, position int32, waiting bool) bool {
+	shard := &q.shards[position]
+	if d.now >= q.Deadline {
+		return false
+	}
+	if shard.spent && !d.budget.CanRetry() {
+		d.park(q, position, waiting)
+		return true
+	}
+	if int(shard.sends) >= d.config.MaximumSends || int(shard.lost) >= d.config.MaximumLost {
+		d.lose(q, position, waiting)
+		return true
+	}
+	chosen, verdict := d.choose(q, shard, waiting)
+	switch verdict {
+	case choiceNone:
+		if q.lastReason == ReasonNone {
+			q.lastReason = ReasonNoLeaf
+		}
+		q.snapshotLost = true
+		d.lose(q, position, waiting)
+		return true
+	case choiceHeld:
+		if !waiting {
+			d.enqueue(q, position)
+		}
+		return false
+	}
+	if waiting {
+		d.withdraw(q, shard)
+	}
+	d.send(q, position, chosen, nextCause(q, shard))
+	d.probe(q, position, chosen)
+	return true
+}
+
+func nextCause(q *query, shard *shardState) cause {
+	switch {
+	case shard.spent && q.restarted:
+		return causeRestart
+	case shard.spent:
+		return causeRetry
+	case shard.resend || shard.sends > 0:
+		return causeResend
+	default:
+		return causeNeeded
+	}
+}
+
+// park lets a shard wait until the budget allows a retry.
+func (d *Dispatcher) park(q *query, position int32, waiting bool) {
+	shard := &q.shards[position]
+	if waiting {
+		d.withdraw(q, shard)
+	}
+	shard.status = shardParked
+	d.parked = append(d.parked, waiter{query: q, position: position})
+}
+
+// lose marks a shard that no leaf can answer for now.
+func (d *Dispatcher) lose(q *query, position int32, waiting bool) {
+	shard := &q.shards[position]
+	if waiting {
+		d.withdraw(q, shard)
+	}
+	shard.status = shardUnavailable
+	q.progress.Unavailable++
+}
+
+// choose picks the leaf for a shard. Leaves that were tried for it already
+// come last.
+func (d *Dispatcher) choose(q *query, shard *shardState, waiting bool) (*leafState, choice) {
+	if shard.group == nil {
+		return nil, choiceNone
+	}
+	verdict := d.collect(shard, shard.tried)
+	if verdict == choiceNone && shard.tried != 0 {
+		verdict = d.collect(shard, 0)
+	}
+	if verdict != choiceSend {
+		return nil, verdict
+	}
+	ahead := shard.group.waiting.live
+	if waiting {
+		ahead = 0
+	}
+	work := replica.Work{Base: q.class.base, Mean: d.meanWork, Ahead: ahead}
+	index := replica.Choose(d.config.Policy, d.random, d.candidates, work)
+	chosen := d.candidateLeaves[index]
+	if chosen.full() {
+		return nil, choiceHeld
+	}
+	return chosen, choiceSend
+}
+
+// collect fills the candidates for a shard, without the excluded replicas.
+func (d *Dispatcher) collect(shard *shardState, excluded uint32) choice {
+	d.candidates = d.candidates[:0]
+	d.candidateLeaves = d.candidateLeaves[:0]
+	verdict := choiceNone
+	for index, l := range shard.group.leaves {
+		if excluded&replicaBit(index) != 0 || !l.takesWork() {
+			continue
+		}
+		if l.held(d.now) {
+			verdict = max(verdict, choiceHeld)
+			continue
+		}
+		verdict = choiceSend
+		d.candidates = append(d.candidates, d.candidate(l))
+		d.candidateLeaves = append(d.candidateLeaves, l)
+	}
+	return verdict
+}
+
+// replicaBit returns the bit of a replica in the masks of a shard. Replicas
+// beyond the width of the mask share its last bit.
+func replicaBit(index int) uint32 {
+	return 1 << min(index, 31)
+}
+
+// try marks the leaf as one that got an attempt of the shard.
+func (s *shardState) try(l *leafState) {
+	for index, other := range s.group.leaves {
+		if other == l {
+			s.tried |= replicaBit(index)
+		}
+	}
+}
+
+// send starts an attempt.
+func (d *Dispatcher) send(q *query, position int32, l *leafState, why cause) {
+	shard := &q.shards[position]
+	d.count(q, why)
+	queue := replica.Queue(float64(len(l.running))+l.estimateOthers(d.now), l.slots)
+	slot, entry := d.attempts.add()
+	entry.query = q
+	entry.wanted = true
+	entry.leaf = l
+	entry.snapshot = q.snapshot
+	entry.shard = q.firstShard + int(position)
+	entry.position = position
+	entry.next = shard.first
+	entry.cause = why
+	entry.sentAt = d.now
+	entry.expected = q.class.base + d.meanWork*queue
+	entry.running = int32(len(l.running))
+	l.running = append(l.running, slot)
+	l.lastSent = d.now
+	shard.first = slot
+	shard.status = shardInFlight
+	shard.sends++
+	shard.try(l)
+	q.inFlight++
+	q.unresolved++
+	d.meanWork += meanWorkWeight * (q.class.base - d.meanWork)
+	d.actions = append(d.actions, Send{
+		Attempt:   entry.id,
+		Query:     q.ID,
+		Shard:     entry.shard,
+		Leaf:      l.address,
+		Snapshot:  q.snapshot,
+		Remaining: q.Deadline - d.now,
+		Extra:     why.extra(),
+	})
+}
+
+// meanWorkWeight is the weight of one attempt in the mean work.
+const meanWorkWeight = 0.02
+
+// count books the attempt with the budget and the counters.
+func (d *Dispatcher) count(q *query, why cause) {
+	switch why {
+	case causeNeeded:
+		d.counters.Needed++
+		d.budget.Earn(q.Class.ExtraLoad)
+	case causeResend:
+		d.counters.Resent++
+	case causeRetry:
+		d.counters.Retries++
+		d.budget.SpendRetry(1)
+	case causeRestart:
+		d.counters.RestartSends++
+		d.budget.SpendRetry(1)
+	case causeHedge:
+		d.counters.Hedges++
+	case causeProbe:
+		d.counters.Probes++
+	}
+}
--- /dev/null
+++ b/internal/decide/dispatch/query.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/coverage"
+)
+
+// shardStatus is where one needed shard of a query stands.
+type shardStatus uint8
+
+const (
+	shardWaiting     shardStatus = iota // queued in the node
+	shardInFlight                       // at least one wanted attempt
+	shardAnswered                       // merged
+	shardUnavailable                    // no leaf is left; looked at again with each topology
+	shardParked                         // needs a retry that the budget forbids now
+)
+
+// shardState is one needed shard of a query.
+type shardState struct {
+	status  shardStatus
+	sends   uint8
+	lost    uint8
+	resend  bool   // the former attempt provably did not execute
+	spent   bool   // an attempt that may have executed has ended without use
+	tried   uint32 // replicas that got an attempt
+	group   *group
+	first   int32 // list of wanted attempts in flight
+	answer  AttemptID
+	waitFor uint32 // ticket of the live entry in the queue of the group
+}
+
+// fallDue lets the shard be placed again if no attempt of it is left.
+func (s *shardState) fallDue() {
+	if s.status == shardInFlight && s.first == none {
+		s.status = shardWaiting
+		s.waitFor = 0
+	}
+}
+
+// due reports whether the shard is to be placed: it neither has an attempt
+// nor waits for a leaf.
+func (s *shardState) due() bool {
+	return s.status == shardWaiting && s.waitFor == 0
+}
+
+// query is a submitted query until its Finish.
+type query struct {
+	Query
+	class      *classState
+	snapshot   catalog.Snapshot
+	firstShard int // the number of the shard at position 0
+	shards     []shardState
+	progress   coverage.Progress
+	inFlight   int // wanted attempts
+	unresolved int // attempts whose end was not reported yet, wanted or not
+	// executed is set if an attempt has ended that may have executed.
+	executed bool
+	// snapshotLost is set if no leaf holds a needed shard at the snapshot.
+	snapshotLost bool
+	restarted    bool
+	hedgesArmed  bool
+	started      bool // not waiting for the concurrency limit
+	finished     bool
+	index        int // among the queries of the Dispatcher
+	submitted    Time
+	settleAt     Time
+	hedgeAt      Time // zero if no hedge is due
+	timer        int  // index in the timer heap, -1 if not in it
+	timerAt      Time
+	retryAfter   Time // the longest pause that a leaf asked for
+	lastReason   Reason
+}
+
+func (q *query) mayHaveRun() bool {
+	return q.executed || q.unresolved > 0
+}
+
+// outstanding returns the number of shards without an answer.
+func (q *query) outstanding() int {
+	return q.progress.Total - q.progress.Answered
+}
+
+// failure returns the outcome of a query that ends without any answer.
+func (q *query) failure() Outcome {
+	switch {
+	case !q.mayHaveRun():
+		return OutcomeNotRun
+	case !q.Class.Repeatable:
+		return OutcomeUnknown
+	default:
+		return OutcomeFailed
+	}
+}
+
+// result fills in what a Finish says of the shards.
+func (q *query) result() Finish {
+	finish := Finish{Query: q.ID, Snapshot: q.snapshot, Total: q.progress.Total}
+	if q.progress.Answered > 0 {
+		finish.Answered = make([]ShardAnswer, 0, q.progress.Answered)
+	}
+	if missing := q.outstanding(); missing > 0 {
+		finish.Missing = make([]int, 0, missing)
+	}
+	for position := range q.shards {
+		shard := q.firstShard + position
+		if q.shards[position].status == shardAnswered {
+			answer := ShardAnswer{Shard: shard, Attempt: q.shards[position].answer}
+			finish.Answered = append(finish.Answered, answer)
+		} else {
+			finish.Missing = append(finish.Missing, shard)
+		}
+	}
+	return finish
+}
--- /dev/null
+++ b/internal/decide/dispatch/timers.go
@@ -0,0 +1,62 @@
+package dispatch
+
+// timerHeap orders queries by the time of their next event.
+type timerHeap []*query
+
+// set moves the query to the time at, adding it if needed.
+func (h *timerHeap) set(q *query, at Time) {
+	q.timerAt = at
+	if q.timer < 0 {
+		q.timer = len(*h)
+		*h = append(*h, q)
+	}
+	h.down(h.up(q.timer))
+}
+
+func (h *timerHeap) remove(q *query) {
+	if q.timer < 0 {
+		return
+	}
+	index, last := q.timer, len(*h)-1
+	h.swap(index, last)
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	q.timer = -1
+	if index < last {
+		h.down(h.up(index))
+	}
+}
+
+func (h timerHeap) swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].timer, h[j].timer = i, j
+}
+
+func (h timerHeap) up(index int) int {
+	for index > 0 {
+		parent := (index - 1) / 2
+		if h[parent].timerAt <= h[index].timerAt {
+			break
+		}
+		h.swap(index, parent)
+		index = parent
+	}
+	return index
+}
+
+func (h timerHeap) down(index int) {
+	for {
+		child := 2*index + 1
+		if child >= len(h) {
+			return
+		}
+		if child+1 < len(h) && h[child+1].timerAt < h[child].timerAt {
+			child++
+		}
+		if h[index].timerAt <= h[child].timerAt {
+			return
+		}
+		h.swap(index, child)
+		index = child
+	}
+}
--- /dev/null
+++ b/internal/decide/dispatch/waiting.go
@@ -0,0 +1,103 @@
+package dispatch
+
+// priorities is the number of priorities that are told apart; lower ones
+// count as the last.
+const priorities = 8
+
+// priorityWork is work that waits in the node, in seconds, by priority.
+type priorityWork [priorities]float64
+
+func priorityIndex(priority int) int {
+	return min(max(priority, 1), priorities) - 1
+}
+
+// upTo returns the work that goes before new work of the priority.
+func (w *priorityWork) upTo(priority int) float64 {
+	sum := 0.0
+	for index := 0; index <= priorityIndex(priority); index++ {
+		sum += w[index]
+	}
+	return sum
+}
+
+// enqueue lets the shard wait for the leaves of its group.
+func (d *Dispatcher) enqueue(q *query, position int32) {
+	shard := &q.shards[position]
+	d.order++
+	shard.status = shardWaiting
+	shard.waitFor = uint32(d.order)
+	shard.group.waiting.push(waiter{query: q, position: position, ticket: shard.waitFor, order: d.order})
+	d.addWaiting(q, shard, 1)
+}
+
+// withdraw takes the shard out of the queue of its group.
+func (d *Dispatcher) withdraw(q *query, shard *shardState) {
+	shard.waitFor = 0
+	shard.group.waiting.live--
+	d.addWaiting(q, shard, -1)
+}
+
+func (d *Dispatcher) addWaiting(q *query, shard *shardState, sign int) {
+	d.waiters += sign
+	share := float64(sign) * q.class.base / float64(len(shard.group.leaves))
+	index := priorityIndex(q.Class.Priority)
+	for _, l := range shard.group.leaves {
+		l.waiting[index] = max(l.waiting[index]+share, 0)
+	}
+}
+
+// pump gives free slots of the leaf to the shards that wait for it.
+func (d *Dispatcher) pump(l *leafState) {
+	if d.waiters == 0 || !l.takesWork() || l.held(d.now) {
+		return
+	}
+	d.pumpRound++
+	for !l.full() {
+		next := d.firstWaiting(l)
+		if next == nil {
+			return
+		}
+		waiting := *next.waiting.head()
+		if d.now >= waiting.query.Deadline {
+			d.review(waiting.query)
+			continue
+		}
+		if !d.placeWaiting(waiting.query, waiting.position) {
+			next.skipped = d.pumpRound
+		}
+		d.review(waiting.query)
+	}
+}
+
+// firstWaiting returns the group of the leaf whose first waiter goes before
+// those of the others, without the groups skipped in this round.
+func (d *Dispatcher) firstWaiting(l *leafState) *group {
+	var best *group
+	var bestHead *waiter
+	for _, candidate := range l.groups {
+		if candidate.waiting.live == 0 || candidate.skipped == d.pumpRound {
+			continue
+		}
+		head := candidate.waiting.head()
+		if head != nil && (best == nil || head.before(bestHead)) {
+			best, bestHead = candidate, head
+		}
+	}
+	return best
+}
+
+// pumpAll looks at all waiting and parked shards again.
+func (d *Dispatcher) pumpAll() {
+	d.reviewAt = d.now + d.config.Review
+	parked := d.parked
+	d.parked = nil
+	for _, entry := range parked {
+		if entry.parked() {
+			d.place(entry.query, entry.position)
+			d.review(entry.query)
+		}
+	}
+	for _, l := range d.leaves {
+		d.pump(l)
+	}
+}
--- /dev/null
+++ b/internal/decide/hedge/budget.go
@@ -0,0 +1,75 @@
+// Package hedge decides when a second attempt is worth sending and pays for
+// it from one budget of extra load. It is pure: it keeps no clock.
+package hedge
+
+// BudgetConfig holds the policy of a Budget.
+type BudgetConfig struct {
+	// Share is the number of extra attempts earned by each needed attempt
+	// whose class sets no share of its own. Default 0.03.
+	Share float64
+	// Capacity is the most tokens that can be saved up. Default 20.
+	Capacity float64
+	// Initial is the number of tokens at the start. Default 5.
+	Initial float64
+	// Reserve is the number of tokens that hedges and probes leave for
+	// retries. Default 2.
+	Reserve float64
+	// Debt is how far retries may overdraw, because a lost shard costs
+	// coverage. Hedges wait until the debt is repaid. Default 50.
+	Debt float64
+}
+
+// DefaultBudgetConfig returns the defaults.
+func DefaultBudgetConfig() BudgetConfig {
+	return BudgetConfig{Share: 0.03, Capacity: 20, Initial: 5, Reserve: 2, Debt: 50}
+}
+
+// Budget is a token bucket filled by needed attempts and emptied by extra
+// ones: hedges, probes and retries alike.
+type Budget struct {
+	config BudgetConfig
+	tokens float64
+}
+
+// NewBudget returns a Budget with its initial tokens.
+func NewBudget(config BudgetConfig) Budget {
+	return Budget{config: config, tokens: min(config.Initial, config.Capacity)}
+}
+
+// Earn adds the tokens of one needed attempt. A share of zero or less means
+// the default share.
+func (b *Budget) Earn(share float64) {
+	if share <= 0 {
+		share = b.config.Share
+	}
+	b.tokens = min(b.tokens+share, b.config.Capacity)
+}
+
+// SpendHedge takes one token for a hedge or a probe, if more than the reserve
+// is left.
+func (b *Budget) SpendHedge() bool {
+	if b.tokens < 1+b.config.Reserve {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// CanRetry reports whether SpendRetry would succeed.
+func (b *Budget) CanRetry() bool {
+	return b.tokens-1 >= -b.config.Debt
+}
+
+// SpendRetry takes tokens for retries, if the debt allows the first of them.
+func (b *Budget) SpendRetry(attempts int) bool {
+	if !b.CanRetry() {
+		return false
+	}
+	b.tokens -= float64(attempts)
+	return true
+}
+
+// Tokens returns what is left; it is negative while in debt.
+func (b *Budget) Tokens() float64 {
+	return b.tokens
+}
--- /dev/null
+++ b/internal/decide/replica/speed.go
@@ -0,0 +1,60 @@
+package replica
+
+// SpeedConfig holds the policy of a Speed.
+type SpeedConfig struct {
+	// Memory is the weight kept by the past with each completed attempt, from
+	// 0 to 1. Default 0.93, which is a window of about 14 attempts.
+	Memory float64
+	// Prior is the number of ordinary attempts assumed before the first one.
+	// Default 2.
+	Prior float64
+}
+
+// DefaultSpeedConfig returns the defaults.
+func DefaultSpeedConfig() SpeedConfig {
+	return SpeedConfig{Memory: 0.93, Prior: 2}
+}
+
+// Speed estimates how slow a leaf is: the ratio of the time that its attempts
+// take to the time expected on an ordinary leaf.
+//
+// It is the estimate of the mean of an exponential distribution from censored
+// samples: the sum of the times spent, by completed and by given up attempts,
+// over the number of completed ones. So attempts that are still running, or
+// were given up on, tell of a straggler before its first reply. Samples lose
+// weight with each newer one. All times are ratios to the expected time.
+type Speed struct {
+	config   *SpeedConfig
+	exposure float64
+	count    float64
+}
+
+// NewSpeed returns a Speed without samples. It keeps config.
+func NewSpeed(config *SpeedConfig) Speed {
+	return Speed{config: config}
+}
+
+// Completed records an attempt that was answered after ratio times the
+// expected time.
+func (s *Speed) Completed(ratio float64) {
+	s.exposure = s.exposure*s.config.Memory + ratio
+	s.count = s.count*s.config.Memory + 1
+}
+
+// GaveUp records an attempt that had no answer after ratio times the expected
+// time. Less than the expected time says nothing.
+func (s *Speed) GaveUp(ratio float64) {
+	s.exposure += Overdue(ratio)
+}
+
+// Slowness returns the estimate. overdue is the sum of Overdue over the
+// attempts that are still running.
+func (s *Speed) Slowness(overdue float64) float64 {
+	return (s.exposure + overdue + s.config.Prior) / (s.count + s.config.Prior)
+}
+
+// Overdue returns by how much an attempt without an answer exceeds the
+// expected time.
+func Overdue(ratio float64) float64 {
+	return max(ratio-1, 0)
+}
--- /dev/null
+++ b/internal/decide/snapshot/snapshot.go
@@ -0,0 +1,124 @@
+// Package snapshot finds the snapshot that a query pins: which snapshots the
+// usable leaves hold, which leaves hold each shard of them, and which of them
+// is the best for the shards that a query needs. It is pure.
+package snapshot
+
+import (
+	"slices"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// View is one snapshot as the usable leaves hold it.
+type View struct {
+	Snapshot catalog.Snapshot
+	// Replicas lists, for each shard of the partition of the snapshot's
+	// epoch, the indexes of the leaves that hold it. Its length is the number
+	// of shards, also of those that no leaf holds.
+	Replicas [][]int32
+	// Covered is the number of shards with at least one leaf.
+	Covered int
+}
+
+// Build returns the views of all snapshots that are held by at least one
+// leaf and whose epoch has a partition, newest first. holdings lists what
+// each leaf holds; a leaf that gets no work must have none.
+func Build(partitions []catalog.Partition, holdings [][]leaf.Holding) []View {
+	shards := make(map[uint64]int, len(partitions))
+	for _, partition := range partitions {
+		shards[partition.Epoch] = partition.Shards
+	}
+	var views []View
+	position := make(map[catalog.Snapshot]int)
+	for index, held := range holdings {
+		for _, holding := range held {
+			count, known := shards[holding.Snapshot.Epoch]
+			if !known {
+				continue
+			}
+			at, seen := position[holding.Snapshot]
+			if !seen {
+				at = len(views)
+				position[holding.Snapshot] = at
+				views = append(views, View{Snapshot: holding.Snapshot, Replicas: make([][]int32, count)})
+			}
+			views[at].add(int32(index), holding.Shards)
+		}
+	}
+	slices.SortFunc(views, newestFirst)
+	return views
+}
+
+func newestFirst(a, b View) int {
+	switch {
+	case b.Snapshot.Less(a.Snapshot):
+		return -1
+	case a.Snapshot.Less(b.Snapshot):
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (v *View) add(index int32, shards []int) {
+	for _, shard := range shards {
+		if shard < 0 || shard >= len(v.Replicas) || slices.Contains(v.Replicas[shard], index) {
+			continue
+		}
+		if len(v.Replicas[shard]) == 0 {
+			v.Covered++
+		}
+		v.Replicas[shard] = append(v.Replicas[shard], index)
+	}
+}
+
+// Need says which shards a query needs: all, or the one that a key names.
+type Need struct {
+	KeyHash uint64
+	HasKey  bool
+}
+
+// Shard returns the only shard needed out of a number of shards, if a key
+// names it.
+func (n Need) Shard(shards int) (int, bool) {
+	if !n.HasKey || shards == 0 {
+		return 0, false
+	}
+	return int(n.KeyHash % uint64(shards)), true
+}
+
+// Covered returns how many of the needed shards of the view have a leaf, and
+// how many are needed.
+func (n Need) Covered(view *View) (covered, needed int) {
+	shard, single := n.Shard(len(view.Replicas))
+	if !single {
+		return view.Covered, len(view.Replicas)
+	}
+	if len(view.Replicas[shard]) > 0 {
+		return 1, 1
+	}
+	return 0, 1
+}
+
+// Pick returns the index of the newest view in which every needed shard has a
+// leaf; without one, that of the newest of those with the largest share of
+// the needed shards. It returns false if no view holds any needed shard.
+// The views must be sorted newest first.
+func Pick(views []View, need Need) (int, bool) {
+	best, bestShare := -1, 0.0
+	for index := range views {
+		covered, needed := need.Covered(&views[index])
+		if needed == 0 {
+			continue
+		}
+		if covered == needed {
+			return index, true
+		}
+		share := float64(covered) / float64(needed)
+		if share > bestShare {
+			best, bestShare = index, share
+		}
+	}
+	return best, best >= 0
+}
