Add the discrete-event simulation and the experiments

The simulation drives the Dispatcher of the product in virtual time against emulated leaves: slots, bounded queue, lognormal work, pauses, cold starts, connections, lagging and lying reports, draining, crash and silent loss, rolling index versions and repartitioning. Two runs of one seed are equal, and two policies under one seed meet the same arrivals and the same work.

--- /dev/null
+++ b/internal/rehearsal/simulation/broken_test.go
@@ -0,0 +1,50 @@
+package simulation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+)
+
+// broken wraps a Decider and breaks one promise, to see that the checks of a
+// run notice.
+type broken struct {
+	Decider
+	finish func(dispatch.Finish) []dispatch.Action
+}
+
+func (b *broken) edit(actions []dispatch.Action) []dispatch.Action {
+	var edited []dispatch.Action
+	for _, action := range actions {
+		if finish, ok := action.(dispatch.Finish); ok {
+			edited = append(edited, b.finish(finish)...)
+			continue
+		}
+		edited = append(edited, action)
+	}
+	return edited
+}
+
+func (b *broken) Reply(now Time, id dispatch.AttemptID, reply dispatch.Reply) []dispatch.Action {
+	return b.edit(b.Decider.Reply(now, id, reply))
+}
+
+func TestChecksNoticeBrokenPromises(t *testing.T) {
+	cases := map[Violation]func(dispatch.Finish) []dispatch.Action{
+		ViolationSnapshot: func(f dispatch.Finish) []dispatch.Action { f.Snapshot.Version++; return []dispatch.Action{f} },
+		ViolationCoverage: func(f dispatch.Finish) []dispatch.Action { f.Answered = f.Answered[1:]; return []dispatch.Action{f} },
+		ViolationNotRun: func(f dispatch.Finish) []dispatch.Action {
+			return []dispatch.Action{dispatch.Finish{Query: f.Query, Outcome: dispatch.OutcomeNotRun}}
+		},
+		ViolationFinish: func(f dispatch.Finish) []dispatch.Action { return []dispatch.Action{f, f} },
+	}
+	for violation, edit := range cases {
+		config := testConfig(PolicyBaseline, 1, time.Second)
+		config.Scenario.WarmUp = 0
+		config.Policy.Wrap = func(d Decider) Decider { return &broken{Decider: d, finish: edit} }
+		if result := run(t, config); result.Violations[violation] == 0 {
+			t.Errorf("%s: not noticed; %v", violation, result.Violations)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/simulation/bulk_test.go
@@ -0,0 +1,61 @@
+package simulation
+
+import (
+	"flag"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+)
+
+var schedules = flag.Int("schedules", 120, "random fault schedules to run")
+
+// randomSchedule draws load and up to eight faults, often two at once.
+func randomSchedule(seed uint64) Config {
+	random := rand.New(rand.NewPCG(seed, 99))
+	config := testConfig(PolicyDispatch, seed, 6*time.Second)
+	config.Scenario.CancelShare = 0.05
+	config.Scenario.Load = []LoadStep{{Level: 0.2 + 0.8*random.Float64()}, {At: ms(3000), Level: 0.2 + 1.3*random.Float64()}}
+	kinds := []FaultKind{
+		FaultSlow, FaultPause, FaultCrash, FaultLose, FaultDrain, FaultRetire, FaultListLeaving, FaultLie,
+		FaultStaleReply, FaultRoll, FaultRoll, FaultRepartition, FaultRepartition, FaultFreezeNode, FaultLoseZone,
+	}
+	for range 1 + random.IntN(8) {
+		fault := Fault{
+			Kind: kinds[random.IntN(len(kinds))], At: ms(float64(random.IntN(5000))),
+			Duration: ms(float64(1 + random.IntN(3000))), Leaf: random.IntN(6), Node: random.IntN(3),
+			Zone: config.Deployment.Zones[random.IntN(3)], Shards: 1 + random.IntN(6),
+		}
+		switch fault.Kind {
+		case FaultSlow:
+			fault.Factor = 2 + 8*random.Float64()
+		case FaultStaleReply:
+			fault.Factor = random.Float64()
+		}
+		config.Scenario.Faults = append(config.Scenario.Faults, fault)
+	}
+	return config
+}
+
+// TestPromisesUnderRandomFaults checks every promise of this package under
+// seeded random schedules. Run more with -schedules.
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	seeds := make(chan uint64)
+	var workers sync.WaitGroup
+	for range min(4, runtime.GOMAXPROCS(0)) {
+		workers.Go(func() {
+			for seed := range seeds {
+				result := run(t, randomSchedule(seed))
+				if len(result.Violations) > 0 {
+					t.Errorf("seed %d: %v\n%v", seed, result.Violations, result.Examples)
+				}
+			}
+		})
+	}
+	for seed := range *schedules {
+		seeds <- uint64(seed)
+	}
+	close(seeds)
+	workers.Wait()
+}
--- /dev/null
+++ b/internal/rehearsal/simulation/engine.go
@@ -0,0 +1,76 @@
+package simulation
+
+// event is something that happens at a moment of virtual time.
+type event struct {
+	at       Time
+	sequence uint64
+	do       func()
+}
+
+// engine runs events in order of time, and of scheduling within one moment.
+type engine struct {
+	now      Time
+	sequence uint64
+	heap     []event
+}
+
+// at schedules an event; a moment in the past means now.
+func (e *engine) at(moment Time, do func()) {
+	e.sequence++
+	e.heap = append(e.heap, event{at: max(moment, e.now), sequence: e.sequence, do: do})
+	e.siftUp(len(e.heap) - 1)
+}
+
+// after schedules an event some time from now.
+func (e *engine) after(delay Time, do func()) { e.at(e.now+delay, do) }
+
+// step runs the next event. It reports false if there is none.
+func (e *engine) step() bool {
+	if len(e.heap) == 0 {
+		return false
+	}
+	next := e.heap[0]
+	last := len(e.heap) - 1
+	e.heap[0] = e.heap[last]
+	e.heap[last] = event{}
+	e.heap = e.heap[:last]
+	e.siftDown(0)
+	e.now = next.at
+	next.do()
+	return true
+}
+
+func (e *engine) less(i, j int) bool {
+	if e.heap[i].at != e.heap[j].at {
+		return e.heap[i].at < e.heap[j].at
+	}
+	return e.heap[i].sequence < e.heap[j].sequence
+}
+
+func (e *engine) siftUp(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !e.less(i, parent) {
+			return
+		}
+		e.heap[i], e.heap[parent] = e.heap[parent], e.heap[i]
+		i = parent
+	}
+}
+
+func (e *engine) siftDown(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(e.heap) {
+			return
+		}
+		if child+1 < len(e.heap) && e.less(child+1, child) {
+			child++
+		}
+		if !e.less(child, i) {
+			return
+		}
+		e.heap[i], e.heap[child] = e.heap[child], e.heap[i]
+		i = child
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/simulation/random.go
@@ -0,0 +1,57 @@
+package simulation
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Streams of randomness. Each part of a run draws from its own stream, so that
+// what one part does never shifts what another part draws.
+const (
+	streamArrivals uint64 = iota + 1
+	streamLeaves
+	streamNetwork
+	streamFaults
+	streamPolicy
+	streamWork
+	streamNoise
+)
+
+// newRandom returns a seeded source for one stream and member.
+func newRandom(seed, stream, member uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, mix(stream, member)))
+}
+
+// mix hashes two numbers into one (the finalizer of splitmix64).
+func mix(a, b uint64) uint64 {
+	z := a*0x9e3779b97f4a7c15 + b + 0x632be59bd9b4e019
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// unit turns a hash into a number in (0, 1).
+func unit(hash uint64) float64 {
+	return (float64(hash>>11) + 0.5) / (1 << 53)
+}
+
+// lognormal returns the factor with mean 1 that a hash stands for.
+func lognormal(hash uint64, sigma float64) float64 {
+	if sigma == 0 {
+		return 1
+	}
+	first, second := unit(mix(hash, 1)), unit(mix(hash, 2))
+	normal := math.Sqrt(-2*math.Log(first)) * math.Cos(2*math.Pi*second)
+	return math.Exp(sigma*normal - sigma*sigma/2)
+}
+
+// scale multiplies a duration.
+func scale(duration time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(duration) * factor)
+}
+
+// exponential draws a duration with the given mean.
+func exponential(random *rand.Rand, mean time.Duration) time.Duration {
+	return scale(mean, random.ExpFloat64())
+}
