--- /dev/null
+++ b/internal/dissemination/adapter_checkpoint.go
@@ -0,0 +1,133 @@
+package dissemination
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/oops"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/store"
+)
+
+// chunkSize bounds the data of one chunk: the usual limit of a store is about
+// 1.5 MB for a request.
+const chunkSize = 512 << 10
+
+// chunk is one part of a checkpoint. All parts name the hash of the whole, so
+// that parts from writers that encode differently are not put together.
+type chunk struct {
+	Count int    `json:"count"`
+	Hash  uint64 `json:"hash"`
+	Data  []byte `json:"data"`
+}
+
+func checkpointPrefix(revision uint64) string {
+	return fmt.Sprintf("%s%016d/", checkpointsPrefix, revision)
+}
+
+func chunkKey(revision uint64, index int) string {
+	return fmt.Sprintf("%s%04d", checkpointPrefix(revision), index)
+}
+
+// LoadCheckpoint implements Store.
+func (a *StoreAdapter) LoadCheckpoint(ctx context.Context) (*catalog.Catalog, error) {
+	found, err := a.client.Range(ctx, checkpointsPrefix, store.PrefixEnd(checkpointsPrefix), 0)
+	if err != nil {
+		return nil, err
+	}
+	entries := found.Entries
+	for len(entries) > 0 {
+		first := len(entries) - 1
+		group := groupOf(entries[first].Key)
+		for first > 0 && groupOf(entries[first-1].Key) == group {
+			first--
+		}
+		if loaded, err := assemble(entries[first:]); err == nil {
+			return loaded, nil
+		}
+		entries = entries[:first] // an older one may be whole
+	}
+	return nil, nil
+}
+
+func groupOf(key string) string { return key[:strings.LastIndexByte(key, '/')+1] }
+
+// assemble puts the chunks of one checkpoint together.
+func assemble(entries []store.Entry) (*catalog.Catalog, error) {
+	var data []byte
+	var hash uint64
+	for index, entry := range entries {
+		var part chunk
+		if err := json.Unmarshal(entry.Value, &part); err != nil {
+			return nil, err
+		}
+		if part.Count != len(entries) || (index > 0 && part.Hash != hash) {
+			return nil, fmt.Errorf("checkpoint %s is not whole", entry.Key)
+		}
+		hash = part.Hash
+		data = append(data, part.Data...)
+	}
+	if xxhash.Sum64(data) != hash {
+		return nil, fmt.Errorf("checkpoint %s is damaged", entries[0].Key)
+	}
+	loaded, err := catalog.Decode(data)
+	if err == nil && checkpointPrefix(loaded.Revision) != groupOf(entries[0].Key) {
+		err = fmt.Errorf("checkpoint %s holds revision %d", entries[0].Key, loaded.Revision)
+	}
+	return loaded, err
+}
+
+// SaveCheckpoint implements Store. Writers that race write the same bytes, and
+// each chunk is created only if it does not exist.
+func (a *StoreAdapter) SaveCheckpoint(ctx context.Context, checkpoint *catalog.Catalog, keep uint64) error {
+	prefix := checkpointPrefix(checkpoint.Revision)
+	if _, err := a.readCheckpoint(ctx, prefix); err == nil {
+		return nil // another watcher was first, and deletes
+	}
+	data, err := catalog.Encode(checkpoint)
+	if err != nil {
+		return err
+	}
+	count := (len(data) + chunkSize - 1) / chunkSize
+	for index := range count {
+		part := chunk{Count: count, Hash: xxhash.Sum64(data), Data: data[index*chunkSize : min(len(data), (index+1)*chunkSize)]}
+		value, err := json.Marshal(part)
+		if err != nil {
+			return err
+		}
+		if _, err := a.client.CreateIfAbsent(ctx, chunkKey(checkpoint.Revision, index), value); err != nil {
+			return err
+		}
+	}
+	if _, err := a.readCheckpoint(ctx, prefix); err != nil {
+		return err
+	}
+	return a.trim(ctx, keep)
+}
+
+func (a *StoreAdapter) readCheckpoint(ctx context.Context, prefix string) (*catalog.Catalog, error) {
+	found, err := a.client.Range(ctx, prefix, store.PrefixEnd(prefix), 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(found.Entries) == 0 {
+		return nil, oops.In("dissemination").With("step", "checkpoint").Errorf("there is no checkpoint %s", prefix)
+	}
+	return assemble(found.Entries)
+}
+
+// trim deletes the changes before keep and the checkpoints below it.
+func (a *StoreAdapter) trim(ctx context.Context, keep uint64) error {
+	if keep == 0 {
+		return nil
+	}
+	if _, err := a.client.DeleteRange(ctx, changeKey(0), changeKey(keep)); err != nil {
+		return err
+	}
+	_, err := a.client.DeleteRange(ctx, checkpointPrefix(0), checkpointPrefix(keep))
+	return err
+}
--- /dev/null
+++ b/internal/dissemination/adapter_peer.go
@@ -0,0 +1,42 @@
+package dissemination
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/micaplank/micaplank/internal/peer"
+)
+
+// fetchMethod is the name of the fetch call.
+const fetchMethod = "dissemination.fetch"
+
+// PeerTransport is a Transport over the transport between nodes.
+type PeerTransport struct {
+	datagrams *peer.Datagrams
+	client    *peer.Client
+}
+
+// NewPeerTransport returns a Transport; the caller keeps both parts.
+func NewPeerTransport(datagrams *peer.Datagrams, client *peer.Client) *PeerTransport {
+	return &PeerTransport{datagrams: datagrams, client: client}
+}
+
+// Send implements Transport.
+func (t *PeerTransport) Send(to netip.AddrPort, payload []byte) error {
+	return t.datagrams.Send(peer.KindExchange, to, payload)
+}
+
+// Fetch implements Transport.
+func (t *PeerTransport) Fetch(ctx context.Context, to netip.AddrPort, call *FetchCall) (*FetchReply, error) {
+	var reply FetchReply
+	if err := t.client.Call(ctx, to, fetchMethod, call, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// Serve lets the service take packets and fetches from peers.
+func (s *Service) Serve(datagrams *peer.Datagrams, server *peer.Server) {
+	datagrams.Handle(peer.KindExchange, s.Receive)
+	peer.Register(server, fetchMethod, s.ServeFetch)
+}
--- /dev/null
+++ b/internal/dissemination/adapter_store.go
@@ -0,0 +1,108 @@
+package dissemination
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/samber/oops"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/store"
+)
+
+// Keys of the store. The numbers have a fixed width, so that the order of the
+// keys is the order of the revisions.
+const (
+	changesPrefix     = "/micaplank/changes/"
+	checkpointsPrefix = "/micaplank/checkpoints/"
+)
+
+func changeKey(revision uint64) string { return fmt.Sprintf("%s%016d", changesPrefix, revision) }
+
+// StoreAdapter is a Store over the client of the key-value service.
+type StoreAdapter struct {
+	client *store.Client
+}
+
+// NewStoreAdapter returns an adapter; the caller keeps the client.
+func NewStoreAdapter(client *store.Client) *StoreAdapter { return &StoreAdapter{client: client} }
+
+// ReadChanges implements Store.
+func (a *StoreAdapter) ReadChanges(ctx context.Context, from uint64, limit int) ([]catalog.Change, bool, error) {
+	found, err := a.client.Range(ctx, changeKey(from), store.PrefixEnd(changesPrefix), int64(limit))
+	if err != nil {
+		return nil, false, err
+	}
+	changes := make([]catalog.Change, 0, len(found.Entries))
+	for _, entry := range found.Entries {
+		change, err := decodeEntry(entry)
+		if err != nil {
+			return nil, false, err
+		}
+		changes = append(changes, change)
+	}
+	return changes, found.More, nil
+}
+
+func decodeEntry(entry store.Entry) (catalog.Change, error) {
+	change, err := catalog.DecodeChange(entry.Value)
+	if err == nil && changeKey(change.Revision) != entry.Key {
+		err = fmt.Errorf("key %s holds the change of revision %d", entry.Key, change.Revision)
+	}
+	if err != nil {
+		return catalog.Change{}, oops.In("dissemination").With("step", "decode", "key", entry.Key).Wrap(err)
+	}
+	return change, nil
+}
+
+// CreateChange implements Store.
+func (a *StoreAdapter) CreateChange(ctx context.Context, change catalog.Change) (bool, *catalog.Change, error) {
+	value, err := catalog.EncodeChange(change)
+	if err != nil {
+		return false, nil, &notSentError{err}
+	}
+	result, err := a.client.CreateIfAbsent(ctx, changeKey(change.Revision), value)
+	if err != nil || result.Created {
+		return result.Created, nil, err
+	}
+	existing, err := decodeEntry(result.Existing)
+	if err != nil {
+		return false, nil, err
+	}
+	return false, &existing, nil
+}
+
+// notSentError is a failure before anything was sent.
+type notSentError struct{ error }
+
+// MaybeApplied implements Store.
+func (a *StoreAdapter) MaybeApplied(err error) bool {
+	if _, ok := err.(*notSentError); ok {
+		return false
+	}
+	return store.MaybeApplied(err)
+}
+
+// WatchChanges implements Store. It watches from now on; reads of the log fill
+// the gap before.
+func (a *StoreAdapter) WatchChanges(ctx context.Context, deliver func([]catalog.Change)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events, err := a.client.Watch(ctx, changesPrefix, store.PrefixEnd(changesPrefix), 0)
+	if err != nil {
+		return err
+	}
+	for event := range events {
+		switch event.Kind {
+		case store.WatchPut:
+			change, err := decodeEntry(event.Entry)
+			if err != nil {
+				return err
+			}
+			deliver([]catalog.Change{change})
+		case store.WatchEnded:
+			return event.Err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dissemination/evidence.go
@@ -0,0 +1,141 @@
+package dissemination
+
+import "slices"
+
+// slot is what is known of one voter.
+type slot struct {
+	// latest is the last answer of the highest incarnation known.
+	latest answer
+	// confirmedAt is the sending time of the last request that was answered
+	// with no more than this node holds, by confirmedBy.
+	confirmed   bool
+	confirmedAt Time
+	confirmedBy uint64
+}
+
+// answer is a voter's answer to an exchange.
+type answer struct {
+	valid       bool
+	sentAt      Time // of the request
+	incarnation uint64
+	revision    uint64
+	voter       bool
+}
+
+// relayedConfirmation is a peer's confirmation that counts once this node holds
+// the revision.
+type relayedConfirmation struct {
+	revision uint64
+	at       Time
+}
+
+// maximumRelayed bounds the confirmations that wait for a revision.
+const maximumRelayed = 8
+
+// majority returns how many of n voters are a majority.
+func majority(n int) int { return n/2 + 1 }
+
+func (c *Core) quorum() int {
+	if c.omit.majority {
+		return 1
+	}
+	return majority(len(c.log.catalog.Voters))
+}
+
+// resetSlots makes the slots follow the catalog's voters.
+func (c *Core) resetSlots() {
+	voters := c.log.catalog.Voters
+	for name := range c.slots {
+		if _, ok := voters[name]; !ok {
+			delete(c.slots, name)
+		}
+	}
+	for name := range voters {
+		if c.slots[name] == nil && name != c.self.Name {
+			c.slots[name] = &slot{}
+		}
+	}
+	for _, s := range c.slots {
+		s.settle(c.log.revision())
+	}
+	c.resetTakeover()
+}
+
+// settle counts the latest answer if this node holds what it names.
+func (s *slot) settle(revision uint64) {
+	if !s.latest.valid || !s.latest.voter || s.latest.revision > revision {
+		return
+	}
+	s.confirmed, s.confirmedAt, s.confirmedBy = true, s.latest.sentAt, s.latest.incarnation
+}
+
+// takeAnswer notes a voter's answer.
+func (c *Core) takeAnswer(name string, got answer) {
+	s := c.slots[name]
+	if s == nil || !c.current(name, got.incarnation) {
+		return
+	}
+	if s.latest.valid && s.latest.incarnation == got.incarnation && s.latest.sentAt > got.sentAt {
+		return
+	}
+	s.latest = got
+	s.settle(c.log.revision())
+}
+
+// current says whether an incarnation of a slot is the highest known.
+func (c *Core) current(name string, incarnation uint64) bool {
+	return c.omit.supersession || incarnation == c.claims[name]
+}
+
+// reconfirm works out the confirmation that the voters' answers prove: the
+// latest time at or after which a majority was asked. The voter itself counts
+// as asked now.
+func (c *Core) reconfirm(now Time) {
+	c.recover(now)
+	voters := len(c.log.catalog.Voters)
+	if voters == 0 {
+		return
+	}
+	times := make([]Time, 0, voters)
+	if c.votes() {
+		times = append(times, now)
+	}
+	for name, s := range c.slots {
+		if s.confirmed && c.current(name, s.confirmedBy) {
+			times = append(times, s.confirmedAt)
+		}
+	}
+	if need := c.quorum(); len(times) >= need {
+		slices.Sort(times)
+		c.advance(times[len(times)-need])
+	}
+	c.recover(now)
+}
+
+// advance raises the confirmation; it never falls, because what is proved
+// once stays true.
+func (c *Core) advance(at Time) {
+	if !c.confirmed || at > c.confirmedAt {
+		c.confirmed, c.confirmedAt = true, at
+	}
+}
+
+// takeRelayed counts a peer's confirmation, now or once its revision is held.
+func (c *Core) takeRelayed(confirmation relayedConfirmation) {
+	if confirmation.revision <= c.log.revision() {
+		c.advance(confirmation.at)
+		return
+	}
+	if len(c.relayed) == maximumRelayed {
+		c.relayed = c.relayed[1:]
+	}
+	c.relayed = append(c.relayed, confirmation)
+}
+
+func (c *Core) applyRelayed() {
+	waiting := c.relayed
+	c.relayed = nil
+	for _, confirmation := range waiting {
+		c.takeRelayed(confirmation)
+	}
+}
--- /dev/null
+++ b/internal/dissemination/exchange.go
@@ -0,0 +1,305 @@
+package dissemination
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// pendingRequest is an exchange that has not been answered.
+type pendingRequest struct {
+	sentAt Time
+	// claimed is the incarnation that the request claimed a slot with, or 0.
+	claimed uint64
+}
+
+const (
+	// fetchDelay lets a push arrive before the same change is fetched.
+	fetchDelay = 50 * time.Millisecond
+	// randomExchangeEvery is how many rounds lie between exchanges with a
+	// random member, which heal what the relay trees miss.
+	randomExchangeEvery = 4
+	// maximumPushed is the number of changes above which a push only names
+	// the revision.
+	maximumPushed = 16
+)
+
+// fetchState is the one fetch that runs or waits.
+type fetchState struct {
+	from     netip.AddrPort
+	revision uint64
+	due      Time
+	running  bool
+	since    Time
+}
+
+// exchange sends this round's requests.
+func (c *Core) exchange(now Time) {
+	jitter := Time(c.random.Int64N(int64(c.config.ExchangeInterval)/5 + 1))
+	c.nextExchange = now + c.config.ExchangeInterval - c.config.ExchangeInterval/10 + jitter
+	c.exchanges++
+	targets := map[netip.AddrPort]bool{}
+	for name := range c.log.catalog.Voters {
+		if c.asksVoters() {
+			c.target(targets, name)
+		}
+	}
+	for _, parent := range c.members.parents(c.config.WatchersPerZone, c.config.RelayFanout) {
+		targets[parent.Address] = true
+	}
+	c.addFallbacks(now, targets)
+	delete(targets, c.self.Address)
+	for _, to := range sortedAddresses(targets) {
+		c.request(now, to)
+	}
+}
+
+// asksVoters says whether this node exchanges with all voters itself.
+func (c *Core) asksVoters() bool {
+	return c.holdsSlot() || c.watcher() || len(c.members.alive) < c.config.DirectLimit
+}
+
+// sortedAddresses makes the order of sending independent of map order.
+func sortedAddresses(targets map[netip.AddrPort]bool) []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(targets), netip.AddrPort.Compare)
+}
+
+func (c *Core) target(targets map[netip.AddrPort]bool, name string) {
+	if member, ok := c.members.byName[name]; ok {
+		targets[member.Address] = true
+	}
+}
+
+// addFallbacks adds random members: now and then, and each time while the
+// confirmation is getting old.
+func (c *Core) addFallbacks(now Time, targets map[netip.AddrPort]bool) {
+	if len(c.members.alive) == 0 {
+		return
+	}
+	old := c.FreshFor(now) < c.config.Window/2
+	if old || c.exchanges%randomExchangeEvery == 0 {
+		targets[c.randomMember().Address] = true
+	}
+	if old && len(c.members.roots) > 0 {
+		targets[c.members.roots[c.random.IntN(len(c.members.roots))].Address] = true
+	}
+}
+
+func (c *Core) randomMember() Member {
+	return c.members.alive[c.random.IntN(len(c.members.alive))]
+}
+
+// request sends one exchange request. The time noted is that of the caller's
+// reading, which is no later than the sending.
+func (c *Core) request(now Time, to netip.AddrPort) {
+	c.sequence++
+	pending := pendingRequest{sentAt: now}
+	if c.holdsSlot() {
+		pending.claimed = c.self.Incarnation
+	}
+	c.requests[c.sequence] = pending
+	c.send(to, Packet{Request: &ExchangeRequest{
+		Sequence:    c.sequence,
+		Name:        c.self.Name,
+		Incarnation: c.self.Incarnation,
+		Revision:    c.log.revision(),
+		Claim:       pending.claimed != 0,
+	}})
+}
+
+func (c *Core) expireRequests(now Time) {
+	for sequence, pending := range c.requests {
+		if now-pending.sentAt > c.config.Window {
+			delete(c.requests, sequence)
+		}
+	}
+}
+
+// answer responds to a request.
+func (c *Core) answer(now Time, from netip.AddrPort, request *ExchangeRequest) {
+	if request.Claim {
+		c.takeClaim(now, Claim{Name: request.Name, Incarnation: request.Incarnation})
+	}
+	c.noteRevision(now, request.Name, request.Incarnation, request.Revision)
+	c.want(now, from, request.Revision)
+	response := &ExchangeResponse{
+		Sequence:    request.Sequence,
+		Name:        c.self.Name,
+		Incarnation: c.self.Incarnation,
+		Revision:    c.log.revision(),
+		Voter:       c.votes(),
+		Claims:      c.claimsFor(request),
+	}
+	if at, ok := c.ConfirmedAt(); ok {
+		response.Confirmed, response.Age = true, now-at
+	}
+	c.send(from, Packet{Response: response})
+}
+
+// claimsFor lists the claims on voters' slots, if this node is a voter, and in
+// any case one that supersedes the requester.
+func (c *Core) claimsFor(request *ExchangeRequest) []Claim {
+	var claims []Claim
+	voter := c.holdsSlot()
+	for _, name := range c.log.catalog.VoterNames() {
+		if known := c.claims[name]; voter && known != 0 && name != request.Name {
+			claims = append(claims, Claim{Name: name, Incarnation: known})
+		}
+	}
+	if known := c.claims[request.Name]; known > request.Incarnation {
+		claims = append(claims, Claim{Name: request.Name, Incarnation: known})
+	}
+	return claims
+}
+
+// learn takes the answer to a request of this process; any other is dropped.
+func (c *Core) learn(now Time, from netip.AddrPort, response *ExchangeResponse) {
+	pending, ok := c.requests[response.Sequence]
+	if !ok || response.Name == c.self.Name {
+		return
+	}
+	delete(c.requests, response.Sequence)
+	// Claims come first: what they supersede must not be counted.
+	for _, claim := range response.Claims {
+		c.takeClaim(now, claim)
+	}
+	c.noteRevision(now, response.Name, response.Incarnation, response.Revision)
+	c.learnFromVoter(now, pending, response)
+	if response.Confirmed {
+		at := pending.sentAt - response.Age
+		if c.omit.sendTime {
+			at = now - response.Age
+		}
+		c.takeRelayed(relayedConfirmation{revision: response.Revision, at: at})
+	}
+	c.want(now, from, response.Revision)
+	c.reconfirm(now)
+}
+
+func (c *Core) learnFromVoter(now Time, pending pendingRequest, response *ExchangeResponse) {
+	if _, voter := c.log.catalog.Voters[response.Name]; !voter {
+		return
+	}
+	c.takeClaim(now, Claim{Name: response.Name, Incarnation: response.Incarnation})
+	if !c.current(response.Name, response.Incarnation) {
+		return
+	}
+	if pending.claimed != 0 && pending.claimed == c.self.Incarnation {
+		c.takeover.registered[response.Name] = true
+	}
+	sentAt := pending.sentAt
+	if c.omit.sendTime {
+		sentAt = now
+	}
+	c.takeAnswer(response.Name, answer{
+		valid:       true,
+		sentAt:      sentAt,
+		incarnation: response.Incarnation,
+		revision:    response.Revision,
+		voter:       response.Voter,
+	})
+}
+
+// noteRevision keeps the newest that is known of a member's revision.
+func (c *Core) noteRevision(now Time, name string, incarnation, revision uint64) {
+	if _, member := c.members.byName[name]; !member {
+		return
+	}
+	known, ok := c.revisions[name]
+	if ok && known.Incarnation > incarnation {
+		return
+	}
+	if ok && known.Incarnation == incarnation && known.Revision > revision {
+		revision = known.Revision // an older packet overtaken by a newer one
+	}
+	c.revisions[name] = PeerRevision{Name: name, Incarnation: incarnation, Revision: revision, At: now}
+}
+
+// Hint tells the core that a member announced a revision elsewhere, as in a
+// heartbeat.
+func (c *Core) Hint(now Time, from netip.AddrPort, revision uint64) { c.want(now, from, revision) }
+
+// want plans a fetch if a peer holds more than this node.
+func (c *Core) want(now Time, from netip.AddrPort, revision uint64) {
+	if revision <= c.log.revision() {
+		return
+	}
+	f := &c.fetching
+	if f.revision <= c.log.revision() {
+		f.due = now + fetchDelay
+	}
+	if revision > f.revision || f.revision <= c.log.revision() {
+		f.from, f.revision = from, revision
+	}
+}
+
+func (c *Core) tickFetch(now Time) {
+	f := &c.fetching
+	if f.running && now-f.since > c.config.FetchTimeout {
+		f.running, f.revision = false, 0
+	}
+	if f.running || f.revision <= c.log.revision() || now < f.due {
+		return
+	}
+	f.running, f.since = true, now
+	c.ready.Fetch = &Fetch{To: f.from, Request: FetchRequest{Revision: c.log.revision()}}
+}
+
+// StepFetched takes the end of a fetch in; response is nil if it failed. The
+// next answer of a peer that holds more starts another.
+func (c *Core) StepFetched(now Time, response *FetchResponse) {
+	c.fetching.running, c.fetching.revision = false, 0
+	if response == nil {
+		return
+	}
+	if c.replace(response.Checkpoint) || len(c.log.append(response.Changes)) > 0 {
+		c.installed(now)
+	}
+	c.driveProposals(now)
+}
+
+// replace installs a checkpoint of a higher revision.
+func (c *Core) replace(checkpoint *catalog.Catalog) bool {
+	if c.omit.monotonic && checkpoint != nil {
+		c.log.catalog = catalog.Empty()
+		c.log.tail = nil
+	}
+	return c.log.replace(checkpoint)
+}
+
+// AnswerFetch returns what a peer asked for. It changes nothing.
+func (c *Core) AnswerFetch(request FetchRequest) FetchResponse {
+	changes, ok := c.log.after(request.Revision)
+	if !ok {
+		return FetchResponse{Checkpoint: c.log.catalog}
+	}
+	return FetchResponse{Changes: changes}
+}
+
+// takePush installs pushed changes and hands the new ones on.
+func (c *Core) takePush(now Time, from netip.AddrPort, push *Push) {
+	installed := c.log.append(push.Changes)
+	if len(installed) > 0 {
+		c.installed(now)
+		c.handOn(installed)
+	}
+	c.want(now, from, push.Revision)
+}
+
+// handOn pushes changes that are new here to a few random members.
+func (c *Core) handOn(changes []catalog.Change) {
+	alive := len(c.members.alive)
+	for _, index := range c.random.Perm(alive)[:min(alive, c.config.PushFanout)] {
+		c.push(c.members.alive[index].Address, changes)
+	}
+}
+
+func (c *Core) push(to netip.AddrPort, changes []catalog.Change) {
+	if len(changes) > maximumPushed {
+		changes = nil
+	}
+	c.send(to, Packet{Push: &Push{Name: c.self.Name, Revision: c.log.revision(), Changes: changes}})
+}
--- /dev/null
+++ b/internal/dissemination/log.go
@@ -0,0 +1,94 @@
+package dissemination
+
+import (
+	"slices"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// changeLog is the catalog with the recent changes that led to it.
+type changeLog struct {
+	catalog *catalog.Catalog
+	// tail holds the last changes in order; its last one is the catalog's
+	// revision unless it is empty.
+	tail   []catalog.Change
+	length int
+	// checkpoint is the catalog at the last multiple of interval that append
+	// passed; its taker sets it to nil.
+	checkpoint *catalog.Catalog
+	interval   uint64
+	// broken is set when a change that the log contains cannot be applied:
+	// this process does not understand it and must not serve.
+	broken error
+}
+
+func newChangeLog(length int, interval uint64) changeLog {
+	return changeLog{catalog: catalog.Empty(), length: length, interval: interval}
+}
+
+func (l *changeLog) revision() uint64 { return l.catalog.Revision }
+
+// append installs those of the changes that follow the catalog without a gap
+// and returns them.
+func (l *changeLog) append(changes []catalog.Change) []catalog.Change {
+	first := len(changes)
+	last := first
+	for i, change := range changes {
+		if change.Revision != l.revision()+1 {
+			continue
+		}
+		next, err := catalog.Apply(l.catalog, change)
+		if err != nil {
+			l.broken = err
+			break
+		}
+		l.broken = nil
+		l.catalog = next
+		l.remember(change)
+		if next.Revision%l.interval == 0 {
+			l.checkpoint = next
+		}
+		first, last = min(first, i), i+1
+	}
+	if first >= last {
+		return nil
+	}
+	return changes[first:last]
+}
+
+func (l *changeLog) remember(change catalog.Change) {
+	if len(l.tail) >= 2*l.length {
+		l.tail = slices.Clone(l.tail[len(l.tail)-l.length+1:])
+	}
+	l.tail = append(l.tail, change)
+}
+
+// replace installs a whole catalog if its revision is higher.
+func (l *changeLog) replace(checkpoint *catalog.Catalog) bool {
+	if checkpoint == nil || checkpoint.Revision <= l.revision() {
+		return false
+	}
+	l.catalog = checkpoint
+	l.tail = nil
+	l.broken = nil
+	return true
+}
+
+// after returns the changes that follow a revision; false if they are not kept.
+func (l *changeLog) after(revision uint64) ([]catalog.Change, bool) {
+	missing := l.revision() - min(revision, l.revision())
+	if missing > uint64(len(l.tail)) {
+		return nil, false
+	}
+	return l.tail[len(l.tail)-int(missing):], true
+}
+
+// idAt returns the id of the change at a revision, if it is remembered.
+func (l *changeLog) idAt(revision uint64) (string, bool) {
+	recent := l.catalog.Recent
+	behind := l.revision() - revision
+	if revision > l.revision() || behind >= uint64(len(recent)) {
+		return "", false
+	}
+	return recent[len(recent)-1-int(behind)].ID, true
+}
--- /dev/null
+++ b/internal/dissemination/proposal.go
@@ -0,0 +1,296 @@
+package dissemination
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// ProposalID identifies a proposal within one Core.
+type ProposalID uint64
+
+// Proposal asks for a change, or for the fate of one.
+type Proposal struct {
+	Command catalog.Command
+	// IfRevision, if set, lets the change take effect only as the next one
+	// after that revision.
+	IfRevision *uint64
+	Operator   string
+	// ChangeID is the id, or only its token, under which the change is made;
+	// empty lets the core choose. A second proposal with the same token returns
+	// the fate of the first, as long as the catalog remembers it.
+	ChangeID string
+	// DryRun asks only whether the change would be valid now.
+	DryRun bool
+	// Settle asks for the fate of the change ChangeID; Command is ignored.
+	Settle bool
+	// At is the time of day, for the log and the id.
+	At time.Time
+	// Deadline is when the proposal ends with what is known then.
+	Deadline Time
+}
+
+// ProposalResult is the end of a proposal.
+type ProposalResult struct {
+	ID     ProposalID
+	Result Result
+}
+
+type stage byte
+
+const (
+	// stagePrepare validates the change against the catalog.
+	stagePrepare stage = iota
+	// stageGuard waits until the voters confirm what a voter change builds on.
+	stageGuard
+	// stageCreate writes the change.
+	stageCreate
+	// stageConfirm waits until a majority of the voters hold the change.
+	stageConfirm
+	// stageSpread waits until all members hold the change.
+	stageSpread
+)
+
+// refreshTimeout bounds the wait for a current view before a change is refused
+// by what the catalog says.
+const refreshTimeout = 2 * time.Second
+
+// proposal is a change under way.
+type proposal struct {
+	id        ProposalID
+	request   Proposal
+	startedAt Time
+	stage     stage
+	token     string
+	change    catalog.Change
+	// operation is the create in flight, or 0; nextCreate is when the next one
+	// may be sent.
+	operation  uint64
+	nextCreate Time
+	failures   int
+	// uncertain says that a create of change may have taken effect or may
+	// still do so.
+	uncertain  bool
+	stored     bool
+	lastErr    error
+	acceptance acceptance
+	acceptedAt Time
+	nextPoll   Time
+	result     *Result
+}
+
+// Propose begins a proposal. Its end is one of Ready's Results.
+func (c *Core) Propose(now Time, request Proposal) ProposalID {
+	c.lastProposal++
+	p := &proposal{id: c.lastProposal, request: request, startedAt: now}
+	c.proposals = append(c.proposals, p)
+	if request.Settle {
+		p.change.ID = request.ChangeID
+	} else {
+		p.token = tokenOf(request.ChangeID)
+		if p.token == "" {
+			p.token = c.newToken(request.At)
+		}
+	}
+	c.driveProposals(now)
+	return p.id
+}
+
+// newToken returns a ULID: the change id without its revision.
+func (c *Core) newToken(at time.Time) string {
+	var entropy [10]byte
+	binary.BigEndian.PutUint64(entropy[:8], c.random.Uint64())
+	binary.BigEndian.PutUint16(entropy[8:], uint16(c.random.Uint32()))
+	var token ulid.ULID
+	_ = token.SetTime(ulid.Timestamp(at))
+	_ = token.SetEntropy(entropy[:])
+	return token.String()
+}
+
+// ChangeID returns the id of a change: the revision that it is written for and
+// a token. If the change loses the race for a revision, it is written for a
+// later one under an id with that revision and the same token; the earlier id
+// then never takes effect, because its revision is held by another change.
+func ChangeID(revision uint64, token string) string {
+	return strconv.FormatUint(revision, 10) + "-" + token
+}
+
+// ParseChangeID splits a change id.
+func ParseChangeID(id string) (revision uint64, token string, err error) {
+	prefix, token, found := strings.Cut(id, "-")
+	revision, err = strconv.ParseUint(prefix, 10, 64)
+	if !found || token == "" || err != nil || revision == 0 {
+		return 0, "", fmt.Errorf("dissemination: %q is no change id, expected <revision>-<token>", id)
+	}
+	return revision, token, nil
+}
+
+func tokenOf(id string) string {
+	if _, token, err := ParseChangeID(id); err == nil {
+		return token
+	}
+	return id
+}
+
+// driveProposals advances all proposals by what is known now. Only the oldest
+// one that is not stored writes, so that a node does not race with itself.
+func (c *Core) driveProposals(now Time) {
+	if len(c.proposals) == 0 {
+		return
+	}
+	writing := false
+	for _, p := range c.proposals {
+		waits := writing && !p.stored && !p.request.Settle
+		writing = writing || (!p.stored && !p.request.Settle)
+		if !waits {
+			c.drive(now, p)
+		}
+		if p.result == nil && now >= p.request.Deadline {
+			c.expire(p)
+		}
+		if p.result != nil {
+			c.ready.Results = append(c.ready.Results, ProposalResult{ID: p.id, Result: *p.result})
+		}
+	}
+	c.proposals = slices.DeleteFunc(c.proposals, func(p *proposal) bool { return p.result != nil })
+}
+
+// Expire ends a proposal now with what is known, as its deadline would.
+func (c *Core) Expire(now Time, id ProposalID) {
+	for _, p := range c.proposals {
+		if p.id == id {
+			p.request.Deadline = now
+		}
+	}
+	c.driveProposals(now)
+}
+
+// drive runs the stages until one has to wait.
+func (c *Core) drive(now Time, p *proposal) {
+	for before := stage(0xff); p.result == nil && before != p.stage; {
+		before = p.stage
+		switch p.stage {
+		case stagePrepare:
+			c.prepare(now, p)
+		case stageGuard:
+			c.guard(now, p)
+		case stageCreate:
+			c.create(now, p)
+		case stageConfirm:
+			if c.pollAcceptance(now, &p.acceptance) {
+				p.stage, p.acceptedAt = stageSpread, now
+			}
+		case stageSpread:
+			c.spread(now, p)
+		}
+	}
+}
+
+// refreshed says whether the catalog is known to have been current at some
+// time since the proposal began; if not, it sees to a read of the store. After
+// refreshTimeout it says yes, since waiting on is of no use.
+func (c *Core) refreshed(now Time, p *proposal) bool {
+	at, confirmed := c.ConfirmedAt()
+	if (confirmed && at >= p.startedAt) || (c.store.answered && c.store.answeredAt >= p.startedAt) {
+		return true
+	}
+	if now-p.startedAt >= refreshTimeout || now >= p.request.Deadline {
+		return true
+	}
+	if !c.store.everRead || now-c.store.lastRead >= c.config.RetryInterval {
+		c.readStore(now)
+	}
+	return false
+}
+
+// spread waits until all members hold an accepted change. After the window no
+// member that lacks it can serve.
+func (c *Core) spread(now Time, p *proposal) {
+	held, missing := c.holding(p.change.Revision)
+	if len(missing) == 0 {
+		c.finish(p, FateInForce, "")
+		return
+	}
+	if now-p.acceptedAt > c.config.Window {
+		c.finish(p, FateInForce, fmt.Sprintf("%d of %d members have not confirmed it; they cannot serve until they hold it",
+			len(missing), held+len(missing)))
+		return
+	}
+	if now >= p.nextPoll {
+		p.nextPoll = now + c.config.RetryInterval
+		for _, member := range missing[:min(len(missing), maximumPolled)] {
+			c.request(now, member.Address)
+		}
+	}
+}
+
+// maximumPolled bounds the requests of one poll of the members.
+const maximumPolled = 256
+
+// holding counts the alive members known to hold a revision, this node
+// included, and returns the others.
+func (c *Core) holding(revision uint64) (int, []Member) {
+	held := 0
+	if c.log.revision() >= revision {
+		held++
+	}
+	var missing []Member
+	for _, member := range c.members.alive {
+		if c.revisions[member.Name].Revision >= revision {
+			held++
+		} else {
+			missing = append(missing, member)
+		}
+	}
+	return held, missing
+}
+
+// expire ends a proposal at its deadline with what is known.
+func (c *Core) expire(p *proposal) {
+	switch {
+	case p.stage == stageSpread:
+		c.finish(p, FateAccepted, "not all members have confirmed it yet")
+	case p.stored:
+		c.finish(p, FateUnknown, "the store has it for good, but a majority of the voters have not confirmed it yet")
+	case p.uncertain || p.operation != 0:
+		c.finish(p, FateUnknown, "the store has not said whether it took the change"+reason(p))
+	case p.request.Settle:
+		c.finish(p, FateUnknown, "the store could not be asked")
+	default:
+		c.finish(p, FateNotAccepted, "it was not written in time"+reason(p))
+	}
+}
+
+func reason(p *proposal) string {
+	if p.lastErr == nil {
+		return ""
+	}
+	return ": " + p.lastErr.Error()
+}
+
+func (c *Core) finish(p *proposal, fate Fate, detail string) {
+	result := Result{Fate: fate, ChangeID: p.change.ID, Revision: c.log.revision(), Stored: p.stored, Detail: detail}
+	if p.stored {
+		result.Revision = p.change.Revision
+		var missing []Member
+		result.InForceOn, missing = c.holding(p.change.Revision)
+		result.Members = len(c.members.alive) + 1
+		for _, member := range missing {
+			result.Missing = append(result.Missing, member.Name)
+		}
+	}
+	p.result = &result
+}
+
+// refuse ends a proposal that the catalog does not admit.
+func (c *Core) refuse(p *proposal, cause error) {
+	c.finish(p, FateNotAccepted, cause.Error())
+	p.result.Refusal = cause
+}
--- /dev/null
+++ b/internal/dissemination/service_work.go
@@ -0,0 +1,108 @@
+package dissemination
+
+import (
+	"context"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+const (
+	storeTimeout      = 3 * time.Second
+	checkpointTimeout = 20 * time.Second
+	watchRetry        = time.Second
+)
+
+// startWork starts the calls that a step asked for. The mutex is held.
+func (s *Service) startWork(ready Ready) {
+	for _, operation := range ready.Store {
+		s.running.Add(1)
+		go s.operate(operation)
+	}
+	if ready.Fetch != nil {
+		s.running.Add(1)
+		go s.fetch(*ready.Fetch)
+	}
+	switch {
+	case ready.Watch && s.watching == nil:
+		ctx, cancel := context.WithCancel(s.life)
+		s.watching = cancel
+		s.running.Add(1)
+		go s.watch(ctx)
+	case !ready.Watch && s.watching != nil:
+		s.watching()
+		s.watching = nil
+	}
+}
+
+func (s *Service) fetch(fetch Fetch) {
+	defer s.running.Done()
+	ctx, cancel := context.WithTimeout(s.life, s.options.Config.FetchTimeout)
+	defer cancel()
+	reply, err := s.options.Transport.Fetch(ctx, fetch.To, &FetchCall{Revision: fetch.Request.Revision})
+	var response *FetchResponse
+	if err == nil {
+		response, err = decodeFetchReply(reply)
+	}
+	s.metrics.fetches.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
+		response = nil
+	}
+	s.do(func(now Time) { s.core.StepFetched(now, response) })
+}
+
+func (s *Service) operate(operation StoreOperation) {
+	defer s.running.Done()
+	timeout := storeTimeout
+	if operation.LoadCheckpoint || operation.SaveCheckpoint != nil {
+		timeout = checkpointTimeout
+	}
+	ctx, cancel := context.WithTimeout(s.life, timeout)
+	defer cancel()
+	kind, result := s.callStore(ctx, operation)
+	result.ID = operation.ID
+	s.metrics.store.WithLabelValues(kind, outcome(result.Err)).Inc()
+	s.do(func(now Time) { s.core.StepStore(now, result) })
+}
+
+func (s *Service) callStore(ctx context.Context, operation StoreOperation) (kind string, result StoreResult) {
+	store := s.options.Store
+	switch {
+	case operation.Read != nil:
+		kind = "read"
+		result.Changes, result.More, result.Err = store.ReadChanges(ctx, operation.Read.From, operation.Read.Limit)
+	case operation.Create != nil:
+		kind = "create"
+		result.Created, result.Existing, result.Err = store.CreateChange(ctx, *operation.Create)
+		result.MaybeApplied = result.Err != nil && store.MaybeApplied(result.Err)
+	case operation.LoadCheckpoint:
+		kind = "load_checkpoint"
+		result.Checkpoint, result.Err = store.LoadCheckpoint(ctx)
+	case operation.SaveCheckpoint != nil:
+		kind = "save_checkpoint"
+		result.Err = store.SaveCheckpoint(ctx, operation.SaveCheckpoint.Catalog, operation.SaveCheckpoint.Keep)
+	}
+	return kind, result
+}
+
+// watch keeps a watch of the store open until ctx ends.
+func (s *Service) watch(ctx context.Context) {
+	defer s.running.Done()
+	for ctx.Err() == nil {
+		err := s.options.Store.WatchChanges(ctx, func(changes []catalog.Change) {
+			s.do(func(now Time) { s.core.StepWatched(now, changes) })
+		})
+		s.metrics.store.WithLabelValues("watch", outcome(err)).Inc()
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+}
+
+func outcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "done"
+}
--- /dev/null
+++ b/internal/dissemination/storesync.go
@@ -0,0 +1,266 @@
+package dissemination
+
+import (
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// StoreOperation is one call to the store: exactly one of the pointers and
+// flags besides ID is set. The driver bounds its time and reports its end by
+// StepStore with the same ID.
+type StoreOperation struct {
+	ID uint64
+	// Read asks for the changes from a revision on, in order, at most Limit.
+	Read *StoreRead
+	// Create writes a change under the key of its revision, if that key does
+	// not exist.
+	Create *catalog.Change
+	// LoadCheckpoint asks for the newest whole checkpoint.
+	LoadCheckpoint bool
+	// SaveCheckpoint writes a checkpoint unless it is there, and deletes what
+	// lies before Keep once the checkpoint has been read back whole.
+	SaveCheckpoint *SaveCheckpoint
+}
+
+// StoreRead is a linearizable read of the log.
+type StoreRead struct {
+	From  uint64
+	Limit int
+}
+
+// SaveCheckpoint is a checkpoint to be written.
+type SaveCheckpoint struct {
+	Catalog *catalog.Catalog
+	// Keep is the first revision to be left in the store; 0 deletes nothing.
+	Keep uint64
+}
+
+// StoreResult is the end of a StoreOperation.
+type StoreResult struct {
+	ID uint64
+	// Err is set if the operation failed; MaybeApplied then says that a write
+	// may have taken effect all the same.
+	Err          error
+	MaybeApplied bool
+	// Changes and More are the result of a read; More says that it was cut
+	// short by its limit.
+	Changes []catalog.Change
+	More    bool
+	// Created is the result of a create; Existing is the change that was there.
+	Created  bool
+	Existing *catalog.Change
+	// Checkpoint is the result of a load, nil if there is none.
+	Checkpoint *catalog.Catalog
+}
+
+type pendingOperation struct {
+	sentAt   Time
+	kind     operationKind
+	held     uint64 // revision held when a read was sent
+	proposal ProposalID
+}
+
+type operationKind byte
+
+const (
+	operationRead operationKind = iota
+	operationCreate
+	operationLoad
+	operationSave
+)
+
+// storeState is what the node knows of the store.
+type storeState struct {
+	lastID     uint64
+	operations map[uint64]pendingOperation
+	reading    bool
+	loading    bool
+	nextRead   Time
+	everRead   bool
+	lastRead   Time
+	failures   int
+	// answered is when the last successful read was sent.
+	answered   bool
+	answeredAt Time
+	// diverged says that the store does not have a change that this node holds.
+	diverged bool
+	// checkpoint waits to be saved at checkpointDue.
+	checkpoint    *catalog.Catalog
+	checkpointDue Time
+}
+
+// checkpointDelay is the mean time between the turns of the watchers to write a
+// checkpoint.
+const checkpointDelay = 2 * time.Second
+
+// StoreDiverged says that the store lacks a change that this node holds: it
+// was emptied, or is another store.
+func (c *Core) StoreDiverged() bool { return c.store.diverged }
+
+func (c *Core) operate(pending pendingOperation, operation StoreOperation) {
+	c.store.lastID++
+	operation.ID = c.store.lastID
+	c.store.operations[operation.ID] = pending
+	c.ready.Store = append(c.ready.Store, operation)
+}
+
+func (c *Core) tickStore(now Time) {
+	if now >= c.store.nextRead && c.readsStore(now) {
+		c.readStore(now)
+	}
+	if c.store.checkpoint != nil && now >= c.store.checkpointDue {
+		c.saveCheckpoint(now)
+	}
+}
+
+// readsStore says whether this node should read the store itself: as a watcher
+// of its zone, or because no one else confirms it.
+func (c *Core) readsStore(now Time) bool {
+	if c.watcher() {
+		return true
+	}
+	if !c.confirmed {
+		return now-c.startedAt > c.config.Window/4
+	}
+	return now-c.confirmedAt > c.config.Window/2
+}
+
+// readStore reads what follows the log. The read starts with the change that
+// is held, so that a store that lacks it is noticed.
+func (c *Core) readStore(now Time) {
+	if c.store.reading {
+		return
+	}
+	c.store.reading, c.store.everRead, c.store.lastRead = true, true, now
+	c.store.nextRead = now + c.readInterval()
+	held := c.log.revision()
+	c.operate(pendingOperation{sentAt: now, kind: operationRead, held: held},
+		StoreOperation{Read: &StoreRead{From: max(held, 1), Limit: c.config.ReadLimit}})
+}
+
+// readInterval doubles with each failure and has a jitter of a quarter, so
+// that many nodes without another source do not ask at once.
+func (c *Core) readInterval() Time {
+	interval := c.config.StoreInterval << min(c.store.failures, 8)
+	if !c.watcher() {
+		interval *= 2
+	}
+	interval = min(interval, c.config.StoreBackoff)
+	return interval - interval/8 + Time(c.random.Int64N(int64(interval)/4+1))
+}
+
+// StepStore takes the end of a store operation in.
+func (c *Core) StepStore(now Time, result StoreResult) {
+	pending, ok := c.store.operations[result.ID]
+	if !ok {
+		return
+	}
+	delete(c.store.operations, result.ID)
+	switch pending.kind {
+	case operationRead:
+		c.takeRead(now, pending, result)
+	case operationCreate:
+		c.takeCreate(now, pending.proposal, result.ID, result)
+	case operationLoad:
+		c.store.loading = false
+		if result.Err == nil && c.replace(result.Checkpoint) {
+			c.installed(now)
+			c.store.nextRead = now
+		}
+	}
+	c.driveProposals(now)
+}
+
+// StepWatched takes changes in that a watch of the store delivered. They are
+// news, not evidence: a watch may lag.
+func (c *Core) StepWatched(now Time, changes []catalog.Change) {
+	c.takeFromStore(now, changes)
+	if len(changes) > 0 && changes[len(changes)-1].Revision > c.log.revision() {
+		c.store.nextRead = now
+	}
+	c.driveProposals(now)
+}
+
+func (c *Core) takeRead(now Time, pending pendingOperation, result StoreResult) {
+	c.store.reading = false
+	if result.Err != nil {
+		c.store.failures++
+		return
+	}
+	c.store.failures = 0
+	c.store.diverged = !c.agrees(pending.held, result.Changes)
+	if c.store.diverged {
+		return
+	}
+	c.takeFromStore(now, result.Changes)
+	last := uint64(0)
+	if len(result.Changes) > 0 {
+		last = result.Changes[len(result.Changes)-1].Revision
+	}
+	switch {
+	case last > c.log.revision() && c.log.broken == nil:
+		c.loadCheckpoint(now)
+	case result.More && c.log.broken == nil:
+		c.store.nextRead = now
+	case last <= c.log.revision():
+		c.store.answered, c.store.answeredAt = true, max(pending.sentAt, c.store.answeredAt)
+		c.advance(pending.sentAt)
+		c.reconfirm(now)
+	}
+}
+
+// agrees says whether a read fits the log: it contains the change that was held
+// when the read was sent, and no other under a revision that is held.
+func (c *Core) agrees(held uint64, changes []catalog.Change) bool {
+	if len(changes) == 0 {
+		return held == 0
+	}
+	for _, change := range changes {
+		if id, ok := c.log.idAt(change.Revision); ok && id != change.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) takeFromStore(now Time, changes []catalog.Change) {
+	installed := c.log.append(changes)
+	if len(installed) == 0 {
+		return
+	}
+	c.planCheckpoint(now)
+	c.installed(now)
+	c.handOn(installed)
+}
+
+// loadCheckpoint asks the store for a checkpoint, after a gap in the log.
+func (c *Core) loadCheckpoint(now Time) {
+	if c.store.loading {
+		return
+	}
+	c.store.loading = true
+	c.operate(pendingOperation{sentAt: now, kind: operationLoad}, StoreOperation{LoadCheckpoint: true})
+}
+
+// planCheckpoint lets the watchers write a checkpoint. Each waits for a random
+// time, so that most find it written.
+func (c *Core) planCheckpoint(now Time) {
+	passed := c.log.checkpoint
+	c.log.checkpoint = nil
+	if passed == nil || !c.watcher() {
+		return
+	}
+	watchers := len(c.members.roots) + c.config.WatchersPerZone
+	c.store.checkpoint = passed
+	c.store.checkpointDue = now + Time(c.random.Int64N(int64(watchers)*int64(checkpointDelay)))
+}
+
+func (c *Core) saveCheckpoint(now Time) {
+	save := &SaveCheckpoint{Catalog: c.store.checkpoint}
+	c.store.checkpoint = nil
+	if save.Catalog.Revision > c.config.RetainedInStore {
+		save.Keep = save.Catalog.Revision - c.config.RetainedInStore + 1
+	}
+	c.operate(pendingOperation{sentAt: now, kind: operationSave}, StoreOperation{SaveCheckpoint: save})
+}
--- /dev/null
+++ b/internal/dissemination/write.go
@@ -0,0 +1,262 @@
+package dissemination
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// ConflictError refuses a change whose condition on the revision does not hold.
+type ConflictError struct {
+	Wanted   uint64
+	Revision uint64
+}
+
+// Error names both revisions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the catalog is at revision %d, not %d", e.Revision, e.Wanted)
+}
+
+// MemberError refuses a voter that is no alive member: it could not confirm
+// anything, and no other voter could be added after it.
+type MemberError struct {
+	Name string
+}
+
+// Error names the member.
+func (e *MemberError) Error() string {
+	return fmt.Sprintf("there is no alive member %q that could vote", e.Name)
+}
+
+// maximumPushedTo is up to how many members the proposer pushes a change to
+// itself; beyond it the change spreads from member to member.
+const maximumPushedTo = 64
+
+// prepare validates the change against the catalog as it is now.
+func (c *Core) prepare(now Time, p *proposal) {
+	if p.request.Settle {
+		c.settleByID(now, p)
+		return
+	}
+	if applied, ok := c.appliedToken(p.token); ok {
+		p.change.ID, p.change.Revision, p.stored = applied.ID, applied.Revision, true
+		p.beginConfirm()
+		return
+	}
+	if now < p.nextCreate {
+		return
+	}
+	p.uncertain, p.operation = false, 0
+	revision := c.log.revision()
+	p.change = catalog.Change{
+		Revision: revision + 1,
+		ID:       ChangeID(revision+1, p.token),
+		Operator: p.request.Operator,
+		At:       p.request.At.UTC().Round(0),
+		Command:  p.request.Command,
+	}
+	if refusal := c.check(p); refusal != nil {
+		if c.refreshed(now, p) {
+			c.refuse(p, refusal)
+		}
+		return
+	}
+	switch {
+	case p.request.DryRun:
+		if c.refreshed(now, p) {
+			c.finish(p, FateDryRun, "")
+		}
+	case c.changesVoters(p) && !c.omit.voterGuard:
+		p.stage, p.acceptance = stageGuard, acceptance{revision: revision}
+	default:
+		p.stage = stageCreate
+	}
+}
+
+// check returns why the catalog does not admit the change, or nil.
+func (c *Core) check(p *proposal) error {
+	if wanted := p.request.IfRevision; wanted != nil && *wanted != c.log.revision() {
+		return &ConflictError{Wanted: *wanted, Revision: c.log.revision()}
+	}
+	if _, err := catalog.Apply(c.log.catalog, p.change); err != nil {
+		return err
+	}
+	if add := p.change.Command.AddVoter; add != nil && !c.alive(add.Voter.Name) {
+		return &MemberError{Name: add.Voter.Name}
+	}
+	return nil
+}
+
+func (c *Core) alive(name string) bool {
+	return name == c.self.Name || c.members.byName[name].Alive
+}
+
+func (c *Core) changesVoters(p *proposal) bool {
+	return p.change.Command.AddVoter != nil || p.change.Command.RemoveVoter != nil
+}
+
+// appliedToken finds an earlier change with the same token.
+func (c *Core) appliedToken(token string) (catalog.AppliedChange, bool) {
+	recent := c.log.catalog.Recent
+	for i := len(recent) - 1; i >= 0; i-- {
+		if strings.HasSuffix(recent[i].ID, "-"+token) {
+			return recent[i], true
+		}
+	}
+	return catalog.AppliedChange{}, false
+}
+
+// guard lets a voter change be written only once a majority of the voters hold
+// the log that it follows. So no two voter changes are ever under way, and the
+// majorities of a set and of the next one always share a voter.
+func (c *Core) guard(now Time, p *proposal) {
+	if c.log.revision()+1 != p.change.Revision {
+		p.stage = stagePrepare
+		return
+	}
+	if c.pollAcceptance(now, &p.acceptance) {
+		p.stage = stageCreate
+	}
+}
+
+// create writes the change, again if its fate is not known, until the key of
+// its revision is held.
+func (c *Core) create(now Time, p *proposal) {
+	if c.log.revision() >= p.change.Revision {
+		c.meetLog(now, p)
+		return
+	}
+	if p.operation != 0 || now < p.nextCreate {
+		return
+	}
+	change := p.change
+	c.operate(pendingOperation{sentAt: now, kind: operationCreate, proposal: p.id}, StoreOperation{Create: &change})
+	p.operation = c.store.lastID
+}
+
+// meetLog compares the change with the one that the log has at its revision.
+func (c *Core) meetLog(now Time, p *proposal) {
+	id, known := c.log.idAt(p.change.Revision)
+	switch {
+	case !known:
+		p.uncertain = true
+		c.finish(p, FateUnknown, "the log has moved on too far to tell")
+	case id == p.change.ID:
+		c.becomeStored(now, p)
+	default:
+		c.lose(now, p)
+	}
+}
+
+// takeCreate takes the end of a create in.
+func (c *Core) takeCreate(now Time, id ProposalID, operation uint64, result StoreResult) {
+	p := c.findProposal(id, operation)
+	if p == nil {
+		return
+	}
+	p.operation = 0
+	switch {
+	case result.Err != nil:
+		c.createFailed(now, p, result)
+	case result.Created || (result.Existing != nil && result.Existing.ID == p.change.ID):
+		c.becomeStored(now, p)
+	case result.Existing != nil:
+		c.takeFromStore(now, []catalog.Change{*result.Existing})
+		c.lose(now, p)
+	}
+}
+
+func (c *Core) findProposal(id ProposalID, operation uint64) *proposal {
+	for _, p := range c.proposals {
+		if p.id == id && p.operation == operation {
+			return p
+		}
+	}
+	return nil
+}
+
+func (c *Core) createFailed(now Time, p *proposal, result StoreResult) {
+	p.lastErr = result.Err
+	p.failures++
+	p.nextCreate = now + c.backoff(p.failures)
+	if c.omit.readBack {
+		c.finish(p, FateNotAccepted, "the write failed")
+		return
+	}
+	p.uncertain = p.uncertain || result.MaybeApplied
+}
+
+func (c *Core) backoff(failures int) Time {
+	wait := c.config.RetryInterval << min(failures, 4)
+	return wait/2 + Time(c.random.Int64N(int64(wait)))
+}
+
+// lose notes that another change holds the revision, so that this one never
+// takes effect there, and starts over.
+func (c *Core) lose(now Time, p *proposal) {
+	p.uncertain, p.operation = false, 0
+	p.stage = stagePrepare
+	p.startedAt = now
+	p.nextCreate = now + Time(c.random.Int64N(int64(c.config.RetryInterval/4)))
+	if c.log.revision() < p.change.Revision {
+		c.readStore(now)
+		p.nextCreate = now + c.config.RetryInterval
+	}
+}
+
+// becomeStored installs the change here and hands it to the others.
+func (c *Core) becomeStored(now Time, p *proposal) {
+	p.stored, p.uncertain, p.operation = true, false, 0
+	changes := []catalog.Change{p.change}
+	if len(c.log.append(changes)) > 0 {
+		c.planCheckpoint(now)
+		c.installed(now)
+	}
+	if len(c.members.alive) <= maximumPushedTo {
+		for _, member := range c.members.alive {
+			c.push(member.Address, changes)
+		}
+	} else {
+		c.pushToVoters(changes)
+		c.handOn(changes)
+	}
+	p.beginConfirm()
+}
+
+func (c *Core) pushToVoters(changes []catalog.Change) {
+	for _, name := range c.log.catalog.VoterNames() {
+		if member, ok := c.members.byName[name]; ok {
+			c.push(member.Address, changes)
+		}
+	}
+}
+
+func (p *proposal) beginConfirm() {
+	p.stage = stageConfirm
+	p.acceptance = acceptance{revision: p.change.Revision}
+}
+
+// settleByID finds the change that an id names.
+func (c *Core) settleByID(now Time, p *proposal) {
+	revision, _, err := ParseChangeID(p.change.ID)
+	if err != nil {
+		c.refuse(p, err)
+		return
+	}
+	if c.log.revision() < revision {
+		if c.refreshed(now, p) {
+			c.finish(p, FateUnknown, fmt.Sprintf("no change has taken revision %d yet", revision))
+		}
+		return
+	}
+	switch id, known := c.log.idAt(revision); {
+	case !known:
+		c.finish(p, FateUnknown, fmt.Sprintf("revision %d is not remembered any more", revision))
+	case id == p.change.ID:
+		p.change.Revision, p.stored = revision, true
+		p.beginConfirm()
+	default:
+		c.finish(p, FateNotAccepted, fmt.Sprintf("revision %d is held by change %s", revision, id))
+	}
+}
