dispatch: less urgent work takes only slots that others leave free

Priorities held within a node, but a node without urgent work kept sending other work to leaves for which other nodes had urgent work waiting, and their limits converged to unequal shares.

Now work of priority 2 and below is sent only if own attempts and the estimated ones of other nodes leave a slot free. Urgent work keeps the leaf's queue from running empty, so that the others see no free slot. Admission predicts the wait of a priority from the rate at which its work was sent lately, instead of the capacity of the leaf.

--- a/internal/decide/dispatch/admit.go
+++ b/internal/decide/dispatch/admit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/admission"
@@ -27,23 +28,53 @@
 }
 
 // predictWait returns the time in seconds until new work of the priority gets
-// a slot of the group: the work that goes before it, over the rate at which
-// the leaves of the group do the work of this node.
+// a slot of the group: for each priority that goes first, the work that waits
+// for the leaves of the group over the rate at which such work is sent there.
 func (d *Dispatcher) predictWait(g *group, priority int) float64 {
-	work, rate := 0.0, 0.0
-	for _, l := range g.leaves {
-		if !l.takesWork() || l.held(d.now) {
-			continue
+	longest := 0.0
+	for index := range priorityIndex(priority) + 1 {
+		work, rate, capacity := 0.0, 0.0, 0.0
+		for _, l := range g.leaves {
+			if !l.takesWork() || l.held(d.now) {
+				continue
+			}
+			work += l.waiting[index]
+			rate += l.sent[index].rate(d.now)
+			capacity += float64(l.limiter.Current()) / d.slowness(l)
+		}
+		if rate = max(rate, capacity*leastShare); work > 0 && rate > 0 {
+			longest = max(longest, work/rate)
 		}
-		work += l.waiting.upTo(priority)
-		rate += float64(l.limiter.Current()) / d.slowness(l)
-	}
-	if work == 0 || rate == 0 {
-		return 0
 	}
-	return work / rate
+	return longest
 }
 
+// leastShare is the share of the capacity that work of any priority is
+// assumed to get at least.
+const leastShare = 0.05
+
 func seconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Second))
 }
+
+// meter measures the rate of work sent, in seconds of work a second. Work
+// fades with the time constant meterMemory.
+type meter struct {
+	sum float64
+	at  Time
+}
+
+const meterMemory = 500 * time.Millisecond
+
+func (m *meter) add(now Time, work float64) {
+	m.sum = m.faded(now) + work
+	m.at = now
+}
+
+func (m *meter) faded(now Time) float64 {
+	return m.sum * math.Exp(-float64(now-m.at)/float64(meterMemory))
+}
+
+func (m *meter) rate(now Time) float64 {
+	return m.faded(now) / meterMemory.Seconds()
+}
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -45,6 +45,7 @@
 	heldUntil Time
 	lastSent  Time
 	waiting   priorityWork
+	sent      [priorities]meter
 
 	others, othersMean float64
 	othersAt           Time
@@ -192,19 +193,37 @@
 	return l.speed.Slowness(overdue)
 }
 
-// candidate describes the leaf for the choice of a replica.
-func (d *Dispatcher) candidate(l *leafState) replica.Candidate {
+// candidate describes the leaf for the choice of a replica for work of the
+// priority.
+func (d *Dispatcher) candidate(l *leafState, priority int) replica.Candidate {
+	others := l.estimateOthers(d.now)
 	return replica.Candidate{
 		InFlight: len(l.running),
-		Others:   l.estimateOthers(d.now),
+		Others:   others,
 		Slots:    l.slots,
-		Limit:    l.limiter.Current(),
+		Limit:    d.limitFor(l, priority, others),
 		Slowness: d.slowness(l),
 		Latency:  l.latency,
 		Near:     l.near,
 	}
 }
 
+// limitFor returns how many attempts may be in flight on the leaf when one of
+// the priority is sent. The most urgent work may fill the limit. Other work
+// only takes slots that are thought to be free of the work of other nodes, so
+// that it makes room for the urgent work of all nodes.
+func (d *Dispatcher) limitFor(l *leafState, priority int, others float64) int {
+	limit := l.limiter.Current()
+	if priority <= 1 || d.config.Limit.Disabled {
+		return limit
+	}
+	return min(limit, int(float64(l.slots)-others+freeSlotTolerance))
+}
+
+// freeSlotTolerance is how much of a slot others may be thought to use before
+// it does not count as free.
+const freeSlotTolerance = 0.5
+
 // LeafStates describes all leaves of the topology, in its order.
 func (d *Dispatcher) LeafStates() []LeafState {
 	states := make([]LeafState, 0, len(d.leaves))
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -107,9 +107,9 @@
 	if shard.group == nil {
 		return nil, choiceNone
 	}
-	verdict := d.collect(shard, shard.tried)
+	verdict := d.collect(shard, q.Class.Priority, shard.tried)
 	if verdict == choiceNone && shard.tried != 0 {
-		verdict = d.collect(shard, 0)
+		verdict = d.collect(shard, q.Class.Priority, 0)
 	}
 	if verdict != choiceSend {
 		return nil, verdict
@@ -121,14 +121,14 @@
 	work := replica.Work{Base: q.class.base, Mean: d.meanWork, Ahead: ahead}
 	index := replica.Choose(d.config.Policy, d.random, d.candidates, work)
 	chosen := d.candidateLeaves[index]
-	if chosen.full() {
+	if d.candidates[index].Full() {
 		return nil, choiceHeld
 	}
 	return chosen, choiceSend
 }
 
 // collect fills the candidates for a shard, without the excluded replicas.
-func (d *Dispatcher) collect(shard *shardState, excluded uint32) choice {
+func (d *Dispatcher) collect(shard *shardState, priority int, excluded uint32) choice {
 	d.candidates = d.candidates[:0]
 	d.candidateLeaves = d.candidateLeaves[:0]
 	verdict := choiceNone
@@ -141,7 +141,7 @@
 			continue
 		}
 		verdict = choiceSend
-		d.candidates = append(d.candidates, d.candidate(l))
+		d.candidates = append(d.candidates, d.candidate(l, priority))
 		d.candidateLeaves = append(d.candidateLeaves, l)
 	}
 	return verdict
@@ -181,6 +181,7 @@
 	entry.running = int32(len(l.running))
 	l.running = append(l.running, slot)
 	l.lastSent = d.now
+	l.sent[priorityIndex(q.Class.Priority)].add(d.now, q.class.base)
 	shard.first = slot
 	shard.status = shardInFlight
 	shard.sends++
--- a/internal/decide/dispatch/waiting.go
+++ b/internal/decide/dispatch/waiting.go
@@ -11,15 +11,6 @@
 	return min(max(priority, 1), priorities) - 1
 }
 
-// upTo returns the work that goes before new work of the priority.
-func (w *priorityWork) upTo(priority int) float64 {
-	sum := 0.0
-	for index := 0; index <= priorityIndex(priority); index++ {
-		sum += w[index]
-	}
-	return sum
-}
-
 // enqueue lets the shard wait for the leaves of its group.
 func (d *Dispatcher) enqueue(q *query, position int32) {
 	shard := &q.shards[position]
