Add micactl

The program reads arguments; package operator does the work: statements with their fate, apply with a difference against the catalog, status, watch, drain and queries, as tables or JSON.

A change is sent under a token of the client's own, so that it may go to the next node after a lost answer and still take effect at most once. A refusal by the next node is then not final, since the node before may still make the change: the fate is given as unknown, with the id to ask by. A query is sent to the next node only if no connection could be made.

--- /dev/null
+++ b/cmd/micactl/commands.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/language"
+	"github.com/micaplank/micaplank/internal/operator"
+)
+
+// defaultWatchInterval is the time between two states of watch.
+const defaultWatchInterval = 2 * time.Second
+
+// standardInput is the file name that stands for the standard input.
+const standardInput = "-"
+
+func newCommand(name, description string) *flaggy.Subcommand {
+	subcommand := flaggy.NewSubcommand(name)
+	subcommand.Description = description
+	return subcommand
+}
+
+// readText reads a file or the standard input.
+func readText(name string) (string, error) {
+	var reader io.Reader = os.Stdin
+	if name != standardInput {
+		file, err := os.Open(name)
+		if err != nil {
+			return "", err
+		}
+		defer file.Close()
+		reader = file
+	}
+	text, err := io.ReadAll(io.LimitReader(reader, language.MaximumFile+1))
+	return string(text), err
+}
+
+// sourceName names a text in errors.
+func sourceName(file string) string {
+	if file == standardInput {
+		return "standard input"
+	}
+	return file
+}
+
+type execCommand struct {
+	statement string
+	file      string
+	dryRun    bool
+	changeID  string
+}
+
+func (c *execCommand) attach() *flaggy.Subcommand {
+	subcommand := newCommand("exec", "Run statements and wait until each change is in force.")
+	subcommand.AddPositionalValue(&c.statement, "STATEMENT", 1, false, "The statements, separated by semicolons. Default: standard input.")
+	subcommand.String(&c.file, "f", "file", "Read the statements from this file; - is standard input.")
+	subcommand.Bool(&c.dryRun, "d", "dry-run", "Ask only whether the changes would be valid.")
+	subcommand.String(&c.changeID, "", "change-id", "Make the change under this id: it takes effect at most once.")
+	return subcommand
+}
+
+func (c *execCommand) run(ctx context.Context, session *operator.Session) error {
+	options := operator.ExecOptions{Source: "statement", DryRun: c.dryRun, ChangeID: c.changeID}
+	if c.statement != "" && c.file != "" {
+		return &operator.UsageError{Message: "give a statement or --file, not both"}
+	}
+	if c.statement != "" {
+		return session.Exec(ctx, c.statement, options)
+	}
+	if c.file == "" {
+		c.file = standardInput
+	}
+	text, err := readText(c.file)
+	if err != nil {
+		return err
+	}
+	options.Source = sourceName(c.file)
+	return session.Exec(ctx, text, options)
+}
+
+type applyCommand struct {
+	file   string
+	dryRun bool
+}
+
+func (c *applyCommand) attach() *flaggy.Subcommand {
+	subcommand := newCommand("apply", "Show what a file of changes would change, and make the changes that are not yet so.")
+	subcommand.AddPositionalValue(&c.file, "FILE", 1, true, "The file; - is standard input.")
+	subcommand.Bool(&c.dryRun, "d", "dry-run", "Only show the difference.")
+	return subcommand
+}
+
+func (c *applyCommand) run(ctx context.Context, session *operator.Session) error {
+	text, err := readText(c.file)
+	if err != nil {
+		return err
+	}
+	return session.Apply(ctx, sourceName(c.file), text, c.dryRun)
+}
+
+type showCommand struct {
+	words [3]string
+}
+
+func (c *showCommand) attach() *flaggy.Subcommand {
+	subcommand := newCommand("show", "Show services, leaves [of SERVICE], classes [of SERVICE], changes, voters or nodes.")
+	subcommand.AddPositionalValue(&c.words[0], "SUBJECT", 1, true, "What to show.")
+	subcommand.AddPositionalValue(&c.words[1], "of", 2, false, "The word \"of\".")
+	subcommand.AddPositionalValue(&c.words[2], "SERVICE", 3, false, "Of which service.")
+	return subcommand
+}
+
+func (c *showCommand) run(ctx context.Context, session *operator.Session) error {
+	text := "show " + strings.TrimSpace(strings.Join(c.words[:], " "))
+	return session.Exec(ctx, text, operator.ExecOptions{Source: "statement"})
+}
+
+type statusCommand struct{}
+
+func (c *statusCommand) attach() *flaggy.Subcommand {
+	return newCommand("status", "Show nodes, services and leaves, and where the newest revision is in force.")
+}
+
+func (c *statusCommand) run(ctx context.Context, session *operator.Session) error {
+	return session.Status(ctx)
+}
+
+type watchCommand struct {
+	interval time.Duration
+	count    int
+}
+
+func (c *watchCommand) attach() *flaggy.Subcommand {
+	subcommand := newCommand("watch", "Show the status again and again.")
+	subcommand.Duration(&c.interval, "i", "interval", "Time between two.")
+	subcommand.Int(&c.count, "c", "count", "How many times; 0 until interrupted.")
+	return subcommand
+}
+
+func (c *watchCommand) run(ctx context.Context, session *operator.Session) error {
+	return session.Watch(ctx, c.interval, c.count)
+}
+
+type changeCommand struct {
+	id string
+}
+
+func (c *changeCommand) attach() *flaggy.Subcommand {
+	subcommand := newCommand("change", "Ask for the fate of an earlier change.")
+	subcommand.AddPositionalValue(&c.id, "ID", 1, true, "The id of the change.")
+	return subcommand
+}
+
+func (c *changeCommand) run(ctx context.Context, session *operator.Session) error {
+	return session.Change(ctx, c.id)
+}
+
+type drainCommand struct {
+	node string
+}
+
+func (c *drainCommand) attach() *flaggy.Subcommand {
+	subcommand := newCommand("drain", "Stop a node as planned: it takes no new work and finishes what is in flight.")
+	subcommand.AddPositionalValue(&c.node, "NODE", 1, true, "The name of the node.")
+	return subcommand
+}
+
+func (c *drainCommand) run(ctx context.Context, session *operator.Session) error {
+	return session.Drain(ctx, c.node)
+}
+
+type queryCommand struct {
+	service  string
+	request  api.QueryRequest
+	deadline time.Duration
+	coverage float64
+}
+
+// classCoverage stands for the coverage of the class.
+const classCoverage = -1
+
+func (c *queryCommand) attach() *flaggy.Subcommand {
+	c.coverage = classCoverage
+	subcommand := newCommand("query", "Run a select or insert on a service.")
+	subcommand.AddPositionalValue(&c.service, "SERVICE", 1, true, "The service.")
+	subcommand.AddPositionalValue(&c.request.Statement, "STATEMENT", 2, true, "The select or insert.")
+	subcommand.String(&c.request.Class, "c", "class", "The class of the request.")
+	subcommand.Duration(&c.deadline, "", "deadline", "How long the caller waits; 0s is the deadline of the class.")
+	subcommand.Float64(&c.coverage, "", "minimum-coverage", "Least share of shards, from 0 to 1; -1 is that of the class.")
+	subcommand.String(&c.request.RequestID, "", "request-id", "The id of the request. Default: a new one.")
+	return subcommand
+}
+
+func (c *queryCommand) run(ctx context.Context, session *operator.Session) error {
+	if c.request.Class == "" {
+		return &operator.UsageError{Message: "name the class with --class"}
+	}
+	c.request.DeadlineMilliseconds = c.deadline.Milliseconds()
+	if c.coverage != classCoverage {
+		c.request.MinimumCoverage = &c.coverage
+	}
+	return session.Query(ctx, c.service, c.request)
+}
--- /dev/null
+++ b/cmd/micactl/main_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// runVariable makes the test binary run as the program.
+const runVariable = "MICACTL_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runVariable) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// runProgram runs the program and returns its output and exit code.
+func runProgram(t *testing.T, input string, arguments ...string) string {
+	t.Helper()
+	command := exec.Command(os.Args[0], arguments...)
+	command.Env = []string{runVariable + "=1", "USER=mori"}
+	command.Stdin = strings.NewReader(input)
+	output, err := command.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("$ micactl %s\n%sexit %d\n\n", strings.Join(arguments, " "), output, command.ProcessState.ExitCode())
+}
+
+func TestHelpGolden(t *testing.T) {
+	report := runProgram(t, "", "--help")
+	for _, candidate := range commands() {
+		report += runProgram(t, "", candidate.attach().Name, "--help")
+	}
+	goldie.New(t).Assert(t, "help", []byte(report))
+}
+
+func TestUsageGolden(t *testing.T) {
+	// Port 1 of this machine refuses connections.
+	cases := [][]string{
+		{"--version"},
+		{"bogus"},
+		{"apply"},
+		{"status", "--bogus"},
+		{"status", "--timeout", "soon"},
+		{"status", "--timeout", "0s"},
+		{"status", "--node", "localhost:7201"},
+		{"status", "--output", "xml"},
+		{"status", "--node", "127.0.0.1:1"},
+		{"query", "rate-desk", "select * from rate-desk"},
+		{"exec", "stop service x", "--file", "x"},
+		{"exec", "--file", "missing.mica"},
+		{"exec"},
+		{"show", "leaves", "from", "rate-desk"},
+		{"completion"},
+	}
+	var report strings.Builder
+	for _, arguments := range cases {
+		report.WriteString(runProgram(t, "stop servce x\n", arguments...))
+	}
+	goldie.New(t).Assert(t, "usage", []byte(report.String()))
+}
+
+func TestCompletionNamesTheCommands(t *testing.T) {
+	for _, shell := range []string{"bash", "zsh"} {
+		report := runProgram(t, "", "completion", shell)
+		for _, candidate := range commands() {
+			if name := candidate.attach().Name; !strings.Contains(report, name) {
+				t.Errorf("%s: no %s in the completion", shell, name)
+			}
+		}
+	}
+}
--- a/internal/api/problem.go
+++ b/internal/api/problem.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 )
@@ -124,12 +125,12 @@
 // Error returns the title, the place in the statement if there is one, and the
 // detail.
 func (p *Problem) Error() string {
-	text := p.Title
+	text := strings.TrimSuffix(p.Title, ".")
 	if p.Line > 0 {
-		text = fmt.Sprintf("%s Line %d, column %d.", text, p.Line, p.Column)
+		text += fmt.Sprintf(": line %d, column %d", p.Line, p.Column)
 	}
 	if p.Detail != "" {
-		text += " " + p.Detail
+		text += ": " + p.Detail
 	}
 	return text
 }
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,274 @@
+// Package operator is the client side of the operators' interface: what the
+// command line program micactl does once its arguments are read.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/samber/oops"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+const (
+	// connectTimeout bounds the dialling of one node.
+	connectTimeout = 2 * time.Second
+	// answerGrace is how much longer than the node's own timeout the client
+	// waits for the answer.
+	answerGrace = 2 * time.Second
+	// maximumAnswer bounds the size of an answer in bytes.
+	maximumAnswer = 256 << 20
+)
+
+// Client calls the HTTP interface of the nodes. It tries them in order, so
+// that one reachable node is enough. It is safe for concurrent use.
+type Client struct {
+	nodes    []netip.AddrPort
+	timeout  time.Duration
+	operator string
+	http     *http.Client
+}
+
+// NewClient returns a client of the nodes, of which there must be one or more.
+// The timeout bounds the wait of a node for one command; the operator's name
+// goes into the log of changes.
+func NewClient(nodes []netip.AddrPort, timeout time.Duration, operator string) *Client {
+	// Without kept connections the transport has none that the server may have
+	// closed, and so no reason to send a request twice by itself.
+	transport := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       (&net.Dialer{Timeout: connectTimeout}).DialContext,
+	}
+	return &Client{nodes: nodes, timeout: timeout, operator: operator, http: &http.Client{Transport: transport}}
+}
+
+// ParseNodes reads node addresses, each an IP address with a port; one text
+// may hold several, separated by commas.
+func ParseNodes(texts []string) ([]netip.AddrPort, error) {
+	var nodes []netip.AddrPort
+	for _, text := range strings.Split(strings.Join(texts, ","), ",") {
+		text = strings.TrimSpace(text)
+		if text == "" {
+			continue
+		}
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, usagef("%q is no node address: an IP address with a port is expected, such as 127.0.0.1:7201", text)
+		}
+		nodes = append(nodes, address)
+	}
+	if len(nodes) == 0 {
+		return nil, usagef("no node is named: use --node")
+	}
+	return nodes, nil
+}
+
+// NewToken returns a new token for a change or id for a request.
+func NewToken() string { return ulid.Make().String() }
+
+// Statement runs one statement. Under the same change id or token a change
+// takes effect at most once, so it is sent to the next node also after an
+// answer was lost. The node before may still be making the change then, so
+// that a refusal of the next one leaves the fate unknown.
+func (c *Client) Statement(ctx context.Context, statement, changeID string, dryRun bool) (*api.StatementResponse, error) {
+	request := api.StatementRequest{
+		Statement:           statement,
+		Operator:            c.operator,
+		ChangeID:            changeID,
+		TimeoutMilliseconds: c.timeout.Milliseconds(),
+		DryRun:              dryRun,
+	}
+	response := new(api.StatementResponse)
+	lost, err := c.send(ctx, call{method: http.MethodPost, path: api.StatementsPath, body: request, again: true}, response)
+	if lost == nil {
+		return response, err
+	}
+	if err != nil {
+		lost.Attempts = append(lost.Attempts, err)
+		return nil, lost
+	}
+	if response.Fate == api.FateNotAccepted {
+		response.Fate = api.FateUnknown
+		response.Detail = lost.Error() + "; " + response.Detail
+	}
+	return response, nil
+}
+
+// Change asks for the fate of an earlier change by its id. If only the token
+// of the id is known, it is completed from the changes that the catalog
+// remembers.
+func (c *Client) Change(ctx context.Context, id string) (*api.StatementResponse, error) {
+	if !strings.Contains(id, "-") {
+		current, err := c.Catalog(ctx)
+		if err != nil {
+			return nil, err
+		}
+		id, err = completeID(current, id)
+		if err != nil {
+			return nil, err
+		}
+	}
+	path := strings.Replace(api.ChangePath, "{id}", url.PathEscape(id), 1)
+	path += "?" + api.TimeoutParameter + "=" + strconv.FormatInt(c.timeout.Milliseconds(), 10)
+	response := new(api.StatementResponse)
+	err := c.call(ctx, call{method: http.MethodGet, path: path, again: true}, response)
+	return response, err
+}
+
+func completeID(current *catalog.Catalog, token string) (string, error) {
+	for _, applied := range current.Recent {
+		if strings.HasSuffix(applied.ID, "-"+token) {
+			return applied.ID, nil
+		}
+	}
+	return "", fmt.Errorf("no change with the token %s has taken effect up to revision %d; it may still do so", token, current.Revision)
+}
+
+// Status returns what one node knows of the deployment.
+func (c *Client) Status(ctx context.Context) (*api.StatusResponse, error) {
+	response := new(api.StatusResponse)
+	return response, c.call(ctx, call{method: http.MethodGet, path: api.StatusPath, again: true}, response)
+}
+
+// Catalog returns the catalog that one node holds.
+func (c *Client) Catalog(ctx context.Context) (*catalog.Catalog, error) {
+	var raw json.RawMessage
+	if err := c.call(ctx, call{method: http.MethodGet, path: api.CatalogPath, again: true}, &raw); err != nil {
+		return nil, err
+	}
+	return catalog.Decode(raw)
+}
+
+// Drain starts the planned stop of a node.
+func (c *Client) Drain(ctx context.Context, node string) (*api.DrainResponse, error) {
+	path := strings.Replace(api.DrainPath, "{name}", url.PathEscape(node), 1)
+	response := new(api.DrainResponse)
+	return response, c.call(ctx, call{method: http.MethodPost, path: path, again: true}, response)
+}
+
+// Query runs one query. It is sent to another node only if no connection to
+// the one before could be made.
+func (c *Client) Query(ctx context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
+	path := strings.Replace(api.QueryPath, "{service}", url.PathEscape(service), 1)
+	response := new(api.QueryResponse)
+	return response, c.call(ctx, call{method: http.MethodPost, path: path, body: request}, response)
+}
+
+// call is one request to whichever node can be reached.
+type call struct {
+	method string
+	path   string
+	body   any
+	// again allows the request to be sent to another node after it may have
+	// reached one.
+	again bool
+}
+
+func (c *Client) call(ctx context.Context, call call, target any) error {
+	_, err := c.send(ctx, call, target)
+	return err
+}
+
+// send makes the call. Besides the error of the last node it returns, if one
+// before it may have received the request, the error that says so.
+func (c *Client) send(ctx context.Context, call call, target any) (lost *UnreachableError, err error) {
+	failure := &UnreachableError{}
+	for _, node := range c.nodes {
+		err := c.callNode(ctx, node, call, target)
+		var problem *api.Problem
+		if err == nil || errors.As(err, &problem) {
+			return failure.ifSent(), err
+		}
+		sent := !isDialError(err)
+		failure.Sent = failure.Sent || sent
+		failure.Attempts = append(failure.Attempts, oops.In("operator").With("step", call.method+" "+call.path, "peer", node.String()).Wrapf(err, "node %s", node))
+		if ctx.Err() != nil || (sent && !call.again) {
+			break
+		}
+	}
+	return nil, failure
+}
+
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func (c *Client) callNode(ctx context.Context, node netip.AddrPort, call call, target any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+answerGrace)
+	defer cancel()
+	request, err := newRequest(ctx, node, call)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return withoutURL(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswer+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maximumAnswer {
+		return fmt.Errorf("the answer is larger than %d bytes", maximumAnswer)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return asProblem(response, body)
+	}
+	if err := json.Unmarshal(body, target); err != nil {
+		return fmt.Errorf("the answer is not understood: %w", err)
+	}
+	return nil
+}
+
+// withoutURL drops the method and URL that net/http puts before an error.
+func withoutURL(err error) error {
+	var wrapped *url.Error
+	if errors.As(err, &wrapped) {
+		return wrapped.Err
+	}
+	return err
+}
+
+func newRequest(ctx context.Context, node netip.AddrPort, call call) (*http.Request, error) {
+	var body io.Reader
+	if call.body != nil {
+		encoded, err := json.Marshal(call.body)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+node.String()+call.path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// asProblem reads a problem document. An error answer without one comes from
+// something that is no node.
+func asProblem(response *http.Response, body []byte) error {
+	problem := new(api.Problem)
+	isProblem := strings.HasPrefix(response.Header.Get("Content-Type"), api.ProblemContentType)
+	if isProblem && json.Unmarshal(body, problem) == nil && problem.Title != "" {
+		return problem
+	}
+	return fmt.Errorf("the answer has status %s and no problem document", response.Status)
+}
--- /dev/null
+++ b/internal/operator/exec.go
@@ -0,0 +1,175 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/language"
+)
+
+// StatementResult is the JSON form of the result of one statement.
+type StatementResult struct {
+	Statement string                 `json:"statement"`
+	Response  *api.StatementResponse `json:"response,omitempty"`
+	Error     string                 `json:"error,omitempty"`
+	Problem   *api.Problem           `json:"problem,omitempty"`
+}
+
+// ExecOptions are the options of Exec.
+type ExecOptions struct {
+	// Source names the text in errors.
+	Source string
+	// DryRun asks only whether each change would be valid now.
+	DryRun bool
+	// ChangeID is the id or token of the only change of the text; empty makes
+	// one up for each change.
+	ChangeID string
+}
+
+// Exec runs the statements of a text in order and stops at the first that
+// fails. The whole text is read first: a syntax error runs nothing.
+func (s *Session) Exec(ctx context.Context, text string, options ExecOptions) error {
+	statements, err := language.ParseFile(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", options.Source, err)
+	}
+	if len(statements) == 0 {
+		return usagef("%s: there is no statement", options.Source)
+	}
+	if options.ChangeID != "" && len(statements) != 1 {
+		return usagef("--change-id goes with one statement, not with %d", len(statements))
+	}
+	for _, located := range statements {
+		switch located.Statement.(type) {
+		case *language.Select, *language.Insert:
+			return usagef("%s: line %d: queries are run by \"micactl query\"", options.Source, located.Line)
+		}
+	}
+	for _, located := range statements {
+		if err := s.run(ctx, located.Statement, options); err != nil {
+			return statementError(options.Source, located, len(statements), err)
+		}
+	}
+	return nil
+}
+
+// statementError adds the place if there is more than one statement.
+func statementError(source string, located language.Located, count int, err error) error {
+	if count == 1 {
+		return err
+	}
+	return fmt.Errorf("%s: line %d: %s: %w", source, located.Line, located.Statement, err)
+}
+
+// run runs one statement and writes its result.
+func (s *Session) run(ctx context.Context, statement language.Statement, options ExecOptions) error {
+	_, isChange := statement.(*language.ChangeStatement)
+	token := options.ChangeID
+	if isChange && token == "" {
+		token = NewToken()
+	}
+	response, err := s.Client.Statement(ctx, statement.String(), token, options.DryRun)
+	if err != nil {
+		return s.report(statement, nil, lost(err, isChange && !options.DryRun, token))
+	}
+	return s.report(statement, response, fateError(response))
+}
+
+// lost turns the failure of a change that may have reached a node into one
+// that says how to find its fate out.
+func lost(err error, isChange bool, token string) error {
+	var unreachable *UnreachableError
+	if isChange && errors.As(err, &unreachable) && unreachable.Sent {
+		return &LostError{Token: token, Cause: err}
+	}
+	return err
+}
+
+// fateError returns the error that the fate of a change stands for.
+func fateError(response *api.StatementResponse) error {
+	if response.Kind != api.KindChange {
+		return nil
+	}
+	switch response.Fate {
+	case api.FateInForce, api.FateAccepted, api.FateDryRun:
+		return nil
+	default:
+		return &FateError{Fate: response.Fate, ChangeID: response.ChangeID, Detail: response.Detail}
+	}
+}
+
+// report writes the result of one statement and returns its error.
+func (s *Session) report(statement language.Statement, response *api.StatementResponse, err error) error {
+	if s.Format == FormatJSON {
+		result := StatementResult{Statement: statement.String(), Response: response}
+		if err != nil {
+			result.Error = err.Error()
+			errors.As(err, &result.Problem)
+		}
+		if writeErr := s.writeJSONLine(result); writeErr != nil {
+			return writeErr
+		}
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	s.writeResponse(statement.String(), response)
+	return nil
+}
+
+// writeResponse writes a successful result for people.
+func (s *Session) writeResponse(statement string, response *api.StatementResponse) {
+	if response.Kind == api.KindShow {
+		if response.Table != nil {
+			writeRows(s.Output, response.Table.Columns, response.Table.Rows)
+		}
+		return
+	}
+	if statement != "" {
+		s.printf("%s\n  ", statement)
+	}
+	s.printf("%s\n", describeFate(response))
+	if response.Detail != "" {
+		s.printf("  %s\n", response.Detail)
+	}
+	for _, member := range response.Missing {
+		s.printf("  not yet confirmed by %s\n", member)
+	}
+}
+
+func describeFate(response *api.StatementResponse) string {
+	switch response.Fate {
+	case api.FateInForce:
+		return fmt.Sprintf("in force on %d of %d members, revision %d, change %s",
+			response.InForceOn, response.Members, response.Revision, response.ChangeID)
+	case api.FateAccepted:
+		return fmt.Sprintf("accepted, in force on %d of %d members so far, revision %d, change %s",
+			response.InForceOn, response.Members, response.Revision, response.ChangeID)
+	case api.FateDryRun:
+		return fmt.Sprintf("valid at revision %d; nothing was changed", response.Revision)
+	default:
+		return fmt.Sprintf("%s, change %s", response.Fate, response.ChangeID)
+	}
+}
+
+// Change writes the fate of an earlier change.
+func (s *Session) Change(ctx context.Context, id string) error {
+	response, err := s.Client.Change(ctx, id)
+	if err != nil {
+		return err
+	}
+	if s.Format == FormatJSON {
+		if err := s.writeJSON(response); err != nil {
+			return err
+		}
+		return fateError(response)
+	}
+	if err := fateError(response); err != nil {
+		return err
+	}
+	s.writeResponse("", response)
+	return nil
+}
--- /dev/null
+++ b/internal/operator/plan.go
@@ -0,0 +1,114 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/language"
+)
+
+// Plan is what a file of changes would do to a catalog.
+type Plan struct {
+	// Revision is the revision that the plan was made at.
+	Revision uint64 `json:"revision"`
+	// Changes are the statements that change something, in order.
+	Changes []string `json:"changes"`
+	// Unchanged is the number of statements that are so already.
+	Unchanged int `json:"unchanged"`
+	// Removed and Added are the lines of the diff: the statements that
+	// describe the catalog before but not after, and after but not before.
+	Removed []string `json:"removed"`
+	Added   []string `json:"added"`
+
+	located []language.Located
+}
+
+// MakePlan applies the statements to a copy of the catalog. A statement that
+// would change nothing is left out; one that would be refused is an error.
+func MakePlan(current *catalog.Catalog, statements []language.Located) (*Plan, error) {
+	plan := &Plan{Revision: current.Revision}
+	next := current
+	for _, located := range statements {
+		change, isChange := located.Statement.(*language.ChangeStatement)
+		if !isChange {
+			return nil, fmt.Errorf("line %d: %s: only changes can be applied", located.Line, located.Statement)
+		}
+		applied, err := applyStatement(next, change)
+		if errors.Is(err, catalog.CodeUnchanged) {
+			plan.Unchanged++
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %s: %w", located.Line, change, err)
+		}
+		next = applied
+		plan.Changes = append(plan.Changes, change.String())
+		plan.located = append(plan.located, located)
+	}
+	before, after := describe(current), describe(next)
+	plan.Removed = difference(before, after)
+	plan.Added = difference(after, before)
+	return plan, nil
+}
+
+func applyStatement(current *catalog.Catalog, statement *language.ChangeStatement) (*catalog.Catalog, error) {
+	if wanted := statement.IfRevision; wanted != nil && *wanted != current.Revision {
+		return nil, fmt.Errorf("the catalog would be at revision %d, not %d", current.Revision, *wanted)
+	}
+	change := catalog.Change{
+		Revision: current.Revision + 1,
+		ID:       fmt.Sprintf("%d-plan", current.Revision+1),
+		Command:  statement.Command,
+	}
+	return catalog.Apply(current, change)
+}
+
+// describe returns statements that describe the catalog, in order.
+func describe(current *catalog.Catalog) []string {
+	var lines []string
+	add := func(command catalog.Command) { lines = append(lines, command.String()) }
+	for _, name := range current.VoterNames() {
+		add(catalog.Command{AddVoter: &catalog.AddVoter{Voter: current.Voters[name]}})
+	}
+	for _, name := range current.ServiceNames() {
+		service := current.Services[name]
+		newest := service.Newest()
+		create := &catalog.CreateService{Name: name, Shards: newest.Shards, Replicas: service.Replicas, KeyColumn: service.KeyColumn}
+		lines = append(lines, fmt.Sprintf("%s -- epoch %d", catalog.Command{CreateService: create}, newest.Epoch))
+		if service.Concurrency > 0 {
+			add(catalog.Command{LimitService: &catalog.LimitService{Service: name, Concurrency: service.Concurrency}})
+		}
+		if service.Stopped {
+			add(catalog.Command{StopService: &catalog.StopService{Name: name}})
+		}
+		for _, class := range service.ClassNames() {
+			add(catalog.Command{DefineClass: &catalog.DefineClass{Class: service.Classes[class]}})
+		}
+		lines = append(lines, describeLeaves(service)...)
+	}
+	return lines
+}
+
+func describeLeaves(service catalog.Service) []string {
+	var lines []string
+	for _, leaf := range service.SortedLeaves() {
+		add := &catalog.AddLeaf{Service: service.Name, Address: leaf.Address, Zone: leaf.Zone, Shards: leaf.Shards}
+		line := catalog.Command{AddLeaf: add}.String()
+		if leaf.Retiring {
+			line += " -- retiring"
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// difference returns the lines that are not among others, in order.
+func difference(lines, others []string) []string {
+	known := make(map[string]bool, len(others))
+	for _, line := range others {
+		known[line] = true
+	}
+	return slices.DeleteFunc(slices.Clone(lines), func(line string) bool { return known[line] })
+}
--- /dev/null
+++ b/internal/operator/query.go
@@ -0,0 +1,62 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/language"
+)
+
+// Query runs one query on a service and writes its rows, snapshot and
+// coverage. The id of the request is made up if it is empty.
+func (s *Session) Query(ctx context.Context, service string, request api.QueryRequest) error {
+	statement, err := language.ParseOne(request.Statement)
+	if err != nil {
+		return err
+	}
+	switch statement.(type) {
+	case *language.Select, *language.Insert:
+	default:
+		return usagef("operators' statements are run by \"micactl exec\"")
+	}
+	if request.RequestID == "" {
+		request.RequestID = NewToken()
+	}
+	response, err := s.Client.Query(ctx, service, request)
+	if err != nil {
+		return queryError(statement, err)
+	}
+	if s.Format == FormatJSON {
+		return s.writeJSON(response)
+	}
+	if len(response.Columns) > 0 {
+		writeRows(s.Output, response.Columns, response.Rows)
+	}
+	s.printf("%s\n", describeAnswer(response))
+	return nil
+}
+
+// queryError says of an insert whose answer was lost that it may have run.
+func queryError(statement language.Statement, err error) error {
+	var unreachable *UnreachableError
+	if _, isInsert := statement.(*language.Insert); isInsert && errors.As(err, &unreachable) && unreachable.Sent {
+		return fmt.Errorf("the insert may or may not have run: %w", err)
+	}
+	return err
+}
+
+func describeAnswer(response *api.QueryResponse) string {
+	coverage := response.Coverage
+	text := fmt.Sprintf("%s: %s, snapshot version %d of epoch %d, %d of %d shards",
+		response.Outcome, count(len(response.Rows), "row"), response.Snapshot.Version, response.Snapshot.Epoch,
+		coverage.Answered, coverage.Total)
+	if len(coverage.Missing) > 0 {
+		text += ", missing " + shardRanges(coverage.Missing)
+	}
+	if response.Reason != "" {
+		text += fmt.Sprintf(" (%s)", response.Reason)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/operator/session.go
@@ -0,0 +1,55 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Format is how results are written.
+type Format string
+
+// The formats.
+const (
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+)
+
+// ParseFormat reads a format.
+func ParseFormat(text string) (Format, error) {
+	switch format := Format(text); format {
+	case FormatText, FormatJSON:
+		return format, nil
+	default:
+		return "", usagef("%q is no output format: text or json is expected", text)
+	}
+}
+
+// Session runs the commands of the program: each method is one command. It
+// writes results to Output; errors are returned, and the caller writes them.
+type Session struct {
+	Client *Client
+	Output io.Writer
+	Format Format
+	// Timeout bounds a command that waits for something to happen.
+	Timeout time.Duration
+}
+
+// printf writes text to the output. What cannot be written has no reader.
+func (s *Session) printf(format string, arguments ...any) {
+	fmt.Fprintf(s.Output, format, arguments...)
+}
+
+// writeJSON writes one indented document.
+func (s *Session) writeJSON(value any) error {
+	encoder := json.NewEncoder(s.Output)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// writeJSONLine writes one document on a line of its own, for commands that
+// give more than one.
+func (s *Session) writeJSONLine(value any) error {
+	return json.NewEncoder(s.Output).Encode(value)
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,155 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/api"
+)
+
+// Status writes what one node knows of the deployment.
+func (s *Session) Status(ctx context.Context) error {
+	status, err := s.Client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if s.Format == FormatJSON {
+		return s.writeJSON(status)
+	}
+	s.writeStatus(status)
+	return nil
+}
+
+// Watch writes the status count times, or until ctx ends if count is zero,
+// with the interval between two. A status that cannot be had is said so; the
+// error of the last one is returned.
+func (s *Session) Watch(ctx context.Context, interval time.Duration, count int) error {
+	if interval <= 0 || count < 0 {
+		return usagef("--interval must be more than 0s and --count at least 0")
+	}
+	var last error
+	for shown := 0; count == 0 || shown < count; shown++ {
+		if shown > 0 && !sleep(ctx, interval) {
+			return nil
+		}
+		last = s.watchOnce(ctx)
+		if last != nil && s.Format == FormatText {
+			s.printf("no status: %v\n\n", last)
+		}
+	}
+	return last
+}
+
+func (s *Session) watchOnce(ctx context.Context) error {
+	status, err := s.Client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if s.Format == FormatJSON {
+		return s.writeJSONLine(status)
+	}
+	s.writeStatus(status)
+	s.printf("\n")
+	return nil
+}
+
+// sleep waits and says whether ctx still runs.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (s *Session) writeStatus(status *api.StatusResponse) {
+	freshness := "fresh"
+	if !status.Fresh {
+		freshness = "NOT FRESH: the answering node cannot show that it holds everything accepted"
+	}
+	s.printf("revision %d, %s\n", status.Revision, freshness)
+	s.printf("%s\n\n", describeMembers(status))
+	s.writeNodes(status.Nodes)
+	if len(status.Services) > 0 {
+		s.printf("\n")
+		s.writeServices(status.Services)
+	}
+	if len(status.Leaves) > 0 {
+		s.printf("\n")
+		s.writeLeaves(status.Leaves)
+	}
+}
+
+// describeMembers says on how many nodes the newest known revision is in
+// force, and who lacks it. A node that is gone is not counted.
+func describeMembers(status *api.StatusResponse) string {
+	newest, members, holders := status.Revision, 0, 0
+	for _, node := range status.Nodes {
+		newest = max(newest, node.Revision)
+	}
+	var missing []string
+	for _, node := range status.Nodes {
+		if node.State == api.NodeGone {
+			continue
+		}
+		members++
+		if node.Revision >= newest {
+			holders++
+			continue
+		}
+		missing = append(missing, fmt.Sprintf("%s (at %d)", node.Name, node.Revision))
+	}
+	text := fmt.Sprintf("revision %d in force on %d of %d members", newest, holders, members)
+	if len(missing) > 0 {
+		text += ", missing: " + strings.Join(missing, ", ")
+	}
+	return text
+}
+
+func (s *Session) writeNodes(nodes []api.NodeStatus) {
+	lines := make([][]string, len(nodes))
+	for i, node := range nodes {
+		lines[i] = []string{
+			node.Name, node.Zone, node.Address, string(node.State),
+			strconv.FormatUint(node.Incarnation, 10), strconv.FormatUint(node.Revision, 10),
+			yesNo(node.Voter), yesNo(node.Serving),
+		}
+	}
+	writeTable(s.Output, []string{"NODE", "ZONE", "ADDRESS", "STATE", "INCARNATION", "REVISION", "VOTER", "SERVING"}, lines)
+}
+
+func (s *Session) writeServices(services []api.ServiceStatus) {
+	lines := make([][]string, len(services))
+	for i, service := range services {
+		state := "started"
+		if service.Stopped {
+			state = "stopped"
+		}
+		snapshot := "none"
+		if service.Snapshot.Epoch > 0 {
+			snapshot = fmt.Sprintf("version %d, epoch %d", service.Snapshot.Version, service.Snapshot.Epoch)
+		}
+		lines[i] = []string{
+			service.Name, state, strconv.Itoa(service.Shards), strconv.FormatUint(service.Epoch, 10), snapshot,
+			strconv.Itoa(service.Classes), strconv.Itoa(service.Leaves),
+		}
+	}
+	writeTable(s.Output, []string{"SERVICE", "STATE", "SHARDS", "EPOCH", "SNAPSHOT", "CLASSES", "LEAVES"}, lines)
+}
+
+func (s *Session) writeLeaves(leaves []api.LeafStatus) {
+	lines := make([][]string, len(leaves))
+	for i, leaf := range leaves {
+		lines[i] = []string{
+			leaf.Service, leaf.Address, leaf.Zone, string(leaf.State), shardRanges(leaf.Shards),
+			strconv.Itoa(leaf.InFlight), strconv.Itoa(leaf.Limit), leaf.Reason,
+		}
+	}
+	writeTable(s.Output, []string{"SERVICE", "LEAF", "ZONE", "STATE", "SHARDS", "IN FLIGHT", "LIMIT", "REASON"}, lines)
+}
