--- a/internal/language/grammar.go
+++ b/internal/language/grammar.go
@@ -16,12 +16,14 @@
 	participle.UseLookahead(2),
 )
 
+// statementNode has the frequent statements first: the parser tries the
+// alternatives in order.
 type statementNode struct {
-	Change     *changeNode `parser:"( @@"`
-	IfRevision *wholeNode  `parser:"( 'if' 'revision' @@ )? )"`
-	Show       *showNode   `parser:"| 'show' @@"`
-	Select     *selectNode `parser:"| 'select' @@"`
+	Select     *selectNode `parser:"'select' @@"`
 	Insert     *insertNode `parser:"| 'insert' 'into' @@"`
+	Show       *showNode   `parser:"| 'show' @@"`
+	Change     *changeNode `parser:"| ( @@"`
+	IfRevision *wholeNode  `parser:"( 'if' 'revision' @@ )? )"`
 }
 
 type changeNode struct {
--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
@@ -234,6 +235,7 @@
 	}
 	f.Add("stop service 'x\nshow nodes")
 	f.Fuzz(func(t *testing.T, text string) {
+		requireSameTokens(t, text)
 		statements, err := Parse(text)
 		var syntaxError *SyntaxError
 		if err != nil && (!errors.As(err, &syntaxError) || syntaxError.Line < 1 || syntaxError.Column < 1 || syntaxError.Message == "") {
@@ -248,6 +250,32 @@
 	})
 }
 
+// requireSameTokens checks that the scanner splits a text as the lexer that
+// the grammar is built with does.
+func requireSameTokens(t *testing.T, text string) {
+	t.Helper()
+	if !utf8.ValidString(text) {
+		return
+	}
+	lexed, err := definition.LexString("", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	scanned := newScanner(text)
+	for {
+		want, err := lexed.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := scanned.next(); got != want {
+			t.Fatalf("the scanner gave %#v, the lexer %#v", got, want)
+		}
+		if want.EOF() {
+			return
+		}
+	}
+}
+
 func BenchmarkParseSelect(b *testing.B) {
 	const text = "select lane, min(price), count(*) from rate-desk where lane = 'OTR-SPK' and weight <= 900 group by lane order by price limit 20"
 	b.ReportAllocs()
--- a/internal/language/tokens.go
+++ b/internal/language/tokens.go
@@ -7,25 +7,49 @@
 	"github.com/alecthomas/participle/v2/lexer"
 )
 
-// definition splits text into tokens; the first rule that matches wins, so the
-// frequent ones come first where the order is free. Other takes what no rule
-// knows, so that the error names the place.
-var definition = lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "Space", Pattern: `[ \t\r]+`},
-	{Name: "Percentile", Pattern: `[pP][0-9]+\.[0-9]+`},
-	{Name: "Ident", Pattern: `[A-Za-z_][A-Za-z0-9_-]*`},
-	{Name: "Operator", Pattern: `!=|<>|<=|>=|[=<>]`},
-	{Name: "Punctuation", Pattern: `[(),*%;]`},
-	{Name: "Text", Pattern: `'([^']|'')*'`},
-	{Name: "Address", Pattern: `\[[0-9A-Fa-f:.]+\](:[0-9]+)?|[0-9]+\.[0-9]+\.[0-9]+\.[0-9]+(:[0-9]+)?`},
-	{Name: "Duration", Pattern: `([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+`},
-	{Name: "Number", Pattern: `-?[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?`},
-	{Name: "Newline", Pattern: `\n`},
-	{Name: "Comment", Pattern: `--[^\n]*`},
-	{Name: "Unclosed", Pattern: `'[^\n]*`},
-	{Name: "Keyword", Pattern: `\x00keyword`}, // made of Ident by markKeywords
-	{Name: "Other", Pattern: `(?s).`},
-})
+// tokenRule is one kind of token.
+type tokenRule struct {
+	name    string
+	pattern string
+	// starts holds the characters that a token can start with; empty means
+	// any.
+	starts string
+}
+
+const (
+	digits  = "0123456789"
+	letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_"
+)
+
+// tokenRules are the kinds of tokens; the first that matches wins. Other takes
+// what no other rule knows, so that the error names the place.
+var tokenRules = []tokenRule{
+	{"Space", `[ \t\r]+`, " \t\r"},
+	{"Percentile", `[pP][0-9]+\.[0-9]+`, "pP"},
+	{"Ident", `[A-Za-z_][A-Za-z0-9_-]*`, letters},
+	{"Operator", `!=|<>|<=|>=|[=<>]`, "!<>="},
+	{"Punctuation", `[(),*%;]`, "(),*%;"},
+	{"Text", `'([^']|'')*'`, "'"},
+	{"Address", `\[[0-9A-Fa-f:.]+\](:[0-9]+)?|[0-9]+\.[0-9]+\.[0-9]+\.[0-9]+(:[0-9]+)?`, "[" + digits},
+	{"Duration", `([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+`, digits},
+	{"Number", `-?[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?`, "-" + digits},
+	{"Newline", `\n`, "\n"},
+	{"Comment", `--[^\n]*`, "-"},
+	{"Unclosed", `'[^\n]*`, "'"},
+	{"Keyword", `\x00keyword`, "\x00"}, // made of Ident by markKeywords
+	{"Other", `(?s).`, ""},
+}
+
+// definition is the lexer that the grammar is built with.
+var definition = lexer.MustSimple(simpleRules())
+
+func simpleRules() []lexer.SimpleRule {
+	rules := make([]lexer.SimpleRule, len(tokenRules))
+	for i, rule := range tokenRules {
+		rules[i] = lexer.SimpleRule{Name: rule.name, Pattern: rule.pattern}
+	}
+	return rules
+}
 
 // The token types that the code asks for.
 var (
@@ -60,17 +84,11 @@
 	if err := checkUTF8(text); err != nil {
 		return nil, err
 	}
-	source, err := definition.LexString("", text)
-	if err != nil {
-		return nil, invalidAt(lexer.Position{Line: 1, Column: 1}, "", "%s", err)
-	}
+	source := newScanner(text)
 	var lines []tokenLine
 	var current []lexer.Token
 	for {
-		token, err := source.Next()
-		if err != nil {
-			return nil, invalidAt(lexer.Position{Line: 1, Column: 1}, "", "%s", err)
-		}
+		token := source.next()
 		switch {
 		case token.EOF(), token.Type == newlineType, token.Value == ";":
 			if len(current) > 0 {
--- a/internal/language/where.go
+++ b/internal/language/where.go
@@ -1,7 +1,6 @@
 package language
 
 import (
-	"cmp"
 	"strings"
 	"unicode/utf8"
 
@@ -99,7 +98,7 @@
 	if value.Kind != c.Value.Kind || value.Kind == rows.Null {
 		return false
 	}
-	order := cmp.Or(cmp.Compare(value.Number, c.Value.Number), strings.Compare(value.Text, c.Value.Text))
+	order := rows.Compare(value, c.Value)
 	switch c.Operator {
 	case Equal:
 		return order == 0
