--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -8,7 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/decide/snapshot"
 	"github.com/micaplank/micaplank/internal/leaf"
 	"github.com/micaplank/micaplank/internal/rows"
 )
@@ -25,6 +27,7 @@
 
 	mutex      sync.Mutex
 	dispatcher *dispatch.Dispatcher
+	topology   dispatch.Topology
 	lastQuery  dispatch.QueryID
 	queries    map[dispatch.QueryID]*query
 	attempts   map[dispatch.AttemptID]*attempt
@@ -116,10 +119,31 @@
 // SetTopology hands the dispatcher a new view of the leaves.
 func (c *Conn) SetTopology(topology dispatch.Topology) {
 	c.step(func(now dispatch.Time) []dispatch.Action {
+		c.topology = topology
 		return c.dispatcher.SetTopology(now, topology)
 	})
 }
 
+// Snapshot returns the snapshot that a query of every shard would be pinned to
+// now; zero if none is known.
+func (c *Conn) Snapshot() catalog.Snapshot {
+	c.mutex.Lock()
+	topology := c.topology
+	c.mutex.Unlock()
+	holdings := make([][]leaf.Holding, len(topology.Leaves))
+	for i, candidate := range topology.Leaves {
+		if candidate.Usable {
+			holdings[i] = candidate.Holdings
+		}
+	}
+	views := snapshot.Build(topology.Partitions, holdings)
+	newest, known := snapshot.Pick(views, snapshot.Need{})
+	if !known {
+		return catalog.Snapshot{}
+	}
+	return views[newest].Snapshot
+}
+
 // Observe hands the dispatcher a leaf's own word on its load.
 func (c *Conn) Observe(address netip.AddrPort, load leaf.LoadSummary) {
 	c.step(func(now dispatch.Time) []dispatch.Action {
--- /dev/null
+++ b/internal/scatter/scatter_test.go
@@ -0,0 +1,213 @@
+package scatter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testShards   = 4
+	testReplicas = 2
+)
+
+var (
+	errRefusedDial = errors.New("connection refused")
+	errLost        = errors.New("connection lost")
+	repeatable     = catalog.Class{Name: "check", Priority: 1, Deadline: time.Second, Coverage: 1, Repeatable: true, HedgePercentile: 0.9, ExtraLoad: 0.5}
+	onlyOnce       = catalog.Class{Name: "file", Priority: 1, Deadline: time.Second, Coverage: 1}
+)
+
+// faultyLeaves is a LeafClient that keeps a log of executions and fails in
+// every way that a leaf or the way to it can.
+type faultyLeaves struct {
+	mutex    sync.Mutex
+	random   *rand.Rand
+	executed map[string][]int // shards by request id, one entry an execution
+}
+
+func newFaultyLeaves(seed uint64) *faultyLeaves {
+	return &faultyLeaves{random: rand.New(rand.NewPCG(seed, 1)), executed: make(map[string][]int)}
+}
+
+func (f *faultyLeaves) draw() (kind int, delay time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.random.IntN(10), time.Duration(f.random.IntN(8)) * time.Millisecond
+}
+
+func (f *faultyLeaves) record(request leaf.ExecuteRequest) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.executed[request.RequestID] = append(f.executed[request.RequestID], request.Shard)
+}
+
+func (f *faultyLeaves) Execute(ctx context.Context, address netip.AddrPort, request leaf.ExecuteRequest) (*leaf.ExecuteResponse, error) {
+	kind, delay := f.draw()
+	response := &leaf.ExecuteResponse{
+		RequestID: request.RequestID, AttemptID: request.AttemptID,
+		Shard: request.Shard, Snapshot: request.Snapshot, BootID: address.String(),
+		Load: leaf.LoadSummary{State: leaf.StateServing, Slots: 2},
+	}
+	switch kind {
+	case 0:
+		return nil, &leaf.TransportError{Step: leaf.StepConnect, Peer: address, Sent: false, Err: errRefusedDial}
+	case 1:
+		response.Refusal = leaf.RefusedShed
+		return response, nil
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return nil, &leaf.TransportError{Step: leaf.StepReceive, Peer: address, Sent: true, Err: ctx.Err()}
+	}
+	f.record(request)
+	if kind == 2 {
+		return nil, &leaf.TransportError{Step: leaf.StepReceive, Peer: address, Sent: true, Err: errLost}
+	}
+	response.Executed = true
+	response.Table = rows.Table{Columns: []string{"request", "shard"}, Rows: []rows.Row{{
+		{Kind: rows.Text, Text: request.RequestID}, {Kind: rows.Number, Number: float64(request.Shard)},
+	}}}
+	return response, nil
+}
+
+func testTopology() dispatch.Topology {
+	topology := dispatch.Topology{Revision: 1, Partitions: []catalog.Partition{{Epoch: 1, Shards: testShards}}}
+	for i := range testShards * testReplicas {
+		topology.Leaves = append(topology.Leaves, dispatch.Leaf{
+			Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7101+i)),
+			Zone:    "a", BootID: fmt.Sprint(i), Usable: true, Slots: 2,
+			Holdings: []leaf.Holding{{Snapshot: catalog.Snapshot{Version: 1, Epoch: 1}, Shards: []int{i % testShards}}},
+		})
+	}
+	return topology
+}
+
+func newTestConn(leaves LeafClient, guard Guard) *Conn {
+	conn := NewConn(Config{
+		Service: "rate-desk", AttemptPrefix: "test", Leaves: leaves, Clock: clock.NewMonotonic(),
+		Guard: guard, Metrics: NewMetrics(prometheus.NewRegistry()),
+	}, dispatch.New(dispatch.DefaultConfig(), rand.New(rand.NewPCG(1, 2))))
+	conn.SetTopology(testTopology())
+	return conn
+}
+
+func always() error { return nil }
+
+// TestFatesAreTrue runs many queries at once through faulty leaves and checks
+// each caller's answer against the log of executions.
+func TestFatesAreTrue(t *testing.T) {
+	leaves := newFaultyLeaves(7)
+	conn := newTestConn(leaves, always)
+	const queries = 400
+	results := make([]Result, queries)
+	var running sync.WaitGroup
+	limiter := make(chan struct{}, 32)
+	for i := range queries {
+		limiter <- struct{}{}
+		running.Go(func() {
+			defer func() { <-limiter }()
+			results[i] = conn.Execute(context.Background(), testRequest(i))
+		})
+	}
+	running.Wait()
+	conn.Close()
+	counts := make(map[dispatch.Outcome]int)
+	for i, result := range results {
+		counts[result.Outcome]++
+		checkResult(t, testRequest(i), result, leaves.executed[testRequest(i).RequestID])
+	}
+	if counts[dispatch.OutcomeAnswered] == 0 {
+		t.Fatalf("no query was answered: %v", counts)
+	}
+}
+
+func testRequest(i int) Request {
+	request := Request{
+		RequestID: fmt.Sprintf("request-%d", i), Class: repeatable, Statement: "select 1",
+		Timeout: time.Second, MinimumCoverage: 1,
+	}
+	if i%3 == 0 {
+		request.Class, request.HasKey, request.KeyHash = onlyOnce, true, uint64(i)
+	}
+	return request
+}
+
+func checkResult(t *testing.T, request Request, result Result, executions []int) {
+	t.Helper()
+	if result.Outcome == dispatch.OutcomeNotRun && len(executions) > 0 {
+		t.Errorf("%s: not run, but executed on shards %v", request.RequestID, executions)
+	}
+	if !request.Class.Repeatable && len(executions) > 1 {
+		t.Errorf("%s: executed %d times", request.RequestID, len(executions))
+	}
+	if len(result.Answered)+len(result.Missing) != result.Total {
+		t.Errorf("%s: %d answered and %d missing of %d", request.RequestID, len(result.Answered), len(result.Missing), result.Total)
+	}
+	for _, table := range result.Tables {
+		row := table.Table.Rows[0]
+		if row[0].Text != request.RequestID || int(row[1].Number) != table.Shard {
+			t.Errorf("%s shard %d: got the row of %s shard %v", request.RequestID, table.Shard, row[0].Text, row[1].Number)
+		}
+	}
+}
+
+// TestGuardForbidsSends covers a node that was frozen between the decision and
+// the send: nothing leaves, and "not run" is true.
+func TestGuardForbidsSends(t *testing.T) {
+	leaves := newFaultyLeaves(1)
+	conn := newTestConn(leaves, func() error { return errors.New("not fresh") })
+	request := testRequest(0)
+	request.Timeout = 50 * time.Millisecond
+	result := conn.Execute(context.Background(), request)
+	conn.Close()
+	if result.Outcome != dispatch.OutcomeNotRun || len(leaves.executed) != 0 {
+		t.Fatalf("outcome %s, executions %v", result.Outcome, leaves.executed)
+	}
+}
+
+// stuckLeaves answers only when the attempt is cancelled.
+type stuckLeaves struct{ cancelled chan struct{} }
+
+func (s *stuckLeaves) Execute(ctx context.Context, address netip.AddrPort, _ leaf.ExecuteRequest) (*leaf.ExecuteResponse, error) {
+	<-ctx.Done()
+	s.cancelled <- struct{}{}
+	return nil, &leaf.TransportError{Step: leaf.StepReceive, Peer: address, Sent: true, Err: ctx.Err()}
+}
+
+func TestCallerWhoLeavesCancelsEveryAttempt(t *testing.T) {
+	leaves := &stuckLeaves{cancelled: make(chan struct{}, testShards*testReplicas)}
+	conn := newTestConn(leaves, always)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	result := conn.Execute(ctx, testRequest(1))
+	conn.Close()
+	if result.Reason != dispatch.ReasonCancelled || len(leaves.cancelled) < testShards {
+		t.Fatalf("reason %s, %d attempts cancelled", result.Reason, len(leaves.cancelled))
+	}
+}
+
+func TestClosedConnRefuses(t *testing.T) {
+	conn := newTestConn(newFaultyLeaves(1), always)
+	conn.Close()
+	if result := conn.Execute(context.Background(), testRequest(1)); result.Outcome != dispatch.OutcomeNotRun {
+		t.Fatalf("outcome %s", result.Outcome)
+	}
+}
