--- a/cmd/micactl/main_test.go
+++ b/cmd/micactl/main_test.go
@@ -25,7 +25,8 @@
 func runProgram(t *testing.T, input string, arguments ...string) string {
 	t.Helper()
 	command := exec.Command(os.Args[0], arguments...)
-	command.Env = []string{runVariable + "=1", "USER=mori"}
+	// The race detector would sleep a second at the end of each process.
+	command.Env = []string{runVariable + "=1", "USER=mori", "GORACE=atexit_sleep_ms=0"}
 	command.Stdin = strings.NewReader(input)
 	output, err := command.CombinedOutput()
 	var exit *exec.ExitError
--- a/internal/catalog/apply.go
+++ b/internal/catalog/apply.go
@@ -90,8 +90,10 @@
 
 // with returns a copy of the map in which key has the value.
 func with[K comparable, V any](original map[K]V, key K, value V) map[K]V {
-	copied := make(map[K]V, len(original)+1)
-	maps.Copy(copied, original)
+	copied := maps.Clone(original)
+	if copied == nil {
+		copied = make(map[K]V, 1)
+	}
 	copied[key] = value
 	return copied
 }
--- a/internal/language/expectation.go
+++ b/internal/language/expectation.go
@@ -32,11 +32,14 @@
 	"AddressNode":    "an IP address with a port such as 127.0.0.1:7101",
 }
 
-const endOfStatement = "the end of the statement"
+const (
+	endOfStatement = "the end of the statement"
+	// rootName is the production of a whole statement.
+	rootName = "StatementNode"
+)
 
 var (
 	productions = parseProductions(parser.String())
-	rootName    = "StatementNode"
 	tokenNames  = lowerTokenNames()
 )
 
