dispatch: keep the waiting work of leaves in whole nanoseconds

Cause: the work added to a leaf's waiting work was computed from the mean time of the class at that moment, and taken away with a later mean. The share is now kept with the shard. The state machine test checks that nothing is left over; it failed at the 59th schedule before the change.

--- a/internal/decide/dispatch/admit.go
+++ b/internal/decide/dispatch/admit.go
@@ -38,7 +38,7 @@
 			if !l.takesWork() || l.held(d.now) {
 				continue
 			}
-			work += l.waiting[index]
+			work += l.waiting[index].Seconds()
 			rate += l.sent[index].rate(d.now)
 			capacity += float64(l.limiter.Current()) / d.slowness(l)
 		}
--- a/internal/decide/dispatch/machine_test.go
+++ b/internal/decide/dispatch/machine_test.go
@@ -389,6 +389,11 @@
 			t.Fatalf("query %d never finished", id)
 		}
 	}
+	for _, l := range m.d.leaves {
+		if l.waiting != (priorityWork{}) {
+			t.Fatalf("waiting work is left over at a leaf: %v", l.waiting)
+		}
+	}
 	if m.d.waiters != 0 || m.d.started != 0 || len(m.d.running) != 0 || len(m.d.pending) != 0 {
 		t.Fatalf("left over: %d waiters, %d started, %d running, %d pending", m.d.waiters, m.d.started, len(m.d.running), len(m.d.pending))
 	}
--- a/internal/decide/dispatch/query.go
+++ b/internal/decide/dispatch/query.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/decide/coverage"
 )
@@ -28,6 +30,8 @@
 	first   int32 // list of wanted attempts in flight
 	answer  AttemptID
 	waitFor uint32 // ticket of the live entry in the queue of the group
+	// waitWork is the share of the waiting work for each leaf of the group.
+	waitWork time.Duration
 }
 
 // fallDue lets the shard be placed again if no attempt of it is left.
--- a/internal/decide/dispatch/waiting.go
+++ b/internal/decide/dispatch/waiting.go
@@ -1,11 +1,15 @@
 package dispatch
 
+import "time"
+
 // priorities is the number of priorities that are told apart; lower ones
 // count as the last.
 const priorities = 8
 
-// priorityWork is work that waits in the node, in seconds, by priority.
-type priorityWork [priorities]float64
+// priorityWork is work that waits in the node, by priority: the time that it
+// takes in one slot of an ordinary leaf. It is whole, so that what is added
+// and taken away leaves nothing behind.
+type priorityWork [priorities]time.Duration
 
 func priorityIndex(priority int) int {
 	return min(max(priority, 1), priorities) - 1
@@ -17,6 +21,7 @@
 	d.order++
 	shard.status = shardWaiting
 	shard.waitFor = uint32(d.order)
+	shard.waitWork = seconds(q.class.base) / time.Duration(len(shard.group.leaves))
 	shard.group.waiting.push(waiter{query: q, position: position, ticket: shard.waitFor, order: d.order})
 	d.addWaiting(q, shard, 1)
 }
@@ -30,10 +35,9 @@
 
 func (d *Dispatcher) addWaiting(q *query, shard *shardState, sign int) {
 	d.waiters += sign
-	share := float64(sign) * q.class.base / float64(len(shard.group.leaves))
 	index := priorityIndex(q.Class.Priority)
 	for _, l := range shard.group.leaves {
-		l.waiting[index] = max(l.waiting[index]+share, 0)
+		l.waiting[index] += time.Duration(sign) * shard.waitWork
 	}
 }
 
