--- a/internal/rehearsal/experiment/experiment_test.go
+++ b/internal/rehearsal/experiment/experiment_test.go
@@ -68,6 +68,7 @@
 	experiment.Seeds = []uint64{1}
 	experiment.Deployment.Services = experiment.Deployment.Services[3:]
 	experiment.Scenarios = experiment.Scenarios[:1]
+	experiment.Policies = experiment.Policies[:4]
 	experiment.Scenarios[0].Duration = simulation.Duration(14 * time.Second)
 	var progress bytes.Buffer
 	result, err := Run(context.Background(), experiment, &progress)
