--- a/internal/rehearsal/report/figures.go
+++ b/internal/rehearsal/report/figures.go
@@ -71,7 +71,7 @@
 			Title: fmt.Sprintf("Latency of the short checks: %s", scenario.Title),
 			File:  fmt.Sprintf("latency-%s.svg", scenario.Name),
 		},
-		axes: axes{horizontal: "latency (ms)", vertical: "share that takes longer", logHorizontal: true, logVertical: true},
+		axes: axes{horizontal: "latency (ms)", vertical: "share that takes longer", logHorizontal: true, logVertical: true, legendLeft: true},
 		curves: func(service simulation.Service) []curve {
 			return curvesOf(result, func(policy string) plotter.XYs {
 				phases := phasesOf(result, scenario.Name, service.Name, policy)
@@ -90,7 +90,7 @@
 			Title: fmt.Sprintf("Tail of the short checks over load: %s", first.Title),
 			File:  fmt.Sprintf("tail-over-%s.svg", first.Series),
 		},
-		axes: axes{horizontal: "offered load", vertical: "p99 (ms)", logVertical: true, dots: true},
+		axes: axes{horizontal: "offered load", vertical: "p99 (ms)", dots: true, legendLeft: true, legendTop: true},
 		curves: func(service simulation.Service) []curve {
 			return curvesOf(result, func(policy string) plotter.XYs {
 				var points plotter.XYs
@@ -116,17 +116,24 @@
 	}).Mean
 }
 
+// extraOverTail leaves the baseline out: it is too far off for the same scale.
 func extraOverTail(result *experiment.Result, scenario experiment.Scenario) plannedFigure {
+	baseline := ""
+	for _, policy := range result.Experiment.Policies {
+		if policy.Kind == simulation.PolicyBaseline {
+			baseline = policy.Name
+		}
+	}
 	return plannedFigure{
 		Figure: Figure{
 			Title: fmt.Sprintf("Extra load over the tail of the short checks: %s", scenario.Title),
 			File:  fmt.Sprintf("extra-%s.svg", scenario.Name),
 		},
-		axes: axes{horizontal: "p99 (ms)", vertical: "extra load (%)", logHorizontal: true, scatter: true},
+		axes: axes{horizontal: "p99 (ms)", vertical: "extra load (%)", scatter: true, legendTop: true},
 		curves: func(service simulation.Service) []curve {
 			return curvesOf(result, func(policy string) plotter.XYs {
 				phases := phasesOf(result, scenario.Name, service.Name, policy)
-				if len(phases) == 0 || tailOf(phases, service) > unansweredAbove {
+				if policy == baseline || len(phases) == 0 || tailOf(phases, service) > unansweredAbove {
 					return nil
 				}
 				extra := over(phases, func(p *simulation.PhaseResult) float64 { return 100 * p.Extra() })
--- a/internal/rehearsal/report/plots.go
+++ b/internal/rehearsal/report/plots.go
@@ -19,6 +19,7 @@
 const (
 	tileWidth  = 9 * vg.Centimeter
 	tileHeight = 7 * vg.Centimeter
+	legendSize = vg.Length(8)
 	// tileColumns is how many plots stand side by side.
 	tileColumns = 2
 )
@@ -47,6 +48,8 @@
 	logHorizontal, logVertical bool
 	// dots marks the points of a line; scatter draws nothing else.
 	dots, scatter bool
+	// legendLeft and legendTop place the legend where no curve runs.
+	legendLeft, legendTop bool
 }
 
 // newPlot draws curves.
@@ -56,7 +59,8 @@
 	drawn.X.Label.Text = axes.horizontal
 	drawn.Y.Label.Text = axes.vertical
 	drawn.Add(plotter.NewGrid())
-	drawn.Legend.Top = true
+	drawn.Legend.Left, drawn.Legend.Top = axes.legendLeft, axes.legendTop
+	drawn.Legend.TextStyle.Font.Size = legendSize
 	for _, curve := range curves {
 		if len(curve.points) == 0 {
 			continue
