Decide by an owner with a fence which once-only requests run

The owner of a request id remembers what it let through; a new owner refuses every id that its predecessor can have let through, by the time inside the id. Weighed against a check by the leaf, a claim in the store and plain refusal in docs/design/0005.

--- /dev/null
+++ b/internal/decide/once/records.go
@@ -0,0 +1,100 @@
+package once
+
+import (
+	"slices"
+
+	"github.com/oklog/ulid/v2"
+)
+
+// record is what is known of one id that was let through.
+type record[Outcome any] struct {
+	finished bool
+	outcome  Outcome
+}
+
+// bucketWidth is the span of id times that are dropped together.
+const bucketWidth milliseconds = 1000
+
+// records holds the ids that were let through, with the ids of each second in
+// one bucket, so that old ones are found without a look at the others.
+type records[Outcome any] struct {
+	byID    map[ulid.ULID]*record[Outcome]
+	buckets map[milliseconds][]ulid.ULID
+}
+
+func newRecords[Outcome any]() records[Outcome] {
+	return records[Outcome]{byID: map[ulid.ULID]*record[Outcome]{}, buckets: map[milliseconds][]ulid.ULID{}}
+}
+
+func (r *records[Outcome]) length() int { return len(r.byID) }
+
+func (r *records[Outcome]) find(id ulid.ULID) (*record[Outcome], bool) {
+	found, known := r.byID[id]
+	return found, known
+}
+
+func (r *records[Outcome]) add(id ulid.ULID) {
+	r.byID[id] = &record[Outcome]{}
+	bucket := timeOf(id) / bucketWidth
+	r.buckets[bucket] = append(r.buckets[bucket], id)
+}
+
+func (r *records[Outcome]) finish(id ulid.ULID, outcome Outcome) {
+	if found, known := r.byID[id]; known && !found.finished {
+		found.finished = true
+		found.outcome = outcome
+	}
+}
+
+// release forgets an id that is not finished.
+func (r *records[Outcome]) release(id ulid.ULID) {
+	found, known := r.byID[id]
+	if !known || found.finished {
+		return
+	}
+	delete(r.byID, id)
+	bucket := timeOf(id) / bucketWidth
+	isReleased := func(candidate ulid.ULID) bool { return candidate == id }
+	r.buckets[bucket] = slices.DeleteFunc(r.buckets[bucket], isReleased)
+	if len(r.buckets[bucket]) == 0 {
+		delete(r.buckets, bucket)
+	}
+}
+
+// dropThrough forgets the finished ids of the buckets that end at or before
+// the given time, and returns the highest time of those forgotten.
+func (r *records[Outcome]) dropThrough(end milliseconds) (highest milliseconds, some bool) {
+	for bucket, ids := range r.buckets {
+		if (bucket+1)*bucketWidth > end {
+			continue
+		}
+		var kept []ulid.ULID
+		for _, id := range ids {
+			found, known := r.byID[id]
+			switch {
+			case known && !found.finished:
+				kept = append(kept, id)
+			case known:
+				delete(r.byID, id)
+				highest, some = max(highest, timeOf(id)), true
+			}
+		}
+		if len(kept) > 0 {
+			r.buckets[bucket] = kept
+		} else {
+			delete(r.buckets, bucket)
+		}
+	}
+	return highest, some
+}
+
+// oldest returns the start of the oldest bucket; 0 if there is none.
+func (r *records[Outcome]) oldest() milliseconds {
+	oldest, some := milliseconds(0), false
+	for bucket := range r.buckets {
+		if start := bucket * bucketWidth; !some || start < oldest {
+			oldest, some = start, true
+		}
+	}
+	return oldest
+}
