--- /dev/null
+++ b/internal/merge/select.go
@@ -0,0 +1,101 @@
+package merge
+
+import (
+	"container/heap"
+
+	"github.com/micaplank/micaplank/internal/language"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// evaluateRows runs a select that is not grouped.
+func evaluateRows(statement *language.Select, table rows.Table) (rows.Table, error) {
+	columns := itemNames(statement.Items)
+	result := matching(statement, table)
+	if len(columns) == 0 {
+		columns = table.Columns
+	} else if err := project(result, columns, table); err != nil {
+		return rows.Table{}, err
+	}
+	order, err := newOrdering(statement.OrderBy, columns, 0)
+	if err != nil {
+		return rows.Table{}, err
+	}
+	order.sort(result)
+	return rows.Table{Columns: columns, Rows: limited(result, statement.Limit)}, nil
+}
+
+// project replaces each row of the table by the values of the columns.
+func project(result []rows.Row, columns []string, table rows.Table) error {
+	indexes := make([]int, len(columns))
+	for i, name := range columns {
+		indexes[i] = table.Column(name)
+		if indexes[i] < 0 {
+			return &UnknownColumnError{Column: name}
+		}
+	}
+	values := make([]rows.Value, len(result)*len(columns))
+	for i, row := range result {
+		projected := values[:len(columns):len(columns)]
+		values = values[len(columns):]
+		for j, index := range indexes {
+			projected[j] = row[index]
+		}
+		result[i] = projected
+	}
+	return nil
+}
+
+// runs is a heap of sorted runs, the one with the least first row at the top.
+type runs struct {
+	order *ordering
+	runs  [][]rows.Row
+}
+
+// Len implements heap.Interface.
+func (r *runs) Len() int { return len(r.runs) }
+
+// Less implements heap.Interface.
+func (r *runs) Less(i, j int) bool { return r.order.compare(r.runs[i][0], r.runs[j][0]) < 0 }
+
+// Swap implements heap.Interface.
+func (r *runs) Swap(i, j int) { r.runs[i], r.runs[j] = r.runs[j], r.runs[i] }
+
+// Push implements heap.Interface.
+func (r *runs) Push(run any) { r.runs = append(r.runs, run.([]rows.Row)) }
+
+// Pop implements heap.Interface.
+func (r *runs) Pop() any {
+	last := len(r.runs) - 1
+	run := r.runs[last]
+	r.runs = r.runs[:last]
+	return run
+}
+
+// mergeRuns returns the first rows of sorted runs, up to the limit; zero means
+// no limit.
+func mergeRuns(order *ordering, sorted [][]rows.Row, limit int) []rows.Row {
+	total := 0
+	merging := &runs{order: order}
+	for _, run := range sorted {
+		if len(run) > 0 {
+			merging.runs = append(merging.runs, run)
+			total += len(run)
+		}
+	}
+	if limit > 0 {
+		total = min(total, limit)
+	}
+	heap.Init(merging)
+	merged := make([]rows.Row, 0, total)
+	for len(merged) < total {
+		first := merging.runs[0]
+		merged = append(merged, first[0])
+		if len(first) == 1 {
+			heap.Pop(merging)
+			continue
+		}
+		merging.runs[0] = first[1:]
+		heap.Fix(merging, 0)
+	}
+	return merged
+}
--- /dev/null
+++ b/internal/rehearsal/leaf/control.go
@@ -0,0 +1,100 @@
+package leaf
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// The control paths.
+const (
+	ControlPath    = "/control"
+	ExecutionsPath = "/control/executions"
+	JournalPath    = "/control/journal"
+)
+
+// Control is the body of POST /control. Fields that are absent change nothing.
+type Control struct {
+	// Faults replaces those of its fields that the JSON names.
+	Faults
+	// Drain starts to drain, or with false takes new work again.
+	Drain *bool `json:"drain,omitempty"`
+	// AddVersion and DropVersion change the index versions held.
+	AddVersion  uint64 `json:"add_version,omitempty"`
+	DropVersion uint64 `json:"drop_version,omitempty"`
+	// AddPartition and DropEpoch change the partition epochs held.
+	AddPartition *Partition `json:"add_partition,omitempty"`
+	DropEpoch    uint64     `json:"drop_epoch,omitempty"`
+}
+
+func (s *Server) routeControl(router *echo.Echo) {
+	router.GET(ControlPath, func(c echo.Context) error { return c.JSON(http.StatusOK, s.faults.get()) })
+	router.POST(ControlPath, s.handleControl)
+	router.GET(ExecutionsPath, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Executions()) })
+	router.GET(JournalPath, func(c echo.Context) error { return c.JSON(http.StatusOK, s.journal.snapshot()) })
+	router.POST(JournalPath, s.handleJournal)
+}
+
+// handleControl applies the changes in the order of Control's fields; versions
+// and epochs are added before others are dropped.
+func (s *Server) handleControl(c echo.Context) error {
+	var control Control
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	if err := decodeStrictly(body, &control); err != nil {
+		return err
+	}
+	if control.AddPartition != nil {
+		if err := control.AddPartition.validate(); err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		}
+	}
+	// Decoding again over the faults in force replaces just the fields named.
+	s.faults.update(func(faults *Faults) { err = json.Unmarshal(body, faults) })
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	s.applyControl(control)
+	return c.JSON(http.StatusOK, s.faults.get())
+}
+
+func (s *Server) applyControl(control Control) {
+	if control.Drain != nil {
+		s.draining.Store(*control.Drain)
+		s.logger.Info("drain changed", "draining", *control.Drain)
+	}
+	if control.AddPartition != nil {
+		s.holdings.addPartition(*control.AddPartition)
+	}
+	if control.AddVersion > 0 {
+		s.holdings.addVersion(control.AddVersion)
+	}
+	if control.DropVersion > 0 {
+		s.holdings.dropVersion(control.DropVersion)
+	}
+	if control.DropEpoch > 0 {
+		s.holdings.dropEpoch(control.DropEpoch)
+	}
+}
+
+// handleJournal takes rows that other replicas of the shard inserted.
+func (s *Server) handleJournal(c echo.Context) error {
+	var entries []Inserted
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	if err := decodeStrictly(body, &entries); err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if len(entry.Row) != len(Columns(s.config.Service)) {
+			return echo.NewHTTPError(http.StatusBadRequest, "a row does not fit the columns")
+		}
+	}
+	s.insert(entries...)
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/rehearsal/leaf/execute.go
@@ -0,0 +1,254 @@
+package leaf
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	protocol "github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// attempt is one execute request on its way through the leaf.
+type attempt struct {
+	request   protocol.ExecuteRequest
+	arrived   time.Time
+	record    Execution
+	statement statement
+}
+
+// remaining is the time left of the request's own.
+func (a *attempt) remaining() time.Duration {
+	given := time.Duration(a.request.RemainingMilliseconds) * time.Millisecond
+	return given - time.Since(a.arrived)
+}
+
+func (s *Server) handleExecute(c echo.Context) error {
+	a := &attempt{arrived: time.Now()}
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	if err := decodeStrictly(body, &a.request); err != nil {
+		return err
+	}
+	a.record = s.newRecord(a)
+	ctx := c.Request().Context()
+	response := s.execute(ctx, a)
+	if response == nil {
+		return ctx.Err() // the caller is gone
+	}
+	return s.reply(c, response)
+}
+
+func (s *Server) newRecord(a *attempt) Execution {
+	return Execution{
+		RequestID: a.request.RequestID,
+		AttemptID: a.request.AttemptID,
+		Service:   a.request.Service,
+		Shard:     a.request.Shard,
+		Snapshot:  a.request.Snapshot,
+		Statement: a.request.Statement,
+		Draining:  s.draining.Load(),
+		Arrived:   a.arrived.UnixMicro(),
+	}
+}
+
+// execute blocks until the attempt has run or is refused. It returns nil if
+// the caller went away.
+func (s *Server) execute(ctx context.Context, a *attempt) *protocol.ExecuteResponse {
+	if refusal, detail := s.check(a); refusal != protocol.RefusedNone {
+		return s.refuse(a, refusal, detail)
+	}
+	refusal, err := s.slots.acquire(ctx, a.remaining())
+	switch {
+	case err != nil:
+		s.log(a, OutcomeCancelledQueued, protocol.RefusedNone)
+		return nil
+	case refusal != protocol.RefusedNone:
+		return s.refuse(a, refusal, "")
+	}
+	started := time.Now()
+	defer func() { s.slots.release(time.Since(started)) }()
+	return s.run(ctx, a, started)
+}
+
+// check refuses what need not wait for a slot.
+func (s *Server) check(a *attempt) (protocol.Refusal, string) {
+	faults := s.faults.get()
+	switch {
+	case faults.Refuse != protocol.RefusedNone:
+		return faults.Refuse, "told to refuse"
+	case a.record.Draining:
+		return protocol.RefusedDraining, ""
+	case s.state() == protocol.StateCold && s.config.ColdFactor == 0:
+		return protocol.RefusedCold, ""
+	case a.request.Service != s.config.Service:
+		return protocol.RefusedInvalid, "this leaf serves " + s.config.Service
+	}
+	if _, refusal := s.holdings.table(a.request.Snapshot, a.request.Shard); refusal != protocol.RefusedNone {
+		return refusal, ""
+	}
+	parsed, err := parseStatement(a.request.Statement)
+	if err != nil {
+		return protocol.RefusedInvalid, err.Error()
+	}
+	a.statement = parsed
+	return protocol.RefusedNone, ""
+}
+
+// run executes the attempt in its slot. The rows are those of the start, also
+// if the version is dropped meanwhile.
+func (s *Server) run(ctx context.Context, a *attempt, started time.Time) *protocol.ExecuteResponse {
+	if a.remaining() <= 0 {
+		return s.refuse(a, protocol.RefusedLate, "")
+	}
+	held, refusal := s.holdings.table(a.request.Snapshot, a.request.Shard)
+	if refusal != protocol.RefusedNone {
+		return s.refuse(a, refusal, "")
+	}
+	result, err := a.statement.evaluate(s.config.Service, held, a.request.Shard)
+	if err != nil {
+		return s.refuse(a, protocol.RefusedInvalid, err.Error())
+	}
+	a.record.Started = started.UnixMicro()
+	if !s.serviceTime(ctx, a.statement) {
+		s.log(a, OutcomeCancelledRunning, protocol.RefusedNone)
+		return nil
+	}
+	s.insertRows(a)
+	s.log(a, OutcomeExecuted, protocol.RefusedNone)
+	return s.respond(a, result)
+}
+
+// serviceTime keeps the slot busy, and reports false if ctx was done first.
+func (s *Server) serviceTime(ctx context.Context, statement statement) bool {
+	factor := s.faults.get().SlowFactor
+	if s.state() == protocol.StateCold {
+		factor *= s.config.ColdFactor
+	}
+	distribution := s.config.Select
+	if statement.isInsert() {
+		distribution = s.config.Insert
+	}
+	timer := time.NewTimer(s.sampler.draw(distribution, factor))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// insertRows applies an insert. From here on it has taken effect.
+func (s *Server) insertRows(a *attempt) {
+	var entries []Inserted
+	for _, row := range a.statement.inserts(s.config.Service, a.request.Snapshot.Version) {
+		entries = append(entries, Inserted{RequestID: a.request.RequestID, Version: a.request.Snapshot.Version, Row: row})
+	}
+	s.insert(entries...)
+}
+
+func (s *Server) insert(entries ...Inserted) {
+	s.journal.add(entries...)
+	for _, entry := range entries {
+		s.holdings.inserted(entry.Version)
+	}
+}
+
+func (s *Server) log(a *attempt, outcome Outcome, refusal protocol.Refusal) {
+	a.record.Outcome = outcome
+	a.record.Refusal = refusal
+	s.executions.add(a.record)
+}
+
+func (s *Server) refuse(a *attempt, refusal protocol.Refusal, detail string) *protocol.ExecuteResponse {
+	s.log(a, OutcomeRefused, refusal)
+	response := s.respond(a, rows.Table{})
+	response.Executed = false
+	response.Refusal = refusal
+	response.Detail = detail
+	return response
+}
+
+func (s *Server) respond(a *attempt, table rows.Table) *protocol.ExecuteResponse {
+	return &protocol.ExecuteResponse{
+		RequestID: a.request.RequestID,
+		AttemptID: a.request.AttemptID,
+		Shard:     a.request.Shard,
+		Snapshot:  a.request.Snapshot,
+		BootID:    s.bootID,
+		Executed:  true,
+		RowCount:  len(table.Rows),
+		Table:     table,
+	}
+}
+
+// reply sends the response, or what the faults in force make of it.
+func (s *Server) reply(c echo.Context, response *protocol.ExecuteResponse) error {
+	faults := s.faults.get()
+	if s.faults.takeLostReply() {
+		return closeConnection(c)
+	}
+	if faults.Cross {
+		response = s.crossing.swap(response)
+	}
+	if faults.Truncate && len(response.Table.Rows) > 0 {
+		response.Table.Rows = response.Table.Rows[:len(response.Table.Rows)-1]
+	}
+	if !sleep(c.Request().Context(), time.Duration(faults.DelayMilliseconds)*time.Millisecond) {
+		return c.Request().Context().Err()
+	}
+	response.Load = s.reporter.summary()
+	if s.config.GoAway && s.draining.Load() {
+		// net/http turns this into GOAWAY on an HTTP/2 connection.
+		c.Response().Header().Set("Connection", "close")
+	}
+	return c.JSON(http.StatusOK, response)
+}
+
+// closeConnection cuts the connection under the request and its neighbours.
+func closeConnection(c echo.Context) error {
+	if conn, ok := c.Request().Context().Value(connectionKey{}).(net.Conn); ok {
+		conn.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	if pause <= 0 {
+		return true
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// crossing exchanges replies between requests.
+type crossing struct {
+	mutex sync.Mutex
+	held  *protocol.ExecuteResponse
+}
+
+// swap keeps the response and returns the one kept before, if any.
+func (c *crossing) swap(response *protocol.ExecuteResponse) *protocol.ExecuteResponse {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	previous := c.held
+	c.held = response
+	if previous == nil {
+		return response
+	}
+	copied := *previous
+	return &copied
+}
--- /dev/null
+++ b/internal/rehearsal/leaf/holdings.go
@@ -0,0 +1,170 @@
+package leaf
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	protocol "github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// holdings says which versions, epochs and shards the leaf holds, and keeps
+// their rows. A leaf holds every version it has under every epoch it has.
+type holdings struct {
+	service string
+	journal *journal
+
+	mutex      sync.Mutex
+	versions   []uint64
+	partitions []Partition
+	tables     map[tableKey]rows.Table
+}
+
+type tableKey struct {
+	snapshot catalog.Snapshot
+	shard    int
+}
+
+// shardTable is the rows of one shard, and the number of shards that the
+// service has in its epoch.
+type shardTable struct {
+	table      rows.Table
+	shardCount int
+}
+
+func newHoldings(config Config, journal *journal) *holdings {
+	h := &holdings{service: config.Service, journal: journal, tables: make(map[tableKey]rows.Table)}
+	for _, partition := range config.Partitions {
+		h.addPartition(partition)
+	}
+	for _, version := range config.Versions {
+		h.addVersion(version)
+	}
+	return h
+}
+
+// table returns the rows of a shard at a snapshot, or why it is not held. The
+// caller must not modify it; it stays whole if the version is dropped.
+func (h *holdings) table(snapshot catalog.Snapshot, shard int) (shardTable, protocol.Refusal) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	partition, held := h.partition(snapshot.Epoch)
+	switch {
+	case !held || !slices.Contains(h.versions, snapshot.Version):
+		return shardTable{}, protocol.RefusedSnapshot
+	case !slices.Contains(partition.Hold, shard):
+		return shardTable{}, protocol.RefusedMoved
+	}
+	key := tableKey{snapshot: snapshot, shard: shard}
+	table, built := h.tables[key]
+	if !built {
+		table = h.build(key, partition.Shards)
+		h.tables[key] = table
+	}
+	return shardTable{table: table, shardCount: partition.Shards}, protocol.RefusedNone
+}
+
+// build generates the rows and adds those inserted at earlier versions.
+func (h *holdings) build(key tableKey, shardCount int) rows.Table {
+	table := Rows(h.service, key.snapshot, key.shard, shardCount)
+	keyColumn := table.Column(KeyColumn(h.service))
+	for _, entry := range h.journal.snapshot() {
+		if entry.Version < key.snapshot.Version && ShardOf(entry.Row[keyColumn], shardCount) == key.shard {
+			row := slices.Clone(entry.Row)
+			row[table.Column("version")] = rows.NumberOf(float64(key.snapshot.Version))
+			table.Rows = append(table.Rows, row)
+		}
+	}
+	return table
+}
+
+// inserted makes the versions after the given one be built anew.
+func (h *holdings) inserted(version uint64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for key := range h.tables {
+		if key.snapshot.Version > version {
+			delete(h.tables, key)
+		}
+	}
+}
+
+func (h *holdings) addVersion(version uint64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !slices.Contains(h.versions, version) {
+		h.versions = append(h.versions, version)
+		slices.Sort(h.versions)
+	}
+	for _, partition := range h.partitions {
+		h.prebuild(partition, version)
+	}
+}
+
+// prebuild generates the rows before the first request asks for them.
+func (h *holdings) prebuild(partition Partition, version uint64) {
+	for _, shard := range partition.Hold {
+		key := tableKey{snapshot: catalog.Snapshot{Version: version, Epoch: partition.Epoch}, shard: shard}
+		h.tables[key] = h.build(key, partition.Shards)
+	}
+}
+
+func (h *holdings) dropVersion(version uint64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.versions = slices.DeleteFunc(h.versions, func(held uint64) bool { return held == version })
+	h.drop(func(key tableKey) bool { return key.snapshot.Version == version })
+}
+
+func (h *holdings) addPartition(partition Partition) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.partitions = slices.DeleteFunc(h.partitions, func(held Partition) bool { return held.Epoch == partition.Epoch })
+	h.drop(func(key tableKey) bool { return key.snapshot.Epoch == partition.Epoch })
+	h.partitions = append(h.partitions, partition)
+	for _, version := range h.versions {
+		h.prebuild(partition, version)
+	}
+}
+
+func (h *holdings) dropEpoch(epoch uint64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.partitions = slices.DeleteFunc(h.partitions, func(held Partition) bool { return held.Epoch == epoch })
+	h.drop(func(key tableKey) bool { return key.snapshot.Epoch == epoch })
+}
+
+func (h *holdings) drop(match func(tableKey) bool) {
+	for key := range h.tables {
+		if match(key) {
+			delete(h.tables, key)
+		}
+	}
+}
+
+// partition is called with the mutex held.
+func (h *holdings) partition(epoch uint64) (Partition, bool) {
+	for _, partition := range h.partitions {
+		if partition.Epoch == epoch {
+			return partition, true
+		}
+	}
+	return Partition{}, false
+}
+
+// list returns what the leaf holds, in order of the snapshots.
+func (h *holdings) list() []protocol.Holding {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	listed := []protocol.Holding{}
+	for _, partition := range h.partitions {
+		for _, version := range h.versions {
+			listed = append(listed, protocol.Holding{
+				Snapshot: catalog.Snapshot{Version: version, Epoch: partition.Epoch},
+				Shards:   slices.Clone(partition.Hold),
+			})
+		}
+	}
+	return listed
+}
--- /dev/null
+++ b/internal/rehearsal/leaf/server.go
@@ -0,0 +1,231 @@
+package leaf
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/ulid/v2"
+	"github.com/samber/oops"
+	"golang.org/x/net/netutil"
+
+	protocol "github.com/micaplank/micaplank/internal/leaf"
+)
+
+// bodyLimit bounds the body of a request, in bytes.
+const bodyLimit = 1 << 20
+
+// Server is a running stand-in leaf.
+type Server struct {
+	config     Config
+	bootID     string
+	started    time.Time
+	logger     *slog.Logger
+	listener   net.Listener
+	http       *http.Server
+	slots      *slots
+	sampler    *sampler
+	holdings   *holdings
+	journal    *journal
+	executions *executionLog
+	faults     *faults
+	reporter   *reporter
+	crossing   crossing
+	draining   atomic.Bool
+	stop       context.CancelFunc
+	running    sync.WaitGroup
+}
+
+// Start listens and serves until Close or Drain. The logger must not be nil.
+func Start(config Config, logger *slog.Logger) (*Server, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", config.Listen.String())
+	if err != nil {
+		return nil, oops.With("step", "leaf_listen", "peer", config.Listen.String()).Wrap(err)
+	}
+	s := newServer(config, logger, listener)
+	background, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.running.Go(func() { s.sampleLoad(background) })
+	s.running.Go(s.serve)
+	return s, nil
+}
+
+// Run serves until ctx is done, then drains: it refuses new requests, lets
+// those in flight finish within DrainTimeout, and returns.
+func Run(ctx context.Context, config Config, logger *slog.Logger) error {
+	s, err := Start(config, logger)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	deadline, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(config.DrainTimeout))
+	defer cancel()
+	return s.Drain(deadline)
+}
+
+func newServer(config Config, logger *slog.Logger, listener net.Listener) *Server {
+	if config.BootID == "" {
+		config.BootID = ulid.Make().String()
+	}
+	if config.Connections > 0 {
+		listener = netutil.LimitListener(listener, config.Connections)
+	}
+	journal := new(journal)
+	s := &Server{
+		config:     config,
+		bootID:     config.BootID,
+		started:    time.Now(),
+		listener:   listener,
+		slots:      newSlots(config.Slots, config.Queue),
+		sampler:    newSampler(config.Seed),
+		holdings:   newHoldings(config, journal),
+		journal:    journal,
+		executions: new(executionLog),
+		faults:     newFaults(config),
+	}
+	s.logger = logger.With("leaf", s.Address().String(), "service", config.Service)
+	s.reporter = &reporter{server: s}
+	s.http = s.newHTTPServer()
+	return s
+}
+
+// connectionKey is the context key of the net.Conn that carries a request.
+type connectionKey struct{}
+
+func (s *Server) newHTTPServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:   s.router(),
+		Protocols: protocols,
+		ErrorLog:  slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
+	}
+}
+
+func (s *Server) router() *echo.Echo {
+	router := echo.New()
+	router.HideBanner = true
+	router.POST(protocol.ExecutePath, s.handleExecute)
+	router.GET(protocol.LoadPath, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Load()) })
+	s.routeControl(router)
+	return router
+}
+
+func (s *Server) serve() {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		s.logger.Error("serving ended", "error", err)
+	}
+}
+
+func (s *Server) sampleLoad(ctx context.Context) {
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			s.reporter.sample(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Address returns the address that the leaf serves on.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// BootID returns the id of this run.
+func (s *Server) BootID() string { return s.bootID }
+
+// Load returns the load report, as misleading as the faults in force make it.
+func (s *Server) Load() protocol.LoadReport {
+	return protocol.LoadReport{
+		BootID:               s.bootID,
+		LoadSummary:          s.reporter.summary(),
+		Service:              s.config.Service,
+		Holdings:             s.holdings.list(),
+		AsOfUnixMilliseconds: time.Now().UnixMilli(),
+	}
+}
+
+// Executions returns the execution log.
+func (s *Server) Executions() Executions { return s.executions.snapshot(s.bootID) }
+
+// Control changes faults and holdings, as POST /control does. The faults are
+// those given, all of them.
+func (s *Server) Control(control Control) {
+	s.faults.update(func(faults *Faults) { *faults = control.Faults })
+	s.applyControl(control)
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults { return s.faults.get() }
+
+// state is the leaf's true state.
+func (s *Server) state() protocol.State {
+	switch {
+	case s.draining.Load():
+		return protocol.StateDraining
+	case time.Since(s.started) < time.Duration(s.config.ColdFor):
+		return protocol.StateCold
+	default:
+		return protocol.StateServing
+	}
+}
+
+// Drain refuses new requests, blocks until those in flight have ended, and
+// stops serving. If ctx is done first it cuts them and returns the error.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		err = oops.With("step", "leaf_drain", "peer", s.Address().String()).Wrap(err)
+	}
+	s.Close()
+	return err
+}
+
+// Close cuts all connections and blocks until the server's goroutines have
+// ended. It may be called more than once.
+func (s *Server) Close() {
+	s.stop()
+	s.http.Close()
+	s.running.Wait()
+}
+
+// readBody reads a body within the limit. Errors are HTTP errors.
+func readBody(c echo.Context) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, bodyLimit))
+	if err != nil {
+		return nil, echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return body, nil
+}
+
+// decodeStrictly refuses unknown fields. Errors are HTTP errors.
+func decodeStrictly(body []byte, out any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rehearsal/leaf/service_time.go
@@ -0,0 +1,27 @@
+package leaf
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// sampler draws service times from a seeded source.
+type sampler struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+func newSampler(seed uint64) *sampler {
+	return &sampler{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// draw returns one service time, multiplied by the factor.
+func (s *sampler) draw(distribution ServiceTime, factor float64) time.Duration {
+	s.mutex.Lock()
+	deviation := s.random.NormFloat64()
+	s.mutex.Unlock()
+	scale := math.Exp(distribution.Sigma*deviation) * factor
+	return time.Duration(float64(distribution.Median) * scale)
+}
