--- a/internal/rehearsal/load/config.go
+++ b/internal/rehearsal/load/config.go
@@ -17,25 +17,12 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/samber/oops"
-)
-
-// Duration is a time.Duration that is written as text, such as "10s".
-type Duration time.Duration
 
-// UnmarshalText reads the notation of time.ParseDuration.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("duration %q: %w", text, err)
-	}
-	*d = Duration(parsed)
-	return nil
-}
+	"github.com/micaplank/micaplank/internal/settings"
+)
 
-// MarshalText writes the notation of time.Duration.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
+// Duration is a time.Duration that is written as text, such as "150ms".
+type Duration = settings.Duration
 
 // Config is one run of the load tool. Every run is bounded in time, count and
 // requests in flight.
--- a/internal/rehearsal/report/plots.go
+++ b/internal/rehearsal/report/plots.go
@@ -19,7 +19,9 @@
 const (
 	tileWidth  = 9 * vg.Centimeter
 	tileHeight = 7 * vg.Centimeter
-	legendSize = vg.Length(8)
+	// scatterMargin is the room around the points of a scatter plot.
+	scatterMargin = 0.1
+	legendSize    = vg.Length(8)
 	// tileColumns is how many plots stand side by side.
 	tileColumns = 2
 )
@@ -69,6 +71,10 @@
 			return nil, err
 		}
 	}
+	if axes.scatter {
+		widen(&drawn.X)
+		widen(&drawn.Y)
+	}
 	if axes.logHorizontal && drawn.X.Min > 0 && drawn.X.Max > drawn.X.Min {
 		drawn.X.Scale, drawn.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	}
@@ -78,6 +84,13 @@
 	return drawn, nil
 }
 
+// widen leaves room around the points of a scatter plot.
+func widen(axis *plot.Axis) {
+	margin := scatterMargin * (axis.Max - axis.Min)
+	axis.Min -= margin
+	axis.Max += margin
+}
+
 func addCurve(drawn *plot.Plot, axes axes, curve curve) error {
 	line, dots, err := plotter.NewLinePoints(curve.points)
 	if err != nil {
--- a/internal/rehearsal/simulation/config.go
+++ b/internal/rehearsal/simulation/config.go
@@ -1,33 +1,18 @@
 package simulation
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/settings"
 )
 
 // Time is virtual time since the start of a run.
 type Time = dispatch.Time
 
 // Duration is a time.Duration that is written as text, such as "150ms".
-type Duration time.Duration
-
-// UnmarshalText reads the notation of time.ParseDuration.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("duration %q: %w", text, err)
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// MarshalText writes the notation of time.Duration.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
+type Duration = settings.Duration
 
 // Deployment is the hardware and the services of one site.
 type Deployment struct {
