--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -56,8 +56,9 @@
 // the response if its status is OK.
 func (c *Client) post(ctx context.Context, step Step, path string, body []byte) (*http.Response, netip.AddrPort, *Error) {
 	var failure *Error
+	first := int(c.preferred.Load())
 	for try := range c.config.Endpoints {
-		endpoint := c.endpoint(try)
+		endpoint := c.config.Endpoints[(first+try)%len(c.config.Endpoints)]
 		reply, err := c.postTo(ctx, step, endpoint, path, body)
 		if err == nil {
 			return reply, endpoint, nil
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -107,11 +107,6 @@
 	return &Error{Step: step, Kind: kind, Cause: err}
 }
 
-// endpoint returns the endpoint to use for the given try, counted from 0.
-func (c *Client) endpoint(try int) netip.AddrPort {
-	return c.config.Endpoints[(int(c.preferred.Load())+try)%len(c.config.Endpoints)]
-}
-
 // avoid makes later calls start with another endpoint than the failed one.
 func (c *Client) avoid(endpoint netip.AddrPort) {
 	current := c.preferred.Load()
