--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -116,7 +116,7 @@
 func TestFatesAreTrue(t *testing.T) {
 	leaves := newFaultyLeaves(7)
 	conn := newTestConn(leaves, always)
-	const queries = 400
+	const queries = 2000
 	results := make([]Result, queries)
 	var running sync.WaitGroup
 	limiter := make(chan struct{}, 32)
