--- a/cmd/micactl/main.go
+++ b/cmd/micactl/main.go
@@ -79,7 +79,7 @@
 		parser.AttachSubcommand(subcommands[i], 1)
 	}
 	if err := parser.ParseArgs(arguments); err != nil {
-		return &operator.UsageError{Message: err.Error()}
+		return &operator.UsageError{Message: "wrong value of a flag: " + err.Error()}
 	}
 	for i, candidate := range all {
 		if !subcommands[i].Used {
