The whole path in separate processes: node, executor, demo

make demo starts the stand-ins of the platform, 16 leaves and 3 nodes over 3 zones, loads the catalog, asks a broad query, a short one, a look-up and a filing, submits the filing again at another node (it ran once by the leaves' logs), and stops all with exit 0.

--- /dev/null
+++ b/cmd/micarehearse/main.go
@@ -0,0 +1,76 @@
+// Command micarehearse is the rehearsal kit: stand-ins of the platform, a load
+// tool, a simulator and experiments. It is never run beside callers.
+//
+// Exit codes: 0 done, 1 failed, 2 wrong usage.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/micaplank/micaplank/internal/version"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// command is one subcommand: its flags and what it does.
+type command interface {
+	// attach declares the subcommand and its flags.
+	attach() *flaggy.Subcommand
+	// run does the work; it ends when ctx ends.
+	run(ctx context.Context, logger *slog.Logger) error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(execute(ctx, commands()))
+}
+
+func commands() []command {
+	return []command{
+		&leafCommand{},
+		&storeCommand{},
+		&machinesCommand{},
+		&demoCommand{},
+	}
+}
+
+// execute parses the arguments and runs the chosen subcommand.
+func execute(ctx context.Context, all []command) int {
+	flaggy.SetName("micarehearse")
+	flaggy.SetDescription("Stand-ins, load, simulation and experiments for micaplank.")
+	flaggy.SetVersion(version.Version)
+	subcommands := make([]*flaggy.Subcommand, len(all))
+	for i, candidate := range all {
+		subcommands[i] = candidate.attach()
+		flaggy.AttachSubcommand(subcommands[i], 1)
+	}
+	flaggy.Parse()
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	for i, candidate := range all {
+		if subcommands[i].Used {
+			return exitCode(candidate.run(ctx, logger))
+		}
+	}
+	flaggy.ShowHelp("Name a subcommand.")
+	return exitUsage
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "micarehearse:", err)
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/micarehearse/standins.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/micaplank/micaplank/internal/rehearsal/leaf"
+	"github.com/micaplank/micaplank/internal/rehearsal/machines"
+	"github.com/micaplank/micaplank/internal/rehearsal/store"
+)
+
+// closeTimeout bounds the end of a stand-in.
+const closeTimeout = 30 * time.Second
+
+// readSettings reads a TOML file strictly over the defaults in target. An
+// empty path leaves the defaults.
+func readSettings(path string, target any) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if err := toml.NewDecoder(file).DisallowUnknownFields().Decode(target); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// announce tells, by a line of the log, which address a stand-in serves on.
+func announce(logger *slog.Logger, address any) {
+	logger.Info("listening", "http", address)
+}
+
+// leafCommand runs a stand-in leaf.
+type leafCommand struct {
+	settings string
+	listen   string
+	service  string
+	zone     string
+	shards   string
+	total    int
+	slots    int
+	queue    int
+	version  int
+	seed     int
+	median   time.Duration
+}
+
+func (l *leafCommand) attach() *flaggy.Subcommand {
+	defaults := leaf.DefaultConfig()
+	l.listen = defaults.Listen.String()
+	l.slots, l.queue, l.version, l.seed = defaults.Slots, defaults.Queue, 1, 1
+	l.median = time.Duration(defaults.Select.Median)
+	sub := flaggy.NewSubcommand("leaf")
+	sub.Description = "Run a stand-in leaf."
+	sub.String(&l.settings, "", "settings", "Settings file (TOML); flags add to it.")
+	sub.String(&l.listen, "", "listen", "IP address and port to serve on; port 0 picks a free one.")
+	sub.String(&l.service, "", "service", "Service whose data the leaf holds.")
+	sub.String(&l.zone, "", "zone", "Zone of the leaf.")
+	sub.String(&l.shards, "", "shards", "Shards held, such as 0,1.")
+	sub.Int(&l.total, "", "shard-count", "Number of shards of the service.")
+	sub.Int(&l.slots, "", "slots", "Requests that run at once.")
+	sub.Int(&l.queue, "", "queue", "Requests that may wait.")
+	sub.Int(&l.version, "", "version-held", "Index version held at the start.")
+	sub.Int(&l.seed, "", "seed", "Seed of the service times.")
+	sub.Duration(&l.median, "", "median", "Median service time of a select.")
+	return sub
+}
+
+func (l *leafCommand) config() (leaf.Config, error) {
+	config := leaf.DefaultConfig()
+	if err := readSettings(l.settings, &config); err != nil {
+		return config, err
+	}
+	if l.settings != "" {
+		return config, nil
+	}
+	listen, err := netip.ParseAddrPort(l.listen)
+	if err != nil {
+		return config, fmt.Errorf("--listen: expected an IP address with a port, found %q", l.listen)
+	}
+	held, err := parseShards(l.shards)
+	if err != nil {
+		return config, err
+	}
+	config.Listen = listen
+	config.Service = l.service
+	config.Zone = l.zone
+	config.Slots = l.slots
+	config.Queue = l.queue
+	config.Seed = uint64(l.seed)
+	config.Select.Median = leaf.Duration(l.median)
+	config.Versions = []uint64{uint64(l.version)}
+	config.Partitions = []leaf.Partition{{Epoch: 1, Shards: l.total, Hold: held}}
+	return config, nil
+}
+
+func parseShards(text string) ([]int, error) {
+	var shards []int
+	for _, part := range strings.Split(text, ",") {
+		shard, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil {
+			return nil, fmt.Errorf("--shards: expected whole numbers with commas between, found %q", text)
+		}
+		shards = append(shards, shard)
+	}
+	return shards, nil
+}
+
+func (l *leafCommand) run(ctx context.Context, logger *slog.Logger) error {
+	config, err := l.config()
+	if err != nil {
+		return err
+	}
+	server, err := leaf.Start(config, logger)
+	if err != nil {
+		return err
+	}
+	announce(logger, server.Address())
+	<-ctx.Done()
+	// The planned stop of a leaf: what is in flight ends first.
+	ending, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return server.Drain(ending)
+}
+
+// storeCommand runs the stand-in of the key-value service.
+type storeCommand struct {
+	settings string
+	listen   string
+}
+
+func (s *storeCommand) attach() *flaggy.Subcommand {
+	s.listen = "127.0.0.1:0"
+	sub := flaggy.NewSubcommand("store")
+	sub.Description = "Run a stand-in of the platform's key-value service."
+	sub.String(&s.settings, "", "settings", "Settings file (TOML).")
+	sub.String(&s.listen, "", "listen", "IP address and port to serve on; port 0 picks a free one.")
+	return sub
+}
+
+func (s *storeCommand) run(ctx context.Context, logger *slog.Logger) error {
+	config := store.Config{Address: s.listen}
+	if err := readSettings(s.settings, &config); err != nil {
+		return err
+	}
+	server, err := store.Start(config, logger)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	announce(logger, server.Address())
+	<-ctx.Done()
+	return nil
+}
+
+// machinesCommand runs the stand-in of the machine list.
+type machinesCommand struct {
+	settings string
+	listen   string
+}
+
+func (m *machinesCommand) attach() *flaggy.Subcommand {
+	m.listen = "127.0.0.1:0"
+	sub := flaggy.NewSubcommand("machines")
+	sub.Description = "Run a stand-in of the platform's machine list."
+	sub.String(&m.settings, "", "settings", "Settings file (TOML).")
+	sub.String(&m.listen, "", "listen", "IP address and port to serve on; port 0 picks a free one.")
+	return sub
+}
+
+func (m *machinesCommand) run(ctx context.Context, logger *slog.Logger) error {
+	config := machines.Config{Address: m.listen}
+	if err := readSettings(m.settings, &config); err != nil {
+		return err
+	}
+	server, err := machines.Start(config, logger)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	announce(logger, server.Address())
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/executor/answer.go
@@ -0,0 +1,83 @@
+package executor
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/rows"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// answer turns the fate of a scattered query into what the caller is told.
+func (p *plan) answer(result scatter.Result) (*api.QueryResponse, error) {
+	switch result.Outcome {
+	case dispatch.OutcomeAnswered, dispatch.OutcomePartial:
+		return p.merged(result)
+	case dispatch.OutcomeNotRun:
+		return nil, p.fateProblem(notRunType(result.Reason), result)
+	case dispatch.OutcomeUnknown:
+		return nil, p.fateProblem(api.ProblemOutcomeUnknown, result)
+	}
+	return nil, p.fateProblem(api.ProblemFailed, result)
+}
+
+// merged builds the answer from exactly the tables that the dispatcher counts.
+func (p *plan) merged(result scatter.Result) (*api.QueryResponse, error) {
+	table, err := p.merge(result.Tables)
+	if err != nil {
+		return nil, p.problem(api.ProblemInternal, err.Error())
+	}
+	missing := result.Missing
+	if missing == nil {
+		missing = []int{}
+	}
+	if table.Rows == nil {
+		table.Rows = []rows.Row{}
+	}
+	return &api.QueryResponse{
+		RequestID: p.request.RequestID,
+		Outcome:   result.Outcome,
+		Reason:    result.Reason,
+		Snapshot:  result.Snapshot,
+		Coverage:  api.Coverage{Answered: len(result.Answered), Total: result.Total, Missing: missing},
+		Columns:   table.Columns,
+		Rows:      table.Rows,
+	}, nil
+}
+
+// notRunType names the problem for a query that ran nowhere.
+func notRunType(reason dispatch.Reason) api.ProblemType {
+	switch reason {
+	case dispatch.ReasonStopped:
+		return api.ProblemNotRunStopped
+	case dispatch.ReasonNoLeaf:
+		return api.ProblemNotRunNoLeaf
+	case dispatch.ReasonNoSnapshot:
+		return api.ProblemNotRunSnapshot
+	case dispatch.ReasonDeadline:
+		return api.ProblemNotRunDeadline
+	case dispatch.ReasonRefused, dispatch.ReasonInvalid, dispatch.ReasonLost:
+		return api.ProblemNotRunRefused
+	case dispatch.ReasonCancelled:
+		return api.ProblemNotRunCancelled
+	}
+	return api.ProblemNotRunOverload
+}
+
+func (p *plan) fateProblem(problemType api.ProblemType, result scatter.Result) *api.Problem {
+	detail := result.Detail
+	if detail == "" && result.Total > 0 {
+		detail = fmt.Sprintf("%d of %d shards answered.", len(result.Answered), result.Total)
+	}
+	problem := p.problem(problemType, detail)
+	problem.Outcome = result.Outcome
+	problem.Reason = result.Reason
+	problem.RetryAfterMilliseconds = roundUpMilliseconds(result.RetryAfter)
+	return problem
+}
+
+func roundUpMilliseconds(duration time.Duration) int64 {
+	return int64((duration + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/executor/executor.go
@@ -0,0 +1,132 @@
+// Package executor runs callers' queries: it plans a statement against the
+// catalog, sends it to the owner of its id if it may run only once, has it
+// scattered over the shards, and merges what comes back.
+//
+// Errors are *api.Problem values. A problem of a "not run" type is a promise
+// that the request ran nowhere and never will.
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// Catalogs tells what is in force on this node.
+type Catalogs interface {
+	// Current returns the installed catalog; it must not be modified.
+	Current() *catalog.Catalog
+	// Fresh reports whether the node can show, at this moment, that it holds
+	// every accepted change. A node that cannot takes no new work.
+	Fresh() bool
+}
+
+// Scatterer runs a planned query over the shards of one service.
+type Scatterer interface {
+	Execute(ctx context.Context, request scatter.Request) scatter.Result
+}
+
+// Scatterers finds the Scatterer of a service; it reports false if the service
+// is not installed.
+type Scatterers interface {
+	Scatterer(service string) (Scatterer, bool)
+}
+
+// Forwarder sends a query to another node, by its name. The error is a
+// *ForwardError or a *api.Problem that the other node answered with.
+type Forwarder interface {
+	Forward(ctx context.Context, node string, forward Forward) (*api.QueryResponse, error)
+}
+
+// Forward is a query on its way from the node that took it to its owner.
+type Forward struct {
+	Service string
+	Request api.QueryRequest
+	// Remaining is a duration, since the clocks of nodes differ.
+	Remaining time.Duration
+}
+
+// ForwardError says that the owner gave no answer.
+type ForwardError struct {
+	Node string
+	// Sent is false only if provably no byte of the query left.
+	Sent bool
+	Err  error
+}
+
+// Error describes the failed hop.
+func (e *ForwardError) Error() string {
+	return "forward to " + e.Node + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ForwardError) Unwrap() error {
+	return e.Err
+}
+
+// Config is what an Executor needs.
+type Config struct {
+	// Self is the name of this node's slot.
+	Self       string
+	Catalogs   Catalogs
+	Scatterers Scatterers
+	Forwarder  Forwarder
+	Ledger     *Ledger
+	Clock      clock.Clock
+	Metrics    *Metrics
+	// RetryWhenStale is the time after which a caller that was refused,
+	// because this node was not fresh, may ask again.
+	RetryWhenStale time.Duration
+}
+
+// Executor runs queries. It is safe for concurrent use.
+type Executor struct {
+	config Config
+}
+
+// New returns an Executor.
+func New(config Config) *Executor {
+	return &Executor{config: config}
+}
+
+// Query runs a request that a caller sent to this node. It blocks until the
+// request has its final answer, at the latest until its deadline.
+func (e *Executor) Query(ctx context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
+	started := e.config.Clock.Now()
+	answer, err := e.query(ctx, service, request)
+	e.config.Metrics.observe(service, request.Class, answer, err, e.config.Clock.Now()-started)
+	return answer, err
+}
+
+func (e *Executor) query(ctx context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
+	if !e.config.Catalogs.Fresh() {
+		return nil, e.Refuse(service, request, api.ProblemNotRunStale)
+	}
+	planned, err := newPlan(e.config.Catalogs.Current(), service, request)
+	if err != nil {
+		return nil, err
+	}
+	if planned.class.Repeatable {
+		return e.scatter(ctx, planned)
+	}
+	return e.queryOnce(ctx, planned)
+}
+
+// SetVoters installs the voting set of the catalog at a revision.
+func (e *Executor) SetVoters(current *catalog.Catalog) {
+	e.config.Ledger.SetVoters(current.VoterNames(), current.Revision)
+}
+
+// scatter runs a planned query over the shards and merges the answer.
+func (e *Executor) scatter(ctx context.Context, planned *plan) (*api.QueryResponse, error) {
+	scatterer, ok := e.config.Scatterers.Scatterer(planned.service.Name)
+	if !ok {
+		return nil, planned.problem(api.ProblemNotRunSnapshot, "The service is not installed on this node yet.")
+	}
+	result := scatterer.Execute(ctx, planned.scatterRequest())
+	return planned.answer(result)
+}
--- /dev/null
+++ b/internal/executor/ledger.go
@@ -0,0 +1,125 @@
+package executor
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/decide/once"
+)
+
+// expireInterval is the time between two looks for ids to forget.
+const expireInterval = time.Second
+
+// fate is what came of a request that ran at most once: exactly one is set.
+type fate struct {
+	answer  *api.QueryResponse
+	problem *api.Problem
+}
+
+func (f fate) err() error {
+	if f.problem == nil {
+		return nil
+	}
+	return f.problem
+}
+
+// OwnershipProof reports whether a majority of the voters has, after the given
+// reading of the monotonic clock, acknowledged this process and hold the given
+// revision.
+type OwnershipProof func(after time.Duration, revision uint64) bool
+
+// Ledger keeps the ids that this node owns. It is suspended whenever the
+// voting set changes, until the new ownership is proved. It is safe for
+// concurrent use.
+type Ledger struct {
+	clock  clock.Clock
+	proved OwnershipProof
+
+	mutex  sync.Mutex
+	ledger *once.Ledger[fate]
+	voters []string
+	// pending is the change of the voting set that is not yet proved.
+	pending *ownership
+}
+
+// ownership is a voting set that this node has installed.
+type ownership struct {
+	installed time.Duration
+	revision  uint64
+}
+
+// NewLedger returns a Ledger that lets nothing through until a voting set is
+// set and proved.
+func NewLedger(config once.Config, source clock.Clock, proved OwnershipProof) *Ledger {
+	ledger := &Ledger{clock: source, proved: proved}
+	ledger.ledger = once.NewLedger[fate](config, ledger.reading())
+	ledger.ledger.Suspend()
+	return ledger
+}
+
+func (l *Ledger) reading() once.Reading {
+	return once.Reading{Wall: time.Now(), Monotonic: l.clock.Now()}
+}
+
+// SetVoters installs the voting set of a catalog.
+func (l *Ledger) SetVoters(voters []string, revision uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if slices.Equal(l.voters, voters) {
+		return
+	}
+	l.voters = voters
+	l.ledger.Suspend()
+	l.pending = &ownership{installed: l.clock.Now(), revision: revision}
+}
+
+// Run forgets old ids until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.mutex.Lock()
+			l.settle()
+			l.ledger.Expire(l.reading())
+			l.mutex.Unlock()
+		}
+	}
+}
+
+// settle ends the suspension once the new ownership is proved.
+func (l *Ledger) settle() {
+	if l.pending == nil || !l.proved(l.pending.installed, l.pending.revision) {
+		return
+	}
+	l.pending = nil
+	l.ledger.Reset(l.reading())
+}
+
+func (l *Ledger) begin(id ulid.ULID) once.Decision[fate] {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.settle()
+	return l.ledger.Begin(l.reading(), id)
+}
+
+func (l *Ledger) finish(id ulid.ULID, ended fate) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ledger.Finish(id, ended)
+}
+
+func (l *Ledger) release(id ulid.ULID) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ledger.Release(id)
+}
--- /dev/null
+++ b/internal/executor/once.go
@@ -0,0 +1,172 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/decide/once"
+)
+
+// retryInProgress is when a caller may ask again for the outcome of a request
+// that is still running.
+const retryInProgress = 100 * time.Millisecond
+
+// queryOnce runs a query that must not run twice: at the owner of its id.
+func (e *Executor) queryOnce(ctx context.Context, planned *plan) (*api.QueryResponse, error) {
+	id, err := planned.onceID()
+	if err != nil {
+		return nil, err
+	}
+	owner := once.Owner(e.config.Catalogs.Current().VoterNames(), id)
+	switch owner {
+	case "":
+		return nil, e.unavailable(planned.request, "No voters are configured.")
+	case e.config.Self:
+		return e.own(ctx, planned, id)
+	}
+	return e.forward(ctx, planned, owner)
+}
+
+func (p *plan) onceID() (ulid.ULID, error) {
+	id, err := ulid.ParseStrict(p.request.RequestID)
+	if err != nil {
+		return id, p.problem(api.ProblemInvalidRequest, fmt.Sprintf("Class %s runs a request at most once: request_id must be a ULID (%v).", p.class.Name, err))
+	}
+	return id, nil
+}
+
+// forward asks the owner, once. If its answer is lost, the query may have run,
+// and that is what the caller is told.
+func (e *Executor) forward(ctx context.Context, planned *plan, owner string) (*api.QueryResponse, error) {
+	waiting, cancel := context.WithTimeout(ctx, planned.timeout)
+	defer cancel()
+	answer, err := e.config.Forwarder.Forward(waiting, owner, Forward{
+		Service:   planned.service.Name,
+		Request:   planned.request,
+		Remaining: planned.timeout,
+	})
+	if err == nil {
+		return answer, nil
+	}
+	var problem *api.Problem
+	if errors.As(err, &problem) {
+		return nil, problem
+	}
+	var failed *ForwardError
+	if errors.As(err, &failed) && !failed.Sent {
+		return nil, e.unavailable(planned.request, fmt.Sprintf("The owner of this request id, %s, cannot be reached.", owner))
+	}
+	lost := planned.problem(api.ProblemOutcomeUnknown, err.Error())
+	lost.Outcome = dispatch.OutcomeUnknown
+	lost.Reason = dispatch.ReasonLost
+	return nil, lost
+}
+
+// Own runs a query that another node forwarded because this node owns its id.
+// Errors are *api.Problem values.
+func (e *Executor) Own(ctx context.Context, forward Forward) (*api.QueryResponse, error) {
+	if !e.config.Catalogs.Fresh() {
+		return nil, e.unavailable(forward.Request, "The owner of this request id cannot show that its catalog is current.")
+	}
+	current := e.config.Catalogs.Current()
+	planned, err := newPlan(current, forward.Service, forward.Request)
+	if err != nil {
+		return nil, err
+	}
+	planned.timeout = min(planned.timeout, forward.Remaining)
+	id, err := planned.onceID()
+	if err != nil {
+		return nil, err
+	}
+	if planned.class.Repeatable || once.Owner(current.VoterNames(), id) != e.config.Self {
+		return nil, e.unavailable(forward.Request, "The nodes do not agree yet on the owner of this request id.")
+	}
+	return e.own(ctx, planned, id)
+}
+
+// own decides about an id that this node owns. The query goes on when the
+// caller goes away, so that a later submission learns its outcome.
+func (e *Executor) own(ctx context.Context, planned *plan, id ulid.ULID) (*api.QueryResponse, error) {
+	decision := e.config.Ledger.begin(id)
+	// The decision counts only if the node was still fresh after it was made.
+	fresh := e.config.Catalogs.Fresh()
+	switch decision.Kind {
+	case once.Replay:
+		return decision.Outcome.answer, decision.Outcome.err()
+	case once.InProgress:
+		return nil, planned.inProgress()
+	case once.Refuse:
+		return nil, e.refuseOnce(planned, decision, fresh)
+	}
+	if !fresh {
+		e.config.Ledger.release(id)
+		return nil, e.unavailable(planned.request, "The owner of this request id cannot show that its catalog is current.")
+	}
+	return e.runOnce(context.WithoutCancel(ctx), planned, id)
+}
+
+// runOnce runs a query that the ledger let through, and records its fate.
+func (e *Executor) runOnce(ctx context.Context, planned *plan, id ulid.ULID) (*api.QueryResponse, error) {
+	answer, err := e.scatter(ctx, planned)
+	var problem *api.Problem
+	if errors.As(err, &problem) && problem.Outcome == dispatch.OutcomeNotRun {
+		e.config.Ledger.release(id)
+		return nil, err
+	}
+	e.config.Ledger.finish(id, fate{answer: answer, problem: problem})
+	return answer, err
+}
+
+func (p *plan) inProgress() *api.Problem {
+	problem := p.problem(api.ProblemOutcomeUnknown, "A request with this id is running.")
+	problem.Outcome = dispatch.OutcomeUnknown
+	problem.RetryAfterMilliseconds = retryInProgress.Milliseconds()
+	return problem
+}
+
+// refuseOnce tells the caller of a refused id. "Not run" is said only if no
+// earlier submission of the id can have run.
+func (e *Executor) refuseOnce(planned *plan, decision once.Decision[fate], fresh bool) *api.Problem {
+	detail := fmt.Sprintf("The request id was refused: %s.", decision.Reason)
+	if decision.MayHaveRun || !fresh {
+		problem := e.unavailable(planned.request, detail)
+		problem.RetryAfterMilliseconds = max(problem.RetryAfterMilliseconds, roundUpMilliseconds(decision.RetryAfter))
+		return problem
+	}
+	problem := planned.problem(api.ProblemNotRunOverload, detail)
+	if decision.Reason != once.ReasonFull {
+		problem = planned.problem(api.ProblemInvalidRequest, detail)
+	}
+	problem.Outcome = dispatch.OutcomeNotRun
+	problem.RetryAfterMilliseconds = roundUpMilliseconds(decision.RetryAfter)
+	return problem
+}
+
+// unavailable refuses a submission that ran nowhere, where an earlier one of
+// the same id may have run.
+func (e *Executor) unavailable(request api.QueryRequest, detail string) *api.Problem {
+	problem := requestProblem(request, api.ProblemUnavailable, detail+" This submission ran nowhere; an earlier one of the same id may have.")
+	problem.Outcome = dispatch.OutcomeFailed
+	problem.RetryAfterMilliseconds = e.config.RetryWhenStale.Milliseconds()
+	return problem
+}
+
+// Refuse returns the problem for a query that this node does not take, with
+// the given "not run" type. A request of a class that runs at most once may
+// have been submitted before, so for it "not run" is not claimed.
+func (e *Executor) Refuse(service string, request api.QueryRequest, notRun api.ProblemType) *api.Problem {
+	class, known := e.config.Catalogs.Current().Services[service].Classes[request.Class]
+	if request.RequestID != "" && (!known || !class.Repeatable) {
+		return e.unavailable(request, "This node takes no requests now.")
+	}
+	problem := requestProblem(request, notRun, "")
+	problem.Outcome = dispatch.OutcomeNotRun
+	problem.RetryAfterMilliseconds = e.config.RetryWhenStale.Milliseconds()
+	return problem
+}
--- /dev/null
+++ b/internal/executor/plan.go
@@ -0,0 +1,215 @@
+package executor
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/language"
+	"github.com/micaplank/micaplank/internal/merge"
+	"github.com/micaplank/micaplank/internal/rows"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// maximumRequestID is the longest request id, in bytes.
+const maximumRequestID = 128
+
+// plan is a checked query: what each shard runs and how the tables are merged.
+type plan struct {
+	service catalog.Service
+	class   catalog.Class
+	request api.QueryRequest
+	timeout time.Duration
+	// minimumCoverage is a share from 0 to 1.
+	minimumCoverage float64
+	shardStatement  string
+	key             rows.Value
+	hasKey          bool
+	// selection is nil for an insert.
+	selection *merge.Plan
+}
+
+// newPlan checks a request against the catalog. The error is a *api.Problem;
+// nothing has run when it is returned.
+func newPlan(current *catalog.Catalog, serviceName string, request api.QueryRequest) (*plan, error) {
+	service, ok := current.Services[serviceName]
+	if !ok {
+		return nil, requestProblem(request, api.ProblemUnknownService, fmt.Sprintf("There is no service %q.", serviceName))
+	}
+	class, ok := service.Classes[request.Class]
+	if !ok {
+		return nil, requestProblem(request, api.ProblemUnknownClass, fmt.Sprintf("Service %s has no class %q.", serviceName, request.Class))
+	}
+	planned := &plan{service: service, class: class, request: request}
+	steps := []func() error{planned.checkID, planned.checkDeadline, planned.checkCoverage, planned.checkStatement}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return planned, nil
+}
+
+func requestProblem(request api.QueryRequest, problemType api.ProblemType, detail string) *api.Problem {
+	problem := api.NewProblem(problemType, detail)
+	problem.RequestID = request.RequestID
+	return problem
+}
+
+func (p *plan) problem(problemType api.ProblemType, detail string) *api.Problem {
+	return requestProblem(p.request, problemType, detail)
+}
+
+func (p *plan) checkID() error {
+	if len(p.request.RequestID) > maximumRequestID {
+		return p.problem(api.ProblemInvalidRequest, fmt.Sprintf("request_id is longer than %d bytes.", maximumRequestID))
+	}
+	if p.request.RequestID != "" {
+		return nil
+	}
+	if !p.class.Repeatable {
+		return p.problem(api.ProblemInvalidRequest, fmt.Sprintf("Class %s runs a request at most once: request_id must be a ULID made by the caller.", p.class.Name))
+	}
+	p.request.RequestID = ulid.Make().String()
+	return nil
+}
+
+func (p *plan) checkDeadline() error {
+	p.timeout = time.Duration(p.request.DeadlineMilliseconds) * time.Millisecond
+	if p.request.DeadlineMilliseconds == 0 {
+		p.timeout = p.class.Deadline
+	}
+	if p.timeout <= 0 || p.timeout > p.class.Deadline {
+		return p.problem(api.ProblemInvalidDeadline, fmt.Sprintf("deadline_ms must be between 1 and %d for class %s.", p.class.Deadline.Milliseconds(), p.class.Name))
+	}
+	return nil
+}
+
+func (p *plan) checkCoverage() error {
+	p.minimumCoverage = p.class.Coverage
+	if p.request.MinimumCoverage == nil {
+		return nil
+	}
+	p.minimumCoverage = *p.request.MinimumCoverage
+	if !(p.minimumCoverage >= 0 && p.minimumCoverage <= 1) {
+		return p.problem(api.ProblemInvalidRequest, "minimum_coverage must be between 0 and 1.")
+	}
+	return nil
+}
+
+func (p *plan) checkStatement() error {
+	statement, err := language.ParseOne(p.request.Statement)
+	if err != nil {
+		return p.syntaxProblem(err)
+	}
+	switch statement := statement.(type) {
+	case *language.Select:
+		return p.planSelect(statement)
+	case *language.Insert:
+		return p.planInsert(statement)
+	}
+	return p.problem(api.ProblemInvalidRequest, "A query is a select or an insert.")
+}
+
+func (p *plan) syntaxProblem(err error) error {
+	problem := SyntaxProblem(err)
+	problem.RequestID = p.request.RequestID
+	return problem
+}
+
+// SyntaxProblem turns an error of package language into a problem that points
+// at the place.
+func SyntaxProblem(err error) *api.Problem {
+	problem := api.NewProblem(api.ProblemSyntax, err.Error())
+	var syntax *language.SyntaxError
+	if errors.As(err, &syntax) {
+		problem.Line = syntax.Line
+		problem.Column = syntax.Column
+		problem.Expected = syntax.Expected
+	}
+	return problem
+}
+
+func (p *plan) checkServiceName(name string) error {
+	if name == p.service.Name {
+		return nil
+	}
+	return p.problem(api.ProblemInvalidRequest, fmt.Sprintf("The statement names service %s, the path names %s.", name, p.service.Name))
+}
+
+func (p *plan) planSelect(statement *language.Select) error {
+	if err := p.checkServiceName(statement.Service); err != nil {
+		return err
+	}
+	selection, err := merge.NewPlan(statement)
+	if err != nil {
+		return p.problem(api.ProblemInvalidRequest, err.Error())
+	}
+	p.selection = selection
+	p.shardStatement = selection.ShardStatement()
+	if p.service.KeyColumn != "" {
+		p.key, p.hasKey = statement.KeyEquality(p.service.KeyColumn)
+	}
+	if !p.class.Repeatable && !p.hasKey {
+		return p.problem(api.ProblemInvalidRequest, fmt.Sprintf("Class %s runs a request at most once: the statement must name one key.", p.class.Name))
+	}
+	return nil
+}
+
+func (p *plan) planInsert(statement *language.Insert) error {
+	if err := p.checkServiceName(statement.Service); err != nil {
+		return err
+	}
+	if p.class.Repeatable {
+		return p.problem(api.ProblemInvalidRequest, fmt.Sprintf("Class %s may repeat requests: an insert needs a class declared \"once\".", p.class.Name))
+	}
+	if p.service.KeyColumn == "" {
+		return p.problem(api.ProblemInvalidRequest, fmt.Sprintf("Service %s has no key column: an insert has no shard.", p.service.Name))
+	}
+	p.key, p.hasKey = statement.Value(p.service.KeyColumn)
+	if !p.hasKey {
+		return p.problem(api.ProblemInvalidRequest, fmt.Sprintf("An insert into %s must give the column %s.", p.service.Name, p.service.KeyColumn))
+	}
+	p.shardStatement = statement.String()
+	return nil
+}
+
+func (p *plan) scatterRequest() scatter.Request {
+	request := scatter.Request{
+		RequestID:       p.request.RequestID,
+		Class:           p.class,
+		Statement:       p.shardStatement,
+		HasKey:          p.hasKey,
+		Timeout:         p.timeout,
+		MinimumCoverage: p.minimumCoverage,
+	}
+	if p.hasKey {
+		request.KeyHash = rows.KeyHash(p.key)
+	}
+	return request
+}
+
+// merge builds the table of the answer. An insert's answer is its shard's.
+func (p *plan) merge(tables []scatter.ShardTable) (rows.Table, error) {
+	if p.selection == nil {
+		return firstTable(tables), nil
+	}
+	merger := p.selection.NewMerger()
+	for _, table := range tables {
+		if err := merger.Add(table.Shard, table.Table); err != nil {
+			return rows.Table{}, err
+		}
+	}
+	return merger.Result()
+}
+
+func firstTable(tables []scatter.ShardTable) rows.Table {
+	if len(tables) == 0 {
+		return rows.Table{}
+	}
+	return tables[0].Table
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/machines"
+	"github.com/micaplank/micaplank/internal/membership"
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+const (
+	// headerTimeout bounds the time that a caller may take for its headers.
+	headerTimeout = 10 * time.Second
+	// loadTimeout bounds one poll of a leaf's load.
+	loadTimeout = time.Second
+	// drainGrace is the time between the announcement of a planned stop and
+	// the closing of idle connections: callers and peers need it to move.
+	drainGrace = time.Second
+	// leaveTimeout bounds the announcement to the other nodes.
+	leaveTimeout = 2 * time.Second
+)
+
+// Run starts the node and blocks until ctx ends, an operator drains it or
+// another process takes over its slot. It then stops as planned: nothing in
+// flight is cut off within the drain timeout. It returns nil if so.
+func (n *Node) Run(ctx context.Context) error {
+	n.peerServer.Serve()
+	n.membership.Start()
+	n.dissemination.Start()
+	n.background.Go(n.followCatalog)
+	n.background.Go(n.followMembers)
+	n.background.Go(n.followMachines)
+	n.background.Go(func() { n.ledger.Run(n.running) })
+	failed := make(chan error, 1)
+	n.background.Go(func() { failed <- ignoreClosed(n.http.Serve(n.listener)) })
+	n.logger.Info("listening", "http", n.HTTPAddress(), "peer", n.PeerAddress())
+	select {
+	case <-ctx.Done():
+		n.beginDrain()
+	case <-n.draining:
+	case err := <-failed:
+		n.beginDrain()
+		return errors.Join(err, n.drain())
+	}
+	return n.drain()
+}
+
+// beginDrain announces the planned stop; it returns at once.
+func (n *Node) beginDrain() {
+	n.drainOnce.Do(func() { close(n.draining) })
+}
+
+// drain ends the node: first the announcement, then the callers' connections
+// as they become idle, then everything that the queries needed.
+func (n *Node) drain() error {
+	n.logger.Info("draining", "queries_in_flight", n.services.inFlight())
+	n.gateway.Drain()
+	announcing, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	leaveErr := n.membership.Leave(announcing)
+	time.Sleep(drainGrace)
+	finishing, cancel := context.WithTimeout(context.Background(), n.settings.Limits.DrainTimeout.Duration())
+	defer cancel()
+	err := errors.Join(n.http.Shutdown(finishing), n.peerServer.Close(finishing))
+	if leaveErr != nil {
+		n.logger.Warn("leaving was not acknowledged", telemetry.Error(leaveErr))
+	}
+	n.close()
+	if err != nil {
+		n.logger.Error("requests were cut off", telemetry.Error(err))
+		return err
+	}
+	n.logger.Info("stopped")
+	return nil
+}
+
+func (n *Node) close() {
+	n.stop()
+	n.services.close()
+	n.health.Close()
+	n.dissemination.Close()
+	n.membership.Close()
+	n.background.Wait()
+	n.leaves.Close()
+	n.calls.Close()
+	n.datagrams.Close()
+	n.store.Close()
+}
+
+// followCatalog installs each new catalog.
+func (n *Node) followCatalog() {
+	changes, cancel := n.dissemination.Subscribe()
+	defer cancel()
+	n.install(n.dissemination.Current())
+	for {
+		select {
+		case <-n.running.Done():
+			return
+		case <-changes:
+			n.install(n.dissemination.Current())
+		}
+	}
+}
+
+// followMembers logs nothing by itself; it ends the node when its slot was
+// taken over by another process.
+func (n *Node) followMembers() {
+	events, cancel := n.membership.Subscribe()
+	defer cancel()
+	for {
+		select {
+		case <-n.running.Done():
+			return
+		case event, open := <-events:
+			if !open {
+				return
+			}
+			if event.Kind == membership.EventSuperseded {
+				n.logger.Error("slot taken over", "node", n.settings.Name)
+				n.beginDrain()
+			}
+		}
+	}
+}
+
+// followMachines marks the leaves that the machine list calls leaving.
+func (n *Node) followMachines() {
+	if n.machines == nil {
+		return
+	}
+	n.machines.Run(n.running, func(list machines.List) {
+		for _, machine := range list.Machines {
+			if machine.Kind == machines.KindLeaf && machine.State != machines.StateLive {
+				n.health.MachineLeaving(machine.Address, machine.BootID)
+			}
+		}
+	})
+}
+
+// ignoreClosed hides the error of a server that was shut down as planned.
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/node/services.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/executor"
+	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// services holds one scatter connection for each service of the catalog. It is
+// safe for concurrent use.
+type services struct {
+	dispatch dispatch.Config
+	scatter  scatter.Config
+	// seed fixes the random choices of the dispatchers.
+	seed uint64
+
+	mutex sync.Mutex
+	conns map[string]*scatter.Conn
+	// ending counts connections of dropped services that still finish.
+	ending sync.WaitGroup
+}
+
+func newServices(dispatchConfig dispatch.Config, scatterConfig scatter.Config, seed uint64) *services {
+	return &services{
+		dispatch: dispatchConfig,
+		scatter:  scatterConfig,
+		seed:     seed,
+		conns:    make(map[string]*scatter.Conn),
+	}
+}
+
+// Scatterer returns the connection of a service.
+func (s *services) Scatterer(service string) (executor.Scatterer, bool) {
+	conn, ok := s.conn(service)
+	return conn, ok
+}
+
+func (s *services) conn(service string) (*scatter.Conn, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	conn, ok := s.conns[service]
+	return conn, ok
+}
+
+// SetTopology hands a service's leaves to its connection, which is made if the
+// service is new.
+func (s *services) SetTopology(service string, topology dispatch.Topology) {
+	s.mutex.Lock()
+	conn, ok := s.conns[service]
+	if !ok {
+		conn = s.newConn(service)
+		s.conns[service] = conn
+	}
+	s.mutex.Unlock()
+	conn.SetTopology(topology)
+}
+
+func (s *services) newConn(service string) *scatter.Conn {
+	config := s.scatter
+	config.Service = service
+	config.AttemptPrefix = fmt.Sprintf("%s/%s", s.scatter.AttemptPrefix, service)
+	random := rand.New(rand.NewPCG(s.seed, xxhash.Sum64String(service)))
+	return scatter.NewConn(config, dispatch.New(s.dispatch, random))
+}
+
+// Observe hands a load report to the connection of a service.
+func (s *services) Observe(service string, address netip.AddrPort, load leaf.LoadSummary) {
+	if conn, ok := s.conn(service); ok {
+		conn.Observe(address, load)
+	}
+}
+
+// setCatalog drops the connections of services that the catalog no longer has.
+// Their running queries finish in the background.
+func (s *services) setCatalog(current *catalog.Catalog) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for name, conn := range s.conns {
+		if _, exists := current.Services[name]; exists {
+			continue
+		}
+		delete(s.conns, name)
+		s.ending.Go(conn.Close)
+	}
+}
+
+// inFlight returns the number of queries that have not ended.
+func (s *services) inFlight() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	total := 0
+	for _, conn := range s.conns {
+		total += conn.InFlight()
+	}
+	return total
+}
+
+// close blocks until every query has ended.
+func (s *services) close() {
+	s.mutex.Lock()
+	conns := s.conns
+	s.conns = make(map[string]*scatter.Conn)
+	s.mutex.Unlock()
+	for _, conn := range conns {
+		conn.Close()
+	}
+	s.ending.Wait()
+}
--- a/internal/rehearsal/cluster/cluster.go
+++ b/internal/rehearsal/cluster/cluster.go
@@ -159,6 +159,8 @@
 	configured.Store.Endpoints = []netip.AddrPort{c.Store.HTTP}
 	configured.Machines.Address = c.Machines.HTTP
 	configured.Log.Format = "json"
+	// All clocks of the deployment are those of one machine.
+	configured.Once.Skew = settings.Duration(time.Second)
 	for _, node := range c.Nodes {
 		configured.Peers.Seeds = append(configured.Peers.Seeds, node.Peer)
 	}
--- a/internal/rehearsal/cluster/demo.go
+++ b/internal/rehearsal/cluster/demo.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/oklog/ulid/v2"
 
@@ -63,46 +64,99 @@
 		"Look-up of one filed quote", "filing-vault", "archive-pull",
 		"select * from filing-vault where quote = 'Q-17'",
 	},
-	{
-		"Filing of a quote, at most once", "filing-vault", "file-quote",
-		"insert into filing-vault (quote, lane, price) values ('Q-90018', 'OTR-SPK', 4100)",
-	},
-	{
-		"Look-up of the quote just filed", "filing-vault", "archive-pull",
-		"select quote, lane, price from filing-vault where quote = 'Q-90018'",
-	},
 }
 
+// filing is the request of the demo that must run at most once.
+var filing = demoQuery{
+	"Filing of a quote, at most once", "filing-vault", "file-quote",
+	"insert into filing-vault (quote, lane, price) values ('Q-90018', 'OTR-SPK', 4100)",
+}
+
+// maximumFilingTries bounds how often the demo submits its filing: after a
+// start, the owners of request ids refuse them until the fence has passed.
+const maximumFilingTries = 20
+
 // Demo runs the queries of the demo against a cluster, each at another node,
 // and prints the answers. It fails if an answer does not cover every shard.
 func (c *Cluster) Demo(ctx context.Context, output io.Writer) error {
 	for index, query := range demoQueries {
-		node := c.Nodes[index%len(c.Nodes)]
-		if err := c.demoQuery(ctx, output, node, query); err != nil {
+		if _, err := c.demoQuery(ctx, output, c.nodeNumber(index), query, ulid.Make()); err != nil {
 			return fmt.Errorf("%s: %w", query.title, err)
 		}
 	}
+	return c.demoFiling(ctx, output)
+}
+
+func (c *Cluster) nodeNumber(index int) *Node {
+	return c.Nodes[index%len(c.Nodes)]
+}
+
+// demoFiling files a quote, and submits the same request again at another
+// node: it must not run a second time.
+func (c *Cluster) demoFiling(ctx context.Context, output io.Writer) error {
+	for range maximumFilingTries {
+		id := ulid.Make()
+		_, err := c.demoQuery(ctx, output, c.nodeNumber(0), filing, id)
+		var problem *api.Problem
+		if errors.As(err, &problem) && problem.RetryAfterMilliseconds > 0 {
+			fmt.Fprintf(output, "  refused: %s\n  again in %d ms\n", problem.Detail, problem.RetryAfterMilliseconds)
+			if err := sleep(ctx, time.Duration(problem.RetryAfterMilliseconds)*time.Millisecond); err != nil {
+				return err
+			}
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", filing.title, err)
+		}
+		return c.demoRepeat(ctx, output, id)
+	}
+	return fmt.Errorf("%s: refused %d times", filing.title, maximumFilingTries)
+}
+
+func (c *Cluster) demoRepeat(ctx context.Context, output io.Writer, id ulid.ULID) error {
+	again := filing
+	again.title = "The same request once more, at another node"
+	if _, err := c.demoQuery(ctx, output, c.nodeNumber(1), again, id); err != nil {
+		return fmt.Errorf("%s: %w", again.title, err)
+	}
+	executions, err := c.Executions(ctx, id.String())
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(output, "  The leaves executed request %s %d time(s).\n", id, len(executions))
+	if len(executions) != 1 {
+		return fmt.Errorf("request %s ran %d times", id, len(executions))
+	}
 	return nil
 }
 
-func (c *Cluster) demoQuery(ctx context.Context, output io.Writer, node *Node, query demoQuery) error {
+func sleep(ctx context.Context, duration time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(duration):
+		return nil
+	}
+}
+
+func (c *Cluster) demoQuery(ctx context.Context, output io.Writer, node *Node, query demoQuery, id ulid.ULID) (*api.QueryResponse, error) {
 	fmt.Fprintf(output, "\n%s (%s, at %s)\n  %s\n", query.title, query.class, node.Name, query.statement)
 	answer, err := c.Query(ctx, node, query.service, api.QueryRequest{
-		RequestID: ulid.Make().String(),
+		RequestID: id.String(),
 		Class:     query.class,
 		Statement: query.statement,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	coverage := answer.Coverage
 	fmt.Fprintf(output, "  %s, snapshot version %d epoch %d, coverage %d of %d shards\n",
 		answer.Outcome, answer.Snapshot.Version, answer.Snapshot.Epoch, coverage.Answered, coverage.Total)
 	printRows(output, answer)
 	if coverage.Answered != coverage.Total {
-		return errors.New("the answer does not cover every shard")
+		return nil, errors.New("the answer does not cover every shard")
 	}
-	return nil
+	return answer, nil
 }
 
 func printRows(output io.Writer, answer *api.QueryResponse) {
