--- a/cmd/micarehearse/main.go
+++ b/cmd/micarehearse/main.go
@@ -43,6 +43,11 @@
 		&storeCommand{},
 		&machinesCommand{},
 		&demoCommand{},
+		&clusterCommand{},
+		&loadCommand{},
+		&simulateCommand{},
+		&experimentCommand{},
+		&hollowCommand{},
 	}
 }
 
--- a/cmd/micarehearse/standins.go
+++ b/cmd/micarehearse/standins.go
@@ -56,6 +56,7 @@
 	version  int
 	seed     int
 	median   time.Duration
+	log      string
 }
 
 func (l *leafCommand) attach() *flaggy.Subcommand {
@@ -76,6 +77,7 @@
 	sub.Int(&l.version, "", "version-held", "Index version held at the start.")
 	sub.Int(&l.seed, "", "seed", "Seed of the service times.")
 	sub.Duration(&l.median, "", "median", "Median service time of a select.")
+	sub.String(&l.log, "", "execution-log", "File that gets a line of JSON for each attempt, appended.")
 	return sub
 }
 
@@ -128,6 +130,14 @@
 	if err != nil {
 		return err
 	}
+	if l.log != "" {
+		file, err := os.OpenFile(l.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		server.LogExecutions(file)
+	}
 	announce(logger, server.Address())
 	<-ctx.Done()
 	// The planned stop of a leaf: what is in flight ends first.
--- a/internal/rehearsal/cluster/cluster.go
+++ b/internal/rehearsal/cluster/cluster.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, oops.With("step", "start cluster").Wrap(err)
 	}
-	cluster := &Cluster{plan: plan, folder: folder, client: &http.Client{Timeout: time.Minute}}
+	cluster := &Cluster{plan: plan, folder: folder, client: newClient()}
 	if err := cluster.start(ctx); err != nil {
 		cluster.Close()
 		return nil, err
@@ -67,6 +67,16 @@
 	return cluster, nil
 }
 
+// connectionsPerProcess is how many idle connections are kept to one process.
+const connectionsPerProcess = 64
+
+func newClient() *http.Client {
+	return &http.Client{
+		Timeout:   time.Minute,
+		Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerProcess},
+	}
+}
+
 func (c *Cluster) start(ctx context.Context) error {
 	steps := []func(context.Context) error{c.startPlatform, c.startLeaves, c.startNodes, c.configure, c.AwaitReady}
 	for _, step := range steps {
@@ -98,6 +108,8 @@
 				Service: service.Name,
 				Zone:    c.plan.Zones[index%len(c.plan.Zones)],
 				Shards:  service.shardsOf(index),
+
+				executionLog: filepath.Join(c.folder, fmt.Sprintf("%s-%d.executions", service.Name, index)),
 			}
 			c.Leaves = append(c.Leaves, leaf)
 			group.Go(func() error { return c.startLeaf(ctx, service, leaf, anyPort) })
@@ -113,7 +125,8 @@
 		"--zone", leaf.Zone,
 		"--shards", joinShards(leaf.Shards),
 		"--shard-count", fmt.Sprint(service.Shards),
-		"--slots", fmt.Sprint(service.Slots))
+		"--slots", fmt.Sprint(service.Slots),
+		"--execution-log", leaf.executionLog)
 	return err
 }
 
@@ -164,6 +177,9 @@
 	for _, node := range c.Nodes {
 		configured.Peers.Seeds = append(configured.Peers.Seeds, node.Peer)
 	}
+	if c.plan.Tune != nil {
+		c.plan.Tune(&configured)
+	}
 	return configured
 }
 
@@ -204,8 +220,13 @@
 
 // Change sends one statement of an operator to a node.
 func (c *Cluster) Change(ctx context.Context, node *Node, statement string) (*api.StatementResponse, error) {
+	return c.Statement(ctx, node, api.StatementRequest{Statement: statement, Operator: "cluster"})
+}
+
+// Statement sends a request of an operator to a node.
+func (c *Cluster) Statement(ctx context.Context, node *Node, request api.StatementRequest) (*api.StatementResponse, error) {
 	response := new(api.StatementResponse)
-	err := c.post(ctx, node, api.StatementsPath, api.StatementRequest{Statement: statement, Operator: "cluster"}, response)
+	err := c.post(ctx, node, api.StatementsPath, request, response)
 	return response, err
 }
 
--- a/internal/rehearsal/cluster/inspect.go
+++ b/internal/rehearsal/cluster/inspect.go
@@ -4,19 +4,25 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
+	"os"
+	"strings"
 
 	"github.com/samber/oops"
 
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/rehearsal/leaf"
 )
 
-// Executions returns what the running leaves executed of a request; all
-// requests if the id is empty.
-func (c *Cluster) Executions(ctx context.Context, requestID string) ([]leaf.Execution, error) {
+// Executions returns what the leaves executed of a request; all requests if the
+// id is empty. Leaves that are frozen or gone count too.
+func (c *Cluster) Executions(_ context.Context, requestID string) ([]leaf.Execution, error) {
 	var found []leaf.Execution
 	for _, each := range c.Leaves {
-		executions, err := c.LeafExecutions(ctx, each)
+		executions, err := c.LeafExecutions(each)
 		if err != nil {
 			return nil, err
 		}
@@ -30,11 +36,50 @@
 	return found, nil
 }
 
-// LeafExecutions returns the whole execution log of one leaf.
-func (c *Cluster) LeafExecutions(ctx context.Context, from *Leaf) ([]leaf.Execution, error) {
-	var log leaf.Executions
-	err := c.control(ctx, http.MethodGet, from.Process, leaf.ExecutionsPath, nil, &log)
-	return log.Executions, err
+// LeafExecutions returns the whole execution log of one leaf, which may be
+// frozen or gone.
+func (c *Cluster) LeafExecutions(from *Leaf) ([]leaf.Execution, error) {
+	file, err := os.Open(from.executionLog)
+	if err != nil {
+		return nil, oops.With("step", "read executions", "peer", from.Name).Wrap(err)
+	}
+	defer file.Close()
+	var executions []leaf.Execution
+	decoder := json.NewDecoder(file)
+	for {
+		var execution leaf.Execution
+		err := decoder.Decode(&execution)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return executions, nil // a line may be cut off by the leaf's end
+		}
+		if err != nil {
+			return nil, oops.With("step", "read executions", "peer", from.Name).Wrap(err)
+		}
+		executions = append(executions, execution)
+	}
+}
+
+// Fate asks a node for the fate of an earlier change.
+func (c *Cluster) Fate(ctx context.Context, node *Node, changeID string) (*api.StatementResponse, error) {
+	response := new(api.StatementResponse)
+	path := strings.Replace(api.ChangePath, "{id}", changeID, 1)
+	return response, c.get(ctx, node.Process, path, response)
+}
+
+// Status returns what a node knows of the deployment.
+func (c *Cluster) Status(ctx context.Context, node *Node) (*api.StatusResponse, error) {
+	response := new(api.StatusResponse)
+	return response, c.get(ctx, node.Process, api.StatusPath, response)
+}
+
+// Catalog returns the catalog that a node has installed.
+func (c *Cluster) Catalog(ctx context.Context, node *Node) (*catalog.Catalog, error) {
+	response := new(catalog.Catalog)
+	return response, c.get(ctx, node.Process, api.CatalogPath, response)
+}
+
+func (c *Cluster) get(ctx context.Context, from *Process, path string, target any) error {
+	return c.control(ctx, http.MethodGet, from, path, nil, target)
 }
 
 // ControlLeaf injects faults into a leaf.
--- a/internal/rehearsal/cluster/plan.go
+++ b/internal/rehearsal/cluster/plan.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"strings"
+
+	"github.com/micaplank/micaplank/internal/settings"
 )
 
 // Service describes one service of a deployment and its leaves.
@@ -28,6 +30,9 @@
 	// Nodes is the number of nodes; node i is in zone i modulo the zones.
 	Nodes    int
 	Services []Service
+	// Tune changes the settings of every node before it starts; nil changes
+	// nothing.
+	Tune func(*settings.Settings)
 }
 
 // shardsOf returns the shards that leaf number index of a service holds.
@@ -69,6 +74,8 @@
 	Service string
 	Zone    string
 	Shards  []int
+	// executionLog is the file that the leaf logs its executions to.
+	executionLog string
 }
 
 // Address is where the leaf serves.
--- a/internal/rehearsal/cluster/process.go
+++ b/internal/rehearsal/cluster/process.go
@@ -151,3 +151,8 @@
 		return -1
 	}
 }
+
+// ProcessID returns the id of the process.
+func (p *Process) ProcessID() int {
+	return p.command.Process.Pid
+}
