leaf: prove one arrival per call, and the faults of the stand-in

Tests against an HTTP/2 server that is written frame by frame: whatever fails after the whole request has arrived (connection closed or reset, GOAWAY on either side of the stream, RST_STREAM of four kinds, reply cut after its head), it arrives once, for repeatable and other requests alike.

The stand-in remembers parsed statements and results of selects, so that its own processor time does not hide that of the nodes.

--- /dev/null
+++ b/internal/leaf/once_test.go
@@ -0,0 +1,240 @@
+package leaf
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/oops"
+	"go.uber.org/goleak"
+	"golang.org/x/net/http2"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newTestClient(t *testing.T, config Config) *Client {
+	t.Helper()
+	client := New(config, prometheus.NewRegistry())
+	t.Cleanup(client.Close)
+	return client
+}
+
+func testRequest(repeatable bool) ExecuteRequest {
+	return ExecuteRequest{
+		RequestID:             "request",
+		AttemptID:             "attempt",
+		Service:               "rate-desk",
+		Shard:                 3,
+		Snapshot:              catalog.Snapshot{Version: 7, Epoch: 2},
+		Statement:             "select * from rate-desk",
+		RemainingMilliseconds: 2000,
+		Repeatable:            repeatable,
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestOneArrivalPerCall proves that a failure after the request has arrived
+// never makes net/http send it again, and that Sent tells whether it may run.
+func TestOneArrivalPerCall(t *testing.T) {
+	cases := map[string]struct {
+		onRequest func(conn *rawConn, stream uint32, body []byte) bool
+		sent      bool
+		cause     error
+	}{
+		"connection closed": {
+			onRequest: func(*rawConn, uint32, []byte) bool { return false },
+			sent:      true,
+		},
+		"connection reset": {
+			onRequest: func(conn *rawConn, _ uint32, _ []byte) bool {
+				conn.Conn.(*net.TCPConn).SetLinger(0)
+				return false
+			},
+			sent: true,
+		},
+		"go away that covers the stream, then closed": {
+			onRequest: func(conn *rawConn, stream uint32, _ []byte) bool {
+				conn.framer.WriteGoAway(stream, http2.ErrCodeNo, nil)
+				return false
+			},
+			sent: true,
+		},
+		"go away below the stream, then closed": {
+			onRequest: func(conn *rawConn, _ uint32, _ []byte) bool {
+				conn.framer.WriteGoAway(0, http2.ErrCodeNo, nil)
+				return false
+			},
+			sent:  false,
+			cause: ErrGoingAway,
+		},
+		"stream refused": {
+			onRequest: func(conn *rawConn, stream uint32, _ []byte) bool {
+				conn.framer.WriteRSTStream(stream, http2.ErrCodeRefusedStream)
+				return true
+			},
+			sent:  false,
+			cause: ErrRefusedStream,
+		},
+		"stream reset": {
+			onRequest: func(conn *rawConn, stream uint32, _ []byte) bool {
+				conn.framer.WriteRSTStream(stream, http2.ErrCodeInternal)
+				return true
+			},
+			sent: true,
+		},
+		"protocol error from the leaf": {
+			onRequest: func(conn *rawConn, stream uint32, _ []byte) bool {
+				conn.framer.WriteRSTStream(stream, http2.ErrCodeProtocol)
+				return true
+			},
+			sent: true,
+		},
+		"closed after the head of the reply": {
+			onRequest: func(conn *rawConn, stream uint32, _ []byte) bool {
+				conn.replyHead(stream)
+				return false
+			},
+			sent: true,
+		},
+		"stream refused after the head of the reply": {
+			onRequest: func(conn *rawConn, stream uint32, _ []byte) bool {
+				conn.replyHead(stream)
+				conn.framer.WriteRSTStream(stream, http2.ErrCodeRefusedStream)
+				return true
+			},
+			sent: true,
+		},
+	}
+	for name, test := range cases {
+		for _, repeatable := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				server := startRawServer(t, test.onRequest)
+				client := newTestClient(t, Config{})
+				_, err := client.Execute(testContext(t), server.address(), testRequest(repeatable))
+				var transportError *TransportError
+				if !errors.As(err, &transportError) {
+					t.Fatalf("error %v", err)
+				}
+				if transportError.Sent != test.sent {
+					t.Errorf("sent is %t: %v", transportError.Sent, err)
+				}
+				if test.cause != nil && !errors.Is(err, test.cause) {
+					t.Errorf("cause %v", err)
+				}
+				client.Close()
+				if arrivals := server.arrivals.Load(); arrivals != 1 {
+					t.Errorf("%d arrivals", arrivals)
+				}
+			})
+		}
+	}
+}
+
+func TestGoAwayTextIsThatOfNetHTTP(t *testing.T) {
+	server := startRawServer(t, func(conn *rawConn, _ uint32, _ []byte) bool {
+		conn.framer.WriteGoAway(0, http2.ErrCodeNo, nil)
+		return true
+	})
+	client := newTestClient(t, Config{})
+	_, err := client.Execute(testContext(t), server.address(), testRequest(true))
+	if !errors.Is(err, ErrGoingAway) {
+		t.Fatalf("%v", err)
+	}
+}
+
+// TestClosedIdleConnection covers a kept connection that the leaf closes
+// before it is used again.
+func TestClosedIdleConnection(t *testing.T) {
+	server := startRawServer(t, func(conn *rawConn, stream uint32, body []byte) bool {
+		conn.reply(stream, answer(body))
+		return conn.number > 1 // the first connection is closed after its first reply
+	})
+	client := newTestClient(t, Config{ConnectionsPerLeaf: 1})
+	calls, failures := 0, 0
+	for range 5 {
+		calls++
+		_, err := client.Execute(testContext(t), server.address(), testRequest(false))
+		var transportError *TransportError
+		if errors.As(err, &transportError) && !transportError.Sent {
+			failures++
+		}
+	}
+	if arrivals := int(server.arrivals.Load()); arrivals > calls-failures {
+		t.Fatalf("%d arrivals of %d calls, of which %d were not sent", arrivals, calls, failures)
+	}
+}
+
+func TestUnsentErrors(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := listener.Addr().(*net.TCPAddr).AddrPort()
+	listener.Close()
+	server := startRawServer(t, func(conn *rawConn, stream uint32, body []byte) bool {
+		conn.reply(stream, answer(body))
+		return true
+	})
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	client := newTestClient(t, Config{})
+	if _, err := client.Execute(testContext(t), server.address(), testRequest(false)); err != nil {
+		t.Fatal(err)
+	}
+	for name, call := range map[string]struct {
+		ctx     context.Context
+		address netip.AddrPort
+	}{
+		"nobody listens":         {testContext(t), nobody},
+		"cancelled before":       {cancelled, server.address()},
+		"cancelled, unconnected": {cancelled, nobody},
+	} {
+		_, err := client.Execute(call.ctx, call.address, testRequest(false))
+		var transportError *TransportError
+		if !errors.As(err, &transportError) || transportError.Sent {
+			t.Errorf("%s: %v", name, err)
+		}
+		attributes, _ := oops.AsOops(err)
+		if attributes.Context()["peer"] != call.address.String() || attributes.Context()["step"] != string(transportError.Step) {
+			t.Errorf("%s: attributes %v", name, attributes.Context())
+		}
+	}
+	if server.arrivals.Load() != 1 {
+		t.Errorf("%d arrivals", server.arrivals.Load())
+	}
+}
+
+func TestConnectionsAreSharedAndDialedAhead(t *testing.T) {
+	server := startRawServer(t, func(conn *rawConn, stream uint32, body []byte) bool {
+		conn.reply(stream, answer(body))
+		return true
+	})
+	client := newTestClient(t, Config{ConnectionsPerLeaf: 3})
+	client.Prepare(server.address())
+	for ctx := testContext(t); server.dials.Load() < 3 && ctx.Err() == nil; {
+		time.Sleep(time.Millisecond)
+	}
+	for range 100 {
+		if _, err := client.Execute(testContext(t), server.address(), testRequest(true)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if dials := server.dials.Load(); dials != 3 {
+		t.Errorf("%d dials", dials)
+	}
+	client.Forget(server.address())
+	if _, err := client.Execute(testContext(t), server.address(), testRequest(true)); err != nil {
+		t.Errorf("after Forget: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/leaf/raw_server_test.go
@@ -0,0 +1,126 @@
+package leaf
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// rawServer speaks HTTP/2 frame by frame, so that a test decides what happens
+// after the whole request has arrived.
+type rawServer struct {
+	listener net.Listener
+	// arrivals counts requests whose whole body has arrived.
+	arrivals atomic.Int64
+	dials    atomic.Int64
+	// onRequest is called when a whole request has arrived. It returns false
+	// if the connection is to be closed.
+	onRequest func(conn *rawConn, stream uint32, body []byte) bool
+	running   sync.WaitGroup
+}
+
+type rawConn struct {
+	net.Conn
+	framer *http2.Framer
+	// number counts the server's connections from 1.
+	number int64
+}
+
+func startRawServer(t *testing.T, onRequest func(*rawConn, uint32, []byte) bool) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{listener: listener, onRequest: onRequest}
+	s.running.Go(s.accept)
+	t.Cleanup(func() {
+		listener.Close()
+		s.running.Wait()
+	})
+	return s
+}
+
+func (s *rawServer) address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s *rawServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		number := s.dials.Add(1)
+		s.running.Go(func() { s.serve(conn, number) })
+	}
+}
+
+func (s *rawServer) serve(plain net.Conn, number int64) {
+	defer plain.Close()
+	preface := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(plain, preface); err != nil {
+		return
+	}
+	conn := &rawConn{Conn: plain, framer: http2.NewFramer(plain, plain), number: number}
+	conn.framer.WriteSettings()
+	bodies := make(map[uint32][]byte)
+	for {
+		frame, err := conn.framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		switch frame := frame.(type) {
+		case *http2.SettingsFrame:
+			if !frame.IsAck() {
+				conn.framer.WriteSettingsAck()
+			}
+		case *http2.PingFrame:
+			conn.framer.WritePing(true, frame.Data)
+		case *http2.DataFrame:
+			bodies[frame.StreamID] = append(bodies[frame.StreamID], frame.Data()...)
+			if frame.StreamEnded() {
+				s.arrivals.Add(1)
+				if !s.onRequest(conn, frame.StreamID, bodies[frame.StreamID]) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// reply sends a whole response with the given body.
+func (c *rawConn) reply(stream uint32, body []byte) {
+	c.replyHead(stream)
+	c.framer.WriteData(stream, true, body)
+}
+
+func (c *rawConn) replyHead(stream uint32) {
+	var block bytes.Buffer
+	hpack.NewEncoder(&block).WriteField(hpack.HeaderField{Name: ":status", Value: "200"})
+	c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true})
+}
+
+// answer is the reply that a faultless leaf gives to the request.
+func answer(body []byte) []byte {
+	var request ExecuteRequest
+	json.Unmarshal(body, &request)
+	response := ExecuteResponse{
+		RequestID: request.RequestID,
+		AttemptID: request.AttemptID,
+		Shard:     request.Shard,
+		Snapshot:  request.Snapshot,
+		Executed:  true,
+		Load:      LoadSummary{State: StateServing},
+	}
+	encoded, _ := json.Marshal(response)
+	return encoded
+}
--- /dev/null
+++ b/internal/leaf/reply_test.go
@@ -0,0 +1,113 @@
+package leaf
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"golang.org/x/net/http2"
+
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// TestCancellationResetsTheStream also covers a reply that comes too late.
+func TestCancellationResetsTheStream(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	var late atomic.Bool
+	server := startRawServer(t, func(conn *rawConn, stream uint32, body []byte) bool {
+		if late.CompareAndSwap(false, true) {
+			arrived <- struct{}{}
+			// The next frame after the whole request is the reset.
+			for frame, err := conn.framer.ReadFrame(); ; frame, err = conn.framer.ReadFrame() {
+				if err != nil {
+					t.Error(err)
+					return false
+				}
+				if reset, ok := frame.(*http2.RSTStreamFrame); ok && reset.StreamID == stream {
+					conn.reply(stream, answer(body))
+					return true
+				}
+			}
+		}
+		conn.reply(stream, answer(body))
+		return true
+	})
+	client := newTestClient(t, Config{ConnectionsPerLeaf: 1})
+	ctx, cancel := context.WithCancel(testContext(t))
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := client.Execute(ctx, server.address(), testRequest(false))
+	var transportError *TransportError
+	if !errors.As(err, &transportError) || !transportError.Sent || !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	own := testRequest(false)
+	own.AttemptID = "another"
+	if response, err := client.Execute(testContext(t), server.address(), own); err != nil || response.AttemptID != "another" {
+		t.Fatal(response, err)
+	}
+}
+
+func TestGoAwayShowsInTheReply(t *testing.T) {
+	server := startRawServer(t, func(conn *rawConn, stream uint32, body []byte) bool {
+		conn.framer.WriteGoAway(stream, http2.ErrCodeNo, nil)
+		conn.reply(stream, answer(body))
+		return true
+	})
+	client := newTestClient(t, Config{})
+	response, err := client.Execute(testContext(t), server.address(), testRequest(false))
+	if err != nil || response.Load.State != StateDraining {
+		t.Fatal(response, err)
+	}
+}
+
+func TestBadRepliesAreTyped(t *testing.T) {
+	reply := func(alter func(*ExecuteResponse)) string {
+		request, _ := json.Marshal(testRequest(false))
+		var response ExecuteResponse
+		json.Unmarshal(answer(request), &response)
+		response.Table = rows.Table{Columns: []string{"a"}, Rows: []rows.Row{{rows.NumberOf(1)}}}
+		response.RowCount = 1
+		alter(&response)
+		encoded, _ := json.Marshal(response)
+		return string(encoded)
+	}
+	cases := map[string]struct {
+		reply string
+		cause error
+	}{
+		"other request":    {reply(func(r *ExecuteResponse) { r.RequestID = "x" }), ErrCrossedReply},
+		"other attempt":    {reply(func(r *ExecuteResponse) { r.AttemptID = "x" }), ErrCrossedReply},
+		"other shard":      {reply(func(r *ExecuteResponse) { r.Shard = 4 }), ErrCrossedReply},
+		"other version":    {reply(func(r *ExecuteResponse) { r.Snapshot.Version = 8 }), ErrCrossedReply},
+		"other epoch":      {reply(func(r *ExecuteResponse) { r.Snapshot.Epoch = 3 }), ErrCrossedReply},
+		"rows missing":     {reply(func(r *ExecuteResponse) { r.RowCount = 2 }), ErrTruncatedReply},
+		"row too short":    {reply(func(r *ExecuteResponse) { r.Table.Rows[0] = nil }), ErrTruncatedReply},
+		"refused, run":     {reply(func(r *ExecuteResponse) { r.Refusal = RefusedShed }), ErrMalformedReply},
+		"no JSON":          {"{", ErrMalformedReply},
+		"too large":        {reply(func(r *ExecuteResponse) { r.Detail = strings.Repeat("x", 2000) }), ErrReplyTooLarge},
+		"neither run, nor": {reply(func(r *ExecuteResponse) { r.Executed = false }), ErrMalformedReply},
+	}
+	for name, test := range cases {
+		server := startRawServer(t, func(conn *rawConn, stream uint32, _ []byte) bool {
+			conn.reply(stream, []byte(test.reply))
+			return true
+		})
+		client := newTestClient(t, Config{ReplyLimit: 1000})
+		_, err := client.Execute(testContext(t), server.address(), testRequest(false))
+		var transportError *TransportError
+		if !errors.As(err, &transportError) || !transportError.Sent || !errors.Is(err, test.cause) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if crossed := testutil.ToFloat64(client.metrics.crossed); (crossed == 1) != (test.cause == ErrCrossedReply) {
+			t.Errorf("%s: %v crossed replies are counted", name, crossed)
+		}
+		client.Close()
+	}
+}
--- a/internal/rehearsal/leaf/config.go
+++ b/internal/rehearsal/leaf/config.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/samber/oops"
+
+	"github.com/micaplank/micaplank/internal/settings"
 )
 
 // Config describes one stand-in leaf. Start from DefaultConfig.
@@ -66,20 +68,8 @@
 	Sigma float64 `toml:"sigma" validate:"min=0"`
 }
 
-// Duration is a time.Duration that reads and writes text such as "4ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	*d = Duration(parsed)
-	return err
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
+// Duration is written as text, such as "4ms".
+type Duration = settings.Duration
 
 // DefaultConfig returns the defaults. Service, Versions and Partitions have to
 // be set; Listen is a free port of the loopback address.
--- /dev/null
+++ b/internal/rehearsal/leaf/control_test.go
@@ -0,0 +1,107 @@
+package leaf
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	protocol "github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+// post sends JSON over HTTP/1.1 and returns the status.
+func post(t *testing.T, server *Server, path, body string) int {
+	t.Helper()
+	transport := new(http.Transport)
+	defer transport.CloseIdleConnections()
+	client := http.Client{Transport: transport}
+	response, err := client.Post("http://"+server.Address().String()+path, "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+func TestControlChangesOnlyWhatItNames(t *testing.T) {
+	server, _ := startTestLeaf(t, testConfig())
+	steps := []struct {
+		path, body string
+		status     int
+	}{
+		{ControlPath, `{"slow_factor": 8, "refuse": "shed"}`, http.StatusOK},
+		{ControlPath, `{"delay_ms": 5, "drain": true, "add_version": 3}`, http.StatusOK},
+		{ControlPath, `{"slow": 8}`, http.StatusBadRequest},
+		{ControlPath, `{"slow_factor": "8"}`, http.StatusBadRequest},
+		{ControlPath, `{"add_partition": {"epoch": 2, "shards": 1, "hold": [1]}}`, http.StatusBadRequest},
+		{JournalPath, `[{"request_id": "r", "version": 1, "row": ["Q-new", "OTR-SPK", null, null, 4100, 1]}]`, http.StatusNoContent},
+		{JournalPath, `[{"request_id": "r", "version": 1, "row": ["Q-new"]}]`, http.StatusBadRequest},
+	}
+	for _, step := range steps {
+		if status := post(t, server, step.path, step.body); status != step.status {
+			t.Errorf("%s: status %d", step.body, status)
+		}
+	}
+	faults := server.Faults()
+	if faults.SlowFactor != 8 || faults.Refuse != protocol.RefusedShed || faults.DelayMilliseconds != 5 || faults.ReportScale != 1 {
+		t.Errorf("%+v", faults)
+	}
+	if load := server.Load(); load.State != protocol.StateDraining || len(load.Holdings) != 2 {
+		t.Errorf("%+v", load)
+	}
+	held, _ := server.holdings.table(testSnapshot, 0)
+	later, _ := server.holdings.table(server.Load().Holdings[1].Snapshot, 0)
+	if missing, found := rows.TextOf("Q-new"), 0; held == nil || later == nil {
+		t.Error("versions are missing")
+	} else {
+		for _, row := range append(held.table.Rows, later.table.Rows...) {
+			if row[0] == missing {
+				found++
+			}
+		}
+		if found != 1 {
+			t.Errorf("the row shows %d times", found)
+		}
+	}
+}
+
+func TestReportsMislead(t *testing.T) {
+	server, _ := startTestLeaf(t, testConfig())
+	server.faults.update(func(faults *Faults) {
+		faults.ReportLagMilliseconds = 1000
+		faults.ReportScale = 0.5
+	})
+	server.slots.busy = 4
+	server.reporter.sample(time.Now().Add(-2 * time.Second))
+	server.slots.busy = 2
+	server.reporter.sample(time.Now().Add(-time.Millisecond))
+	if summary := server.reporter.summary(); summary.SlotsBusy != 2 {
+		t.Errorf("half of 4 is told as %d", summary.SlotsBusy)
+	}
+	fixed := protocol.LoadSummary{State: protocol.StateServing, Slots: 99}
+	server.faults.update(func(faults *Faults) { faults.ReportFixed = &fixed })
+	if summary := server.reporter.summary(); summary != fixed {
+		t.Errorf("%+v", summary)
+	}
+	server.slots.busy = 0
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	for name, alter := range map[string]func(*Config){
+		"no service":       func(c *Config) { c.Service = "" },
+		"no slots":         func(c *Config) { c.Slots = 0 },
+		"no versions":      func(c *Config) { c.Versions = nil },
+		"shard out of set": func(c *Config) { c.Partitions = []Partition{{Epoch: 1, Shards: 2, Hold: []int{2}}} },
+	} {
+		config := testConfig()
+		if alter(&config); config.Validate() == nil {
+			t.Errorf("%s is accepted", name)
+		}
+	}
+	encoded, err := json.Marshal(Control{Faults: Faults{SlowFactor: 2}})
+	if err != nil || !bytes.Contains(encoded, []byte(`"slow_factor":2`)) {
+		t.Errorf("%s %v", encoded, err)
+	}
+}
--- a/internal/rehearsal/leaf/execute.go
+++ b/internal/rehearsal/leaf/execute.go
@@ -93,7 +93,7 @@
 	if _, refusal := s.holdings.table(a.request.Snapshot, a.request.Shard); refusal != protocol.RefusedNone {
 		return refusal, ""
 	}
-	parsed, err := parseStatement(a.request.Statement)
+	parsed, err := s.parser.parse(a.request.Statement)
 	if err != nil {
 		return protocol.RefusedInvalid, err.Error()
 	}
@@ -111,7 +111,7 @@
 	if refusal != protocol.RefusedNone {
 		return s.refuse(a, refusal, "")
 	}
-	result, err := a.statement.evaluate(s.config.Service, held, a.request.Shard)
+	result, err := held.evaluate(s.config.Service, a.statement)
 	if err != nil {
 		return s.refuse(a, protocol.RefusedInvalid, err.Error())
 	}
@@ -132,7 +132,7 @@
 		factor *= s.config.ColdFactor
 	}
 	distribution := s.config.Select
-	if statement.isInsert() {
+	if statement.insertion != nil {
 		distribution = s.config.Insert
 	}
 	timer := time.NewTimer(s.sampler.draw(distribution, factor))
--- a/internal/rehearsal/leaf/execution_log.go
+++ b/internal/rehearsal/leaf/execution_log.go
@@ -1,6 +1,8 @@
 package leaf
 
 import (
+	"encoding/json"
+	"io"
 	"sync"
 	"time"
 
@@ -59,6 +61,8 @@
 	mutex   sync.Mutex
 	records []Execution
 	dropped int
+	// copies gets every record as a line of JSON, if it is set.
+	copies *json.Encoder
 }
 
 func (l *executionLog) add(record Execution) {
@@ -71,6 +75,9 @@
 		l.dropped += half
 	}
 	l.records = append(l.records, record)
+	if l.copies != nil {
+		_ = l.copies.Encode(record) // a log that cannot be written shows as missing records
+	}
 }
 
 func (l *executionLog) snapshot(bootID string) Executions {
@@ -82,3 +89,11 @@
 		Executions: append([]Execution{}, l.records...),
 	}
 }
+
+// LogExecutions writes every record from now on as a line of JSON, before the
+// reply leaves. What is written to a file outlives the process.
+func (s *Server) LogExecutions(to io.Writer) {
+	s.executions.mutex.Lock()
+	defer s.executions.mutex.Unlock()
+	s.executions.copies = json.NewEncoder(to)
+}
--- /dev/null
+++ b/internal/rehearsal/leaf/fault_test.go
@@ -0,0 +1,259 @@
+package leaf
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	protocol "github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
+)
+
+const longTime = Duration(time.Hour)
+
+// eventually polls until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for ctx := testContext(t); !condition(); time.Sleep(time.Millisecond) {
+		if ctx.Err() != nil {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// background is a call in progress.
+type background struct {
+	cancel   context.CancelFunc
+	done     chan struct{}
+	response *protocol.ExecuteResponse
+	err      error
+}
+
+func executeInBackground(t *testing.T, server *Server, client *protocol.Client, request protocol.ExecuteRequest) *background {
+	ctx, cancel := context.WithCancel(testContext(t))
+	call := &background{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(call.done)
+		call.response, call.err = client.Execute(ctx, server.Address(), request)
+	}()
+	return call
+}
+
+func awaitOccupancy(t *testing.T, server *Server, busy, queue int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%d busy and %d queued", busy, queue), func() bool {
+		nowBusy, nowQueue := server.slots.occupancy()
+		return nowBusy == busy && nowQueue == queue
+	})
+}
+
+func TestCancellationFreesTheSlot(t *testing.T) {
+	config := testConfig()
+	config.Slots, config.Queue = 1, 1
+	config.Select.Median = longTime
+	server, client := startTestLeaf(t, config)
+	running := executeInBackground(t, server, client, testRequest("running", "select * from rate-desk"))
+	awaitOccupancy(t, server, 1, 0)
+	queued := executeInBackground(t, server, client, testRequest("queued", "select * from rate-desk"))
+	awaitOccupancy(t, server, 1, 1)
+	if shed := execute(t, server, client, testRequest("shed", "select * from rate-desk")); shed.Refusal != protocol.RefusedShed {
+		t.Errorf("refusal %q", shed.Refusal)
+	}
+	queued.cancel()
+	awaitOccupancy(t, server, 1, 0)
+	running.cancel()
+	awaitOccupancy(t, server, 0, 0)
+	for id, expected := range map[string]Outcome{
+		"running": OutcomeCancelledRunning, "queued": OutcomeCancelledQueued, "shed": OutcomeRefused,
+	} {
+		eventually(t, id+" is logged", func() bool { return slices.Equal(outcomes(server, id), []Outcome{expected}) })
+	}
+}
+
+func TestDrainFinishesWorkAndRefusesNew(t *testing.T) {
+	config := testConfig()
+	config.Slots = 1
+	config.Select.Median = Duration(200 * time.Millisecond)
+	server, client := startTestLeaf(t, config)
+	running := executeInBackground(t, server, client, testRequest("running", "select * from rate-desk"))
+	awaitOccupancy(t, server, 1, 0)
+	queued := executeInBackground(t, server, client, testRequest("queued", "select * from rate-desk"))
+	awaitOccupancy(t, server, 1, 1)
+	drain := true
+	server.Control(Control{Faults: server.Faults(), Drain: &drain})
+	refused := execute(t, server, client, testRequest("new", "select * from rate-desk"))
+	if refused.Refusal != protocol.RefusedDraining || refused.Load.State != protocol.StateDraining {
+		t.Errorf("refusal %q in state %q", refused.Refusal, refused.Load.State)
+	}
+	if err := server.Drain(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	for _, call := range []*background{running, queued} {
+		if <-call.done; call.err != nil || !call.response.Executed {
+			t.Errorf("%+v, %v", call.response, call.err)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	server, client := startTestLeaf(t, testConfig())
+	change := func(alter func(*protocol.ExecuteRequest)) protocol.ExecuteRequest {
+		request := testRequest("r", "select * from rate-desk")
+		alter(&request)
+		return request
+	}
+	for expected, request := range map[protocol.Refusal]protocol.ExecuteRequest{
+		protocol.RefusedLate:     change(func(r *protocol.ExecuteRequest) { r.RemainingMilliseconds = 0 }),
+		protocol.RefusedSnapshot: change(func(r *protocol.ExecuteRequest) { r.Snapshot.Version = 2 }),
+		protocol.RefusedMoved:    change(func(r *protocol.ExecuteRequest) { r.Shard = 1 }),
+		protocol.RefusedInvalid:  change(func(r *protocol.ExecuteRequest) { r.Statement = "select fee from rate-desk" }),
+	} {
+		if response := execute(t, server, client, request); response.Refusal != expected || response.Executed {
+			t.Errorf("expected %q, got %q (%s)", expected, response.Refusal, response.Detail)
+		}
+	}
+	config := testConfig()
+	config.ColdFor = longTime
+	cold, client := startTestLeaf(t, config)
+	if response := execute(t, cold, client, testRequest("r", "select * from rate-desk")); response.Refusal != protocol.RefusedCold {
+		t.Errorf("got %q", response.Refusal)
+	}
+}
+
+// TestFaultyRepliesNeverReachTheCaller covers lost, truncated and crossed
+// replies.
+func TestFaultyRepliesNeverReachTheCaller(t *testing.T) {
+	server, client := startTestLeaf(t, testConfig())
+	inject := func(faults Faults) {
+		faults.SlowFactor, faults.ReportScale = 1, 1
+		server.Control(Control{Faults: faults})
+	}
+	for name, test := range map[string]struct {
+		faults   Faults
+		calls    int
+		expected error
+	}{
+		"truncated": {faults: Faults{Truncate: true}, calls: 1, expected: protocol.ErrTruncatedReply},
+		"crossed":   {faults: Faults{Cross: true}, calls: 2, expected: protocol.ErrCrossedReply},
+		"lost":      {faults: Faults{LoseReply: 1}, calls: 1},
+	} {
+		inject(test.faults)
+		var err error
+		for i := range test.calls {
+			request := testRequest(fmt.Sprintf("%s %d", name, i), "select * from rate-desk")
+			_, err = client.Execute(testContext(t), server.Address(), request)
+		}
+		var transportError *protocol.TransportError
+		if !errors.As(err, &transportError) || !transportError.Sent || (test.expected != nil && !errors.Is(err, test.expected)) {
+			t.Errorf("%s: %v", name, err)
+		}
+		last := fmt.Sprintf("%s %d", name, test.calls-1)
+		if found := outcomes(server, last); !slices.Equal(found, []Outcome{OutcomeExecuted}) {
+			t.Errorf("%s: %v", name, found)
+		}
+	}
+	inject(Faults{})
+	eventually(t, "a whole reply", func() bool {
+		_, err := client.Execute(testContext(t), server.Address(), testRequest("after", "select * from rate-desk"))
+		return err == nil
+	})
+}
+
+// TestEachCallerGetsItsOwnRows has many callers share the connections, with
+// late replies and cancelled calls between.
+func TestEachCallerGetsItsOwnRows(t *testing.T) {
+	config := testConfig()
+	config.Queue = 1000
+	config.Select = ServiceTime{Median: Duration(200 * time.Microsecond), Sigma: 1}
+	server, client := startTestLeaf(t, config)
+	callers := new(errgroup.Group)
+	for caller := range 16 {
+		callers.Go(func() error {
+			for i := range 40 {
+				if err := readOne(testContext(t), server, client, caller, i); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := callers.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	awaitOccupancy(t, server, 0, 0)
+}
+
+// readOne reads one quote; every fourth call is given up soon after its start.
+func readOne(ctx context.Context, server *Server, client *protocol.Client, caller, i int) error {
+	quote := fmt.Sprintf("Q-%d", 40*caller+i)
+	giveUp := i%4 == 3
+	if giveUp {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, 300*time.Microsecond)
+		defer cancel()
+	}
+	request := testRequest(quote, fmt.Sprintf("select quote from rate-desk where quote = '%s'", quote))
+	response, err := client.Execute(ctx, server.Address(), request)
+	if err != nil {
+		if giveUp {
+			return nil
+		}
+		return err
+	}
+	for _, row := range response.Table.Rows {
+		if row[0] != rows.TextOf(quote) {
+			return fmt.Errorf("asked for %s, got %v", quote, row)
+		}
+	}
+	return nil
+}
+
+func TestVersionsAndEpochsChangeAtRunTime(t *testing.T) {
+	config := testConfig()
+	config.Select.Median = Duration(100 * time.Millisecond)
+	server, client := startTestLeaf(t, config)
+	running := executeInBackground(t, server, client, testRequest("running", "select * from rate-desk"))
+	awaitOccupancy(t, server, 1, 0)
+	split := &Partition{Epoch: 2, Shards: 2, Hold: []int{1}}
+	server.Control(Control{Faults: server.Faults(), AddVersion: 2, DropVersion: 1, AddPartition: split})
+	if <-running.done; running.err != nil || running.response.Table.Rows[0][5] != rows.NumberOf(1) {
+		t.Fatalf("%+v, %v", running.response, running.err)
+	}
+	for snapshot, expected := range map[catalog.Snapshot]protocol.Refusal{
+		{Version: 1, Epoch: 1}: protocol.RefusedSnapshot,
+		{Version: 2, Epoch: 1}: protocol.RefusedNone,
+		{Version: 2, Epoch: 2}: protocol.RefusedMoved,
+	} {
+		request := testRequest("r", "select * from rate-desk")
+		request.Snapshot = snapshot
+		if response := execute(t, server, client, request); response.Refusal != expected {
+			t.Errorf("%v: expected %q, got %q", snapshot, expected, response.Refusal)
+		}
+	}
+	report, err := client.Load(testContext(t), server.Address())
+	if err != nil || len(report.Holdings) != 2 || report.BootID != server.BootID() {
+		t.Errorf("%+v, %v", report, err)
+	}
+}
+
+func TestInsertShowsInLaterVersions(t *testing.T) {
+	server, client := startTestLeaf(t, testConfig())
+	insert := testRequest("insert", "insert into rate-desk (quote, lane, price) values ('Q-new', 'OTR-SPK', 4100)")
+	if response := execute(t, server, client, insert); !response.Executed {
+		t.Fatal(response.Refusal, response.Detail)
+	}
+	server.Control(Control{Faults: server.Faults(), AddVersion: 2})
+	for version, expected := range map[uint64]int{1: 0, 2: 1} {
+		request := testRequest("read", "select quote, version from rate-desk where quote = 'Q-new'")
+		request.Snapshot.Version = version
+		if response := execute(t, server, client, request); len(response.Table.Rows) != expected {
+			t.Errorf("version %d: %v", version, response.Table.Rows)
+		}
+	}
+}
--- a/internal/rehearsal/leaf/holdings.go
+++ b/internal/rehearsal/leaf/holdings.go
@@ -18,7 +18,7 @@
 	mutex      sync.Mutex
 	versions   []uint64
 	partitions []Partition
-	tables     map[tableKey]rows.Table
+	tables     map[tableKey]*shardTable
 }
 
 type tableKey struct {
@@ -26,15 +26,8 @@
 	shard    int
 }
 
-// shardTable is the rows of one shard, and the number of shards that the
-// service has in its epoch.
-type shardTable struct {
-	table      rows.Table
-	shardCount int
-}
-
 func newHoldings(config Config, journal *journal) *holdings {
-	h := &holdings{service: config.Service, journal: journal, tables: make(map[tableKey]rows.Table)}
+	h := &holdings{service: config.Service, journal: journal, tables: make(map[tableKey]*shardTable)}
 	for _, partition := range config.Partitions {
 		h.addPartition(partition)
 	}
@@ -44,17 +37,17 @@
 	return h
 }
 
-// table returns the rows of a shard at a snapshot, or why it is not held. The
-// caller must not modify it; it stays whole if the version is dropped.
-func (h *holdings) table(snapshot catalog.Snapshot, shard int) (shardTable, protocol.Refusal) {
+// table returns the rows of a shard at a snapshot, or why it is not held. They
+// stay whole if the version is dropped.
+func (h *holdings) table(snapshot catalog.Snapshot, shard int) (*shardTable, protocol.Refusal) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	partition, held := h.partition(snapshot.Epoch)
 	switch {
 	case !held || !slices.Contains(h.versions, snapshot.Version):
-		return shardTable{}, protocol.RefusedSnapshot
+		return nil, protocol.RefusedSnapshot
 	case !slices.Contains(partition.Hold, shard):
-		return shardTable{}, protocol.RefusedMoved
+		return nil, protocol.RefusedMoved
 	}
 	key := tableKey{snapshot: snapshot, shard: shard}
 	table, built := h.tables[key]
@@ -62,11 +55,11 @@
 		table = h.build(key, partition.Shards)
 		h.tables[key] = table
 	}
-	return shardTable{table: table, shardCount: partition.Shards}, protocol.RefusedNone
+	return table, protocol.RefusedNone
 }
 
 // build generates the rows and adds those inserted at earlier versions.
-func (h *holdings) build(key tableKey, shardCount int) rows.Table {
+func (h *holdings) build(key tableKey, shardCount int) *shardTable {
 	table := Rows(h.service, key.snapshot, key.shard, shardCount)
 	keyColumn := table.Column(KeyColumn(h.service))
 	for _, entry := range h.journal.snapshot() {
@@ -76,7 +69,7 @@
 			table.Rows = append(table.Rows, row)
 		}
 	}
-	return table
+	return &shardTable{table: table, shard: key.shard, shardCount: shardCount}
 }
 
 // inserted makes the versions after the given one be built anew.
--- a/internal/rehearsal/leaf/server.go
+++ b/internal/rehearsal/leaf/server.go
@@ -41,6 +41,7 @@
 	faults     *faults
 	reporter   *reporter
 	crossing   crossing
+	parser     parser
 	draining   atomic.Bool
 	stop       context.CancelFunc
 	running    sync.WaitGroup
--- a/internal/rehearsal/leaf/statement.go
+++ b/internal/rehearsal/leaf/statement.go
@@ -2,21 +2,50 @@
 
 import (
 	"errors"
-	"fmt"
+	"sync"
 
 	"github.com/micaplank/micaplank/internal/language"
-	"github.com/micaplank/micaplank/internal/merge"
 	"github.com/micaplank/micaplank/internal/rows"
 )
 
 // statement is a select or an insert.
 type statement struct {
+	text      string
 	selection *language.Select
 	insertion *language.Insert
 }
 
 var errNotRunnable = errors.New("a leaf runs only select and insert")
 
+// rememberedStatements bounds the statements that a parser remembers.
+const rememberedStatements = 1024
+
+// parser parses statements and remembers them.
+type parser struct {
+	mutex sync.Mutex
+	known map[string]statement
+}
+
+func (p *parser) parse(text string) (statement, error) {
+	p.mutex.Lock()
+	parsed, known := p.known[text]
+	p.mutex.Unlock()
+	if known {
+		return parsed, nil
+	}
+	parsed, err := parseStatement(text)
+	if err != nil {
+		return statement{}, err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.known == nil || len(p.known) >= rememberedStatements {
+		p.known = make(map[string]statement)
+	}
+	p.known[text] = parsed
+	return parsed, nil
+}
+
 func parseStatement(text string) (statement, error) {
 	parsed, err := language.ParseOne(text)
 	if err != nil {
@@ -24,37 +53,14 @@
 	}
 	switch parsed := parsed.(type) {
 	case *language.Select:
-		return statement{selection: parsed}, nil
+		return statement{text: text, selection: parsed}, nil
 	case *language.Insert:
-		return statement{insertion: parsed}, nil
+		return statement{text: text, insertion: parsed}, nil
 	default:
 		return statement{}, errNotRunnable
 	}
 }
 
-func (s statement) isInsert() bool { return s.insertion != nil }
-
-// evaluate returns the result over the rows of a shard, or why the statement
-// cannot run. It has no effect: inserts are applied by Server.insertRows.
-func (s statement) evaluate(service string, held shardTable, shard int) (rows.Table, error) {
-	if s.selection != nil {
-		return merge.Evaluate(s.selection, held.table)
-	}
-	for _, column := range s.insertion.Columns {
-		if held.table.Column(column) < 0 {
-			return rows.Table{}, &merge.UnknownColumnError{Column: column}
-		}
-	}
-	key, named := s.insertion.Value(KeyColumn(service))
-	if !named {
-		return rows.Table{}, fmt.Errorf("an insert has to name the key column %q", KeyColumn(service))
-	}
-	if placed := ShardOf(key, held.shardCount); placed != shard {
-		return rows.Table{}, fmt.Errorf("the key %s belongs to shard %d", key, placed)
-	}
-	return rows.Table{Columns: []string{"inserted"}, Rows: []rows.Row{{rows.NumberOf(1)}}}, nil
-}
-
 // inserts returns the rows to insert, none for a select.
 func (s statement) inserts(service string, version uint64) []rows.Row {
 	if s.insertion == nil {
