--- a/internal/rehearsal/store/database.go
+++ b/internal/rehearsal/store/database.go
@@ -17,6 +17,12 @@
 	errUnknownTarget  = errors.New("unknown target or result of a compare")
 )
 
+// Identities as large as real ones: they do not fit a signed integer.
+const (
+	clusterID = "14841639068965178418"
+	memberID  = "10276657743932975437"
+)
+
 // database is a multi-version key-value map: every write gets the next
 // revision of the whole store, and the history of writes is kept for watches
 // until it is compacted. It is not safe for concurrent use.
@@ -44,7 +50,7 @@
 }
 
 func (d *database) header() *wire.ResponseHeader {
-	return &wire.ResponseHeader{ClusterID: 1, MemberID: 1, Revision: wire.Integer(d.revision)}
+	return &wire.ResponseHeader{ClusterID: clusterID, MemberID: memberID, Revision: wire.Integer(d.revision)}
 }
 
 // inRange follows the store's convention: no end means one key, and the end
--- a/internal/store/wire/messages.go
+++ b/internal/store/wire/messages.go
@@ -20,8 +20,9 @@
 
 // ResponseHeader comes with every response.
 type ResponseHeader struct {
-	ClusterID Integer `json:"cluster_id,omitempty"`
-	MemberID  Integer `json:"member_id,omitempty"`
+	// ClusterID and MemberID are unsigned 64-bit integers, as text.
+	ClusterID string `json:"cluster_id,omitempty"`
+	MemberID  string `json:"member_id,omitempty"`
 	// Revision is the store's revision when the response was made.
 	Revision Integer `json:"revision,omitempty"`
 }
