node: name the problem of a refused change, and find a change by its token

Cause: changeProblem knew only the codes of the catalog. A failed "if revision" (ConflictError) and a voter that is no member ended as "unavailable" with status 503, which asks the operator to repeat a change that can never be taken. GET change refused an id without its revision, although micactl names a change by its token until it has an answer.

Now a refusal is a conflict, an unknown node or an invalid change; only an error of the node itself is "unavailable". A token is looked up among the changes that the catalog remembers.

--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/micaplank/micaplank/internal/api"
 	"github.com/micaplank/micaplank/internal/catalog"
@@ -44,23 +45,46 @@
 		return nil, changeProblem(err)
 	}
 	if result.Refusal != nil {
-		return nil, changeProblem(result.Refusal)
+		return nil, refusalProblem(result.Refusal, statement.Command)
 	}
 	return changeResponse(result), nil
 }
 
-// Change tells the fate of an earlier change.
+// Change tells the fate of an earlier change, named by its id or only by its
+// token.
 func (o *operations) Change(ctx context.Context, id string) (*api.StatementResponse, error) {
-	if !catalog.ValidChangeID(id) {
-		return nil, api.NewProblem(api.ProblemUnknownChange, fmt.Sprintf("%q is no change id.", id))
+	id, problem := completeChangeID(o.node.dissemination.Current(), id)
+	if problem != nil {
+		return nil, problem
 	}
 	result, err := o.node.dissemination.Fate(ctx, id)
 	if err != nil {
 		return nil, changeProblem(err)
 	}
+	if result.Refusal != nil {
+		return nil, api.NewProblem(api.ProblemUnknownChange, result.Refusal.Error())
+	}
 	return changeResponse(result), nil
 }
 
+// completeChangeID returns the id of the change that an id or a token names. A
+// token is looked up among the changes that the catalog remembers.
+func completeChangeID(current *catalog.Catalog, text string) (string, *api.Problem) {
+	if !catalog.ValidChangeID(text) {
+		return "", api.NewProblem(api.ProblemUnknownChange, fmt.Sprintf("%q is no change id.", text))
+	}
+	if _, _, err := dissemination.ParseChangeID(text); err == nil {
+		return text, nil
+	}
+	for _, applied := range slices.Backward(current.Recent) {
+		if _, token, err := dissemination.ParseChangeID(applied.ID); err == nil && token == text {
+			return applied.ID, nil
+		}
+	}
+	return "", api.NewProblem(api.ProblemUnknownChange, fmt.Sprintf(
+		"No change with the token %s has taken effect up to revision %d; one that is under way may still do so.", text, current.Revision))
+}
+
 func changeResponse(result dissemination.Result) *api.StatementResponse {
 	return &api.StatementResponse{
 		Kind:      api.KindChange,
@@ -74,16 +98,29 @@
 	}
 }
 
-// changeProblem names the problem of a change that was refused.
+// refusalProblem names the problem of a change that the catalog as it is does
+// not admit. Repeating the same change is of no use, so it is never a problem
+// of availability.
+func refusalProblem(refusal error, command catalog.Command) *api.Problem {
+	var code catalog.Code
+	var conflict *dissemination.ConflictError
+	switch {
+	case errors.As(refusal, &code):
+		return api.NewProblem(changeProblemType(code), refusal.Error())
+	case errors.As(refusal, &conflict):
+		return api.NewProblem(api.ProblemConflict, refusal.Error())
+	case command.AddVoter != nil:
+		return api.NewProblem(api.ProblemUnknownNode, refusal.Error())
+	}
+	return api.NewProblem(api.ProblemInvalidChange, refusal.Error())
+}
+
+// changeProblem names the problem of a change that could not be proposed.
 func changeProblem(err error) *api.Problem {
 	var problem *api.Problem
 	if errors.As(err, &problem) {
 		return problem
 	}
-	var code catalog.Code
-	if errors.As(err, &code) {
-		return api.NewProblem(changeProblemType(code), err.Error())
-	}
 	return api.NewProblem(api.ProblemUnavailable, err.Error())
 }
 
