--- a/cmd/micaplank/main.go
+++ b/cmd/micaplank/main.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -30,6 +32,8 @@
 	file  string
 	check bool
 	print bool
+	// profile is a file for a processor profile of the whole run.
+	profile string
 }
 
 func main() {
@@ -49,9 +53,33 @@
 		fmt.Println("The settings are valid.")
 		return 0
 	}
+	stopProfile, err := startProfile(chosen.profile)
+	if err != nil {
+		return report(err, exitFailed)
+	}
+	defer stopProfile()
 	return report(serve(configured), exitFailed)
 }
 
+// startProfile writes a processor profile to a file until the function that it
+// returns is called. An empty path profiles nothing.
+func startProfile(path string) (func(), error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close() // the profile is only an aid
+	}, nil
+}
+
 // parse reads the command line. Wrong flags end the process with exitUsage.
 func parse() (options, []settings.Override) {
 	var chosen options
@@ -61,6 +89,7 @@
 	flaggy.String(&chosen.file, "", "settings", "Settings file (TOML). Flags override it.")
 	flaggy.Bool(&chosen.check, "", "check-settings", "Check the settings and exit.")
 	flaggy.Bool(&chosen.print, "", "print-settings", "Print the settings with defaults and exit.")
+	flaggy.String(&chosen.profile, "", "cpu-profile", "File for a processor profile of the whole run (pprof).")
 	flags := settings.Flags{}
 	flags.Register(&flaggy.DefaultParser.Subcommand)
 	flaggy.Parse()
--- a/cmd/micarehearse/deploy.go
+++ b/cmd/micarehearse/deploy.go
@@ -15,6 +15,7 @@
 type clusterCommand struct {
 	binaries string
 	duration time.Duration
+	profiles string
 }
 
 func (c *clusterCommand) attach() *flaggy.Subcommand {
@@ -23,13 +24,16 @@
 	sub.Description = "Run the deployment of the demo on loopback for a while, to try commands and load."
 	sub.String(&c.binaries, "", "binaries", "Folder of the programs.")
 	sub.Duration(&c.duration, "", "duration", "How long it runs.")
+	sub.String(&c.profiles, "", "profiles", "Folder for a processor profile of each node, written at its planned stop.")
 	return sub
 }
 
 func (c *clusterCommand) run(ctx context.Context, _ *slog.Logger) error {
 	ctx, cancel := context.WithTimeout(ctx, c.duration)
 	defer cancel()
-	deployment, err := cluster.Start(ctx, cluster.DemoPlan(c.binaries))
+	plan := cluster.DemoPlan(c.binaries)
+	plan.ProfileFolder = c.profiles
+	deployment, err := cluster.Start(ctx, plan)
 	if err != nil {
 		return err
 	}
@@ -42,5 +46,5 @@
 		fmt.Printf("leaf of %s http %s process %d\n", leaf.Service, leaf.HTTP, leaf.ProcessID())
 	}
 	<-ctx.Done()
-	return nil
+	return stopNodes(context.WithoutCancel(ctx), deployment)
 }
--- a/internal/rehearsal/cluster/cluster.go
+++ b/internal/rehearsal/cluster/cluster.go
@@ -154,7 +154,11 @@
 	if err := os.WriteFile(file, content.Bytes(), 0o600); err != nil {
 		return nil, oops.With("step", "write settings", "peer", name).Wrap(err)
 	}
-	process, err := startProcess(ctx, name, c.binary(nodeProgram), "--settings", file)
+	arguments := []string{"--settings", file}
+	if c.plan.ProfileFolder != "" {
+		arguments = append(arguments, "--cpu-profile", filepath.Join(c.plan.ProfileFolder, name+".pprof"))
+	}
+	process, err := startProcess(ctx, name, c.binary(nodeProgram), arguments...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rehearsal/cluster/plan.go
+++ b/internal/rehearsal/cluster/plan.go
@@ -33,6 +33,8 @@
 	// Tune changes the settings of every node before it starts; nil changes
 	// nothing.
 	Tune func(*settings.Settings)
+	// ProfileFolder, if set, takes a processor profile of each node.
+	ProfileFolder string
 }
 
 // shardsOf returns the shards that leaf number index of a service holds.
