dispatch: refuse early in overload, and serve what was promised

Cause: at 150 % offered load, work of low priority was taken on the rate at which it had been sent before, then starved behind urgent work and was answered not_run at its deadline: p99 of refusals up to 3 s.

Changes: waiting work and rates are kept by class, and less urgent classes see what the classes before them leave; reports of other nodes' work are weighted by their age, and lose their force to hold work back after 200 ms (work waited for leaves that nobody asked, for up to 3 s); admission of less urgent work is strict while the leaves are saturated, by the share that urgent work leaves; a query that waited 30 % of its time counts as most urgent.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -9,8 +9,15 @@
 	// Disabled takes every query; it is meant for experiments.
 	Disabled bool
 	// Safety is the share of the remaining time that the predicted time may
-	// fill. Default 0.7.
+	// fill. Default 0.8.
 	Safety float64
+	// Strict takes the place of Safety for all but the most urgent work while
+	// the service is saturated: such work may starve, and predictions from
+	// its past are too good. Relief times the share of the work that the most
+	// urgent work leaves is added to it. Default 0.04.
+	Strict float64
+	// Relief is the factor of that share. Default 0.8.
+	Relief float64
 	// Spread is the factor on the expected time of one attempt that covers
 	// the slowest of many. Default 2.
 	Spread float64
@@ -22,7 +29,9 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		Safety:       0.7,
+		Safety:       0.8,
+		Strict:       0.04,
+		Relief:       0.8,
 		Spread:       2,
 		RetryMinimum: 50 * time.Millisecond,
 		RetryMaximum: 5 * time.Second,
@@ -37,6 +46,13 @@
 	Service time.Duration
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
+	// Urgent is set if no class of the service has a higher priority.
+	Urgent bool
+	// Saturated is set if no leaf of the service has a free slot.
+	Saturated bool
+	// Left is the share of the work done, from 0 to 1, that the most urgent
+	// work leaves to the rest.
+	Left float64
 }
 
 // Admit reports whether the query is taken.
@@ -47,8 +63,12 @@
 	if p.Wait <= 0 {
 		return p.Remaining > 0
 	}
+	share := c.Safety
+	if p.Saturated && !p.Urgent {
+		share = min(c.Strict+c.Relief*p.Left, c.Safety)
+	}
 	predicted := float64(p.Wait) + c.Spread*float64(p.Service)
-	return predicted <= c.Safety*float64(p.Remaining)
+	return predicted <= share*float64(p.Remaining)
 }
 
 // RetryAfter returns when a refused caller may ask again: after the work that
--- a/internal/decide/dispatch/admit.go
+++ b/internal/decide/dispatch/admit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/admission"
@@ -10,13 +9,18 @@
 // admit predicts the wait of the slowest shard of a query and reports whether
 // the query is taken.
 func (d *Dispatcher) admit(q *query) (time.Duration, bool) {
+	urgent := q.class.priority <= d.ranked[0].priority
+	if urgent {
+		d.urgent.add(d.now, shortMemory, q.class.base*float64(len(q.shards)))
+	}
+	d.sampleSaturation()
 	if d.waiters == 0 {
 		return 0, true
 	}
 	longest := 0.0
 	for position := range q.shards {
 		if shard := &q.shards[position]; shard.group != nil {
-			longest = max(longest, d.predictWait(shard.group, q.Class.Priority))
+			longest = max(longest, d.predictWait(shard.group, q.class))
 		}
 	}
 	wait := seconds(longest)
@@ -24,57 +28,103 @@
 		Wait:      wait,
 		Service:   seconds(q.class.base),
 		Remaining: q.Deadline - d.now,
+		Urgent:    urgent,
+		Saturated: d.saturation.mean >= saturated,
+		Left:      d.leftByUrgent(),
 	})
 }
 
-// predictWait returns the time in seconds until new work of the priority gets
-// a slot of the group: for each priority that goes first, the work that waits
-// for the leaves of the group over the rate at which such work is sent there.
-func (d *Dispatcher) predictWait(g *group, priority int) float64 {
-	longest := 0.0
-	for index := range priorityIndex(priority) + 1 {
-		work, rate, capacity := 0.0, 0.0, 0.0
-		for _, l := range g.leaves {
-			if !l.takesWork() || l.held(d.now) {
-				continue
-			}
-			work += l.waiting[index].Seconds()
-			rate += l.sent[index].rate(d.now)
-			capacity += float64(l.limiter.Current()) / d.slowness(l)
+// saturated is the saturation from which the service counts as overloaded.
+const saturated = 1.0
+
+// predictWait returns the time in seconds until new work of the class gets a
+// slot of the group: for each class that goes first, the work that waits for
+// the leaves of the group over the rate at which such work can be sent there.
+// That is the rate of late, or that of the slots that others and the classes
+// before it leave free.
+func (d *Dispatcher) predictWait(g *group, class *classState) float64 {
+	d.loads = d.loads[:0]
+	for _, l := range g.leaves {
+		if l.takesWork() && !l.held(d.now) {
+			d.loads = append(d.loads, leafLoad{leaf: l, slowness: d.slowness(l), spare: float64(l.slots) - l.othersLong})
 		}
-		if rate = max(rate, capacity*leastShare); work > 0 && rate > 0 {
-			longest = max(longest, work/rate)
+	}
+	longest := 0.0
+	for _, other := range d.ranked {
+		longest = max(longest, d.predictClass(g, other))
+		if other == class {
+			break
 		}
 	}
 	return longest
 }
 
-// leastShare is the share of the capacity that work of any priority is
-// assumed to get at least.
-const leastShare = 0.05
-
-func seconds(value float64) time.Duration {
-	return time.Duration(value * float64(time.Second))
+// predictClass does so for one class, and takes its slots from the loads. The
+// wait is at least that of the first that waits.
+func (d *Dispatcher) predictClass(g *group, class *classState) float64 {
+	work, sent, free := 0.0, 0.0, 0.0
+	for index := range d.loads {
+		load := &d.loads[index]
+		work += load.leaf.waiting.of(class).Seconds()
+		least := leastShare(class.priority <= d.ranked[0].priority) * float64(load.leaf.limiter.Current())
+		free += max(load.spare, least) / load.slowness
+		rate := load.leaf.sent.of(class).rate(d.now, longMemory)
+		load.spare -= rate * load.slowness
+		sent += rate
+	}
+	rate := max(sent, free)
+	if work == 0 || rate == 0 {
+		return 0
+	}
+	return max(work/rate, g.waiting.age(class, d.now).Seconds())
 }
 
-// meter measures the rate of work sent, in seconds of work a second. Work
-// fades with the time constant meterMemory.
-type meter struct {
-	sum float64
-	at  Time
+// saturation is the share of the slots of all leaves that are in use, as a
+// running mean. It is above one if the leaves queue work.
+type saturation struct {
+	mean float64
+	at   Time
 }
 
-const meterMemory = 500 * time.Millisecond
+// saturationMemory is the time constant of the mean: a few bursts long.
+const saturationMemory = 100 * time.Millisecond
 
-func (m *meter) add(now Time, work float64) {
-	m.sum = m.faded(now) + work
-	m.at = now
+// sampleSaturation takes in the present use of the slots.
+func (d *Dispatcher) sampleSaturation() {
+	busy, slots := 0.0, 0
+	for _, l := range d.leaves {
+		if l.takesWork() && !l.held(d.now) {
+			busy += l.othersMean + float64(len(l.running))
+			slots += l.slots
+		}
+	}
+	weight := 1 - fade(d.now-d.saturation.at, saturationMemory)
+	d.saturation.mean += weight * (busy/float64(max(slots, 1)) - d.saturation.mean)
+	d.saturation.at = d.now
 }
 
-func (m *meter) faded(now Time) float64 {
-	return m.sum * math.Exp(-float64(now-m.at)/float64(meterMemory))
+// leftByUrgent returns the share of the node's work that the most urgent work
+// leaves to the rest, if the leaves are saturated.
+func (d *Dispatcher) leftByUrgent() float64 {
+	sent := d.throughput.rate(d.now, shortMemory)
+	if sent == 0 {
+		return 1
+	}
+	return max(1-d.urgent.rate(d.now, shortMemory)/sent, 0)
 }
 
-func (m *meter) rate(now Time) float64 {
-	return m.faded(now) / meterMemory.Seconds()
+// leafLoad is a leaf of a group while a wait is predicted.
+type leafLoad struct {
+	leaf     *leafState
+	slowness float64
+	spare    float64 // slots that others and the classes before leave free
+}
+
+// leastShare returns the share of the limit that work of a class is assumed to
+// get at least: the most urgent work has only itself to wait for.
+func leastShare(urgent bool) float64 {
+	if urgent {
+		return 0.25
+	}
+	return 0.005
 }
--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -23,6 +23,10 @@
 	Limit limit.Config
 	// Admission decides which queries are taken.
 	Admission admission.Config
+	// Promotion is the share of its time after which a query that still waits
+	// becomes as urgent as the most urgent, because it was promised to run.
+	// One means never. Default 0.3.
+	Promotion float64
 	// Settle decides when partial coverage is given.
 	Settle coverage.Config
 	// Budget pays for hedges, probes and retries.
@@ -94,6 +98,7 @@
 		Speed:     replica.DefaultSpeedConfig(),
 		Limit:     limit.DefaultConfig(),
 		Admission: admission.DefaultConfig(),
+		Promotion: 0.3,
 		Settle:    coverage.DefaultConfig(),
 		Budget:    hedge.DefaultBudgetConfig(),
 		Hedge:     HedgeConfig{Outstanding: 0.25, Samples: 50},
--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/hedge"
 	"github.com/micaplank/micaplank/internal/decide/replica"
@@ -37,20 +38,24 @@
 	timers   timerHeap
 
 	classes  map[string]*classState
-	meanWork float64 // mean base of the attempts, in seconds
+	ranked   []*classState // in the order in which their work goes
+	meanWork float64       // mean base of the attempts, in seconds
 	budget   hedge.Budget
 
-	waiters   int
-	parked    []waiter
-	order     uint64
-	pumpRound uint64
-	reviewAt  Time
+	saturation         saturation
+	urgent, throughput meter // work that arrived with the highest priority, and that was sent
+	waiters            int
+	parked             []waiter
+	order              uint64
+	pumpRound          uint64
+	reviewAt           Time
 
 	counters Counters
 	actions  []Action
-	// Scratch space of choose.
+	// Scratch space of choose and of predictWait.
 	candidates      []replica.Candidate
 	candidateLeaves []*leafState
+	loads           []leafLoad
 }
 
 // New returns a Dispatcher without a topology: it answers every query with
@@ -83,9 +88,10 @@
 	d.counters.Submitted++
 	q := &query{
 		Query:     request,
-		class:     d.classOf(request.Class.Name),
+		class:     d.classOf(request.Class),
 		submitted: d.now,
 		settleAt:  d.config.Settle.SettleAt(d.now, request.Deadline),
+		promoteAt: d.now + time.Duration(d.config.Promotion*float64(request.Deadline-d.now)),
 		timer:     -1,
 	}
 	if reason := d.unfit(q); reason != ReasonNone {
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -58,7 +58,7 @@
 	if shard.group == nil || shard.group.waiting.live > 0 || int(shard.sends) >= d.config.MaximumSends {
 		return false
 	}
-	if d.collect(shard, q.Class.Priority, shard.tried) != choiceSend {
+	if d.collect(shard, q.priority(d.now), shard.tried) != choiceSend {
 		return false
 	}
 	work := replica.Work{Base: q.class.base, Mean: d.meanWork}
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	othersWeight  = 0.1                   // of one report in the mean of others
-	othersFades   = 50 * time.Millisecond // time constant of the last report
-	latencyWeight = 0.1                   // of one reply in the mean latency
-	defaultSlots  = 2                     // of a leaf that names none
-	maximumBoots  = 8                     // boot ids remembered for each leaf
+	othersWeight  = 0.1                    // least weight of one report in the mean of others
+	othersMemory  = 200 * time.Millisecond // time constant of that mean
+	othersFades   = 50 * time.Millisecond  // time constant of the last report
+	latencyWeight = 0.1                    // of one reply in the mean latency
+	defaultSlots  = 2                      // of a leaf that names none
+	maximumBoots  = 8                      // boot ids remembered for each leaf
 )
 
 // leafState is what the Dispatcher knows of one leaf.
@@ -44,11 +45,16 @@
 	failures  int
 	heldUntil Time
 	lastSent  Time
-	waiting   priorityWork
-	sent      [priorities]meter
+	// waiting is the work that waits for the leaf, as the time that it takes
+	// in one slot of an ordinary leaf. It is whole, so that what is added and
+	// taken away leaves nothing behind.
+	waiting perClass[time.Duration]
+	sent    perClass[meter]
 
-	others, othersMean float64
-	othersAt           Time
+	// others is the number of attempts of other nodes in the last report;
+	// othersMean and othersLong are its means over a short and a long time.
+	others, othersMean, othersLong float64
+	othersAt                       Time
 }
 
 // goneHolding overrides the topology until a time: the leaf said that it does
@@ -115,19 +121,17 @@
 // estimateOthers returns the estimated number of attempts of other nodes: the
 // last report fades to the mean of the reports.
 func (l *leafState) estimateOthers(now Time) float64 {
-	age := float64(now-l.othersAt) / float64(othersFades)
-	if age > 8 {
-		return l.othersMean
-	}
-	return l.othersMean + (l.others-l.othersMean)*math.Exp(-age)
+	return l.othersMean + (l.others-l.othersMean)*fade(now-l.othersAt, othersFades)
 }
 
 // report takes in a load report that was made while own attempts of this node
 // were in flight.
 func (l *leafState) report(now Time, load leaf.LoadSummary, own int) {
 	others := max(float64(load.SlotsBusy+load.Queue-own), 0)
+	age := now - l.othersAt
+	l.othersMean += max(othersWeight, 1-fade(age, othersMemory)) * (others - l.othersMean)
+	l.othersLong += (1 - fade(age, longMemory)) * (others - l.othersLong)
 	l.others, l.othersAt = others, now
-	l.othersMean += othersWeight * (others - l.othersMean)
 }
 
 // failed holds the leaf off, longer with each failure in a row.
@@ -214,12 +218,18 @@
 // that it makes room for the urgent work of all nodes.
 func (d *Dispatcher) limitFor(l *leafState, priority int, others float64) int {
 	limit := l.limiter.Current()
-	if priority <= 1 || d.config.Limit.Disabled {
+	if priority <= highestPriority || d.config.Limit.Disabled {
 		return limit
 	}
-	return min(limit, int(float64(l.slots)-others+freeSlotTolerance))
+	busy := others * fade(d.now-l.othersAt, busyMemory)
+	return min(limit, int(float64(l.slots)-busy+freeSlotTolerance))
 }
 
+// busyMemory is the time constant with which a report of busy slots loses its
+// force to hold work back, so that the work does not wait for a leaf which
+// nobody asks.
+const busyMemory = 200 * time.Millisecond
+
 // freeSlotTolerance is how much of a slot others may be thought to use before
 // it does not count as free.
 const freeSlotTolerance = 0.5
--- a/internal/decide/dispatch/machine_test.go
+++ b/internal/decide/dispatch/machine_test.go
@@ -390,8 +390,10 @@
 		}
 	}
 	for _, l := range m.d.leaves {
-		if l.waiting != (priorityWork{}) {
-			t.Fatalf("waiting work is left over at a leaf: %v", l.waiting)
+		for _, work := range l.waiting.values {
+			if work != 0 {
+				t.Fatalf("waiting work is left over at a leaf: %v", l.waiting.values)
+			}
 		}
 	}
 	if m.d.waiters != 0 || m.d.started != 0 || len(m.d.running) != 0 || len(m.d.pending) != 0 {
--- /dev/null
+++ b/internal/decide/dispatch/meter.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// perClass holds a value for each class that was seen. The zero value of T
+// stands for the classes that were not written yet.
+type perClass[T any] struct {
+	values []T
+}
+
+// of returns the value of a class.
+func (p *perClass[T]) of(class *classState) T {
+	if class.index < len(p.values) {
+		return p.values[class.index]
+	}
+	var zero T
+	return zero
+}
+
+// at returns a pointer to the value of a class, valid until the next call.
+func (p *perClass[T]) at(class *classState) *T {
+	for len(p.values) <= class.index {
+		var zero T
+		p.values = append(p.values, zero)
+	}
+	return &p.values[class.index]
+}
+
+// meter measures a rate of work, in seconds of work a second. Work fades with
+// a time constant, the memory.
+type meter struct {
+	sum float64
+	at  Time
+}
+
+const (
+	longMemory  = 2 * time.Second
+	shortMemory = 300 * time.Millisecond
+)
+
+func (m *meter) add(now Time, memory time.Duration, work float64) {
+	m.sum = m.sum*fade(now-m.at, memory) + work
+	m.at = now
+}
+
+func (m meter) rate(now Time, memory time.Duration) float64 {
+	return m.sum * fade(now-m.at, memory) / memory.Seconds()
+}
+
+// fade returns the weight that is left after a time.
+func fade(age, memory time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(memory))
+}
+
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -7,7 +7,7 @@
 // group is the set of leaves that hold one shard at one snapshot.
 type group struct {
 	leaves  []*leafState
-	waiting waitQueue
+	waiting groupQueue
 	skipped uint64 // the round of pump that passed it over
 }
 
@@ -107,9 +107,9 @@
 	if shard.group == nil {
 		return nil, choiceNone
 	}
-	verdict := d.collect(shard, q.Class.Priority, shard.tried)
+	verdict := d.collect(shard, q.priority(d.now), shard.tried)
 	if verdict == choiceNone && shard.tried != 0 {
-		verdict = d.collect(shard, q.Class.Priority, 0)
+		verdict = d.collect(shard, q.priority(d.now), 0)
 	}
 	if verdict != choiceSend {
 		return nil, verdict
@@ -181,7 +181,8 @@
 	entry.running = int32(len(l.running))
 	l.running = append(l.running, slot)
 	l.lastSent = d.now
-	l.sent[priorityIndex(q.Class.Priority)].add(d.now, q.class.base)
+	l.sent.at(q.class).add(d.now, longMemory, q.class.base)
+	d.throughput.add(d.now, shortMemory, q.class.base)
 	shard.first = slot
 	shard.status = shardInFlight
 	shard.sends++
--- a/internal/decide/dispatch/query.go
+++ b/internal/decide/dispatch/query.go
@@ -69,6 +69,7 @@
 	index        int // among the queries of the Dispatcher
 	submitted    Time
 	settleAt     Time
+	promoteAt    Time // when it becomes as urgent as the most urgent
 	hedgeAt      Time // zero if no hedge is due
 	timer        int  // index in the timer heap, -1 if not in it
 	timerAt      Time
@@ -76,6 +77,17 @@
 	lastReason   Reason
 }
 
+// highestPriority is the priority of the most urgent work.
+const highestPriority = 1
+
+// priority returns the priority of the query at a moment.
+func (q *query) priority(now Time) int {
+	if now >= q.promoteAt {
+		return min(q.Class.Priority, highestPriority)
+	}
+	return q.Class.Priority
+}
+
 func (q *query) mayHaveRun() bool {
 	return q.executed || q.unresolved > 0
 }
--- a/internal/decide/dispatch/queue.go
+++ b/internal/decide/dispatch/queue.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // waiter is a shard of a query that waits in the node for a leaf.
 type waiter struct {
 	query    *query
@@ -23,6 +25,18 @@
 	return !q.finished && int(w.position) < len(q.shards) && q.shards[w.position].status == shardParked
 }
 
+// precedes orders as before does, but by the priorities of the moment.
+func (w *waiter) precedes(other *waiter, now Time) bool {
+	a, b := w.query.priority(now), other.query.priority(now)
+	if a != b {
+		return a < b
+	}
+	if w.query.Deadline != other.query.Deadline {
+		return w.query.Deadline < other.query.Deadline
+	}
+	return w.order < other.order
+}
+
 // before orders by priority, then by deadline, then by arrival.
 func (w *waiter) before(other *waiter) bool {
 	a, b := w.query, other.query
@@ -35,16 +49,46 @@
 	return w.order < other.order
 }
 
+// groupQueue holds the waiters of a group, in a heap for each class.
+type groupQueue struct {
+	byClass perClass[waitQueue]
+	live    int
+}
+
+func (g *groupQueue) push(w waiter) {
+	g.byClass.at(w.query.class).push(w)
+	g.live++
+}
+
+// head returns the first live waiter, or nil.
+func (g *groupQueue) head(now Time) *waiter {
+	var best *waiter
+	for index := range g.byClass.values {
+		head := g.byClass.values[index].head()
+		if head != nil && (best == nil || head.precedes(best, now)) {
+			best = head
+		}
+	}
+	return best
+}
+
+// age returns for how long the first waiter of a class has been in the node.
+func (g *groupQueue) age(class *classState, now Time) time.Duration {
+	head := g.byClass.at(class).head()
+	if head == nil {
+		return 0
+	}
+	return now - head.query.submitted
+}
+
 // waitQueue is a binary heap of waiters. Withdrawn ones are dropped when they
-// reach the top; live counts the others.
+// reach the top.
 type waitQueue struct {
 	heap []waiter
-	live int
 }
 
 func (q *waitQueue) push(w waiter) {
 	q.heap = append(q.heap, w)
-	q.live++
 	child := len(q.heap) - 1
 	for child > 0 {
 		parent := (child - 1) / 2
--- a/internal/decide/dispatch/topology.go
+++ b/internal/decide/dispatch/topology.go
@@ -150,7 +150,7 @@
 		if l.takesWork() {
 			holdings[index] = l.offered()
 		}
-		l.waiting = priorityWork{}
+		l.waiting = perClass[time.Duration]{}
 	}
 	d.snapshots = snapshot.Build(d.topology.Partitions, holdings)
 	d.views = make([]view, len(d.snapshots))
--- a/internal/decide/dispatch/waiting.go
+++ b/internal/decide/dispatch/waiting.go
@@ -2,19 +2,6 @@
 
 import "time"
 
-// priorities is the number of priorities that are told apart; lower ones
-// count as the last.
-const priorities = 8
-
-// priorityWork is work that waits in the node, by priority: the time that it
-// takes in one slot of an ordinary leaf. It is whole, so that what is added
-// and taken away leaves nothing behind.
-type priorityWork [priorities]time.Duration
-
-func priorityIndex(priority int) int {
-	return min(max(priority, 1), priorities) - 1
-}
-
 // enqueue lets the shard wait for the leaves of its group.
 func (d *Dispatcher) enqueue(q *query, position int32) {
 	shard := &q.shards[position]
@@ -35,9 +22,8 @@
 
 func (d *Dispatcher) addWaiting(q *query, shard *shardState, sign int) {
 	d.waiters += sign
-	index := priorityIndex(q.Class.Priority)
 	for _, l := range shard.group.leaves {
-		l.waiting[index] += time.Duration(sign) * shard.waitWork
+		*l.waiting.at(q.class) += time.Duration(sign) * shard.waitWork
 	}
 }
 
@@ -52,7 +38,7 @@
 		if next == nil {
 			return
 		}
-		waiting := *next.waiting.head()
+		waiting := *next.waiting.head(d.now)
 		if d.now >= waiting.query.Deadline {
 			d.review(waiting.query)
 			continue
@@ -73,8 +59,8 @@
 		if candidate.waiting.live == 0 || candidate.skipped == d.pumpRound {
 			continue
 		}
-		head := candidate.waiting.head()
-		if head != nil && (best == nil || head.before(bestHead)) {
+		head := candidate.waiting.head(d.now)
+		if head != nil && (best == nil || head.precedes(bestHead, d.now)) {
 			best, bestHead = candidate, head
 		}
 	}
