--- a/internal/rehearsal/simulation/leaf.go
+++ b/internal/rehearsal/simulation/leaf.go
@@ -21,14 +21,17 @@
 
 // emulatedLeaf is one leaf: slots, a queue in order of arrival, and faults.
 type emulatedLeaf struct {
-	world    *world
-	index    int
-	address  netip.AddrPort
-	zone     string
-	slots    int
-	up       leafState
-	boot     int
-	draining bool
+	world   *world
+	index   int
+	address netip.AddrPort
+	zone    string
+	slots   int
+	up      leafState
+	boot    int
+	// bootName is the id of the boot namedBoot.
+	bootName  string
+	namedBoot int
+	draining  bool
 	// coldUntil ends the time in which work is refused, warmAt the time in
 	// which it is slow.
 	coldUntil, warmAt Time
@@ -52,7 +55,13 @@
 	busy               time.Duration
 }
 
-func (l *emulatedLeaf) bootID() string { return fmt.Sprintf("%d-%d", l.index, l.boot) }
+func (l *emulatedLeaf) bootID() string {
+	if l.namedBoot != l.boot {
+		l.namedBoot = l.boot
+		l.bootName = fmt.Sprintf("%d-%d", l.index, l.boot)
+	}
+	return l.bootName
+}
 
 // summary is the leaf's true load, or its lie.
 func (l *emulatedLeaf) summary() leaf.LoadSummary {
--- a/internal/rehearsal/simulation/yardstick.go
+++ b/internal/rehearsal/simulation/yardstick.go
@@ -24,11 +24,19 @@
 	zone     string
 	choose   chooser
 	topology dispatch.Topology
+	// known caches holders until the next topology.
+	known    map[shardAt][]dispatch.Leaf
 	next     dispatch.AttemptID
 	queries  map[dispatch.QueryID]*yardstickQuery
 	attempts map[dispatch.AttemptID]*yardstickShard
 }
 
+// shardAt is one shard at one snapshot.
+type shardAt struct {
+	snapshot catalog.Snapshot
+	shard    int
+}
+
 // yardstickQuery is one running query.
 type yardstickQuery struct {
 	query    dispatch.Query
@@ -55,6 +63,7 @@
 		world: w, zone: zone, choose: choose,
 		queries:  make(map[dispatch.QueryID]*yardstickQuery),
 		attempts: make(map[dispatch.AttemptID]*yardstickShard),
+		known:    make(map[shardAt][]dispatch.Leaf),
 	}
 }
 
@@ -143,6 +152,16 @@
 
 // holders lists the usable leaves that hold a shard; warm ones if there are.
 func (y *yardstick) holders(snapshot catalog.Snapshot, shard int) []dispatch.Leaf {
+	key := shardAt{snapshot: snapshot, shard: shard}
+	found, cached := y.known[key]
+	if !cached {
+		found = y.findHolders(snapshot, shard)
+		y.known[key] = found
+	}
+	return found
+}
+
+func (y *yardstick) findHolders(snapshot catalog.Snapshot, shard int) []dispatch.Leaf {
 	var warm, cold []dispatch.Leaf
 	for _, known := range y.topology.Leaves {
 		if !known.Usable || !holdsShard(known, snapshot, shard) {
@@ -228,7 +247,7 @@
 		return nil
 	}
 	delete(y.attempts, id)
-	others := slices.DeleteFunc(y.holders(s.query.snapshot, s.shard), func(known dispatch.Leaf) bool {
+	others := slices.DeleteFunc(slices.Clone(y.holders(s.query.snapshot, s.shard)), func(known dispatch.Leaf) bool {
 		return known.Address == s.leaf
 	})
 	allowed := s.query.query.Class.Repeatable || !mayHaveRun
@@ -287,6 +306,7 @@
 // SetTopology takes what the node knows of the leaves.
 func (y *yardstick) SetTopology(_ Time, topology dispatch.Topology) []dispatch.Action {
 	y.topology = topology
+	clear(y.known)
 	return nil
 }
 
