dissemination: prove the fence under simulated failures

Cores run in a seeded simulation in virtual time: 7 nodes, 1 to 5 voters, a network that delays, duplicates and loses, a store with outages, late effects and lost replies, cuts, freezes, replacements with and without the predecessor running on, and majorities forgotten at once. Checked: no node falls back in revision, none is fresh without what was accepted more than the window ago, no change reported as not accepted is in the log, an unknown one is settled by its id, the proposals are a history of one log (porcupine), and after healing all nodes serve the whole log.

Found and mended by it: - A single voter confirmed nodes while its replacement behind a cut accepted a change. Nobody else can know of the replacement, so a single voter proves nothing now and the store alone confirms. - By the argument for it, removing voters below three is not safe and is refused.

--- a/internal/dissemination/acceptance.go
+++ b/internal/dissemination/acceptance.go
@@ -88,7 +88,7 @@
 }
 
 func (c *Core) requestVoters(now Time) {
-	for _, name := range c.log.catalog.VoterNames() {
+	for _, name := range c.voters {
 		if member, ok := c.members.byName[name]; ok {
 			c.request(now, member.Address)
 		}
--- /dev/null
+++ b/internal/dissemination/adapter_test.go
@@ -0,0 +1,118 @@
+package dissemination_test
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/dissemination"
+	standin "github.com/micaplank/micaplank/internal/rehearsal/store"
+	"github.com/micaplank/micaplank/internal/store"
+)
+
+func startAdapter(t *testing.T) (*dissemination.StoreAdapter, *store.Client) {
+	t.Helper()
+	server, err := standin.Start(standin.Config{Address: "127.0.0.1:0"}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	client, err := store.New(store.Config{Endpoints: []netip.AddrPort{netip.MustParseAddrPort(server.Address())}, Timeout: 5 * time.Second}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return dissemination.NewStoreAdapter(client), client
+}
+
+// fill writes count changes and returns the catalogs after each.
+func fill(t *testing.T, adapter *dissemination.StoreAdapter, count int) []*catalog.Catalog {
+	t.Helper()
+	catalogs := []*catalog.Catalog{catalog.Empty()}
+	for index := range count {
+		revision := uint64(index + 1)
+		change := catalog.Change{Revision: revision, ID: dissemination.ChangeID(revision, "T"), Command: createService(strings.Repeat("s", index+1))}
+		created, _, err := adapter.CreateChange(context.Background(), change)
+		if err != nil || !created {
+			t.Fatalf("create %d: %t, %v", revision, created, err)
+		}
+		next, err := catalog.Apply(catalogs[index], change)
+		if err != nil {
+			t.Fatal(err)
+		}
+		catalogs = append(catalogs, next)
+	}
+	return catalogs
+}
+
+func TestStoreAdapterKeepsTheLog(t *testing.T) {
+	adapter, _ := startAdapter(t)
+	ctx := context.Background()
+	watched := make(chan catalog.Change, 16)
+	watching, stop := context.WithCancel(ctx)
+	ended := make(chan error)
+	go func() {
+		ended <- adapter.WatchChanges(watching, func(changes []catalog.Change) { watched <- changes[0] })
+	}()
+	fill(t, adapter, 5)
+	created, existing, err := adapter.CreateChange(ctx, catalog.Change{Revision: 3, ID: "3-other", Command: createService("x")})
+	if err != nil || created || existing.ID != "3-T" {
+		t.Fatalf("second change at revision 3: %t, %+v, %v", created, existing, err)
+	}
+	changes, more, err := adapter.ReadChanges(ctx, 2, 3)
+	if err != nil || !more || len(changes) != 3 || changes[0].Revision != 2 {
+		t.Fatalf("read: %v, more %t, %v", changes, more, err)
+	}
+	// The watch may have been opened after the first changes; it sees the next.
+	for revision := uint64(6); ; revision++ {
+		_, _, err := adapter.CreateChange(ctx, catalog.Change{Revision: revision, ID: dissemination.ChangeID(revision, "T"), Command: createService("y")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-watched:
+			stop()
+			<-ended
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func TestStoreAdapterCheckpoints(t *testing.T) {
+	adapter, client := startAdapter(t)
+	ctx := context.Background()
+	if loaded, err := adapter.LoadCheckpoint(ctx); loaded != nil || err != nil {
+		t.Fatalf("load from an empty store: %v, %v", loaded, err)
+	}
+	catalogs := fill(t, adapter, 10)
+	for _, revision := range []int{4, 8, 8} {
+		if err := adapter.SaveCheckpoint(ctx, catalogs[revision], uint64(revision-2)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	loaded, err := adapter.LoadCheckpoint(ctx)
+	if err != nil || loaded.Digest() != catalogs[8].Digest() {
+		t.Fatalf("loaded %+v, %v", loaded, err)
+	}
+	changes, _, err := adapter.ReadChanges(ctx, 1, 100)
+	revisions := make([]uint64, 0, len(changes))
+	for _, change := range changes {
+		revisions = append(revisions, change.Revision)
+	}
+	if err != nil || !slices.Equal(revisions, []uint64{6, 7, 8, 9, 10}) {
+		t.Fatalf("changes left: %v, %v", revisions, err)
+	}
+	// A newer checkpoint that is not whole is passed over.
+	if _, err := client.CreateIfAbsent(ctx, "/micaplank/checkpoints/0000000000000009/0000", []byte(`{"count":2,"hash":1,"data":""}`)); err != nil {
+		t.Fatal(err)
+	}
+	if loaded, err := adapter.LoadCheckpoint(ctx); err != nil || loaded.Revision != 8 {
+		t.Fatalf("loaded %+v, %v", loaded, err)
+	}
+}
--- a/internal/dissemination/core.go
+++ b/internal/dissemination/core.go
@@ -22,6 +22,8 @@
 
 	log     changeLog
 	members memberIndex
+	// voters are the names of the catalog's voters, in order.
+	voters []string
 
 	// claims holds the highest incarnation known of each voter's slot.
 	claims   map[string]uint64
@@ -204,6 +206,7 @@
 // install is called after the log has grown: it settles what waited for it.
 func (c *Core) installed(now Time) {
 	c.ready.Catalog = c.log.catalog
+	c.voters = c.log.catalog.VoterNames()
 	c.resetSlots()
 	c.applyRelayed()
 	c.reconfirm(now)
--- a/internal/dissemination/evidence.go
+++ b/internal/dissemination/evidence.go
@@ -89,11 +89,12 @@
 
 // reconfirm works out the confirmation that the voters' answers prove: the
 // latest time at or after which a majority was asked. The voter itself counts
-// as asked now.
+// as asked now. A single voter proves nothing: nobody else could know that a
+// replacement has taken its slot over. Then the store alone confirms.
 func (c *Core) reconfirm(now Time) {
 	c.recover(now)
 	voters := len(c.log.catalog.Voters)
-	if voters == 0 {
+	if voters < 2 {
 		return
 	}
 	times := make([]Time, 0, voters)
--- a/internal/dissemination/exchange.go
+++ b/internal/dissemination/exchange.go
@@ -42,8 +42,8 @@
 	c.nextExchange = now + c.config.ExchangeInterval - c.config.ExchangeInterval/10 + jitter
 	c.exchanges++
 	targets := map[netip.AddrPort]bool{}
-	for name := range c.log.catalog.Voters {
-		if c.asksVoters() {
+	if c.asksVoters() {
+		for _, name := range c.voters {
 			c.target(targets, name)
 		}
 	}
@@ -144,7 +144,7 @@
 func (c *Core) claimsFor(request *ExchangeRequest) []Claim {
 	var claims []Claim
 	voter := c.holdsSlot()
-	for _, name := range c.log.catalog.VoterNames() {
+	for _, name := range c.voters {
 		if known := c.claims[name]; voter && known != 0 && name != request.Name {
 			claims = append(claims, Claim{Name: name, Incarnation: known})
 		}
--- /dev/null
+++ b/internal/dissemination/proof_test.go
@@ -0,0 +1,51 @@
+package dissemination
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		kind:     rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+		at:       Time(rapid.IntRange(0, 40).Draw(t, "at")) * time.Second,
+		duration: Time(rapid.IntRange(1, 25).Draw(t, "duration")) * time.Second,
+		target:   rapid.IntRange(0, nodeCount-1).Draw(t, "target"),
+	}
+}
+
+// TestFreshnessIsKept checks that the fence does not stop service where it need
+// not: in an outage of the store, and while voters are replaced one by one.
+func TestFreshnessIsKept(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed, 5, seed%2 == 1)
+		w.begin(fault{kind: "outage", duration: 50 * time.Second})
+		w.begin(fault{kind: "replace all voters in turn", duration: 40 * time.Second})
+		w.asked, w.fresh = 0, 0
+		w.run(w.now + 50*time.Second)
+		if share := float64(w.fresh) / float64(w.asked); len(w.violations) > 0 || share < 0.9 {
+			t.Fatalf("seed %d: fresh in %.3f of the checks, violations %v", seed, share, w.violations)
+		}
+	}
+}
+
+// TestSchedules runs random schedules of faults. More of them:
+//
+//	go test -run TestSchedules -rapid.checks=5000 ./internal/dissemination
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := schedule{
+			seed:   rapid.Uint64().Draw(t, "seed"),
+			voters: rapid.SampledFrom([]int{3, 5, 3, 1, 4}).Draw(t, "voters"),
+			relays: rapid.Bool().Draw(t, "relays"),
+			faults: rapid.SliceOfN(rapid.Custom(drawFault), 0, 5).Draw(t, "faults"),
+		}
+		w := runSchedule(s)
+		if len(w.violations) > 0 {
+			t.Fatalf("%s", strings.Join(w.violations, "\n"))
+		}
+	})
+}
--- a/internal/dissemination/proposal.go
+++ b/internal/dissemination/proposal.go
@@ -210,11 +210,12 @@
 	return false
 }
 
-// spread waits until all members hold an accepted change. After the window no
-// member that lacks it can serve.
+// spread waits until all members hold an accepted change. A member that is
+// listed but not alive may serve on for a while, so it is waited for as well;
+// after the window no member that lacks the change can serve.
 func (c *Core) spread(now Time, p *proposal) {
 	held, missing := c.holding(p.change.Revision)
-	if len(missing) == 0 {
+	if len(missing) == 0 && c.allListedHold(p.change.Revision) {
 		c.finish(p, FateInForce, "")
 		return
 	}
@@ -252,6 +253,15 @@
 	return held, missing
 }
 
+func (c *Core) allListedHold(revision uint64) bool {
+	for name := range c.members.byName {
+		if c.revisions[name].Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // expire ends a proposal at its deadline with what is known.
 func (c *Core) expire(p *proposal) {
 	switch {
--- /dev/null
+++ b/internal/dissemination/schedule_test.go
@@ -0,0 +1,342 @@
+package dissemination
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// fault is one disturbance of a schedule.
+type fault struct {
+	kind     string
+	at       Time
+	duration Time
+	target   int
+}
+
+// The kinds of faults.
+var faultKinds = []string{
+	"outage", "slow store", "lost replies", "stale watch", "loss", "cut", "freeze", "replace",
+	"replace while running", "replace all voters in turn", "forget a majority", "forget all",
+}
+
+// schedule is what a simulated run is made from.
+type schedule struct {
+	seed   uint64
+	voters int
+	relays bool
+	faults []fault
+	omit   omissions
+}
+
+const (
+	settleTime = 15 * time.Second
+	faultTime  = 60 * time.Second
+	healTime   = 40 * time.Second
+	nodeCount  = 7
+)
+
+// runSchedule runs a schedule and returns the world, with what it violated.
+func runSchedule(s schedule) *world {
+	w := newWorld(s.seed, s.voters, s.relays)
+	w.leaveOut(s.omit)
+	for _, f := range s.faults {
+		w.at(settleTime+f.at, func() { w.begin(f) })
+	}
+	for at := settleTime; at < settleTime+faultTime; at += w.between(200*time.Millisecond, 3*time.Second) {
+		w.at(at, w.proposeRandom)
+	}
+	w.run(settleTime + faultTime)
+	w.heal()
+	w.run(w.now + healTime)
+	w.checkEnd()
+	return w
+}
+
+// leaveOut switches mechanisms off, also for processes to come.
+func (w *world) leaveOut(omit omissions) {
+	w.omit = omit
+	for _, p := range w.processes {
+		p.core.omit = omit
+	}
+}
+
+// newWorld returns a world with nodes and voters that have settled.
+func newWorld(seed uint64, voters int, relays bool) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 2)), config: DefaultConfig()}
+	w.config.TailLength, w.config.ReadLimit = 4, 3
+	w.config.CheckpointInterval, w.config.RetainedInStore = 8, 8
+	if relays {
+		w.config.DirectLimit, w.config.RelayFanout, w.config.WatchersPerZone = 1, 1, 1
+	}
+	for index := range nodeCount {
+		w.spawn(nodeName(index), string(rune('a'+index%3)), uint64(1000+index), 0)
+	}
+	w.run(2 * time.Second)
+	for index := range voters {
+		w.propose(w.newest(nodeName(0)), addVoterProposal(nodeName(index)), 30*time.Second)
+	}
+	w.run(settleTime)
+	return w
+}
+
+func addVoterProposal(name string) Proposal {
+	return Proposal{Command: catalog.Command{AddVoter: &catalog.AddVoter{Voter: catalog.Voter{Name: name, Zone: "a"}}}}
+}
+
+func serviceProposal(name string) Proposal {
+	return Proposal{Command: catalog.Command{CreateService: &catalog.CreateService{Name: name, Shards: 2, Replicas: 1}}}
+}
+
+func nodeName(index int) string { return fmt.Sprintf("n%d", index) }
+
+// newest returns the last process of a name.
+func (w *world) newest(name string) *process {
+	for _, p := range slices.Backward(w.processes) {
+		if p.member.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+func (w *world) voterNames() []string {
+	current := catalog.Empty()
+	for _, change := range w.store.changes {
+		current, _ = catalog.Apply(current, change)
+	}
+	return current.VoterNames()
+}
+
+// replace starts another process of a name. Now and then its clock is behind
+// that of its predecessor.
+func (w *world) replace(name string, stopOld bool, gap Time) {
+	old := w.newest(name)
+	if stopOld {
+		old.dead = true
+	}
+	incarnation := old.core.Incarnation() + w.random.Uint64N(1000) + 1
+	if w.chance(0.1) {
+		incarnation = old.core.Incarnation() / 2
+	}
+	w.after(gap, func() { w.spawn(name, old.member.Zone, incarnation, w.random.IntN(2)) })
+}
+
+func (w *world) begin(f fault) {
+	end := func(run func()) { w.after(f.duration, run) }
+	switch f.kind {
+	case "outage":
+		w.store.down = true
+		end(func() { w.store.down = false })
+	case "slow store":
+		w.store.slow = 2 * time.Second
+		end(func() { w.store.slow = 0 })
+	case "lost replies":
+		w.store.loseReplies = 0.5
+		end(func() { w.store.loseReplies = 0 })
+	case "stale watch":
+		w.store.watchLag = 30 * time.Second
+		end(func() { w.store.watchLag = 0 })
+	case "loss":
+		w.loss = 0.3
+		end(func() { w.loss = 0 })
+	case "cut":
+		w.cut, w.store.side = true, w.random.IntN(2)
+		for _, p := range w.processes {
+			p.side = w.random.IntN(2)
+		}
+		end(func() { w.cut = false })
+	case "freeze":
+		p := w.newest(nodeName(f.target))
+		p.frozenUntil = max(p.frozenUntil, w.now+f.duration)
+	case "replace":
+		w.replace(nodeName(f.target), true, f.duration/8)
+	case "replace while running":
+		w.replace(nodeName(f.target), false, 0)
+	case "replace all voters in turn":
+		for index, name := range w.voterNames() {
+			w.after(Time(index)*f.duration/4, func() { w.replace(name, true, w.between(0, time.Second)) })
+		}
+	case "forget a majority":
+		names := w.voterNames()
+		for _, name := range names[:majority(len(names))] {
+			w.replace(name, true, w.between(0, time.Second))
+		}
+	case "forget all":
+		for index := range nodeCount {
+			w.replace(nodeName(index), true, w.between(0, time.Second))
+		}
+	}
+}
+
+func (w *world) heal() {
+	w.cut, w.loss = false, 0
+	w.store.down, w.store.slow, w.store.loseReplies, w.store.watchLag = false, 0, 0, 0
+	for _, p := range w.processes {
+		p.frozenUntil = min(p.frozenUntil, w.now)
+	}
+}
+
+// propose lets an operator ask a process; the result is taken when it comes.
+func (w *world) propose(p *process, request Proposal, timeout Time) *operation {
+	op := &operation{client: len(w.operations), process: p, request: request, call: w.now}
+	if !request.Settle && request.ChangeID == "" {
+		op.request.ChangeID = fmt.Sprintf("T%d", op.client)
+	}
+	w.operations = append(w.operations, op)
+	p.do(func() {
+		begun := op.request
+		begun.Deadline = p.local() + timeout
+		p.pending[p.core.Propose(p.local(), begun)] = op
+	})
+	return op
+}
+
+// proposeRandom is what an operator does at a time: mostly one change, now and then
+// two racing ones.
+func (w *world) proposeRandom() {
+	for range 1 + w.random.IntN(2) {
+		p := w.processes[w.random.IntN(len(w.processes))]
+		if p.dead {
+			continue
+		}
+		request := Proposal{Command: w.command(p), DryRun: w.chance(0.05)}
+		if w.chance(0.3) {
+			revision := p.core.Revision()
+			request.IfRevision = &revision
+		}
+		w.propose(p, request, w.between(time.Second, 12*time.Second))
+	}
+}
+
+func (w *world) command(p *process) catalog.Command {
+	name := nodeName(w.random.IntN(nodeCount))
+	switch {
+	case w.chance(0.08):
+		return addVoterProposal(name).Command
+	case w.chance(0.08) && len(p.core.Catalog().Voters) > 2:
+		return catalog.Command{RemoveVoter: &catalog.RemoveVoter{Name: name}}
+	}
+	return serviceProposal(fmt.Sprintf("s%d", len(w.operations))).Command
+}
+
+// storedAs returns the revision at which the log has a token, or 0.
+func (w *world) storedAs(token string) uint64 {
+	for _, change := range w.store.changes {
+		if strings.HasSuffix(change.ID, "-"+token) {
+			return change.Revision
+		}
+	}
+	return 0
+}
+
+// checkEnd checks what must hold once everything is healed: all nodes serve the
+// whole log, every fate was true, and what was unknown can be settled.
+func (w *world) checkEnd() {
+	if len(w.violations) > 0 {
+		return
+	}
+	w.checkNodes()
+	w.checkHistory()
+	count := len(w.operations)
+	var settling []*operation
+	for _, op := range w.operations {
+		if op.done && op.result.Fate == FateUnknown && !op.request.Settle {
+			settling = append(settling, w.propose(w.newest(nodeName(w.random.IntN(nodeCount))),
+				Proposal{ChangeID: op.result.ChangeID, Settle: true}, 10*time.Second))
+		}
+	}
+	w.run(w.now + 12*time.Second)
+	for _, op := range w.operations[:count] {
+		w.checkFate(op)
+	}
+	for _, op := range settling {
+		w.checkSettled(op)
+	}
+}
+
+func (w *world) checkNodes() {
+	head := uint64(len(w.store.changes))
+	digests := map[uint64]string{}
+	for index := range nodeCount {
+		p := w.newest(nodeName(index))
+		if p.core.Superseded() || !p.core.Fresh(p.local()) || p.core.Revision() != head {
+			w.violate("healed, but %s: superseded %t, fresh for %v, revision %d of %d",
+				p.member.Name, p.core.Superseded(), p.core.FreshFor(p.local()), p.core.Revision(), head)
+		}
+		digest := fmt.Sprint(p.core.Catalog().Digest())
+		if known, ok := digests[p.core.Revision()]; ok && known != digest {
+			w.violate("%s holds another catalog at revision %d", p.member.Name, p.core.Revision())
+		}
+		digests[p.core.Revision()] = digest
+	}
+}
+
+func (w *world) checkFate(op *operation) {
+	if !op.done || op.request.Settle || op.request.DryRun {
+		return
+	}
+	stored := w.storedAs(op.request.ChangeID)
+	switch fate := op.result.Fate; {
+	case fate == FateNotAccepted && stored != 0:
+		w.violate("change %s was reported as not accepted and is in the log at %d: %s", op.request.ChangeID, stored, op.result.Detail)
+	case (fate == FateInForce || fate == FateAccepted || op.result.Stored) && stored != op.result.Revision:
+		w.violate("change %s was reported as %s at %d and is in the log at %d", op.request.ChangeID, fate, op.result.Revision, stored)
+	}
+}
+
+func (w *world) checkSettled(op *operation) {
+	revision, token, _ := ParseChangeID(op.request.ChangeID)
+	want := FateNotAccepted
+	switch stored := w.storedAs(token); {
+	case stored == revision:
+		want = FateInForce
+	case revision > uint64(len(w.store.changes)):
+		want = FateUnknown
+	}
+	if !op.done || op.result.Fate != want {
+		w.violate("change %s is settled as %q (%s), want %s", op.request.ChangeID, op.result.Fate, op.result.Detail, want)
+	}
+}
+
+// checkHistory checks that the proposals make up a history of a sequential log
+// to which changes are appended one by one.
+func (w *world) checkHistory() {
+	log := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{uint64(0)} },
+		Step: func(state, _, output any) []any {
+			held, result := state.(uint64), output.(Result)
+			switch {
+			case result.Stored && result.Revision == held+1:
+				return []any{held + 1}
+			case result.Stored:
+				return nil
+			case result.Fate == FateUnknown:
+				return []any{held, held + 1}
+			}
+			return []any{held}
+		},
+	}
+	var history []porcupine.Operation
+	for _, op := range w.operations {
+		if op.request.Settle || op.request.DryRun || (op.done && op.result.Fate == FateNotAccepted) {
+			continue
+		}
+		end := int64(1 << 60)
+		if !op.done {
+			op.result.Fate = FateUnknown // its process died
+		} else if op.result.Stored {
+			end = int64(op.end)
+		}
+		history = append(history, porcupine.Operation{ClientId: op.client, Call: int64(op.call), Return: end, Output: op.result})
+	}
+	if porcupine.CheckOperationsTimeout(log.ToModel(), history, 2*time.Second) == porcupine.Illegal {
+		w.violate("the proposals are no history of one log")
+	}
+}
--- a/internal/dissemination/service_test.go
+++ b/internal/dissemination/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -17,7 +18,23 @@
 	"github.com/micaplank/micaplank/internal/store"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// defaultChecks is how many schedules and values the properties are tried with;
+// -rapid.checks asks for more. The seed is fixed unless -rapid.seed is given.
+const defaultChecks = "20"
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261202")
+	_ = flag.Set("rapid.checks", defaultChecks)
+	goleak.VerifyTestMain(m)
+}
+
+// quickConfig shortens the times, so that an outage longer than the window is
+// soon over.
+func quickConfig() dissemination.Config {
+	config := dissemination.DefaultConfig()
+	config.Window, config.ExchangeInterval = 2*time.Second, 100*time.Millisecond
+	return config
+}
 
 // node is one Service over real sockets.
 type node struct {
@@ -73,7 +90,7 @@
 
 func (d *deployment) start(n *node) {
 	n.service = dissemination.NewService(dissemination.ServiceOptions{
-		Config: dissemination.DefaultConfig(), Self: n.member, Members: d.members,
+		Config: quickConfig(), Self: n.member, Members: d.members,
 		Store:     dissemination.NewStoreAdapter(n.keys),
 		Transport: dissemination.NewPeerTransport(n.datagrams, n.client),
 	})
@@ -117,6 +134,16 @@
 	}
 }
 
+// await waits until a condition of a node holds.
+func (d *deployment) await(n *node, holds func() bool) {
+	d.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			d.t.Fatalf("%s: fresh for %v at revision %d", n.member.Name, n.service.FreshFor(), n.service.Current().Revision)
+		}
+	}
+}
+
 func createService(name string) catalog.Command {
 	return catalog.Command{CreateService: &catalog.CreateService{Name: name, Shards: 4, Replicas: 2}}
 }
@@ -153,11 +180,9 @@
 
 	// In an outage the voters keep each other fresh beyond the window.
 	d.store.SetFaults(standin.Faults{Outage: standin.OutageUnavailable})
-	time.Sleep(dissemination.DefaultConfig().Window + time.Second)
+	time.Sleep(quickConfig().Window + 100*time.Millisecond)
 	for _, n := range d.nodes {
-		if !n.service.Fresh() || n.service.Current().Revision != 5 {
-			t.Fatalf("%s: fresh for %v at revision %d", n.member.Name, n.service.FreshFor(), n.service.Current().Revision)
-		}
+		d.await(n, func() bool { return n.service.Fresh() && n.service.Current().Revision == 5 })
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/dissemination/takeover.go
+++ b/internal/dissemination/takeover.go
@@ -66,9 +66,8 @@
 	return count
 }
 
-// registrationQuorum is a majority of the voters, not counting this one. Two
-// voters have only one other; a single voter has none, so that its predecessor
-// must have ended before it starts.
+// registrationQuorum is a majority of the voters, not counting this one; of two
+// voters it is the other one.
 func (c *Core) registrationQuorum() int {
 	if c.omit.registration {
 		return 0
--- a/internal/dissemination/write.go
+++ b/internal/dissemination/write.go
@@ -18,16 +18,20 @@
 	return fmt.Sprintf("the catalog is at revision %d, not %d", e.Revision, e.Wanted)
 }
 
-// MemberError refuses a voter that is no alive member: it could not confirm
-// anything, and no other voter could be added after it.
-type MemberError struct {
-	Name string
+// VoterError refuses a change of the voters that could not be undone or would
+// not be safe.
+type VoterError struct {
+	Name   string
+	Reason string
 }
 
-// Error names the member.
-func (e *MemberError) Error() string {
-	return fmt.Sprintf("there is no alive member %q that could vote", e.Name)
-}
+// Error names the voter and the reason.
+func (e *VoterError) Error() string { return fmt.Sprintf("voter %q: %s", e.Name, e.Reason) }
+
+// smallestVoterSet is the number of voters below which none may be removed:
+// fewer do not survive the loss of one, and the registration of a replacement
+// then reaches too few of the voters that an older catalog has.
+const smallestVoterSet = 3
 
 // maximumPushedTo is up to how many members the proposer pushes a change to
 // itself; beyond it the change spreads from member to member.
@@ -82,8 +86,17 @@
 	if _, err := catalog.Apply(c.log.catalog, p.change); err != nil {
 		return err
 	}
-	if add := p.change.Command.AddVoter; add != nil && !c.alive(add.Voter.Name) {
-		return &MemberError{Name: add.Voter.Name}
+	return c.checkVoters(p.change.Command)
+}
+
+// checkVoters refuses a voter that is no alive member, because it could not
+// confirm anything, and no other voter could be added after it.
+func (c *Core) checkVoters(command catalog.Command) error {
+	if add := command.AddVoter; add != nil && !c.alive(add.Voter.Name) {
+		return &VoterError{Name: add.Voter.Name, Reason: "there is no alive member of that name"}
+	}
+	if remove := command.RemoveVoter; remove != nil && len(c.log.catalog.Voters) <= smallestVoterSet {
+		return &VoterError{Name: remove.Name, Reason: fmt.Sprintf("%d voters must be left, add another one first", smallestVoterSet)}
 	}
 	return nil
 }
@@ -225,7 +238,7 @@
 }
 
 func (c *Core) pushToVoters(changes []catalog.Change) {
-	for _, name := range c.log.catalog.VoterNames() {
+	for _, name := range c.voters {
 		if member, ok := c.members.byName[name]; ok {
 			c.push(member.Address, changes)
 		}
