merge: fewer hash lookups, comparisons and allocations per merged row

Profile of the first version: 23 % of a group by in the map of groups, 8 % in folds chosen by comparing function names, 10 % of both in the map of tables. Changes: tables in a slice by shard; a group is looked for first where the previous shard had it; folds are chosen by a small integer; numbers are compared without copies.

Tried and ruled out: folding column by column rather than row by row.

--- a/internal/merge/group.go
+++ b/internal/merge/group.go
@@ -15,7 +15,9 @@
 	// partials are the aggregates that a shard computes: count, sum, min and
 	// max, each once.
 	partials []language.Item
-	outputs  []output
+	// folds has the kind of each partial.
+	folds   []foldKind
+	outputs []output
 	// columns are the result's columns followed by the keys.
 	columns []string
 	order   *ordering
@@ -70,6 +72,7 @@
 	if index < 0 {
 		index = len(g.partials)
 		g.partials = append(g.partials, item)
+		g.folds = append(g.folds, foldOf(item.Function))
 	}
 	return len(g.keys) + index
 }
@@ -103,6 +106,9 @@
 	index map[string]int
 	rows  []rows.Row
 	key   []byte
+	// next is the place of the group that likely comes next: shards tend to
+	// list the same groups in the same order.
+	next int
 }
 
 func (g *grouping) newGroups() *groups {
@@ -111,13 +117,34 @@
 
 // group returns the row of the group with these keys.
 func (g *groups) group(keys rows.Row) rows.Row {
+	if g.next < len(g.rows) && g.hasKeys(g.rows[g.next], keys) {
+		g.next++
+		return g.rows[g.next-1]
+	}
 	g.key = g.key[:0]
 	for _, key := range keys {
 		g.key = rows.AppendKey(g.key, key)
 	}
 	if index, ok := g.index[string(g.key)]; ok {
+		g.next = index + 1
 		return g.rows[index]
 	}
+	g.next = 0
+	return g.newGroup(keys)
+}
+
+func (g *groups) hasKeys(row, keys rows.Row) bool {
+	for i := range keys {
+		a, b := &row[i], &keys[i]
+		if a.Kind != b.Kind || a.Number != b.Number || a.Text != b.Text {
+			return false
+		}
+	}
+	return true
+}
+
+// newGroup adds the group whose key encoding is in g.key.
+func (g *groups) newGroup(keys rows.Row) rows.Row {
 	row := make(rows.Row, len(g.keys)+len(g.partials))
 	copy(row, keys)
 	for i, partial := range g.partials {
@@ -133,34 +160,11 @@
 // addPartials adds a group row of a shard.
 func (g *groups) addPartials(shardRow rows.Row) error {
 	row := g.group(shardRow[:len(g.keys)])
-	for i, partial := range g.partials {
-		index := len(g.keys) + i
-		if err := fold(partial, &row[index], shardRow[index]); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// fold adds a value to a partial. Nulls are passed over.
-func fold(partial language.Item, total *rows.Value, value rows.Value) error {
-	if value.IsNull() {
-		return nil
-	}
-	switch partial.Function {
-	case language.Minimum:
-		if total.IsNull() || rows.Compare(value, *total) < 0 {
-			*total = value
-		}
-	case language.Maximum:
-		if total.IsNull() || rows.Compare(value, *total) > 0 {
-			*total = value
-		}
-	default:
-		if value.Kind != rows.Number {
-			return &TypeError{Item: partial.String(), Value: value.Text}
+	totals, values := row[len(g.keys):], shardRow[len(g.keys):]
+	for i, kind := range g.folds {
+		if !kind.fold(&totals[i], &values[i]) {
+			return &TypeError{Item: g.partials[i].String(), Value: values[i].Text}
 		}
-		*total = rows.NumberOf(total.Number + value.Number)
 	}
 	return nil
 }
--- a/internal/merge/merger.go
+++ b/internal/merge/merger.go
@@ -1,7 +1,6 @@
 package merge
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/micaplank/micaplank/internal/rows"
@@ -15,18 +14,26 @@
 	// they are known with the first table.
 	columns []string
 	order   *ordering
-	tables  map[int][]rows.Row
+	// tables has the table of each shard at the shard's number.
+	tables []shardRows
+	added  int
+}
+
+type shardRows struct {
+	added bool
+	rows  []rows.Row
 }
 
 // NewMerger returns an empty merger.
 func (p *Plan) NewMerger() *Merger {
-	return &Merger{plan: p, columns: itemNames(p.shard.Items), tables: make(map[int][]rows.Row)}
+	return &Merger{plan: p, columns: itemNames(p.shard.Items)}
 }
 
 // Add takes the whole table of a shard, which the caller must not modify
 // afterwards. After an error the shard does not count.
 func (m *Merger) Add(shard int, table rows.Table) error {
-	if _, added := m.tables[shard]; added {
+	m.grow(shard)
+	if m.tables[shard].added {
 		return &DuplicateShardError{Shard: shard}
 	}
 	if len(m.columns) == 0 {
@@ -40,10 +47,18 @@
 			return err
 		}
 	}
-	m.tables[shard] = table.Rows
+	m.tables[shard] = shardRows{added: true, rows: table.Rows}
+	m.added++
 	return nil
 }
 
+// grow makes room for the shard's table.
+func (m *Merger) grow(shard int) {
+	if missing := shard + 1 - len(m.tables); missing > 0 {
+		m.tables = append(m.tables, make([]shardRows, missing)...)
+	}
+}
+
 // ensureSorted sorts the rows if the leaf did not.
 func (m *Merger) ensureSorted(candidate []rows.Row) error {
 	if m.order == nil {
@@ -61,7 +76,13 @@
 
 // Shards returns the shards added, in order.
 func (m *Merger) Shards() []int {
-	return slices.Sorted(maps.Keys(m.tables))
+	shards := make([]int, 0, m.added)
+	for shard := range m.tables {
+		if m.tables[shard].added {
+			shards = append(shards, shard)
+		}
+	}
+	return shards
 }
 
 // Result merges the tables added so far. It depends only on which they are,
@@ -70,17 +91,21 @@
 	if m.plan.grouping != nil {
 		return m.mergeGroups()
 	}
-	sorted := make([][]rows.Row, 0, len(m.tables))
-	for _, shard := range m.Shards() {
-		sorted = append(sorted, m.tables[shard])
+	sorted := make([][]rows.Row, 0, m.added)
+	for i := range m.tables {
+		if len(m.tables[i].rows) > 0 {
+			sorted = append(sorted, m.tables[i].rows)
+		}
 	}
-	return rows.Table{Columns: m.columns, Rows: mergeRuns(m.order, sorted, m.plan.statement.Limit)}, nil
+	merged := mergeRuns(m.order, sorted, m.plan.statement.Limit)
+	return rows.Table{Columns: m.columns, Rows: merged}, nil
 }
 
 func (m *Merger) mergeGroups() (rows.Table, error) {
 	groups := m.plan.grouping.newGroups()
-	for _, shard := range m.Shards() {
-		for _, row := range m.tables[shard] {
+	for i := range m.tables {
+		groups.next = 0
+		for _, row := range m.tables[i].rows {
 			if err := groups.addPartials(row); err != nil {
 				return rows.Table{}, err
 			}
--- a/internal/merge/order.go
+++ b/internal/merge/order.go
@@ -41,8 +41,9 @@
 }
 
 func (o *ordering) compare(a, b rows.Row) int {
-	for _, term := range o.terms {
-		order := rows.Compare(a[term.index], b[term.index])
+	for i := range o.terms {
+		term := &o.terms[i]
+		order := compareValues(&a[term.index], &b[term.index])
 		switch {
 		case order == 0:
 			continue
@@ -55,6 +56,22 @@
 	return 0
 }
 
+// compareValues is rows.Compare without the copies for numbers, which most
+// orders begin with.
+func compareValues(a, b *rows.Value) int {
+	if a.Kind != rows.Number || b.Kind != rows.Number {
+		return rows.Compare(*a, *b)
+	}
+	switch {
+	case a.Number < b.Number:
+		return -1
+	case a.Number > b.Number:
+		return 1
+	default:
+		return 0
+	}
+}
+
 func (o *ordering) sort(unsorted []rows.Row) { slices.SortFunc(unsorted, o.compare) }
 
 func (o *ordering) isSorted(candidate []rows.Row) bool {
--- a/internal/merge/select.go
+++ b/internal/merge/select.go
@@ -71,20 +71,17 @@
 	return run
 }
 
-// mergeRuns returns the first rows of sorted runs, up to the limit; zero means
-// no limit.
+// mergeRuns returns the first rows of sorted runs, none of them empty, up to
+// the limit; zero means no limit. It keeps and changes the slice of runs.
 func mergeRuns(order *ordering, sorted [][]rows.Row, limit int) []rows.Row {
 	total := 0
-	merging := &runs{order: order}
 	for _, run := range sorted {
-		if len(run) > 0 {
-			merging.runs = append(merging.runs, run)
-			total += len(run)
-		}
+		total += len(run)
 	}
 	if limit > 0 {
 		total = min(total, limit)
 	}
+	merging := &runs{order: order, runs: sorted}
 	heap.Init(merging)
 	merged := make([]rows.Row, 0, total)
 	for len(merged) < total {
