--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -86,7 +86,7 @@
 		SuspicionMultiplier:    3,
 		SuspicionMaximumFactor: 3,
 		SuspicionConfirmations: 3,
-		SyncInterval:           15 * time.Second,
+		SyncInterval:           10 * time.Second,
 		SyncPackets:            4,
 		SyncRepliesPerSecond:   20,
 		SeedInterval:           time.Minute,
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -148,6 +148,17 @@
 	return p.Member, true
 }
 
+// ViewHash returns a hash of the view: the exclusive or of ViewHash of all
+// members that are not gone, this node included. Equal views have equal
+// hashes.
+func (c *Core) ViewHash() uint64 {
+	hash := c.self.ViewHash()
+	for _, p := range c.view.live {
+		hash ^= p.Member.ViewHash()
+	}
+	return hash
+}
+
 // HeldZones returns the names of the zones that are held.
 func (c *Core) HeldZones() []string {
 	var names []string
@@ -289,7 +300,7 @@
 	c.now = now
 	c.probing.next = now + c.fraction(c.config.ProbeInterval)
 	c.nextGossip = now + c.fraction(c.config.GossipInterval)
-	c.syncing.next = now + c.fraction(c.config.SyncInterval)
+	c.syncing.next = now + c.fraction(c.config.SyncInterval>>hurriedSyncs)
 	c.syncing.nextSeed = now
 	c.syncing.seed = c.random.IntN(len(c.seeds) + 1)
 	c.syncing.nextReconnect = now + c.fraction(c.config.ReconnectInterval)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -81,6 +81,12 @@
 	return version{m.Incarnation, m.Refutation, m.State}
 }
 
+// ViewHash is this member's share of the hash of a view that contains it; see
+// Core.ViewHash.
+func (m Member) ViewHash() uint64 {
+	return uint64(m.fingerprint())<<32 | uint64(nameHash(m.Name))
+}
+
 // fingerprint is a hash of the member's name and version, for digests.
 func (m Member) fingerprint() uint32 {
 	hash := xxhash.Sum64String(m.Name)
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -188,6 +188,13 @@
 	return s.core.Lookup(name)
 }
 
+// ViewHash returns a hash of the view; see Core.ViewHash.
+func (s *Service) ViewHash() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.ViewHash()
+}
+
 // Self returns this node's own record.
 func (s *Service) Self() Member {
 	s.mutex.Lock()
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -17,9 +17,11 @@
 	own bool
 	// patience stretches the time while this node's own health is in doubt.
 	patience time.Duration
-	// checks counts the rounds of the last check, begun at checkedAt.
-	checks    int
-	checkedAt time.Duration
+	// checks counts the rounds of the last check, begun at checkedAt, and
+	// witnessedChecks those at which the zone could be reached.
+	checks          int
+	witnessedChecks int
+	checkedAt       time.Duration
 }
 
 // accuse raises a suspicion of this node's own, or confirms a running one.
@@ -51,7 +53,7 @@
 
 // setDeadline sets the end of a suspicion; the last check begins anew.
 func (c *Core) setDeadline(s *suspicion) {
-	s.checks = 0
+	s.checks, s.witnessedChecks = 0, 0
 	confirmations := len(s.accusers) - 1
 	s.deadline = s.raisedAt + c.config.suspicionTime(c.members(), confirmations)*s.patience
 }
@@ -92,8 +94,11 @@
 const (
 	// checkRounds is how often a suspect is asked again before it is declared
 	// gone, and checkInterval the time between.
-	checkRounds   = 3
-	checkInterval = 500 * time.Millisecond
+	checkRounds = 3
+	// witnessedRounds is how many of these must come after a sign that the
+	// zone can be reached: those before may have been lost in a cut.
+	witnessedRounds = 2
+	checkInterval   = 500 * time.Millisecond
 	// maximumChecks bounds the suspects that are asked again in one tick.
 	maximumChecks = 16
 )
@@ -103,18 +108,23 @@
 // whether this node still reaches the zone at all.
 func (c *Core) settle(p *peer) {
 	s := p.suspicion
+	z := c.view.zone(p.Zone)
 	if s.checks == 0 {
 		s.checkedAt = c.now
 	}
-	if s.checks < checkRounds && !c.config.disabled.lastCheck {
+	witnessed := !c.mayHold(z) || c.witnessed(z, s.checkedAt)
+	if witnessed {
+		s.witnessedChecks++
+	}
+	conclusive := s.checks >= checkRounds && (!witnessed || s.witnessedChecks > witnessedRounds)
+	if !conclusive && !c.config.disabled.lastCheck {
 		s.checks++
 		s.deadline = c.now + checkInterval
 		c.ping(p, 0)
 		c.query(p)
 		return
 	}
-	z := c.view.zone(p.Zone)
-	if c.mayHold(z) && !c.witnessed(z, s.checkedAt) {
+	if !witnessed {
 		c.holdZone(z)
 		return
 	}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -9,6 +9,8 @@
 type syncing struct {
 	next     time.Duration
 	nextSeed time.Duration
+	// count is the number of exchanges with random members so far.
+	count int
 	// seed counts the exchanges with seeds, which take turns.
 	seed          int
 	nextReconnect time.Duration
@@ -22,6 +24,10 @@
 // maximumRounds bounds how many digests one exchange may take.
 const maximumRounds = 128
 
+// hurriedSyncs is how many exchanges of a new node come sooner than the
+// others, each after twice the time of the one before.
+const hurriedSyncs = 4
+
 // joinInterval is the time between attempts to join.
 const joinInterval = time.Second
 
@@ -40,8 +46,10 @@
 		return
 	}
 	if c.now >= s.next {
-		s.next = c.now + c.config.SyncInterval/2 + c.fraction(c.config.SyncInterval)
+		interval := c.config.SyncInterval >> max(0, hurriedSyncs-s.count)
+		s.next = c.now + interval/2 + c.fraction(interval)
 		if p := pick(c.random, c.view.live, func(*peer) bool { return true }); p != nil {
+			s.count++
 			c.beginSync(p.Address)
 		}
 	}
