--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -17,6 +17,8 @@
 	Zone string
 	// Policy chooses between replicas. Default replica.ExpectedCompletion.
 	Policy replica.Policy
+	// Score tunes the choice between replicas.
+	Score replica.ScoreConfig
 	// Speed is how the slowness of a leaf is estimated.
 	Speed replica.SpeedConfig
 	// Limit bounds the attempts in flight on each leaf.
@@ -95,6 +97,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Policy:    replica.ExpectedCompletion,
+		Score:     replica.DefaultScoreConfig(),
 		Speed:     replica.DefaultSpeedConfig(),
 		Limit:     limit.DefaultConfig(),
 		Admission: admission.DefaultConfig(),
--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -17,9 +17,9 @@
 // one counts as the latest one seen. The actions returned belong to the
 // caller.
 type Dispatcher struct {
-	config Config
-	random *rand.Rand
-	now    Time
+	config  Config
+	chooser replica.Chooser
+	now     Time
 
 	topology   Topology
 	leaves     []*leafState // those of the topology, in its order
@@ -63,7 +63,7 @@
 func New(config Config, random *rand.Rand) *Dispatcher {
 	return &Dispatcher{
 		config:    config,
-		random:    random,
+		chooser:   replica.NewChooser(config.Policy, config.Score, random),
 		byAddress: make(map[netip.AddrPort]*leafState),
 		byID:      make(map[QueryID]*query),
 		classes:   make(map[string]*classState),
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -62,14 +62,14 @@
 		return false
 	}
 	work := replica.Work{Base: q.class.base, Mean: d.meanWork}
-	index := replica.Choose(d.config.Policy, d.random, d.candidates, work)
+	index := d.chooser.Choose(d.candidates, work)
 	chosen := &d.candidates[index]
 	idle := float64(chosen.InFlight)+chosen.Others+1 <= float64(chosen.Slots)
 	if chosen.Full() || !idle {
 		return false
 	}
-	remaining := d.slowness(first.leaf) * q.class.base
-	if replica.Completion(chosen, work) > remaining*hedgeTolerance || !d.budget.SpendHedge() {
+	remaining := d.config.Score.Significant(d.slowness(first.leaf)) * q.class.base
+	if d.config.Score.Expected(chosen, work) > remaining*hedgeTolerance || !d.budget.SpendHedge() {
 		return false
 	}
 	d.send(q, position, d.candidateLeaves[index], causeHedge)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -119,7 +119,7 @@
 		ahead = 0
 	}
 	work := replica.Work{Base: q.class.base, Mean: d.meanWork, Ahead: ahead}
-	index := replica.Choose(d.config.Policy, d.random, d.candidates, work)
+	index := d.chooser.Choose(d.candidates, work)
 	chosen := d.candidateLeaves[index]
 	if d.candidates[index].Full() {
 		return nil, choiceHeld
--- a/internal/decide/replica/policy.go
+++ b/internal/decide/replica/policy.go
@@ -65,39 +65,41 @@
 	Ahead int
 }
 
-// tieTolerance is the relative difference up to which two scores count as
-// equal, so that the zone decides.
-const tieTolerance = 0.03
+// Chooser chooses among replicas. It is not safe for concurrent use.
+type Chooser struct {
+	policy Policy
+	score  ScoreConfig
+	random *rand.Rand
+}
+
+// NewChooser returns a Chooser that draws from random.
+func NewChooser(policy Policy, score ScoreConfig, random *rand.Rand) Chooser {
+	return Chooser{policy: policy, score: score, random: random}
+}
 
 // Choose returns the index of the replica to take. There must be at least one
 // candidate. The chosen one may be full: then the attempt waits for it.
-func Choose(policy Policy, random *rand.Rand, candidates []Candidate, work Work) int {
+func (h *Chooser) Choose(candidates []Candidate, work Work) int {
 	if len(candidates) == 1 {
 		return 0
 	}
-	switch policy {
+	switch h.policy {
 	case Random:
-		return random.IntN(len(candidates))
+		return h.random.IntN(len(candidates))
 	case PowerOfTwo:
-		return powerOfTwo(random, candidates)
-	case LatencyInFlight:
-		return latencyInFlight(random, candidates)
-	case LeastInFlight:
-		return least(random, candidates, func(c *Candidate) float64 { return float64(c.InFlight) })
-	case WorkPriced:
-		return least(random, candidates, func(c *Candidate) float64 { return PricedWork(c, work) })
+		return h.powerOfTwo(candidates)
 	default:
-		return least(random, candidates, func(c *Candidate) float64 { return Completion(c, work) })
+		return h.least(candidates, work)
 	}
 }
 
 // least returns the candidate with the lowest score. Among equal scores a
 // near candidate wins, and then chance decides.
-func least(random *rand.Rand, candidates []Candidate, score func(*Candidate) float64) int {
-	best, bestScore, equals := 0, score(&candidates[0]), 1
+func (h *Chooser) least(candidates []Candidate, work Work) int {
+	best, bestScore, equals := 0, h.scoreOf(&candidates[0], work), 1
 	for index := 1; index < len(candidates); index++ {
-		current := score(&candidates[index])
-		margin := tieTolerance * bestScore
+		current := h.scoreOf(&candidates[index], work)
+		margin := h.score.Tie * bestScore
 		switch {
 		case current < bestScore-margin:
 			best, bestScore, equals = index, current, 1
@@ -108,7 +110,7 @@
 			}
 		default:
 			equals++
-			if random.IntN(equals) == 0 {
+			if h.random.IntN(equals) == 0 {
 				best, bestScore = index, current
 			}
 		}
@@ -116,9 +118,9 @@
 	return best
 }
 
-func powerOfTwo(random *rand.Rand, candidates []Candidate) int {
-	first := random.IntN(len(candidates))
-	second := random.IntN(len(candidates) - 1)
+func (h *Chooser) powerOfTwo(candidates []Candidate) int {
+	first := h.random.IntN(len(candidates))
+	second := h.random.IntN(len(candidates) - 1)
 	if second >= first {
 		second++
 	}
@@ -127,18 +129,3 @@
 	}
 	return first
 }
-
-// latencyInFlight follows the rule of Prequal: a replica is hot if it has more
-// in flight than its slots share out; cold ones are ordered by latency, and
-// if all are hot the one with the fewest in flight is taken.
-func latencyInFlight(random *rand.Rand, candidates []Candidate) int {
-	const hotShare = 0.84
-	const hotPenalty = 1e6
-	return least(random, candidates, func(c *Candidate) float64 {
-		total := float64(c.InFlight) + c.Others
-		if total > hotShare*float64(c.Slots) {
-			return hotPenalty * (1 + total)
-		}
-		return c.Latency
-	})
-}
--- a/internal/decide/replica/score.go
+++ b/internal/decide/replica/score.go
@@ -1,5 +1,76 @@
 package replica
 
+// ScoreConfig tunes the scores. Its defaults were found by simulation; see
+// docs/design/0007-replica-choice.md.
+type ScoreConfig struct {
+	// OthersWeight is the weight of the estimated attempts of other nodes,
+	// from 0 to 1: they are known late, and from what the leaf says. Own
+	// attempts have the weight 1. Default 0.3.
+	OthersWeight float64
+	// Crowding is the price of a leaf whose slots are all in use, over that of
+	// an empty one, in mean attempts; it spreads work before queues form.
+	// Default 0.3.
+	Crowding float64
+	// Noise is the slowness up to which a leaf counts as ordinary. Default
+	// 1.4.
+	Noise float64
+	// Tie is the relative difference up to which two scores count as equal,
+	// so that the zone decides. Default 0.03.
+	Tie float64
+}
+
+// DefaultScoreConfig returns the defaults.
+func DefaultScoreConfig() ScoreConfig {
+	return ScoreConfig{OthersWeight: 0.3, Crowding: 0.3, Noise: 1.4, Tie: 0.03}
+}
+
+// scoreOf returns the score of a candidate under the policy; the lowest wins.
+func (h *Chooser) scoreOf(c *Candidate, work Work) float64 {
+	switch h.policy {
+	case LeastInFlight:
+		return float64(c.InFlight)
+	case LatencyInFlight:
+		return latencyInFlight(c)
+	case WorkPriced:
+		return PricedWork(c, work)
+	default:
+		return h.score.completion(c, work)
+	}
+}
+
+// completion is Expected and the price of crowding.
+func (s *ScoreConfig) completion(c *Candidate, work Work) float64 {
+	attempts := float64(c.InFlight) + s.OthersWeight*c.Others
+	crowding := s.Crowding * attempts / float64(max(c.Slots, 1))
+	return s.Expected(c, work) + s.Significant(c.Slowness)*work.Mean*crowding
+}
+
+// Expected is Completion with the estimates weighted by their worth.
+func (s *ScoreConfig) Expected(c *Candidate, work Work) float64 {
+	weighted := *c
+	weighted.Others *= s.OthersWeight
+	weighted.Slowness = s.Significant(c.Slowness)
+	return Completion(&weighted, work)
+}
+
+// Significant returns the part of a slowness that is not noise, at least 1.
+func (s *ScoreConfig) Significant(slowness float64) float64 {
+	return max(slowness/s.Noise, 1)
+}
+
+// latencyInFlight follows the rule of Prequal: a replica is hot if most of its
+// slots are in use; cold ones are ordered by latency, and hot ones, which come
+// last, by their attempts in flight.
+func latencyInFlight(c *Candidate) float64 {
+	const hotShare = 0.84
+	const hotPenalty = 1e6
+	total := float64(c.InFlight) + c.Others
+	if total > hotShare*float64(c.Slots) {
+		return hotPenalty * (1 + total)
+	}
+	return c.Latency
+}
+
 // PricedWork returns the work waiting on the leaf plus the incoming work,
 // over the rate of the leaf, in seconds. The rate is that of all its slots.
 func PricedWork(c *Candidate, work Work) float64 {
