simulation: add the oracle over leaves that serve by priority

The dispatcher beats the oracle on short checks because it holds long work back in the node, while the oracle's leaves serve in order of arrival.

--- a/internal/rehearsal/experiment/experiment.go
+++ b/internal/rehearsal/experiment/experiment.go
@@ -55,7 +55,7 @@
 // Policy is a policy and, for the dispatcher, what differs from its defaults.
 type Policy struct {
 	Name string                `toml:"name" json:"name" validate:"required"`
-	Kind simulation.PolicyKind `toml:"kind" json:"kind" validate:"oneof=dispatch baseline oracle clairvoyant"`
+	Kind simulation.PolicyKind `toml:"kind" json:"kind" validate:"oneof=dispatch baseline oracle clairvoyant urgent_oracle"`
 	// Only lists the scenarios or series in which the policy runs; none means
 	// all.
 	Only []string `toml:"only" json:"only,omitempty"`
--- a/internal/rehearsal/simulation/leaf.go
+++ b/internal/rehearsal/simulation/leaf.go
@@ -117,7 +117,16 @@
 		return
 	}
 	work.state = workQueued
-	l.queue = append(l.queue, work)
+	l.enqueue(work)
+}
+
+// enqueue keeps the order of arrival, or that of priority if the policy has it.
+func (l *emulatedLeaf) enqueue(work *work) {
+	place := len(l.queue)
+	for l.world.config.Policy.Kind == PolicyUrgentOracle && place > 0 && l.queue[place-1].priority > work.priority {
+		place--
+	}
+	l.queue = slices.Insert(l.queue, place, work)
 }
 
 // refusalOf decides whether the leaf takes the work.
--- a/internal/rehearsal/simulation/node.go
+++ b/internal/rehearsal/simulation/node.go
@@ -136,6 +136,7 @@
 		lateAt:   n.world.engine.now + send.Remaining,
 		length:   n.world.noisyLength(length, a),
 		expected: n.world.meanWork(q, send.Snapshot.Epoch),
+		priority: n.world.config.Service.Classes[q.class].Priority,
 	}
 	n.world.network.send(a)
 }
--- a/internal/rehearsal/simulation/oracle.go
+++ b/internal/rehearsal/simulation/oracle.go
@@ -27,7 +27,7 @@
 func (w *world) plannedCompletion(q *yardstickQuery, l *emulatedLeaf) Time {
 	mean := w.meanLength(q)
 	planned := scale(mean, float64(q.planned[l.index])/float64(l.slots))
-	return w.completion(l, mean) + planned + 2*w.delay(q.zone, l.zone)
+	return w.completion(l, mean, q.query.Class.Priority) + planned + 2*w.delay(q.zone, l.zone)
 }
 
 // meanLength is the expected work of a query on one shard.
@@ -41,8 +41,9 @@
 	return 0
 }
 
-// completion is when a leaf would finish more work, from its true state.
-func (w *world) completion(l *emulatedLeaf, more time.Duration) Time {
+// completion is when a leaf would finish more work of a priority, from its true
+// state.
+func (w *world) completion(l *emulatedLeaf, more time.Duration, priority int) Time {
 	if l.up != leafUp || l.draining {
 		return w.engine.now + unansweredLatency
 	}
@@ -58,7 +59,9 @@
 	slices.Sort(free)
 	for _, list := range [][]*work{l.queue, l.transit} {
 		for _, waiting := range list {
-			occupy(free, scale(w.ahead(waiting), factor))
+			if w.config.Policy.Kind != PolicyUrgentOracle || waiting.priority <= priority {
+				occupy(free, scale(w.ahead(waiting), factor))
+			}
 		}
 	}
 	return free[0] + scale(more, factor)
--- a/internal/rehearsal/simulation/policy.go
+++ b/internal/rehearsal/simulation/policy.go
@@ -39,6 +39,9 @@
 	// PolicyClairvoyant is the oracle that also knows how long each piece of
 	// work that runs or waits will take.
 	PolicyClairvoyant PolicyKind = "clairvoyant"
+	// PolicyUrgentOracle is the oracle over leaves that run the work that
+	// waits in the order of its class's priority, which real ones don't.
+	PolicyUrgentOracle PolicyKind = "urgent_oracle"
 )
 
 // Policy names a Decider and its settings.
@@ -53,7 +56,7 @@
 
 // knowing reports whether the policy knows the true state of the leaves.
 func (p *Policy) knowing() bool {
-	return p.Kind == PolicyOracle || p.Kind == PolicyClairvoyant
+	return p.Kind == PolicyOracle || p.Kind == PolicyClairvoyant || p.Kind == PolicyUrgentOracle
 }
 
 // newDecider builds the Decider of one node.
@@ -68,7 +71,7 @@
 func (w *world) bareDecider(node int, zone string) Decider {
 	random := newRandom(w.config.Seed, streamPolicy, uint64(node))
 	switch w.config.Policy.Kind {
-	case PolicyOracle, PolicyClairvoyant:
+	case PolicyOracle, PolicyClairvoyant, PolicyUrgentOracle:
 		return newYardstick(w, zone, w.leastCompletion)
 	case PolicyBaseline:
 		return newYardstick(w, zone, randomReplica(random))
--- a/internal/rehearsal/simulation/work.go
+++ b/internal/rehearsal/simulation/work.go
@@ -97,6 +97,7 @@
 	lateAt   Time          // no start after this
 	length   time.Duration // on a healthy leaf
 	expected time.Duration // mean of length, for predictions
+	priority int           // of its class
 	started  Time
 	finishAt Time
 }
