dispatch: replace attempts whose answers are taken to be lost

Cause: when a leaf fell silent, its connections broke only after 1.5 s, and checks with a deadline of 500 ms were answered in part: a hedge needs an idle replica, and the other replica of a pair at 80 % use seldom is.

Now, with half of a query's time gone, hedges are paid for as retries, and an attempt older than ten times its expected time is aborted and the shard waits for another leaf in the order of its deadline.

--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -61,6 +61,10 @@
 	// Outstanding is the share of a query's shards that may be outstanding
 	// when hedges start; one may always be. Default 0.25.
 	Outstanding float64
+	// Rescue is the share of a query's time after which all that is in flight
+	// may be hedged, on the same terms as retries: with half of the time gone,
+	// an answer is more likely lost than late. Default 0.5.
+	Rescue float64
 	// Samples is the number of latencies of the class that must be known.
 	// Default 50.
 	Samples int
@@ -104,7 +108,7 @@
 		Promotion: 0.3,
 		Settle:    coverage.DefaultConfig(),
 		Budget:    hedge.DefaultBudgetConfig(),
-		Hedge:     HedgeConfig{Outstanding: 0.25, Samples: 50},
+		Hedge:     HedgeConfig{Outstanding: 0.25, Rescue: 0.5, Samples: 50},
 		Probation: ProbationConfig{
 			Slowness:      1.5,
 			ProbeInterval: 500 * time.Millisecond,
--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -50,8 +50,9 @@
 	pumpRound          uint64
 	reviewAt           Time
 
-	counters Counters
-	actions  []Action
+	counters    Counters
+	actions     []Action
+	spareShards [][]shardState
 	// Scratch space of choose and of predictWait.
 	candidates      []replica.Candidate
 	candidateLeaves []*leafState
@@ -94,6 +95,9 @@
 		promoteAt: d.now + time.Duration(d.config.Promotion*float64(request.Deadline-d.now)),
 		timer:     -1,
 	}
+	if d.mayHedge(q) {
+		q.rescueAt = d.now + time.Duration(d.config.Hedge.Rescue*float64(request.Deadline-d.now))
+	}
 	if reason := d.unfit(q); reason != ReasonNone {
 		d.reject(q, reason)
 		return d.actions
@@ -208,7 +212,7 @@
 	}
 	for len(d.timers) > 0 && d.timers[0].timerAt <= d.now {
 		q := d.timers[0]
-		if q.hedgeAt > 0 && q.hedgeAt <= d.now && q.Deadline > d.now {
+		if q.hedgeDue(d.now) {
 			d.hedge(q)
 		}
 		d.review(q)
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -11,46 +11,80 @@
 // armHedges sets the time of the next look at hedges, once few enough shards
 // are outstanding.
 func (d *Dispatcher) armHedges(q *query) {
-	if q.hedgesArmed || !d.mayHedge(q) || q.inFlight == 0 {
+	if q.hedgesArmed || !d.mayHedge(q) || q.inFlight == 0 || q.outstanding() == 0 {
 		return
 	}
 	allowed := max(1, int(d.config.Hedge.Outstanding*float64(q.progress.Total)))
 	if q.outstanding() > allowed {
 		return
 	}
-	q.hedgesArmed = true
 	d.hedge(q)
 }
 
+// hedgeDue reports whether hedges are to be looked at.
+func (q *query) hedgeDue(now Time) bool {
+	if !q.started || now >= q.Deadline {
+		return false
+	}
+	return q.hedgeAt > 0 && q.hedgeAt <= now || q.rescuing(now) && !q.hedgesArmed
+}
+
+// rescuing reports whether hedges are paid for as retries.
+func (q *query) rescuing(now Time) bool {
+	return q.rescueAt > 0 && now >= q.rescueAt
+}
+
 // hedge sends second attempts for the shards that are late, and sets the time
 // of the next look.
 func (d *Dispatcher) hedge(q *query) {
 	q.hedgeAt = 0
+	q.hedgesArmed = true
+	if d.now >= q.Deadline {
+		return
+	}
 	if q.class.latency.Samples() < d.config.Hedge.Samples {
 		return
 	}
 	delay := q.class.latency.Quantile(q.Class.HedgePercentile)
-	next := q.Deadline
+	q.hedgeAt = q.Deadline
 	for position := range q.shards {
 		shard := &q.shards[position]
-		if shard.status != shardInFlight {
+		if shard.status != shardInFlight || d.attempts.slots[shard.first].next != none {
 			continue
 		}
 		only := &d.attempts.slots[shard.first]
-		if only.next != none {
-			continue
-		}
 		due := only.sentAt + delay
 		if due <= d.now && !d.hedgeShard(q, int32(position), only) {
+			d.replace(q, int32(position))
 			due = d.now + delay/4 + 1
 		}
 		if due > d.now {
-			next = min(next, due)
+			q.hedgeAt = min(q.hedgeAt, due)
 		}
 	}
-	q.hedgeAt = next
 }
 
+// replace gives up the only attempt of a shard and lets the shard wait for
+// another leaf, if the attempt is that late that its answer will not come, and
+// the query has no time to wait for the certainty.
+func (d *Dispatcher) replace(q *query, position int32) {
+	shard := &q.shards[position]
+	only := &d.attempts.slots[shard.first]
+	age := (d.now - only.sentAt).Seconds()
+	if !q.rescuing(d.now) || age < lostAge*only.expected || !d.budget.CanRetry() {
+		return
+	}
+	d.abort(only)
+	shard.lost++
+	shard.spent = true
+	shard.fallDue()
+	d.place(q, position)
+}
+
+// lostAge is the age of an attempt, over the time expected of an ordinary leaf,
+// from which its answer is taken to be lost.
+const lostAge = 10
+
 // hedgeShard sends a second attempt if another leaf has room and is expected
 // to answer before the first.
 func (d *Dispatcher) hedgeShard(q *query, position int32, first *attempt) bool {
@@ -69,13 +103,21 @@
 		return false
 	}
 	remaining := d.config.Score.Significant(d.slowness(first.leaf)) * q.class.base
-	if d.config.Score.Expected(chosen, work) > remaining*hedgeTolerance || !d.budget.SpendHedge() {
+	if d.config.Score.Expected(chosen, work) > remaining*hedgeTolerance || !d.payHedge(q) {
 		return false
 	}
 	d.send(q, position, d.candidateLeaves[index], causeHedge)
 	return true
 }
 
+// payHedge takes what a hedge costs.
+func (d *Dispatcher) payHedge(q *query) bool {
+	if q.rescuing(d.now) {
+		return d.budget.SpendRetry(1)
+	}
+	return d.budget.SpendHedge()
+}
+
 // hedgeTolerance is how much longer than the first attempt the second may be
 // expected to take.
 const hedgeTolerance = 1.2
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -55,6 +55,8 @@
 	// othersMean and othersLong are its means over a short and a long time.
 	others, othersMean, othersLong float64
 	othersAt                       Time
+	estimated                      float64 // estimateOthers at estimatedAt
+	estimatedAt                    Time
 }
 
 // goneHolding overrides the topology until a time: the leaf said that it does
@@ -121,7 +123,11 @@
 // estimateOthers returns the estimated number of attempts of other nodes: the
 // last report fades to the mean of the reports.
 func (l *leafState) estimateOthers(now Time) float64 {
-	return l.othersMean + (l.others-l.othersMean)*fade(now-l.othersAt, othersFades)
+	if now != l.estimatedAt || now == 0 {
+		l.estimatedAt = now
+		l.estimated = l.othersMean + (l.others-l.othersMean)*fade(now-l.othersAt, othersFades)
+	}
+	return l.estimated
 }
 
 // report takes in a load report that was made while own attempts of this node
@@ -132,6 +138,7 @@
 	l.othersMean += max(othersWeight, 1-fade(age, othersMemory)) * (others - l.othersMean)
 	l.othersLong += (1 - fade(age, longMemory)) * (others - l.othersLong)
 	l.others, l.othersAt = others, now
+	l.estimated, l.estimatedAt = others, now
 }
 
 // failed holds the leaf off, longer with each failure in a row.
--- a/internal/decide/dispatch/meter.go
+++ b/internal/decide/dispatch/meter.go
@@ -52,6 +52,9 @@
 
 // fade returns the weight that is left after a time.
 func fade(age, memory time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
 	return math.Exp(-float64(age) / float64(memory))
 }
 
--- a/internal/decide/dispatch/query.go
+++ b/internal/decide/dispatch/query.go
@@ -70,6 +70,7 @@
 	submitted    Time
 	settleAt     Time
 	promoteAt    Time // when it becomes as urgent as the most urgent
+	rescueAt     Time // when hedges may go into debt; zero for never
 	hedgeAt      Time // zero if no hedge is due
 	timer        int  // index in the timer heap, -1 if not in it
 	timerAt      Time
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/coverage"
@@ -31,14 +32,39 @@
 	if shard, single := q.need().Shard(count); single {
 		q.firstShard, count = shard, 1
 	}
-	q.shards = make([]shardState, count)
+	q.shards = d.newShards(count)
 	for position := range q.shards {
 		q.shards[position].group = pinned.group(q.firstShard + position)
 		q.shards[position].first = none
 	}
+	d.actions = slices.Grow(d.actions, count)
 	q.progress = coverage.Progress{Total: count}
 }
 
+// newShards returns count zero shards, if possible from a finished query.
+func (d *Dispatcher) newShards(count int) []shardState {
+	last := len(d.spareShards) - 1
+	if last < 0 || cap(d.spareShards[last]) < count {
+		return make([]shardState, count)
+	}
+	shards := d.spareShards[last][:count]
+	d.spareShards = d.spareShards[:last]
+	clear(shards)
+	return shards
+}
+
+// spareLimit is how many lists of shards are kept for newShards.
+const spareLimit = 16
+
+// releaseShards keeps the shards of a finished query for newShards. Nothing
+// looks at the shards of a finished query.
+func (d *Dispatcher) releaseShards(q *query) {
+	if len(d.spareShards) < spareLimit && q.shards != nil {
+		d.spareShards = append(d.spareShards, q.shards)
+	}
+	q.shards = nil
+}
+
 // review ends the query if it is to end now, and otherwise sets its timer.
 // Every event of a query ends with it.
 func (d *Dispatcher) review(q *query) {
@@ -46,6 +72,7 @@
 		d.reviewPending(q)
 		return
 	}
+	d.armHedges(q)
 	if q.snapshotLost {
 		q.snapshotLost = false
 		d.restart(q)
@@ -54,7 +81,6 @@
 		d.finish(q, outcome, reason)
 		return
 	}
-	d.armHedges(q)
 	d.setTimer(q)
 }
 
@@ -95,6 +121,9 @@
 	if q.hedgeAt > 0 {
 		next = min(next, max(q.hedgeAt, d.now+1))
 	}
+	if q.rescueAt > d.now {
+		next = min(next, q.rescueAt)
+	}
 	if next != q.timerAt || q.timer < 0 {
 		d.timers.set(q, next)
 	}
@@ -167,6 +196,7 @@
 		result.RetryAfter = q.retryAfter
 	}
 	d.actions = append(d.actions, result)
+	d.releaseShards(q)
 	if q.started {
 		d.started--
 		d.startPending()
--- a/internal/decide/hedge/quantiles.go
+++ b/internal/decide/hedge/quantiles.go
@@ -1,21 +1,23 @@
 package hedge
 
 import (
-	"math"
+	"math/bits"
 	"time"
 )
 
 const (
-	bucketsPerOctave = 8
-	smallestLatency  = 50 * time.Microsecond
-	bucketCount      = 21 * bucketsPerOctave // up to 100 s
-	halvingInterval  = 2048                  // samples between two halvings
-	refreshInterval  = 32                    // samples between two computations
+	// Each octave of latencies in microseconds is divided evenly.
+	octaveBits       = 4
+	bucketsPerOctave = 1 << octaveBits
+	octaves          = 24 // from 16 microseconds up to four minutes
+	bucketCount      = (octaves + 1) * bucketsPerOctave
+	halvingInterval  = 2048 // samples between two halvings
+	refreshInterval  = 32   // samples between two computations
 )
 
 // Quantiles is a histogram of latencies that forgets: the weight of old
 // samples halves with every halvingInterval new ones. Its relative error is
-// below 5 %. The zero value is ready to use.
+// below 1/16. The zero value is ready to use.
 type Quantiles struct {
 	counts  [bucketCount]float64
 	total   float64
@@ -76,15 +78,22 @@
 	}
 }
 
+// bucketOf returns the bucket of a latency: the first bucketsPerOctave are one
+// microsecond wide, and the width doubles with each octave after them.
 func bucketOf(latency time.Duration) int {
-	if latency <= smallestLatency {
-		return 0
+	micros := uint64(max(latency, 0) / time.Microsecond)
+	if micros < bucketsPerOctave {
+		return int(micros)
 	}
-	octaves := math.Log2(float64(latency) / float64(smallestLatency))
-	return min(int(octaves*bucketsPerOctave), bucketCount-1)
+	octave := bits.Len64(micros) - octaveBits // from 1
+	within := int(micros>>(octave-1)) - bucketsPerOctave
+	return min(octave*bucketsPerOctave+within, bucketCount-1)
 }
 
 func upperBound(bucket int) time.Duration {
-	octaves := float64(bucket+1) / bucketsPerOctave
-	return time.Duration(float64(smallestLatency) * math.Exp2(octaves))
+	octave, within := bucket/bucketsPerOctave, bucket%bucketsPerOctave
+	if octave == 0 {
+		return time.Duration(within+1) * time.Microsecond
+	}
+	return time.Duration(bucketsPerOctave+within+1) << (octave - 1) * time.Microsecond
 }
