promises: prove coverage, not run and at most once through the real programs

A first schedule sent commands to a frozen leaf and waited for a minute; faults now name their processes, and two of one process are not paired.

--- /dev/null
+++ b/internal/rehearsal/history/changes.go
@@ -0,0 +1,136 @@
+package history
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// logModel is the log of changes as a sequential object: its state is the
+// newest revision, and an append makes the next one.
+func logModel(base uint64) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return base },
+		Step: func(state, input, _ any) (bool, any) {
+			revision := input.(uint64)
+			return revision == state.(uint64)+1, revision
+		},
+	}
+}
+
+// CheckLog checks what operators were told against the log that the nodes hold
+// at the end: an accepted change is in it at the revision told, one that was
+// not accepted is not, and the log is a linearizable order of the commands.
+// Base is the revision before the first of the changes. No other changes may
+// have been made.
+func CheckLog(changes []Change, base uint64, log []catalog.AppliedChange) []Violation {
+	revisions := make(map[string]uint64)
+	for _, applied := range log {
+		revisions[applied.ID] = applied.Revision
+	}
+	var violations []Violation
+	var operations []porcupine.Operation
+	for _, change := range changes {
+		revision, applied := revisions[changeID(change)]
+		if detail := falseFate(change, revision, applied); detail != "" {
+			violations = append(violations, Violation{Promise: "log", Subject: change.Statement, Detail: detail})
+		}
+		if applied {
+			operations = append(operations, appendOperation(change, revision))
+		}
+	}
+	if porcupine.CheckOperationsTimeout(logModel(base), operations, checkTimeout) != porcupine.Ok {
+		violations = append(violations, Violation{Promise: "log", Subject: "order", Detail: "the log is no order of the commands in which each takes effect between its call and its return"})
+	}
+	return violations
+}
+
+func changeID(change Change) string {
+	if change.Response == nil {
+		return ""
+	}
+	return change.Response.ChangeID
+}
+
+func falseFate(change Change, revision uint64, applied bool) string {
+	switch {
+	case change.Accepted() && !applied:
+		return "accepted, but not in the log"
+	case change.Accepted() && change.Response.Revision != revision:
+		return fmt.Sprintf("accepted as revision %d, but is %d", change.Response.Revision, revision)
+	case change.Response != nil && change.Response.Fate == api.FateNotAccepted && applied:
+		return fmt.Sprintf("not accepted, but is revision %d", revision)
+	}
+	return ""
+}
+
+func appendOperation(change Change, revision uint64) porcupine.Operation {
+	operation := porcupine.Operation{
+		ClientId: change.Operator,
+		Input:    revision,
+		Call:     change.Called.UnixNano(),
+		Return:   change.Returned.UnixNano(),
+	}
+	if !change.Accepted() {
+		operation.Return = math.MaxInt64
+	}
+	return operation
+}
+
+// CheckSightings checks that the revision of no process ever fell, and that no
+// process took work with an older revision once the bound had passed since an
+// operator was told that a change is accepted. Sightings of one process must
+// be in order.
+func CheckSightings(sightings []Sighting, changes []Change, bound time.Duration) []Violation {
+	var violations []Violation
+	last := make(map[string]Sighting)
+	for _, sighting := range sightings {
+		if before := last[sighting.Process]; sighting.Revision < before.Revision {
+			violations = append(violations, Violation{
+				Promise: "revision", Subject: sighting.Process,
+				Detail: fmt.Sprintf("fell from %d to %d", before.Revision, sighting.Revision),
+			})
+		}
+		last[sighting.Process] = sighting
+		if required := requiredRevision(changes, sighting.Called.Add(-bound)); sighting.Fresh && sighting.Revision < required {
+			violations = append(violations, Violation{
+				Promise: "in force", Subject: sighting.Process,
+				Detail: fmt.Sprintf("takes work at revision %d, %s after %d was accepted", sighting.Revision, bound, required),
+			})
+		}
+	}
+	return violations
+}
+
+// requiredRevision returns the newest revision accepted before a moment.
+func requiredRevision(changes []Change, before time.Time) uint64 {
+	var required uint64
+	for _, change := range changes {
+		if change.Accepted() && change.Returned.Before(before) {
+			required = max(required, change.Response.Revision)
+		}
+	}
+	return required
+}
+
+// CheckStopped checks that no request was answered that was called once the
+// bound had passed after an accepted "stop service", and before the service
+// was started again. Commands must be in order.
+func CheckStopped(submissions []Submission, stopped Change, until time.Time, bound time.Duration) []Violation {
+	var violations []Violation
+	from := stopped.Returned.Add(bound)
+	for _, submission := range submissions {
+		if submission.Answer != nil && submission.Called.After(from) && submission.Called.Before(until) {
+			violations = append(violations, Violation{
+				Promise: "in force", Subject: submission.Request.RequestID,
+				Detail: fmt.Sprintf("%s answered %s after the service was stopped", submission.Node, submission.Called.Sub(stopped.Returned)),
+			})
+		}
+	}
+	return violations
+}
--- /dev/null
+++ b/internal/rehearsal/history/work.go
@@ -0,0 +1,62 @@
+package history
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/rehearsal/leaf"
+)
+
+// CheckLeaving checks that no attempt arrived at a leaf, not even one that it
+// refused, once the bound had passed after the word that it is leaving.
+func CheckLeaving(name string, attempts []leaf.Execution, told time.Time, bound time.Duration) []Violation {
+	var violations []Violation
+	for _, attempt := range attempts {
+		if late := time.UnixMicro(attempt.Arrived).Sub(told); late > bound {
+			violations = append(violations, Violation{
+				Promise: "leaving leaf", Subject: name,
+				Detail: fmt.Sprintf("attempt %s arrived %s after the word", attempt.AttemptID, late),
+			})
+		}
+	}
+	return violations
+}
+
+// LastArrival returns how long after the word the last attempt arrived; zero
+// if none did.
+func LastArrival(attempts []leaf.Execution, told time.Time) time.Duration {
+	var last time.Duration
+	for _, attempt := range attempts {
+		last = max(last, time.UnixMicro(attempt.Arrived).Sub(told))
+	}
+	return last
+}
+
+// CheckNothingCutOff checks that every request got its whole answer, or was
+// told that it ran nowhere: none was lost on its way, on either side.
+func CheckNothingCutOff(submissions []Submission) []Violation {
+	var violations []Violation
+	for _, submission := range submissions {
+		whole := submission.Answer != nil && len(submission.Answer.Coverage.Missing) == 0
+		if whole || submission.NotRun() {
+			continue
+		}
+		detail := submission.Fate()
+		if submission.Err != nil {
+			detail = submission.Err.Error()
+		}
+		violations = append(violations, Violation{Promise: "cut off", Subject: submission.Request.RequestID, Detail: submission.Node + ": " + detail})
+	}
+	return violations
+}
+
+// CheckNoneCancelled checks that no leaf saw the caller of an attempt go away.
+func CheckNoneCancelled(attempts []leaf.Execution) []Violation {
+	var violations []Violation
+	for _, attempt := range attempts {
+		if attempt.Outcome == leaf.OutcomeCancelledQueued || attempt.Outcome == leaf.OutcomeCancelledRunning {
+			violations = append(violations, Violation{Promise: "cut off", Subject: attempt.RequestID, Detail: string(attempt.Outcome)})
+		}
+	}
+	return violations
+}
--- /dev/null
+++ b/internal/rehearsal/promises/faults_test.go
@@ -0,0 +1,197 @@
+package promises
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/rehearsal/cluster"
+	"github.com/micaplank/micaplank/internal/rehearsal/store"
+)
+
+// fault is something that goes wrong for a while.
+type fault struct {
+	name string
+	// targets are the processes that the fault acts on. Two faults of one
+	// process are not brought about at once: a frozen one takes no commands.
+	targets []string
+	inject  func() error
+	repair  func() error
+}
+
+func (f fault) actsOn(target string) bool { return slices.Contains(f.targets, target) }
+
+// schedule brings the faults about, two at once, in an order drawn with the
+// seed: a pair holds for the time given and is then repaired.
+func (d *deployment) schedule(hold, pause time.Duration, faults []fault) {
+	d.t.Helper()
+	random := rand.New(rand.NewPCG(seed, uint64(len(faults))))
+	random.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
+	for len(faults) > 0 {
+		var pair []fault
+		pair, faults = takePair(faults)
+		for _, each := range pair {
+			d.attempt(each.name, each.inject)
+		}
+		d.wait(hold)
+		for _, each := range pair {
+			d.attempt(each.name, each.repair)
+		}
+		d.wait(pause)
+	}
+}
+
+// takePair takes the first fault, and the next one with another target.
+func takePair(faults []fault) (pair, rest []fault) {
+	first := faults[0]
+	rest = slices.Clone(faults[1:])
+	other := slices.IndexFunc(rest, func(f fault) bool { return !slices.ContainsFunc(f.targets, first.actsOn) })
+	if other < 0 {
+		return []fault{first}, rest
+	}
+	second := rest[other]
+	return []fault{first, second}, slices.Delete(rest, other, other+1)
+}
+
+func (d *deployment) attempt(name string, step func() error) {
+	d.t.Helper()
+	if err := step(); err != nil {
+		d.t.Errorf("%s: %v", name, err)
+	}
+}
+
+// noFaults ends every fault of a leaf except a drain.
+const noFaults = `{"slow_factor":1,"delay_ms":0,"refuse":"","truncate":false,"cross":false,"lose_reply":0,"report_scale":1,"report_lag_ms":0,"report_state":"","report_fixed":null}`
+
+// leafFault sets faults of a leaf by its control interface.
+func (d *deployment) leafFault(index int, control string) fault {
+	set := func(control string) func() error {
+		return func() error { return d.ControlLeaf(d.ctx, d.Leaves[index], json.RawMessage(control)) }
+	}
+	return fault{
+		name:    fmt.Sprintf("leaf %d %s", index, control),
+		targets: []string{leafTarget(index)},
+		inject:  set(control),
+		repair:  set(noFaults),
+	}
+}
+
+// freezeFault stops a process from running for the time of the fault. Process
+// is asked for at the time of injection.
+func freezeFault(name string, process func() *cluster.Process) fault {
+	var frozen *cluster.Process
+	return fault{
+		name:    "freeze " + name,
+		targets: []string{name},
+		inject:  func() error { frozen = process(); return frozen.Freeze() },
+		repair:  func() error { return frozen.Thaw() },
+	}
+}
+
+func nodeTarget(index int) string { return fmt.Sprintf("node %d", index) }
+
+func leafTarget(index int) string { return fmt.Sprintf("leaf %d", index) }
+
+func (d *deployment) freezeNode(index int) fault {
+	return freezeFault(nodeTarget(index), func() *cluster.Process { return d.node(index).Process })
+}
+
+func (d *deployment) freezeLeaf(index int) fault {
+	return freezeFault(leafTarget(index), func() *cluster.Process { return d.Leaves[index].Process })
+}
+
+// killNode ends a node without warning; another process takes over its slot.
+func (d *deployment) killNode(index int) fault {
+	return fault{
+		name:    fmt.Sprintf("kill node %d", index),
+		targets: []string{nodeTarget(index)},
+		inject:  func() error { d.node(index).Kill(); return nil },
+		repair:  func() error { d.replace(index); return nil },
+	}
+}
+
+// storeFault sets the faults of the configuration store.
+func (d *deployment) storeFault(faults store.Faults) fault {
+	set := func(faults store.Faults) func() error {
+		return func() error {
+			return d.Control(d.ctx, d.Store, store.ControlPath, store.ControlRequest{Faults: &faults})
+		}
+	}
+	return fault{name: fmt.Sprintf("store %+v", faults), inject: set(faults), repair: set(store.Faults{})}
+}
+
+// statementFault runs one statement of an operator, and another to undo it.
+// Either may fail under another fault, so its fate is only logged.
+func (d *deployment) statementFault(statement, undo string) fault {
+	return d.statementsFault([]string{statement}, []string{undo})
+}
+
+func (d *deployment) statementsFault(statements, undo []string) fault {
+	run := func(statements []string) func() error {
+		return func() error {
+			for _, statement := range statements {
+				d.command(statement)
+			}
+			return nil
+		}
+	}
+	return fault{name: statements[0], inject: run(statements), repair: run(undo)}
+}
+
+// commandTimeout is when an operator asks the next node.
+const commandTimeout = 1500 * time.Millisecond
+
+// command sends a statement to one node after the other until one answers.
+func (d *deployment) command(statement string) {
+	d.t.Helper()
+	for index := range nodes {
+		ctx, cancel := context.WithTimeout(d.ctx, commandTimeout)
+		response, err := d.Change(ctx, d.node(index), statement)
+		cancel()
+		if err == nil && response.Fate != api.FateUnknown {
+			return
+		}
+		d.t.Logf("%s at node %d: %v %+v", statement, index, err, response)
+	}
+}
+
+// drainNode stops a node as planned; another process takes over its slot.
+func (d *deployment) drainNode(index int) fault {
+	return fault{
+		name:    fmt.Sprintf("drain node %d", index),
+		targets: []string{nodeTarget(index)},
+		inject:  func() error { return d.node(index).Terminate() },
+		repair:  func() error { d.replace(index); return nil },
+	}
+}
+
+// overtakeNode freezes a node and starts another process in its slot; then the
+// old one wakes.
+func (d *deployment) overtakeNode(index int) fault {
+	var old *cluster.Node
+	return fault{
+		name:    fmt.Sprintf("overtake frozen node %d", index),
+		targets: []string{nodeTarget(index)},
+		inject: func() error {
+			old = d.node(index)
+			defer d.replace(index)
+			return old.Freeze()
+		},
+		repair: func() error { return old.Thaw() },
+	}
+}
+
+// both brings two faults about as one.
+func both(first, second fault) fault {
+	return fault{
+		name:    first.name + " and " + second.name,
+		targets: append(slices.Clone(first.targets), second.targets...),
+		inject:  func() error { return errors.Join(first.inject(), second.inject()) },
+		repair:  func() error { return errors.Join(first.repair(), second.repair()) },
+	}
+}
