--- a/internal/rehearsal/simulation/config.go
+++ b/internal/rehearsal/simulation/config.go
@@ -171,8 +171,8 @@
 	FaultListLeaving FaultKind = "list_leaving" // the machine list calls Leaf leaving
 	FaultLie         FaultKind = "lie"          // Leaf reports that it is idle
 	FaultStaleReply  FaultKind = "stale_reply"  // Leaf echoes another snapshot in a share Factor of its replies
-	FaultRoll        FaultKind = "roll"         // a new index version spreads over Duration
-	FaultRepartition FaultKind = "repartition"  // a new partition of Shards spreads over Duration
+	FaultRoll        FaultKind = "roll"         // a new index version spreads over Duration; old ones stay Factor times as long
+	FaultRepartition FaultKind = "repartition"  // a new partition of Shards (0: twice as many) spreads over Duration
 	FaultFreezeNode  FaultKind = "freeze_node"  // Node stops for Duration
 )
 
--- a/internal/rehearsal/simulation/faults.go
+++ b/internal/rehearsal/simulation/faults.go
@@ -55,7 +55,7 @@
 		l.staleShare = fault.Factor
 		w.later(fault, func() { l.staleShare = 0 })
 	case FaultRoll:
-		w.roll(time.Duration(fault.Duration))
+		w.roll(time.Duration(fault.Duration), fault.Factor)
 	case FaultRepartition:
 		w.repartition(fault.Shards, time.Duration(fault.Duration))
 	case FaultFreezeNode:
@@ -178,11 +178,11 @@
 }
 
 // roll gives every leaf the next index version, one after another, and takes
-// the oldest away after as long again.
-func (w *world) roll(spread time.Duration) {
+// the older ones away after as long again and kept times the spread.
+func (w *world) roll(spread time.Duration, kept float64) {
 	for _, l := range w.leaves {
 		load := scale(spread, w.faultRandom.Float64())
-		drop := load + scale(spread, w.faultRandom.Float64())
+		drop := load + scale(spread, w.faultRandom.Float64()+kept)
 		w.engine.after(load, func() {
 			w.versions[l.index]++
 			l.addHoldings(w.currentHoldings(l.index))
@@ -191,8 +191,12 @@
 	}
 }
 
-// repartition adds a partition, which the leaves load one after another.
+// repartition adds a partition, which the leaves load one after another. Zero
+// shards means that each shard is split in two.
 func (w *world) repartition(shards int, spread time.Duration) {
+	if shards == 0 {
+		shards = 2 * w.epochShards[len(w.epochShards)-1]
+	}
 	w.epochShards = append(w.epochShards, shards)
 	w.changeCatalog(func(service *catalog.Service, _ uint64) {
 		epoch := service.Partitions[len(service.Partitions)-1].Epoch + 1
