executor: bind a decision of the ledger to the voters that it was taken by

Four faults, each by a test that failed first:

- The owner of an id was computed from the installed catalog, but the ledger learned of new voters later, from a subscription.
In between a node that had become the owner of an id let it run, although the owner before may have run it.
The set of the same catalog now goes to the ledger with the id; a set older than the ledger's refuses it.
- own checked that the node was fresh after the decision, but not that the ownership still lasted (Ledger.Holds), as package once asks.
- deadline_ms was converted before it was compared: 2^58+1 overflowed to 1 ms and was taken.
- A statement that every leaf refuses as invalid was "failed" (a part may have run) or "every leaf refused"; it is an invalid request now.
If some shard was answered, or a request of a once class may have run, that is still said.

Before: TestVotersThatTheLedgerDoesNotKnowYet and TestOwnershipThatEndsAfterTheDecision ran the id; two cases of TestInvalidRequestsRunNowhere and TestProblemOfEachFate failed.

--- a/internal/executor/answer.go
+++ b/internal/executor/answer.go
@@ -10,11 +10,18 @@
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
-// answer turns the fate of a scattered query into what the caller is told.
+// answer turns the fate of a scattered query into what the caller is told. A
+// statement that leaves refuse, and none has run, is the caller's mistake.
 func (p *plan) answer(result scatter.Result) (*api.QueryResponse, error) {
 	switch result.Outcome {
 	case dispatch.OutcomeAnswered, dispatch.OutcomePartial:
 		return p.merged(result)
+	case dispatch.OutcomeNotRun, dispatch.OutcomeFailed:
+		if result.Reason == dispatch.ReasonInvalid && len(result.Answered) == 0 {
+			return nil, p.fateProblem(api.ProblemInvalidRequest, result)
+		}
+	}
+	switch result.Outcome {
 	case dispatch.OutcomeNotRun:
 		return nil, p.fateProblem(notRunType(result.Reason), result)
 	case dispatch.OutcomeUnknown:
--- /dev/null
+++ b/internal/executor/fixture_test.go
@@ -0,0 +1,199 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/decide/once"
+	"github.com/micaplank/micaplank/internal/rows"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// validID is a ULID.
+const validID = "01JEXAMPMVJ9E7WXCY0TK9JJKD"
+
+const retryWhenStale = 500 * time.Millisecond
+
+type fakeCatalogs struct {
+	current *catalog.Catalog
+	fresh   bool
+	// staleAfter makes the node stale after so many more looks; 0 never.
+	staleAfter int
+}
+
+func (f *fakeCatalogs) Current() *catalog.Catalog { return f.current }
+
+func (f *fakeCatalogs) Fresh() bool {
+	if f.staleAfter > 0 {
+		if f.staleAfter--; f.staleAfter == 0 {
+			f.fresh = false
+		}
+	}
+	return f.fresh
+}
+
+type fakeScatterer struct {
+	mutex  sync.Mutex
+	calls  int
+	last   scatter.Request
+	result scatter.Result
+	// during runs while a query is scattered.
+	during func(ctx context.Context)
+}
+
+func (f *fakeScatterer) Execute(ctx context.Context, request scatter.Request) scatter.Result {
+	f.mutex.Lock()
+	f.calls++
+	f.last = request
+	f.mutex.Unlock()
+	if f.during != nil {
+		f.during(ctx)
+	}
+	return f.result
+}
+
+type fakeScatterers struct {
+	scatterer *fakeScatterer
+	missing   bool
+}
+
+func (f *fakeScatterers) Scatterer(string) (Scatterer, bool) { return f.scatterer, !f.missing }
+
+type fakeForwarder struct {
+	calls  int
+	node   string
+	sent   Forward
+	answer *api.QueryResponse
+	err    error
+}
+
+func (f *fakeForwarder) Forward(_ context.Context, node string, forward Forward) (*api.QueryResponse, error) {
+	f.calls++
+	f.node, f.sent = node, forward
+	return f.answer, f.err
+}
+
+// manualClock stands still until it is moved.
+type manualClock struct{ now time.Duration }
+
+func (c *manualClock) Now() time.Duration { return c.now }
+
+// fixture is an Executor of node-a1, one of the voters, with fake neighbours.
+type fixture struct {
+	t          *testing.T
+	executor   *Executor
+	catalogs   *fakeCatalogs
+	scatterer  *fakeScatterer
+	scatterers *fakeScatterers
+	forwarder  *fakeForwarder
+	ledger     *Ledger
+	clock      *manualClock
+	wall       time.Time
+	proved     bool
+	minted     uint64
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{
+		t:         t,
+		catalogs:  &fakeCatalogs{current: exampleCatalog(), fresh: true},
+		scatterer: &fakeScatterer{},
+		forwarder: &fakeForwarder{},
+		clock:     &manualClock{now: time.Minute},
+		wall:      time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC),
+		proved:    true,
+	}
+	f.scatterers = &fakeScatterers{scatterer: f.scatterer}
+	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeAnswered, Total: 1, Answered: []dispatch.ShardAnswer{{Shard: 0, Attempt: 1}}}}
+	f.scatterer.result.Tables = []scatter.ShardTable{{Shard: 0, Table: rows.Table{Columns: []string{"lane"}}}}
+	f.ledger = newLedger(once.DefaultConfig(), f.clock, func() time.Time { return f.wall }, func(time.Duration, uint64) bool { return f.proved })
+	f.executor = New(Config{
+		Self:           "node-a1",
+		Catalogs:       f.catalogs,
+		Scatterers:     f.scatterers,
+		Forwarder:      f.forwarder,
+		Ledger:         f.ledger,
+		Clock:          f.clock,
+		Metrics:        NewMetrics(prometheus.NewRegistry()),
+		RetryWhenStale: retryWhenStale,
+	})
+	f.executor.SetVoters(f.catalogs.current)
+	return f
+}
+
+func exampleCatalog() *catalog.Catalog {
+	classes := map[string]catalog.Class{
+		"sweep": {Name: "sweep", Priority: 2, Deadline: 2 * time.Second, Coverage: 0.9, Repeatable: true},
+		"file":  {Name: "file", Priority: 1, Deadline: 2 * time.Second, Coverage: 1},
+	}
+	partitions := []catalog.Partition{{Epoch: 1, Shards: 8}}
+	current := catalog.Empty()
+	current.Revision = 9
+	current.Services = map[string]catalog.Service{
+		"rate-desk": {Name: "rate-desk", Replicas: 2, KeyColumn: "quote", Partitions: partitions, Classes: classes},
+		"plain":     {Name: "plain", Replicas: 2, Partitions: partitions, Classes: classes},
+	}
+	current.Voters = voters("node-a1", "node-b1", "node-c1")
+	return current
+}
+
+func voters(names ...string) map[string]catalog.Voter {
+	set := make(map[string]catalog.Voter, len(names))
+	for _, name := range names {
+		set[name] = catalog.Voter{Name: name, Zone: "a"}
+	}
+	return set
+}
+
+// pass moves both clocks.
+func (f *fixture) pass(duration time.Duration) {
+	f.clock.now += duration
+	f.wall = f.wall.Add(duration)
+}
+
+// ownedBy returns an id, minted now, that the owner has among the present
+// voters.
+func (f *fixture) ownedBy(owner string) string {
+	for {
+		f.minted++
+		var id ulid.ULID
+		_ = id.SetTime(ulid.Timestamp(f.wall))
+		id[15], id[14] = byte(f.minted), byte(f.minted>>8)
+		if once.Owner(f.catalogs.current.VoterNames(), id) == owner {
+			return id.String()
+		}
+	}
+}
+
+func (f *fixture) ownerOf(request api.QueryRequest) string {
+	return once.Owner(f.catalogs.current.VoterNames(), ulid.MustParse(request.RequestID))
+}
+
+// filing returns an insert whose id this node owns.
+func (f *fixture) filing() api.QueryRequest { return f.filingOf("node-a1") }
+
+func (f *fixture) filingOf(owner string) api.QueryRequest {
+	return api.QueryRequest{
+		RequestID: f.ownedBy(owner), Class: "file",
+		Statement: "insert into rate-desk (quote, lane) values ('Q-1', 'OTR-SPK')",
+	}
+}
+
+// settled returns a fixture whose ledger is past its fence.
+func settled(t *testing.T) *fixture {
+	f := newFixture(t)
+	f.pass(time.Second)
+	_, _ = f.executor.Query(context.Background(), "rate-desk", f.filing()) // proves the ownership
+	f.pass(time.Minute)
+	f.scatterer.calls = 0
+	return f
+}
--- a/internal/executor/ledger.go
+++ b/internal/executor/ledger.go
@@ -38,12 +38,17 @@
 // voting set changes, until the new ownership is proved. It is safe for
 // concurrent use.
 type Ledger struct {
-	clock  clock.Clock
+	clock clock.Clock
+	// wall tells the time of day.
+	wall   func() time.Time
 	proved OwnershipProof
 
 	mutex  sync.Mutex
 	ledger *once.Ledger[fate]
-	voters []string
+	// voters is the voting set that is installed, of the newest revision that
+	// was given.
+	voters   []string
+	revision uint64
 	// pending is the change of the voting set that is not yet proved.
 	pending *ownership
 }
@@ -57,20 +62,32 @@
 // NewLedger returns a Ledger that lets nothing through until a voting set is
 // set and proved.
 func NewLedger(config once.Config, source clock.Clock, proved OwnershipProof) *Ledger {
-	ledger := &Ledger{clock: source, proved: proved}
+	return newLedger(config, source, time.Now, proved)
+}
+
+func newLedger(config once.Config, source clock.Clock, wall func() time.Time, proved OwnershipProof) *Ledger {
+	ledger := &Ledger{clock: source, wall: wall, proved: proved}
 	ledger.ledger = once.NewLedger[fate](config, ledger.reading())
 	ledger.ledger.Suspend()
 	return ledger
 }
 
 func (l *Ledger) reading() once.Reading {
-	return once.Reading{Wall: time.Now(), Monotonic: l.clock.Now()}
+	return once.Reading{Wall: l.wall(), Monotonic: l.clock.Now()}
 }
 
-// SetVoters installs the voting set of a catalog.
+// SetVoters installs the voting set of a catalog, unless a newer one is.
 func (l *Ledger) SetVoters(voters []string, revision uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.setVoters(voters, revision)
+}
+
+func (l *Ledger) setVoters(voters []string, revision uint64) {
+	if revision < l.revision {
+		return
+	}
+	l.revision = revision
 	if slices.Equal(l.voters, voters) {
 		return
 	}
@@ -105,13 +122,28 @@
 	l.ledger.Reset(l.reading())
 }
 
-func (l *Ledger) begin(id ulid.ULID) once.Decision[fate] {
+// begin decides about an id that this node owns by the voting set of a
+// catalog. That catalog may be newer than the one that SetVoters was last told
+// of: its set is installed first. If it is older and its set another one, the
+// node may not be the owner any more, and the id is refused.
+func (l *Ledger) begin(id ulid.ULID, voters []string, revision uint64) once.Decision[fate] {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.setVoters(voters, revision)
+	if !slices.Equal(l.voters, voters) {
+		return once.Decision[fate]{Kind: once.Refuse, Reason: once.ReasonSuspended, MayHaveRun: true}
+	}
 	l.settle()
 	return l.ledger.Begin(l.reading(), id)
 }
 
+// holds reports whether the ownership under which a decision was taken lasts.
+func (l *Ledger) holds(decision once.Decision[fate]) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.ledger.Holds(decision)
+}
+
 func (l *Ledger) finish(id ulid.ULID, ended fate) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -9,6 +9,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/decide/once"
 )
@@ -23,12 +24,13 @@
 	if err != nil {
 		return nil, err
 	}
-	owner := once.Owner(e.config.Catalogs.Current().VoterNames(), id)
+	current := e.config.Catalogs.Current()
+	owner := once.Owner(current.VoterNames(), id)
 	switch owner {
 	case "":
 		return nil, e.unavailable(planned.request, "No voters are configured.")
 	case e.config.Self:
-		return e.own(ctx, planned, id)
+		return e.own(ctx, planned, id, current)
 	}
 	return e.forward(ctx, planned, owner)
 }
@@ -87,15 +89,16 @@
 	if planned.class.Repeatable || once.Owner(current.VoterNames(), id) != e.config.Self {
 		return nil, e.unavailable(forward.Request, "The nodes do not agree yet on the owner of this request id.")
 	}
-	return e.own(ctx, planned, id)
+	return e.own(ctx, planned, id, current)
 }
 
-// own decides about an id that this node owns. The query goes on when the
+// own decides about an id that this node owns by a catalog. The query goes on when the
 // caller goes away, so that a later submission learns its outcome.
-func (e *Executor) own(ctx context.Context, planned *plan, id ulid.ULID) (*api.QueryResponse, error) {
-	decision := e.config.Ledger.begin(id)
-	// The decision counts only if the node was still fresh after it was made.
-	fresh := e.config.Catalogs.Fresh()
+func (e *Executor) own(ctx context.Context, planned *plan, id ulid.ULID, current *catalog.Catalog) (*api.QueryResponse, error) {
+	decision := e.config.Ledger.begin(id, current.VoterNames(), current.Revision)
+	// The decision counts only if the node was still fresh after it was made,
+	// and its ownership lasted until then.
+	fresh := e.config.Catalogs.Fresh() && e.config.Ledger.holds(decision)
 	switch decision.Kind {
 	case once.Replay:
 		return decision.Outcome.answer, decision.Outcome.err()
--- /dev/null
+++ b/internal/executor/once_test.go
@@ -0,0 +1,277 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+func TestOnceRunsAndIsReplayed(t *testing.T) {
+	f := settled(t)
+	request := f.filing()
+	first, err := f.executor.Query(context.Background(), "rate-desk", request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeFailed}}
+	second, err := f.executor.Query(context.Background(), "rate-desk", request)
+	if err != nil || second != first || f.scatterer.calls != 1 {
+		t.Errorf("the replay is %v, %v after %d runs", second, err, f.scatterer.calls)
+	}
+}
+
+// TestProblemIsReplayed keeps the fate of a request that may have run.
+func TestProblemIsReplayed(t *testing.T) {
+	f := settled(t)
+	request := f.filing()
+	answered := f.scatterer.result
+	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeUnknown, Reason: dispatch.ReasonLost}}
+	for range 2 {
+		_, err := f.executor.Query(context.Background(), "rate-desk", request)
+		requireProblem(t, "lost", err, api.ProblemOutcomeUnknown)
+		f.scatterer.result = answered
+	}
+	if f.scatterer.calls != 1 {
+		t.Errorf("it ran %d times", f.scatterer.calls)
+	}
+}
+
+// TestNotRunMayBeSubmittedAgain forgets an id that ran nowhere.
+func TestNotRunMayBeSubmittedAgain(t *testing.T) {
+	f := settled(t)
+	request := f.filing()
+	answered := f.scatterer.result
+	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeNotRun, Reason: dispatch.ReasonOverload}}
+	_, err := f.executor.Query(context.Background(), "rate-desk", request)
+	requireProblem(t, "overload", err, api.ProblemNotRunOverload)
+	f.scatterer.result = answered
+	if _, err := f.executor.Query(context.Background(), "rate-desk", request); err != nil {
+		t.Errorf("the second submission: %v", err)
+	}
+}
+
+func TestInProgressIsToldAndDoesNotRunTwice(t *testing.T) {
+	f := settled(t)
+	request := f.filing()
+	f.scatterer.during = func(context.Context) {
+		f.scatterer.during = nil
+		_, err := f.executor.Query(context.Background(), "rate-desk", request)
+		problem := requireProblem(t, "in progress", err, api.ProblemOutcomeUnknown)
+		if problem.RetryAfterMilliseconds == 0 || !strings.Contains(problem.Detail, "running") {
+			t.Errorf("got %+v", problem)
+		}
+	}
+	if _, err := f.executor.Query(context.Background(), "rate-desk", request); err != nil || f.scatterer.calls != 1 {
+		t.Errorf("%v after %d runs", err, f.scatterer.calls)
+	}
+}
+
+// TestCallerThatGoesAwayDoesNotEndTheRun lets a later submission learn it.
+func TestCallerThatGoesAwayDoesNotEndTheRun(t *testing.T) {
+	f := settled(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.scatterer.during = func(running context.Context) {
+		cancel()
+		if running.Err() != nil {
+			t.Error("the run was cancelled")
+		}
+	}
+	if _, err := f.executor.Query(ctx, "rate-desk", f.filing()); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestOtherNodesIdsAreForwarded(t *testing.T) {
+	f := settled(t)
+	request := f.filingOf("node-b1")
+	request.DeadlineMilliseconds = 700
+	f.forwarder.answer = &api.QueryResponse{RequestID: request.RequestID}
+	answer, err := f.executor.Query(context.Background(), "rate-desk", request)
+	if err != nil || answer != f.forwarder.answer || f.forwarder.node != "node-b1" || f.forwarder.sent.Remaining != 700*time.Millisecond {
+		t.Errorf("got %v, %v by %+v", answer, err, f.forwarder)
+	}
+	if f.scatterer.calls != 0 {
+		t.Error("it ran here")
+	}
+}
+
+// TestFatesOfAForward never says "not run" of what the owner may have run, nor
+// of an id that may have been submitted before.
+func TestFatesOfAForward(t *testing.T) {
+	notRun := api.NewProblem(api.ProblemNotRunOverload, "busy")
+	cases := []struct {
+		name string
+		err  error
+		want api.ProblemType
+	}{
+		{"answer lost", &ForwardError{Node: "node-b1", Sent: true, Err: errors.New("reset")}, api.ProblemOutcomeUnknown},
+		{"owner unreachable", &ForwardError{Node: "node-b1", Sent: false, Err: errors.New("refused")}, api.ProblemUnavailable},
+		{"error of another kind", errors.New("strange"), api.ProblemOutcomeUnknown},
+		{"problem of the owner", notRun, api.ProblemNotRunOverload},
+	}
+	for _, test := range cases {
+		f := settled(t)
+		f.forwarder.err = test.err
+		_, err := f.executor.Query(context.Background(), "rate-desk", f.filingOf("node-b1"))
+		problem := requireProblem(t, test.name, err, test.want)
+		if problem != notRun && problem.Outcome == dispatch.OutcomeNotRun {
+			t.Errorf("%s: said to be not run", test.name)
+		}
+		if f.forwarder.calls != 1 {
+			t.Errorf("%s: forwarded %d times", test.name, f.forwarder.calls)
+		}
+	}
+}
+
+// TestOwnChecksAgain refuses what a node with another view forwarded.
+func TestOwnChecksAgain(t *testing.T) {
+	forward := func(f *fixture, owner string) Forward {
+		return Forward{Service: "rate-desk", Request: f.filingOf(owner), Remaining: time.Second}
+	}
+	f := settled(t)
+	_, err := f.executor.Own(context.Background(), forward(f, "node-b1"))
+	requireProblem(t, "not the owner", err, api.ProblemUnavailable)
+	repeatable := forward(f, "node-a1")
+	repeatable.Request.Class, repeatable.Request.Statement = "sweep", broadSelect
+	_, err = f.executor.Own(context.Background(), repeatable)
+	requireProblem(t, "repeatable here", err, api.ProblemUnavailable)
+	if _, err := f.executor.Own(context.Background(), forward(f, "node-a1")); err != nil || f.scatterer.last.Timeout != time.Second {
+		t.Errorf("own id: %v, with %s left", err, f.scatterer.last.Timeout)
+	}
+	f.catalogs.fresh = false
+	_, err = f.executor.Own(context.Background(), forward(f, "node-a1"))
+	requireProblem(t, "stale owner", err, api.ProblemUnavailable)
+	if f.scatterer.calls != 1 {
+		t.Errorf("%d runs", f.scatterer.calls)
+	}
+}
+
+// TestStaleAfterTheDecision gives the id back: the decision does not count.
+func TestStaleAfterTheDecision(t *testing.T) {
+	f := settled(t)
+	request := f.filing()
+	f.catalogs.staleAfter = 2 // fresh when it arrives, stale after the decision
+	_, err := f.executor.Query(context.Background(), "rate-desk", request)
+	requireProblem(t, "stale", err, api.ProblemUnavailable)
+	f.catalogs.fresh = true
+	if _, err := f.executor.Query(context.Background(), "rate-desk", request); err != nil || f.scatterer.calls != 1 {
+		t.Errorf("%v after %d runs", err, f.scatterer.calls)
+	}
+}
+
+func TestNoVoters(t *testing.T) {
+	f := newFixture(t)
+	request := f.filing()
+	f.catalogs.current.Voters = nil
+	_, err := f.executor.Query(context.Background(), "rate-desk", request)
+	requireProblem(t, "no voters", err, api.ProblemUnavailable)
+}
+
+// TestFenceAfterAVoterChange refuses ids that another owner may have run, until
+// the new ownership is proved and the id is younger than it.
+func TestFenceAfterAVoterChange(t *testing.T) {
+	f := settled(t)
+	changed := exampleCatalog()
+	changed.Revision = 10
+	changed.Voters = voters("node-a1", "node-b1")
+	f.catalogs.current = changed
+	f.executor.SetVoters(changed)
+	f.proved = false
+	old := f.filing()
+	_, err := f.executor.Query(context.Background(), "rate-desk", old)
+	requireUnavailable(t, "suspended", err)
+	f.proved = true
+	_, err = f.executor.Query(context.Background(), "rate-desk", old)
+	requireUnavailable(t, "fenced", err)
+	f.pass(time.Minute)
+	if _, err := f.executor.Query(context.Background(), "rate-desk", f.filing()); err != nil {
+		t.Errorf("past the fence: %v", err)
+	}
+	if f.scatterer.calls != 1 {
+		t.Errorf("%d runs", f.scatterer.calls)
+	}
+}
+
+// TestVotersThatTheLedgerDoesNotKnowYet has a catalog with another voting set
+// that is current already, before the ledger was told of it: the id, which
+// another node owned until now, must not run.
+func TestVotersThatTheLedgerDoesNotKnowYet(t *testing.T) {
+	f := settled(t)
+	request := f.filingOf("node-b1")
+	changed := exampleCatalog()
+	changed.Revision = 10
+	changed.Voters = voters("node-a1", "node-c1")
+	f.catalogs.current = changed
+	for owner := f.ownerOf(request); owner != "node-a1"; owner = f.ownerOf(request) {
+		f.catalogs.current = exampleCatalog()
+		request = f.filingOf("node-b1")
+		f.catalogs.current = changed
+	}
+	f.proved = false
+	_, err := f.executor.Query(context.Background(), "rate-desk", request)
+	requireUnavailable(t, "new voters", err)
+	if f.scatterer.calls != 0 {
+		t.Error("it ran")
+	}
+}
+
+// TestVotersThatAreOutdated has a request that was planned on a catalog which
+// the ledger has left behind.
+func TestVotersThatAreOutdated(t *testing.T) {
+	f := settled(t)
+	request := f.filing()
+	changed := exampleCatalog()
+	changed.Revision = 10
+	changed.Voters = voters("node-a1", "node-b1", "node-c1", "node-d1")
+	f.executor.SetVoters(changed)
+	f.pass(time.Minute)
+	request.RequestID = f.ownedBy("node-a1")
+	_, err := f.executor.Query(context.Background(), "rate-desk", request) // on the catalog of revision 9
+	requireUnavailable(t, "outdated", err)
+	if f.scatterer.calls != 0 {
+		t.Error("it ran")
+	}
+}
+
+// TestOwnershipThatEndsAfterTheDecision takes a decision back if the voting set
+// changed before the node was seen fresh again.
+func TestOwnershipThatEndsAfterTheDecision(t *testing.T) {
+	f := settled(t)
+	changed := exampleCatalog()
+	changed.Revision = 10
+	changed.Voters = voters("node-b1", "node-c1")
+	f.executor.config.Catalogs = &changingCatalogs{fakeCatalogs: f.catalogs, change: func() { f.executor.SetVoters(changed) }}
+	_, err := f.executor.Query(context.Background(), "rate-desk", f.filing())
+	requireUnavailable(t, "ownership ended", err)
+	if f.scatterer.calls != 0 {
+		t.Error("it ran")
+	}
+}
+
+// changingCatalogs installs other voters at the second look at its freshness,
+// which follows the decision.
+type changingCatalogs struct {
+	*fakeCatalogs
+	looks  int
+	change func()
+}
+
+func (c *changingCatalogs) Fresh() bool {
+	if c.looks++; c.looks == 2 {
+		c.change()
+	}
+	return true
+}
+
+func requireUnavailable(t *testing.T, name string, err error) {
+	t.Helper()
+	if problem := requireProblem(t, name, err, api.ProblemUnavailable); problem.Outcome == dispatch.OutcomeNotRun {
+		t.Errorf("%s: said to be not run", name)
+	}
+}
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -79,13 +79,16 @@
 }
 
 func (p *plan) checkDeadline() error {
-	p.timeout = time.Duration(p.request.DeadlineMilliseconds) * time.Millisecond
-	if p.request.DeadlineMilliseconds == 0 {
+	asked := p.request.DeadlineMilliseconds
+	if asked == 0 {
 		p.timeout = p.class.Deadline
+		return nil
 	}
-	if p.timeout <= 0 || p.timeout > p.class.Deadline {
-		return p.problem(api.ProblemInvalidDeadline, fmt.Sprintf("deadline_ms must be between 1 and %d for class %s.", p.class.Deadline.Milliseconds(), p.class.Name))
+	// Compared before it is converted: a large number would overflow.
+	if limit := p.class.Deadline.Milliseconds(); asked < 0 || asked > limit {
+		return p.problem(api.ProblemInvalidDeadline, fmt.Sprintf("deadline_ms must be between 1 and %d for class %s.", limit, p.class.Name))
 	}
+	p.timeout = time.Duration(asked) * time.Millisecond
 	return nil
 }
 
