gateway: refuse a deadline of zero, and say mistakes in terms of the document

Cause: there were no tests. They found that an explicit deadline of zero was taken as absent, that timeout_ms was converted before it was compared, so that a large number overflowed to a short time and was taken, and that the errors of encoding/json named Go types to callers and the limit of the body nowhere.

Also held by tests: Retry-After, Connection: close while draining (also on a real connection), /readyz, panics, and a fuzz target on the body.

--- /dev/null
+++ b/internal/gateway/decode.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/micaplank/micaplank/internal/api"
+)
+
+// queryBody tells a deadline of zero, which is a mistake, from an absent one.
+type queryBody struct {
+	api.QueryRequest
+	DeadlineMilliseconds *int64 `json:"deadline_ms"`
+}
+
+func decodeQuery(c echo.Context) (api.QueryRequest, error) {
+	var body queryBody
+	if err := decode(c, &body); err != nil {
+		return api.QueryRequest{}, err
+	}
+	request := body.QueryRequest
+	if body.DeadlineMilliseconds == nil {
+		return request, nil
+	}
+	if request.DeadlineMilliseconds = *body.DeadlineMilliseconds; request.DeadlineMilliseconds == 0 {
+		problem := api.NewProblem(api.ProblemInvalidDeadline, "deadline_ms is 0; leave it out for the deadline of the class.")
+		problem.RequestID = request.RequestID
+		return request, problem
+	}
+	return request, nil
+}
+
+// decode reads a JSON body strictly: an unknown key, a wrong type or a second
+// value is an error that says where.
+func decode(c echo.Context, target any) error {
+	decoder := json.NewDecoder(c.Request().Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return decodeProblem(err)
+	}
+	_, err := decoder.Token()
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case errors.As(err, &tooLarge):
+		return err
+	}
+	return api.NewProblem(api.ProblemInvalidRequest, "The body must hold one JSON object and nothing after it.")
+}
+
+// decodeProblem says what is wrong in terms of the document.
+func decodeProblem(err error) error {
+	var tooLarge *http.MaxBytesError
+	var wrongType *json.UnmarshalTypeError
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &tooLarge):
+		return err
+	case errors.As(err, &wrongType):
+		return api.NewProblem(api.ProblemInvalidRequest, describeWrongType(wrongType))
+	case errors.As(err, &syntax):
+		return api.NewProblem(api.ProblemInvalidRequest, fmt.Sprintf("The body is no JSON: %s, after %d bytes.", syntax, syntax.Offset))
+	case errors.Is(err, io.EOF):
+		return api.NewProblem(api.ProblemInvalidRequest, "The body is empty; a JSON object is expected.")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return api.NewProblem(api.ProblemInvalidRequest, "The body ends within a JSON value.")
+	}
+	detail := strings.TrimPrefix(err.Error(), "json: ")
+	return api.NewProblem(api.ProblemInvalidRequest, strings.Replace(detail, "unknown field", "unknown key", 1))
+}
+
+func describeWrongType(err *json.UnmarshalTypeError) string {
+	if err.Field == "" {
+		return fmt.Sprintf("The body must be a JSON object, not %s.", withArticle(err.Value))
+	}
+	expected := map[string]string{"int64": "a whole number", "float64": "a number", "bool": "true or false", "string": "a string"}[err.Type.Kind().String()]
+	return fmt.Sprintf("%s must be %s, not %s.", err.Field, expected, withArticle(err.Value))
+}
+
+// withArticle puts an article before the kind of a value; a number that does
+// not fit comes with its text.
+func withArticle(kind string) string {
+	switch {
+	case kind == "bool":
+		return "true or false"
+	case strings.HasPrefix(kind, "number "):
+		return strings.TrimPrefix(kind, "number ")
+	case kind == "array" || kind == "object":
+		return "an " + kind
+	}
+	return "a " + kind
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -136,7 +137,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return api.NewProblem(api.ProblemBodyTooLarge, tooLarge.Error())
+		return api.NewProblem(api.ProblemBodyTooLarge, fmt.Sprintf("The limit is %d bytes.", tooLarge.Limit))
 	}
 	var routing *echo.HTTPError
 	if errors.As(err, &routing) && (routing.Code == http.StatusNotFound || routing.Code == http.StatusMethodNotAllowed) {
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+)
+
+const bodyBytes = 1024
+
+// fakeNode answers what is set; what it was asked is recorded.
+type fakeNode struct {
+	query      api.QueryRequest
+	service    string
+	answer     *api.QueryResponse
+	err        error
+	asked      int
+	deadlineIn time.Duration
+	panics     bool
+}
+
+func (f *fakeNode) Query(_ context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
+	f.asked++
+	f.query, f.service = request, service
+	if f.panics {
+		panic("a fault of the program")
+	}
+	return f.answer, f.err
+}
+
+func (f *fakeNode) Statement(ctx context.Context, _ api.StatementRequest) (*api.StatementResponse, error) {
+	return f.respond(ctx)
+}
+
+func (f *fakeNode) Change(ctx context.Context, _ string) (*api.StatementResponse, error) {
+	return f.respond(ctx)
+}
+
+func (f *fakeNode) respond(ctx context.Context) (*api.StatementResponse, error) {
+	f.asked++
+	if deadline, ok := ctx.Deadline(); ok {
+		f.deadlineIn = time.Until(deadline).Round(time.Minute)
+	}
+	return &api.StatementResponse{Kind: api.KindChange}, f.err
+}
+
+func (f *fakeNode) Status(context.Context) (*api.StatusResponse, error) {
+	return &api.StatusResponse{}, f.err
+}
+
+func (f *fakeNode) Catalog() *catalog.Catalog { return catalog.Empty() }
+
+func (f *fakeNode) Drain(_ context.Context, node string) (*api.DrainResponse, error) {
+	return &api.DrainResponse{Node: node, State: api.NodeLeaving}, f.err
+}
+
+func newGateway(node *fakeNode) (*Gateway, *bytes.Buffer) {
+	var log bytes.Buffer
+	return New(Config{
+		Queries:    node,
+		Operations: node,
+		Metrics:    http.NotFoundHandler(),
+		Logger:     slog.New(slog.NewTextHandler(&log, nil)),
+		BodyBytes:  bodyBytes,
+		Ready:      func() error { return nil },
+	}), &log
+}
+
+func serve(gateway http.Handler, method, path, body string) *http.Response {
+	recorder := httptest.NewRecorder()
+	gateway.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return recorder.Result()
+}
+
+// describe writes what a client sees of a response.
+func describe(t *testing.T, response *http.Response) string {
+	t.Helper()
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d %s\n", response.StatusCode, response.Header.Get("Content-Type"))
+	for _, name := range []string{"Retry-After", "Connection"} {
+		if value := response.Header.Get(name); value != "" {
+			fmt.Fprintf(&text, "%s: %s\n", name, value)
+		}
+	}
+	var indented bytes.Buffer
+	if json.Indent(&indented, body, "", "  ") == nil {
+		body = indented.Bytes()
+	}
+	fmt.Fprintf(&text, "%s\n\n", bytes.TrimSpace(body))
+	return text.String()
+}
+
+const (
+	queryPath     = "/v1/services/rate-desk/query"
+	statementPath = "/v1/operator/statements"
+)
+
+// TestProblemsGolden holds the problem document of each kind of bad input.
+func TestProblemsGolden(t *testing.T) {
+	late := api.NewProblem(api.ProblemNotRunOverload, "predicted wait 1.2s")
+	late.RequestID, late.Outcome, late.Reason, late.RetryAfterMilliseconds = "r-1", dispatch.OutcomeNotRun, dispatch.ReasonOverload, 1200
+	syntax := api.NewProblem(api.ProblemSyntax, "expected \"from\"")
+	syntax.Line, syntax.Column, syntax.Expected = 1, 13, `"from"`
+	large := `{"class":"sweep","statement":"` + strings.Repeat("x", bodyBytes) + `"}`
+	cases := []struct {
+		name, method, path, body string
+		err                      error
+	}{
+		{"body too large", http.MethodPost, queryPath, large, nil},
+		{"unknown key", http.MethodPost, queryPath, `{"class":"sweep","statment":"select"}`, nil},
+		{"wrong type", http.MethodPost, queryPath, `{"class":"sweep","deadline_ms":"2s"}`, nil},
+		{"fraction of a millisecond", http.MethodPost, queryPath, `{"class":"sweep","deadline_ms":0.5}`, nil},
+		{"deadline of zero", http.MethodPost, queryPath, `{"request_id":"r-1","class":"sweep","statement":"select * from x","deadline_ms":0}`, nil},
+		{"no JSON", http.MethodPost, queryPath, `select`, nil},
+		{"cut off", http.MethodPost, queryPath, `{"class":`, nil},
+		{"empty body", http.MethodPost, queryPath, ``, nil},
+		{"a list", http.MethodPost, queryPath, `[]`, nil},
+		{"second value", http.MethodPost, queryPath, `{"class":"sweep"} {}`, nil},
+		{"statement of the wrong type", http.MethodPost, statementPath, `{"statement":7}`, nil},
+		{"negative timeout", http.MethodPost, statementPath, `{"statement":"show nodes","timeout_ms":-1}`, nil},
+		{"timeout too long", http.MethodPost, statementPath, `{"statement":"show nodes","timeout_ms":300001}`, nil},
+		{"timeout that overflows", http.MethodPost, statementPath, `{"statement":"show nodes","timeout_ms":288230376151711745}`, nil},
+		{"timeout of a change that is no number", http.MethodGet, "/v1/operator/changes/17-a?timeout_ms=soon", "", nil},
+		{"unknown path", http.MethodGet, "/v1/service", "", nil},
+		{"unknown method", http.MethodDelete, queryPath, "", nil},
+		{"problem of the node with a time", http.MethodPost, queryPath, `{"class":"sweep"}`, late},
+		{"problem that points into a statement", http.MethodPost, queryPath, `{"class":"sweep"}`, syntax},
+		{"wrapped problem", http.MethodPost, statementPath, `{"statement":"show nodes"}`, fmt.Errorf("step: %w", api.NewProblem(api.ProblemConflict, "revision 4, not 3"))},
+		{"error that is no problem", http.MethodPost, queryPath, `{"class":"sweep"}`, errors.New("unforeseen")},
+	}
+	var report strings.Builder
+	for _, test := range cases {
+		node := &fakeNode{err: test.err}
+		gateway, _ := newGateway(node)
+		fmt.Fprintf(&report, "=== %s\n%s", test.name, describe(t, serve(gateway, test.method, test.path, test.body)))
+		if test.err == nil && node.asked > 0 {
+			t.Errorf("%s: the node was asked", test.name)
+		}
+	}
+	goldie.New(t).Assert(t, "problems", []byte(report.String()))
+}
+
+func TestQueryIsHandedOn(t *testing.T) {
+	node := &fakeNode{answer: &api.QueryResponse{RequestID: "r-1", Outcome: dispatch.OutcomeAnswered, Columns: []string{"lane"}}}
+	gateway, _ := newGateway(node)
+	response := serve(gateway, http.MethodPost, queryPath, `{"request_id":"r-1","class":"sweep","statement":"select * from rate-desk","deadline_ms":90,"minimum_coverage":0.5}`+"\n")
+	if response.StatusCode != http.StatusOK || node.service != "rate-desk" {
+		t.Fatalf("status %d, service %q", response.StatusCode, node.service)
+	}
+	q := node.query
+	if q.RequestID != "r-1" || q.Class != "sweep" || q.Statement != "select * from rate-desk" || q.DeadlineMilliseconds != 90 || q.MinimumCoverage == nil || *q.MinimumCoverage != 0.5 {
+		t.Errorf("handed on %+v", q)
+	}
+}
+
+func TestOperatorsTimeout(t *testing.T) {
+	for body, want := range map[string]time.Duration{
+		`{"statement":"show nodes","timeout_ms":120000}`: 2 * time.Minute,
+		`{"statement":"show nodes","timeout_ms":300000}`: 5 * time.Minute,
+	} {
+		node := &fakeNode{}
+		gateway, _ := newGateway(node)
+		if response := serve(gateway, http.MethodPost, statementPath, body); response.StatusCode != http.StatusOK || node.deadlineIn != want {
+			t.Errorf("%s: status %d, %s", body, response.StatusCode, node.deadlineIn)
+		}
+	}
+}
+
+// TestDraining has a node that is not ready, but that still answers, and asks
+// its callers to open a connection elsewhere.
+func TestDraining(t *testing.T) {
+	node := &fakeNode{answer: &api.QueryResponse{}}
+	gateway, _ := newGateway(node)
+	if response := serve(gateway, http.MethodGet, "/readyz", ""); response.StatusCode != http.StatusOK || response.Header.Get("Connection") != "" {
+		t.Errorf("before: %d, Connection %q", response.StatusCode, response.Header.Get("Connection"))
+	}
+	gateway.Drain()
+	for path, want := range map[string]int{"/readyz": http.StatusServiceUnavailable, "/healthz": http.StatusOK, "/v1/operator/status": http.StatusOK, "/none": http.StatusNotFound} {
+		if response := serve(gateway, http.MethodGet, path, ""); response.StatusCode != want || response.Header.Get("Connection") != "close" {
+			t.Errorf("%s: %d, Connection %q", path, response.StatusCode, response.Header.Get("Connection"))
+		}
+	}
+	if response := serve(gateway, http.MethodPost, queryPath, `{"class":"sweep"}`); response.StatusCode != http.StatusOK {
+		t.Errorf("a query while draining: %d", response.StatusCode)
+	}
+}
+
+// TestDrainingClosesTheConnection checks the header against a real connection.
+func TestDrainingClosesTheConnection(t *testing.T) {
+	gateway, _ := newGateway(&fakeNode{})
+	server := httptest.NewServer(gateway)
+	defer server.Close()
+	for _, draining := range []bool{false, true} {
+		if draining {
+			gateway.Drain()
+		}
+		response, err := server.Client().Get(server.URL + "/healthz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.Close != draining {
+			t.Errorf("draining %v: the connection is closed: %v", draining, response.Close)
+		}
+	}
+}
+
+func TestNotReadySaysWhy(t *testing.T) {
+	gateway, _ := newGateway(&fakeNode{})
+	gateway.config.Ready = func() error { return errors.New("the catalog may be out of date") }
+	response := serve(gateway, http.MethodGet, "/readyz", "")
+	if text := describe(t, response); response.StatusCode != http.StatusServiceUnavailable || !strings.Contains(text, "out of date") {
+		t.Errorf("got %s", text)
+	}
+}
+
+// TestPanicIsAnInternalProblem tells the caller nothing of the inside, and the
+// log all of it.
+func TestPanicIsAnInternalProblem(t *testing.T) {
+	gateway, log := newGateway(&fakeNode{panics: true})
+	response := serve(gateway, http.MethodPost, queryPath, `{"class":"sweep"}`)
+	text := describe(t, response)
+	if response.StatusCode != http.StatusInternalServerError || !strings.Contains(text, string(api.ProblemInternal)) || strings.Contains(text, "a fault of the program") {
+		t.Errorf("got %s", text)
+	}
+	if !strings.Contains(log.String(), "a fault of the program") {
+		t.Errorf("logged %s", log.String())
+	}
+}
+
+// FuzzQueryBody sends any body: the answer is a status with a document, and no
+// panic reaches the log.
+func FuzzQueryBody(f *testing.F) {
+	for _, body := range []string{`{"class":"sweep"}`, `{}`, `{"deadline_ms":1e99}`, `[`, "\x00", `{"minimum_coverage":"x"}`, `{"class":"a"}{}`} {
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		gateway, log := newGateway(&fakeNode{answer: &api.QueryResponse{}})
+		response := serve(gateway, http.MethodPost, queryPath, body)
+		if response.StatusCode == http.StatusInternalServerError || log.Len() > 0 {
+			t.Errorf("%d, %s", response.StatusCode, log)
+		}
+	})
+}
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,8 +21,8 @@
 const maximumOperatorTimeout = 5 * time.Minute
 
 func (g *Gateway) query(c echo.Context) error {
-	var request api.QueryRequest
-	if err := decode(c, &request); err != nil {
+	request, err := decodeQuery(c)
+	if err != nil {
 		return err
 	}
 	answer, err := g.config.Queries.Query(c.Request().Context(), c.Param("service"), request)
@@ -74,13 +72,14 @@
 
 // operatorContext bounds an operator's command in time.
 func operatorContext(c echo.Context, milliseconds int64) (context.Context, context.CancelFunc, error) {
+	// Compared before it is converted: a large number would overflow.
+	if milliseconds < 0 || milliseconds > maximumOperatorTimeout.Milliseconds() {
+		return nil, nil, api.NewProblem(api.ProblemInvalidDeadline, "timeout_ms must be between 1 and "+strconv.FormatInt(maximumOperatorTimeout.Milliseconds(), 10)+".")
+	}
 	timeout := time.Duration(milliseconds) * time.Millisecond
 	if timeout == 0 {
 		timeout = defaultOperatorTimeout
 	}
-	if timeout < 0 || timeout > maximumOperatorTimeout {
-		return nil, nil, api.NewProblem(api.ProblemInvalidDeadline, "timeout_ms must be between 1 and "+strconv.FormatInt(maximumOperatorTimeout.Milliseconds(), 10)+".")
-	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
 	return ctx, cancel, nil
 }
@@ -109,28 +108,6 @@
 	return c.JSON(http.StatusAccepted, response)
 }
 
-// decode reads a JSON body strictly: an unknown key, a wrong type or a second
-// value is an error that says where.
-func decode(c echo.Context, target any) error {
-	decoder := json.NewDecoder(c.Request().Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
-		return decodeProblem(err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return api.NewProblem(api.ProblemInvalidRequest, "The body must hold one JSON object.")
-	}
-	return nil
-}
-
-func decodeProblem(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return err
-	}
-	return api.NewProblem(api.ProblemInvalidRequest, err.Error())
-}
-
 // writeError sends a problem document, with Retry-After where a time is known.
 func (g *Gateway) writeError(err error, c echo.Context) {
 	if c.Response().Committed {
