settings: remove those that did nothing; limit the queries in a node

limits.queue, limits.concurrency, query.deadline and query.extra_load were read and checked, but no part used them. A class always has a deadline and a share of extra load, so [query] could never apply, and there is no queue of the node: both are removed. limits.concurrency now bounds the queries of callers that are in the node, waiting or running; one more is refused as not run, or, for a class that runs at most once, as unavailable.

Refusals before the plan (draining, limit) are counted by micaplank_executor_queries_total now; they were in no metric. A service name that a caller made up is no label, whatever the problem.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -98,13 +98,13 @@
 func (e *Executor) Query(ctx context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
 	started := e.config.Clock.Now()
 	answer, err := e.query(ctx, service, request)
-	e.config.Metrics.observe(service, request.Class, answer, err, e.config.Clock.Now()-started)
+	e.config.Metrics.observe(e.known(service), request.Class, answer, err, e.config.Clock.Now()-started)
 	return answer, err
 }
 
 func (e *Executor) query(ctx context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
 	if !e.config.Catalogs.Fresh() {
-		return nil, e.Refuse(service, request, api.ProblemNotRunStale)
+		return nil, e.refuse(service, request, api.ProblemNotRunStale)
 	}
 	planned, err := newPlan(e.config.Catalogs.Current(), service, request)
 	if err != nil {
--- a/internal/executor/metrics.go
+++ b/internal/executor/metrics.go
@@ -35,7 +35,10 @@
 	return metrics
 }
 
-// observe counts one query. Names that callers made up are not used as labels.
+// unknownService is the label of services that do not exist.
+const unknownService = "unknown"
+
+// observe counts one query. Names that callers made up must not be handed in.
 func (m *Metrics) observe(service, class string, answer *api.QueryResponse, err error, took time.Duration) {
 	if err == nil {
 		m.queries.WithLabelValues(service, string(answer.Outcome)).Inc()
@@ -46,8 +49,5 @@
 	if !errors.As(err, &problem) {
 		problem = api.NewProblem(api.ProblemInternal, "")
 	}
-	if problem.Type == api.ProblemUnknownService {
-		service = "unknown"
-	}
 	m.queries.WithLabelValues(service, string(problem.Type)).Inc()
 }
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -161,9 +161,24 @@
 }
 
 // Refuse returns the problem for a query that this node does not take, with
-// the given "not run" type. A request of a class that runs at most once may
-// have been submitted before, so for it "not run" is not claimed.
+// the given "not run" type, and counts it. A request of a class that runs at
+// most once may have been submitted before, so for it "not run" is not claimed.
 func (e *Executor) Refuse(service string, request api.QueryRequest, notRun api.ProblemType) *api.Problem {
+	problem := e.refuse(service, request, notRun)
+	e.config.Metrics.observe(e.known(service), request.Class, nil, problem, 0)
+	return problem
+}
+
+// known returns the name of a service, or "unknown" for one that a caller made
+// up: it would become a label of its own.
+func (e *Executor) known(service string) string {
+	if _, exists := e.config.Catalogs.Current().Services[service]; exists {
+		return service
+	}
+	return unknownService
+}
+
+func (e *Executor) refuse(service string, request api.QueryRequest, notRun api.ProblemType) *api.Problem {
 	class, known := e.config.Catalogs.Current().Services[service].Classes[request.Class]
 	if request.RequestID != "" && (!known || !class.Repeatable) {
 		return e.unavailable(request, "This node takes no requests now.")
--- /dev/null
+++ b/internal/node/intake_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/micaplank/micaplank/internal/api"
+)
+
+// blockingRunner holds each query until it is released.
+type blockingRunner struct {
+	entered chan struct{}
+	release chan struct{}
+}
+
+func (r *blockingRunner) Query(context.Context, string, api.QueryRequest) (*api.QueryResponse, error) {
+	r.entered <- struct{}{}
+	<-r.release
+	return &api.QueryResponse{}, nil
+}
+
+func (r *blockingRunner) Refuse(_ string, _ api.QueryRequest, notRun api.ProblemType) *api.Problem {
+	return api.NewProblem(notRun, "")
+}
+
+// TestLimitOfConcurrency fills the node: one more is refused, and taken again
+// once another has ended.
+func TestLimitOfConcurrency(t *testing.T) {
+	const limit = 3
+	runner := &blockingRunner{entered: make(chan struct{}), release: make(chan struct{})}
+	draining := make(chan struct{})
+	taken := newIntake(runner, draining, limit)
+	ended := make(chan error, limit+1)
+	query := func() {
+		_, err := taken.Query(context.Background(), "rate-desk", api.QueryRequest{})
+		ended <- err
+	}
+	for range limit {
+		go query()
+		<-runner.entered
+	}
+	query()
+	requireType(t, <-ended, api.ProblemNotRunOverload)
+	runner.release <- struct{}{}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	go query()
+	<-runner.entered
+	close(draining)
+	query()
+	requireType(t, <-ended, api.ProblemNotRunDraining)
+	close(runner.release)
+	for range limit {
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func requireType(t *testing.T, err error, want api.ProblemType) {
+	t.Helper()
+	var problem *api.Problem
+	if !errors.As(err, &problem) || problem.Type != want {
+		t.Errorf("got %v, want %s", err, want)
+	}
+}
--- a/internal/settings/override.go
+++ b/internal/settings/override.go
@@ -71,7 +71,7 @@
 	command.String(&f.machines, "", "machines", "Address of the machine list (machines.address).")
 	command.String(&f.logFormat, "", "log-format", "text or json (log.format).")
 	command.String(&f.logLevel, "", "log-level", "debug, info, warn or error (log.level).")
-	command.StringSlice(&f.set, "", "set", "Any setting, as key=value, such as limits.queue=100; may be repeated.")
+	command.StringSlice(&f.set, "", "set", "Any setting, as key=value, such as limits.concurrency=100; may be repeated.")
 }
 
 // Overrides returns what the flags set.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,7 +22,6 @@
 	Machines   Machines   `toml:"machines"`
 	Leaf       Leaf       `toml:"leaf"`
 	Limits     Limits     `toml:"limits"`
-	Query      Query      `toml:"query"`
 	Once       Once       `toml:"once"`
 	Freshness  Freshness  `toml:"freshness"`
 	Membership Membership `toml:"membership"`
@@ -65,17 +64,10 @@
 // Limits bounds what callers may ask of the node.
 type Limits struct {
 	BodyBytes    int64    `toml:"body_bytes" comment:"Largest body of a request." validate:"gte=1024" expect:"a whole number of bytes, 1024 or above"`
-	Queue        int      `toml:"queue" comment:"Queries that wait in this node at most, over all classes." validate:"gte=1" expect:"a whole number, 1 or above"`
-	Concurrency  int      `toml:"concurrency" comment:"Queries that run in this node at once at most." validate:"gte=1" expect:"a whole number, 1 or above"`
+	Concurrency  int      `toml:"concurrency" comment:"Queries of callers that are in this node at once at most, waiting or running; more are refused." validate:"gte=1" expect:"a whole number, 1 or above"`
 	DrainTimeout Duration `toml:"drain_timeout" comment:"Longest wait for requests in flight at a planned stop." validate:"gt=0" expect:"a duration above 0, such as \"30s\""`
 }
 
-// Query holds what a class does not say itself.
-type Query struct {
-	Deadline  Duration `toml:"deadline" comment:"Deadline of a request whose class has none." validate:"gt=0" expect:"a duration above 0, such as \"2s\""`
-	ExtraLoad float64  `toml:"extra_load" comment:"Hedges and retries over the attempts strictly needed, as a share, for classes that do not say." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
-}
-
 // Once holds the settings of requests that may run at most once.
 type Once struct {
 	Window   Duration `toml:"window" comment:"How long the outcome of such a request is remembered." validate:"gt=0" expect:"a duration above 0, such as \"5m\""`
@@ -127,8 +119,7 @@
 		Leaf: Leaf{
 			ConnectionsPerLeaf: 2, LoadInterval: Duration(250 * time.Millisecond), DialTimeout: Duration(500 * time.Millisecond),
 		},
-		Limits:     Limits{BodyBytes: 1 << 20, Queue: 1024, Concurrency: 4096, DrainTimeout: Duration(30 * time.Second)},
-		Query:      Query{Deadline: Duration(2 * time.Second), ExtraLoad: 0.03},
+		Limits:     Limits{BodyBytes: 1 << 20, Concurrency: 4096, DrainTimeout: Duration(30 * time.Second)},
 		Once:       Once{Window: Duration(5 * time.Minute), Skew: Duration(5 * time.Second), Capacity: 1 << 20},
 		Freshness:  Freshness{Window: Duration(5 * time.Second), ExchangeInterval: Duration(500 * time.Millisecond)},
 		Membership: defaultMembership(),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -42,24 +42,24 @@
 	parser := flaggy.NewParser("micaplank")
 	flags.Register(&parser.Subcommand)
 	arguments := []string{"--zone", "b", "--seed", "127.0.0.1:1", "--seed", "127.0.0.1:2",
-		"--set", "limits.queue=7", "--set", "query.deadline=3s", "--listen-http", "127.0.0.1:0"}
+		"--set", "limits.concurrency=7", "--set", "limits.drain_timeout=3s", "--listen-http", "127.0.0.1:0"}
 	if err := parser.ParseArgs(arguments); err != nil {
 		t.Fatal(err)
 	}
-	loaded, err := settings.Parse("file", []byte(minimal+"[limits]\nqueue = 5\n"), flags.Overrides()...)
+	loaded, err := settings.Parse("file", []byte(minimal+"[limits]\nconcurrency = 5\n"), flags.Overrides()...)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if loaded.Name != "node-a1" || loaded.Zone != "b" || len(loaded.Peers.Seeds) != 2 ||
-		loaded.Limits.Queue != 7 || loaded.Query.Deadline.String() != "3s" || loaded.Listen.HTTP.Port() != 0 {
+		loaded.Limits.Concurrency != 7 || loaded.Limits.DrainTimeout.String() != "3s" || loaded.Listen.HTTP.Port() != 0 {
 		t.Fatalf("the flags did not win: %+v", loaded)
 	}
 }
 
 func TestProblemsOfFlagsAreGolden(t *testing.T) {
 	_, err := settings.Parse("file", []byte(minimal),
-		settings.Override{Flag: "--set", Key: "limits.queue", Value: "many"},
-		settings.Override{Flag: "--set", Key: "limits.que", Value: "1"},
+		settings.Override{Flag: "--set", Key: "limits.concurrency", Value: "many"},
+		settings.Override{Flag: "--set", Key: "limits.concurency", Value: "1"},
 		settings.Override{Flag: "--set", Key: "limits", Value: "1"},
 		settings.Override{Flag: "--set", Key: "zone", Value: "\"b\"\nname = \"c\""},
 		settings.Override{Flag: "--store", Key: "store.endpoints", Value: `["localhost:7001"]`})
