rehearsal/store: refuse connections for a time, lapse one lease

A store that is not running refuses connections: the client then knows that a write was not applied. The stand-in could only close connections after the bytes had left, which never exercises that path.

Two faults of the stand-in found by its tests: it listened again after Close about every second time (Close now wins over the wait), and an order to break the watches was missed by a watch that was not waiting at that moment (orders are counted now).

--- a/internal/rehearsal/store/faults.go
+++ b/internal/rehearsal/store/faults.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/micaplank/micaplank/internal/settings"
 	"github.com/micaplank/micaplank/internal/store/wire"
 )
 
@@ -19,10 +20,14 @@
 	Faults *Faults `json:"faults,omitempty"`
 	// CompactNow drops the whole history, so that watches that start earlier fail.
 	CompactNow bool `json:"compact_now,omitempty"`
-	// LapseLeases ends every lease at once.
-	LapseLeases bool `json:"lapse_leases,omitempty"`
+	// LapseLeases ends every lease at once, LapseLease one.
+	LapseLeases bool         `json:"lapse_leases,omitempty"`
+	LapseLease  wire.Integer `json:"lapse_lease,omitempty"`
 	// BreakWatches closes the connection of every open watch.
 	BreakWatches bool `json:"break_watches,omitempty"`
+	// RefuseFor breaks every connection and refuses new ones for this time, as
+	// a store that is not running. Further requests by POST are refused too.
+	RefuseFor settings.Duration `json:"refuse_for,omitempty"`
 }
 
 // ControlReport shows the state of the stand-in.
@@ -51,24 +56,30 @@
 
 // Control carries out a request as POST to ControlPath does.
 func (s *Server) Control(request ControlRequest) {
+	s.change(request)
+	if request.RefuseFor > 0 {
+		s.refuse(request.RefuseFor.Duration())
+	}
+}
+
+func (s *Server) change(request ControlRequest) {
 	if request.Faults != nil {
 		s.SetFaults(*request.Faults)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if request.LapseLeases {
-		for id := range s.database.leases {
+	for id := range s.database.leases {
+		if request.LapseLeases || id == int64(request.LapseLease) {
 			_ = s.database.revoke(id)
 		}
-		s.announce()
 	}
 	if request.CompactNow {
 		_ = s.database.compact(s.database.revision)
 	}
 	if request.BreakWatches {
-		close(s.watchesBroken)
-		s.watchesBroken = make(chan struct{})
+		s.breaks++
 	}
+	s.announce()
 }
 
 // Report returns the state.
@@ -90,8 +101,12 @@
 		return
 	}
 	s.logger.Info("control", "request", body)
-	s.Control(body)
+	s.change(body)
 	respond(writer, http.StatusOK, s.Report())
+	if body.RefuseFor > 0 {
+		_ = http.NewResponseController(writer).Flush()
+		s.refuse(body.RefuseFor.Duration())
+	}
 }
 
 func (s *Server) report(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/rehearsal/store/server.go
+++ b/internal/rehearsal/store/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -15,24 +14,27 @@
 
 // Server is a running stand-in.
 type Server struct {
-	config   Config
-	logger   *slog.Logger
-	listener net.Listener
-	http     *http.Server
-	stopped  chan struct{}
-	working  sync.WaitGroup
+	config  Config
+	logger  *slog.Logger
+	address string
+	stopped chan struct{}
+	working sync.WaitGroup
 
-	mutex    sync.Mutex
-	database *database
+	mutex sync.Mutex
+	// http serves now; it is replaced after each time of refused connections.
+	http *http.Server
+	// refuseFor is how long connections will be refused once http is closed.
+	refuseFor time.Duration
+	database  *database
 	// changed is closed and replaced whenever the database gets a new revision.
 	changed chan struct{}
 	faults  Faults
 	limiter *rate.Limiter
 	// faultsChanged is closed and replaced whenever the faults are set.
 	faultsChanged chan struct{}
-	// watchesBroken is closed and replaced to break the open watches.
-	watchesBroken chan struct{}
-	counters      Counters
+	// breaks counts the orders to break the open watches.
+	breaks   int
+	counters Counters
 }
 
 // Counters counts what the stand-in did since it started.
@@ -55,13 +57,12 @@
 		return nil, oops.In("rehearsal.store").With("step", "listen", "peer", config.Address).Wrap(err)
 	}
 	server := &Server{
-		config: config, logger: logger, listener: listener, stopped: make(chan struct{}),
+		config: config, logger: logger, address: listener.Addr().String(), stopped: make(chan struct{}),
 		database: newDatabase(), changed: make(chan struct{}), faultsChanged: make(chan struct{}),
-		watchesBroken: make(chan struct{}),
 	}
 	server.SetFaults(config.Faults)
-	server.http = &http.Server{Handler: server.handler(), ReadHeaderTimeout: headerTimeout}
-	server.working.Go(server.serve)
+	server.http = server.newHTTP()
+	server.working.Go(func() { server.serve(listener) })
 	server.working.Go(server.expireLeases)
 	return server, nil
 }
@@ -81,22 +82,16 @@
 }
 
 // Address is the address that the stand-in listens on.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address }
 
 // Close stops serving, breaks every connection and waits for the server's
 // goroutines. It may be called once.
 func (s *Server) Close() {
 	close(s.stopped)
-	_ = s.http.Close()
+	s.closeHTTP()
 	s.working.Wait()
 }
 
-func (s *Server) serve() {
-	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		s.logger.Error("store stand-in stopped", "error", err)
-	}
-}
-
 func (s *Server) expireLeases() {
 	ticker := time.NewTicker(leaseTick)
 	defer ticker.Stop()
--- a/internal/rehearsal/store/server_test.go
+++ b/internal/rehearsal/store/server_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,6 +82,55 @@
 	}
 }
 
+// control posts a request and returns the status.
+func control(t *testing.T, server *standin.Server, body string) int {
+	t.Helper()
+	reply, err := http.Post("http://"+server.Address()+standin.ControlPath, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	reply.Body.Close()
+	return reply.StatusCode
+}
+
+func TestRefusedConnectionsHaveNoEffectAndEnd(t *testing.T) {
+	server, client := start(t, nil)
+	ctx := context.Background()
+	if _, err := client.CreateIfAbsent(ctx, "/before", nil); err != nil {
+		t.Fatal(err)
+	}
+	if status := control(t, server, `{"refuse_for": "200ms"}`); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	refused := 0
+	for {
+		result, err := client.CreateIfAbsent(ctx, "/after", nil)
+		if store.KindOf(err) == store.KindUnreachable && !store.MaybeApplied(err) {
+			refused++
+			continue
+		}
+		if err == nil {
+			break
+		}
+		if store.KindOf(err) != store.KindReplyLost {
+			t.Fatalf("unexpected: %+v, %v", result, err)
+		}
+	}
+	if found, err := client.Range(ctx, "/before", "", 0); err != nil || len(found.Entries) != 1 || refused == 0 {
+		t.Fatalf("refused %d calls; then %+v, %v", refused, found, err)
+	}
+}
+
+func TestControlRefusesUnknownFields(t *testing.T) {
+	server, _ := start(t, nil)
+	for _, body := range []string{`{"outage": "hang"}`, `{"faults": {"delay": 3}}`, `nonsense`} {
+		if status := control(t, server, body); status != http.StatusBadRequest {
+			t.Errorf("%s: status %d", body, status)
+		}
+	}
+}
+
 func TestFaultsAreTyped(t *testing.T) {
 	cases := map[string]struct {
 		faults       standin.Faults
@@ -158,7 +210,7 @@
 	if renewed, err := client.KeepAlive(ctx, lease.ID); err != nil || renewed.TimeToLive != time.Minute {
 		t.Fatalf("renewed %+v, %v", renewed, err)
 	}
-	server.Control(standin.ControlRequest{LapseLeases: true})
+	control(t, server, fmt.Sprintf(`{"lapse_lease": "%d"}`, lease.ID))
 	if found, err := client.Range(ctx, "/held", "", 0); err != nil || len(found.Entries) != 0 {
 		t.Fatalf("the key outlived its lease: %+v, %v", found, err)
 	}
--- a/internal/rehearsal/store/watch.go
+++ b/internal/rehearsal/store/watch.go
@@ -22,6 +22,7 @@
 	stream := &watchStream{server: s, writer: writer, request: request, create: *body.Create}
 	s.mutex.Lock()
 	s.counters.Watches++
+	stream.breaks = s.breaks
 	stream.next = int64(body.Create.StartRevision)
 	if stream.next == 0 {
 		stream.next = s.database.revision + 1
@@ -41,12 +42,14 @@
 	create  wire.WatchCreateRequest
 	// next is the first revision not yet sent.
 	next int64
+	// breaks is the number of orders to break the watches before this one began.
+	breaks int
 }
 
 func (w *watchStream) run() {
 	for {
 		batch := w.collect()
-		if batch.outage != OutageNone && batch.outage != OutageHang {
+		if batch.broken || (batch.outage != OutageNone && batch.outage != OutageHang) {
 			closeConnection(w.writer)
 			return
 		}
@@ -59,9 +62,6 @@
 		select {
 		case <-batch.changed:
 		case <-batch.faultsChanged:
-		case <-batch.watchesBroken:
-			closeConnection(w.writer)
-			return
 		case <-w.request.Context().Done():
 			return
 		case <-w.server.stopped:
@@ -75,8 +75,10 @@
 	response *wire.WatchResponse
 	delay    time.Duration
 	outage   Outage
+	// broken is set if there was an order to break the watches.
+	broken bool
 
-	changed, faultsChanged, watchesBroken <-chan struct{}
+	changed, faultsChanged <-chan struct{}
 }
 
 func (b batch) pending() bool { return len(b.response.Events) > 0 || b.response.Canceled }
@@ -88,9 +90,9 @@
 	defer s.mutex.Unlock()
 	result := batch{
 		delay: s.faults.WatchDelay.Duration(), outage: s.faults.Outage,
-		changed: s.changed, faultsChanged: s.faultsChanged, watchesBroken: s.watchesBroken,
+		broken: w.breaks != s.breaks, changed: s.changed, faultsChanged: s.faultsChanged,
 	}
-	if result.outage != OutageNone {
+	if result.outage != OutageNone || result.broken {
 		return result
 	}
 	events, err := s.database.since(w.next, w.create.Key, w.create.RangeEnd)
