--- a/cmd/micarehearse/main.go
+++ b/cmd/micarehearse/main.go
@@ -40,8 +40,8 @@
 func commands() []command {
 	return []command{
 		&leafCommand{},
-		&storeCommand{},
-		&machinesCommand{},
+		newStoreCommand(),
+		newMachinesCommand(),
 		&demoCommand{},
 		&clusterCommand{},
 		&loadCommand{},
--- a/cmd/micarehearse/standins.go
+++ b/cmd/micarehearse/standins.go
@@ -146,57 +146,62 @@
 	return server.Drain(ending)
 }
 
-// storeCommand runs the stand-in of the key-value service.
-type storeCommand struct {
-	settings string
-	listen   string
+// platformServer is a running stand-in of one part of the platform.
+type platformServer interface {
+	Address() string
+	Close()
 }
 
-func (s *storeCommand) attach() *flaggy.Subcommand {
-	s.listen = "127.0.0.1:0"
-	sub := flaggy.NewSubcommand("store")
-	sub.Description = "Run a stand-in of the platform's key-value service."
-	sub.String(&s.settings, "", "settings", "Settings file (TOML).")
-	sub.String(&s.listen, "", "listen", "IP address and port to serve on; port 0 picks a free one.")
-	return sub
+// platformCommand runs a stand-in of one part of the platform.
+type platformCommand struct {
+	name        string
+	description string
+	// start reads the settings file over its defaults and starts the server.
+	start func(listen, settings string, logger *slog.Logger) (platformServer, error)
+
+	settings string
+	listen   string
 }
 
-func (s *storeCommand) run(ctx context.Context, logger *slog.Logger) error {
-	config := store.Config{Address: s.listen}
-	if err := readSettings(s.settings, &config); err != nil {
-		return err
-	}
-	server, err := store.Start(config, logger)
-	if err != nil {
-		return err
+func newStoreCommand() *platformCommand {
+	return &platformCommand{
+		name:        "store",
+		description: "Run a stand-in of the platform's key-value service.",
+		start: func(listen, settings string, logger *slog.Logger) (platformServer, error) {
+			config := store.Config{Address: listen}
+			if err := readSettings(settings, &config); err != nil {
+				return nil, err
+			}
+			return store.Start(config, logger)
+		},
 	}
-	defer server.Close()
-	announce(logger, server.Address())
-	<-ctx.Done()
-	return nil
 }
 
-// machinesCommand runs the stand-in of the machine list.
-type machinesCommand struct {
-	settings string
-	listen   string
+func newMachinesCommand() *platformCommand {
+	return &platformCommand{
+		name:        "machines",
+		description: "Run a stand-in of the platform's machine list.",
+		start: func(listen, settings string, logger *slog.Logger) (platformServer, error) {
+			config := machines.Config{Address: listen}
+			if err := readSettings(settings, &config); err != nil {
+				return nil, err
+			}
+			return machines.Start(config, logger)
+		},
+	}
 }
 
-func (m *machinesCommand) attach() *flaggy.Subcommand {
-	m.listen = "127.0.0.1:0"
-	sub := flaggy.NewSubcommand("machines")
-	sub.Description = "Run a stand-in of the platform's machine list."
-	sub.String(&m.settings, "", "settings", "Settings file (TOML).")
-	sub.String(&m.listen, "", "listen", "IP address and port to serve on; port 0 picks a free one.")
+func (p *platformCommand) attach() *flaggy.Subcommand {
+	p.listen = "127.0.0.1:0"
+	sub := flaggy.NewSubcommand(p.name)
+	sub.Description = p.description
+	sub.String(&p.settings, "", "settings", "Settings file (TOML).")
+	sub.String(&p.listen, "", "listen", "IP address and port to serve on; port 0 picks a free one.")
 	return sub
 }
 
-func (m *machinesCommand) run(ctx context.Context, logger *slog.Logger) error {
-	config := machines.Config{Address: m.listen}
-	if err := readSettings(m.settings, &config); err != nil {
-		return err
-	}
-	server, err := machines.Start(config, logger)
+func (p *platformCommand) run(ctx context.Context, logger *slog.Logger) error {
+	server, err := p.start(p.listen, p.settings, logger)
 	if err != nil {
 		return err
 	}
