machines: refuse lists and orders with entries that make no sense

An entry without an address, or of an unknown kind or state, was taken and would have been matched against leaves. The poller now keeps the last good list and counts the reading as failed.

--- a/internal/machines/list.go
+++ b/internal/machines/list.go
@@ -3,6 +3,7 @@
 package machines
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -38,6 +39,21 @@
 	BootID string `json:"boot_id,omitempty"`
 }
 
+// Check reports what is wrong with an entry: an address that is none, or a
+// kind or state that is not known.
+func (m Machine) Check() error {
+	switch {
+	case !m.Address.IsValid() || m.Address.Port() == 0:
+		return fmt.Errorf("machine %q: expected an IP address with a port", m.Address)
+	case m.Kind != KindLeaf && m.Kind != KindNode:
+		return fmt.Errorf("machine %s: expected kind leaf or node, found %q", m.Address, m.Kind)
+	case m.State != StateLive && m.State != StateLeaving && m.State != StateGone:
+		return fmt.Errorf("machine %s: expected state live, leaving or gone, found %q", m.Address, m.State)
+	default:
+		return nil
+	}
+}
+
 // List is one reading of the machine list.
 type List struct {
 	// AsOfUnixMilliseconds is the platform's clock when the list was true.
@@ -45,6 +61,16 @@
 	Machines             []Machine `json:"machines"`
 }
 
+// Check reports the first entry that is wrong.
+func (l List) Check() error {
+	for _, machine := range l.Machines {
+		if err := machine.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // AsOf returns the platform's time of the list.
 func (l List) AsOf() time.Time { return time.UnixMilli(l.AsOfUnixMilliseconds) }
 
--- a/internal/machines/poller.go
+++ b/internal/machines/poller.go
@@ -96,7 +96,8 @@
 	}
 }
 
-// Poll reads the list once and keeps it. A failure leaves the last list in place.
+// Poll reads the list once and keeps it. A failure, or a list with an entry
+// that makes no sense, leaves the last list in place.
 func (p *Poller) Poll(ctx context.Context) (List, error) {
 	asked := time.Now()
 	list, err := p.fetch(ctx)
@@ -148,6 +149,9 @@
 	if err := json.NewDecoder(io.LimitReader(reply.Body, maximumListBytes)).Decode(&list); err != nil {
 		return List{}, failed.Wrap(err)
 	}
+	if err := list.Check(); err != nil {
+		return List{}, failed.Wrap(err)
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maximumListBytes))
 	return list, nil
 }
--- /dev/null
+++ b/internal/machines/poller_test.go
@@ -0,0 +1,61 @@
+package machines
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+func TestListsThatMakeNoSenseAreRefused(t *testing.T) {
+	body := `{"as_of_unix_ms": 5, "machines": [{"address": "127.0.0.1:7101", "kind": "leaf", "state": "live"}]}`
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, body)
+	}))
+	defer server.Close()
+	registry := prometheus.NewRegistry()
+	config := Config{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	poller := NewPoller(config, rand.New(rand.NewPCG(1, 1)), registry)
+	defer poller.client.CloseIdleConnections()
+	if list, err := poller.Poll(context.Background()); err != nil || list.AsOf() != time.UnixMilli(5) {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	for _, body = range []string{
+		`{"machines": [{"address": "host:7101", "kind": "leaf", "state": "live"}]}`,
+		`{"machines": [{"address": "", "kind": "leaf", "state": "live"}]}`,
+		`{"machines": [{"address": "127.0.0.1:0", "kind": "leaf", "state": "live"}]}`,
+		`{"machines": [{"address": "127.0.0.1:7101", "kind": "cat", "state": "live"}]}`,
+		`{"machines": [{"address": "127.0.0.1:7101", "kind": "leaf", "state": "asleep"}]}`,
+		`{"machines": [`,
+		``,
+	} {
+		if _, err := poller.Poll(context.Background()); err == nil {
+			t.Errorf("taken: %s", body)
+		}
+	}
+	if reading := poller.Last(); len(reading.List.Machines) != 1 || reading.Err == nil {
+		t.Fatalf("the last good list is gone: %+v", reading)
+	}
+	if count := testutil.ToFloat64(poller.metrics.polls.WithLabelValues("failed")); count != 7 {
+		t.Errorf("%v readings counted as failed", count)
+	}
+}
+
+func TestPausesStayWithinTheJitter(t *testing.T) {
+	poller := NewPoller(Config{Interval: time.Second, Jitter: 0.2}, rand.New(rand.NewPCG(1, 1)), nil)
+	lowest, highest := time.Hour, time.Duration(0)
+	for range 10000 {
+		pause := poller.pause()
+		lowest, highest = min(lowest, pause), max(highest, pause)
+	}
+	if lowest < 800*time.Millisecond || lowest > 805*time.Millisecond || highest < 1195*time.Millisecond || highest > 1200*time.Millisecond {
+		t.Fatalf("pauses from %s to %s", lowest, highest)
+	}
+}
--- a/internal/rehearsal/machines/server.go
+++ b/internal/rehearsal/machines/server.go
@@ -74,6 +74,9 @@
 	if _, err := netip.ParseAddrPort(config.Address); err != nil {
 		return nil, failed.Errorf("address: expected an IP address with a port, found %q", config.Address)
 	}
+	if err := (machines.List{Machines: config.Machines}).Check(); err != nil {
+		return nil, failed.Wrap(err)
+	}
 	listener, err := net.Listen("tcp", config.Address)
 	if err != nil {
 		return nil, failed.Wrap(err)
@@ -147,7 +150,11 @@
 	var body ControlRequest
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maximumBodyBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&body); err != nil {
+	err := decoder.Decode(&body)
+	if err == nil {
+		err = machines.List{Machines: body.Add}.Check()
+	}
+	if err != nil {
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
