micactl: say which voters are missing, and bind apply to the plan's revision

- After a drain the status read "in force on 2 of 2 members", although one of three voters had left and the loss of another stops every change.
The status lists the voters of the catalog with their state, and micactl says how many are up, how many are needed, and who is missing.
- apply made its changes one by one on whatever the catalog was.
Each is bound to the revision that the plan has for it: a change of another operator, before the first or in between, ends it with a hint.
Before: the three cases of TestApplyStopsWhenTheCatalogMovesOn made all 3 changes; after: 0, 1 and 2.
- A change is asked for by its token at the node, which knows it now, instead of from a copy of the catalog.

--- a/cmd/micactl/main.go
+++ b/cmd/micactl/main.go
@@ -89,7 +89,7 @@
 		if err != nil {
 			return err
 		}
-		return candidate.run(ctx, session)
+		return session.Finish(candidate.run(ctx, session))
 	}
 	parser.ShowHelp()
 	return &operator.UsageError{Message: "name a command"}
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -7,8 +7,11 @@
 	// Revision is the revision that the answering node holds.
 	Revision uint64 `json:"revision"`
 	// Fresh says whether the node can show that it holds everything accepted.
-	Fresh    bool            `json:"fresh"`
-	Nodes    []NodeStatus    `json:"nodes"`
+	Fresh bool         `json:"fresh"`
+	Nodes []NodeStatus `json:"nodes"`
+	// Voters lists the voting set of the catalog, in the order of the names,
+	// also those that are no members any more.
+	Voters   []VoterStatus   `json:"voters"`
 	Leaves   []LeafStatus    `json:"leaves"`
 	Services []ServiceStatus `json:"services"`
 }
@@ -38,6 +41,16 @@
 	Serving  bool   `json:"serving"`
 }
 
+// VoterStatus describes one voter of the catalog.
+type VoterStatus struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// State is that of the node of the same name; NodeGone if there is none.
+	State NodeState `json:"state"`
+	// Revision is the highest revision that the voter is known to hold.
+	Revision uint64 `json:"revision"`
+}
+
 // LeafState is whether a leaf may get work.
 type LeafState string
 
--- /dev/null
+++ b/internal/node/voters.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+)
+
+// voterStatuses describes the voting set of a catalog by what is known of the
+// nodes. A voter that is no member any more is gone, and still counts towards
+// the majority that a change needs.
+func voterStatuses(current *catalog.Catalog, nodes []api.NodeStatus) []api.VoterStatus {
+	known := make(map[string]api.NodeStatus, len(nodes))
+	for _, node := range nodes {
+		known[node.Name] = node
+	}
+	statuses := []api.VoterStatus{}
+	for _, name := range current.VoterNames() {
+		status := api.VoterStatus{Name: name, Zone: current.Voters[name].Zone, State: api.NodeGone}
+		if node, listed := known[name]; listed {
+			status.State = node.State
+			status.Revision = node.Revision
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
+	"github.com/micaplank/micaplank/internal/api"
 	"github.com/micaplank/micaplank/internal/language"
 )
 
 // Apply brings the catalog to what the changes of a text say. It shows the
 // difference first and runs only the statements that change something; with
-// dryRun it runs none.
+// dryRun it runs none. Each change is made only on the revision that the plan
+// has for it, so that the changes of another operator end it.
 func (s *Session) Apply(ctx context.Context, source, text string, dryRun bool) error {
 	statements, err := language.ParseFile(text)
 	if err != nil {
@@ -26,14 +29,26 @@
 	if err := s.writePlan(plan, dryRun); err != nil || dryRun {
 		return err
 	}
-	for _, located := range plan.located {
-		if err := s.run(ctx, located.Statement, ExecOptions{Source: source}); err != nil {
-			return statementError(source, located, len(plan.located)+1, err)
+	for made, located := range plan.located {
+		revision := plan.Revision + uint64(made)
+		err := s.run(ctx, located.Statement, ExecOptions{Source: source, IfRevision: &revision})
+		if err != nil {
+			return statementError(source, located, len(plan.located)+1, movedOn(err, made, len(plan.located)))
 		}
 	}
 	return nil
 }
 
+// movedOn adds to a conflict what it means for a plan.
+func movedOn(err error, made, planned int) error {
+	var problem *api.Problem
+	if !errors.As(err, &problem) || problem.Type != api.ProblemConflict {
+		return err
+	}
+	return fmt.Errorf("%w\n%d of %s made; the catalog is not what the plan was made for: look at apply --dry-run again",
+		err, made, count(planned, "change"))
+}
+
 func (s *Session) writePlan(plan *Plan, dryRun bool) error {
 	if s.Format == FormatJSON {
 		return s.writeJSONLine(plan)
--- /dev/null
+++ b/internal/operator/apply_test.go
@@ -0,0 +1,110 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/language"
+)
+
+// catalogNode keeps a catalog and applies the changes that it is sent.
+type catalogNode struct {
+	t       *testing.T
+	current *catalog.Catalog
+	// before, if set, runs before each change, with the number made so far.
+	before func(made int)
+	made   int
+}
+
+func (n *catalogNode) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == api.CatalogPath {
+		encoded, err := catalog.Encode(n.current)
+		if err != nil {
+			n.t.Error(err)
+		}
+		_, _ = writer.Write(encoded)
+		return
+	}
+	var sent api.StatementRequest
+	if err := json.NewDecoder(request.Body).Decode(&sent); err != nil {
+		n.t.Error(err)
+	}
+	if n.before != nil {
+		n.before(n.made)
+	}
+	if err := n.apply(sent.Statement); err != nil {
+		problem := api.NewProblem(api.ProblemConflict, err.Error())
+		writer.Header().Set("Content-Type", api.ProblemContentType)
+		writer.WriteHeader(problem.Status)
+		_ = json.NewEncoder(writer).Encode(problem)
+		return
+	}
+	n.made++
+	_ = json.NewEncoder(writer).Encode(api.StatementResponse{Kind: api.KindChange, Fate: api.FateInForce, Revision: n.current.Revision})
+}
+
+func (n *catalogNode) apply(text string) error {
+	statement, err := language.ParseOne(text)
+	if err != nil {
+		return err
+	}
+	next, err := applyStatement(n.current, statement.(*language.ChangeStatement))
+	if err == nil {
+		n.current = next
+	}
+	return err
+}
+
+func startCatalogNode(t *testing.T) (*catalogNode, netip.AddrPort) {
+	node := &catalogNode{t: t, current: catalog.Empty()}
+	server := httptest.NewServer(node)
+	t.Cleanup(server.Close)
+	return node, netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+const threeChanges = `create service rate-desk shards 8 replicas 2
+class spot-check on rate-desk priority 1 deadline 100ms repeatable
+limit rate-desk concurrency 40
+`
+
+func TestApplyBindsEachChangeToItsRevision(t *testing.T) {
+	node, address := startCatalogNode(t)
+	var output strings.Builder
+	if err := newSession(&output, FormatText, address).Apply(context.Background(), "x.mica", threeChanges, false); err != nil {
+		t.Fatal(err)
+	}
+	if node.made != 3 || node.current.Services["rate-desk"].Concurrency != 40 {
+		t.Errorf("%d changes made", node.made)
+	}
+	if strings.Contains(output.String(), "if revision") {
+		t.Errorf("the guard is shown to the operator:\n%s", output.String())
+	}
+}
+
+// TestApplyStopsWhenTheCatalogMovesOn has another operator change the limit
+// after the plan was shown, before its first change or in the middle.
+func TestApplyStopsWhenTheCatalogMovesOn(t *testing.T) {
+	for at := range 3 {
+		node, address := startCatalogNode(t)
+		node.before = func(made int) {
+			if made == at {
+				node.before = nil
+				if err := node.apply("create service other shards 1 replicas 1"); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+		var output strings.Builder
+		err := newSession(&output, FormatText, address).Apply(context.Background(), "x.mica", threeChanges, false)
+		if err == nil || node.made != at || !strings.Contains(err.Error(), "look at apply --dry-run again") {
+			t.Errorf("another change after %d: %d made, %v", at, node.made, err)
+		}
+	}
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -108,20 +108,9 @@
 	return response, nil
 }
 
-// Change asks for the fate of an earlier change by its id. If only the token
-// of the id is known, it is completed from the changes that the catalog
-// remembers.
+// Change asks for the fate of an earlier change by its id, or by its token
+// alone.
 func (c *Client) Change(ctx context.Context, id string) (*api.StatementResponse, error) {
-	if !strings.Contains(id, "-") {
-		current, err := c.Catalog(ctx)
-		if err != nil {
-			return nil, err
-		}
-		id, err = completeID(current, id)
-		if err != nil {
-			return nil, err
-		}
-	}
 	path := strings.Replace(api.ChangePath, "{id}", url.PathEscape(id), 1)
 	path += "?" + api.TimeoutParameter + "=" + strconv.FormatInt(c.timeout.Milliseconds(), 10)
 	response := new(api.StatementResponse)
@@ -129,15 +118,6 @@
 	return response, err
 }
 
-func completeID(current *catalog.Catalog, token string) (string, error) {
-	for _, applied := range current.Recent {
-		if strings.HasSuffix(applied.ID, "-"+token) {
-			return applied.ID, nil
-		}
-	}
-	return "", fmt.Errorf("no change with the token %s has taken effect up to revision %d; it may still do so", token, current.Revision)
-}
-
 // Status returns what one node knows of the deployment.
 func (c *Client) Status(ctx context.Context) (*api.StatusResponse, error) {
 	response := new(api.StatusResponse)
--- a/internal/operator/exec.go
+++ b/internal/operator/exec.go
@@ -26,6 +26,8 @@
 	// ChangeID is the id or token of the only change of the text; empty makes
 	// one up for each change.
 	ChangeID string
+	// IfRevision, if set, is the only revision on which a change may be made.
+	IfRevision *uint64
 }
 
 // Exec runs the statements of a text in order and stops at the first that
@@ -70,13 +72,23 @@
 	if isChange && token == "" {
 		token = NewToken()
 	}
-	response, err := s.Client.Statement(ctx, statement.String(), token, options.DryRun)
+	response, err := s.Client.Statement(ctx, guarded(statement, options.IfRevision), token, options.DryRun)
 	if err != nil {
 		return s.report(statement, nil, lost(err, isChange && !options.DryRun, token))
 	}
 	return s.report(statement, response, fateError(response))
 }
 
+// guarded returns the text of a statement; a change is bound to the revision.
+func guarded(statement language.Statement, revision *uint64) string {
+	change, isChange := statement.(*language.ChangeStatement)
+	if !isChange || revision == nil {
+		return statement.String()
+	}
+	bound := language.ChangeStatement{Command: change.Command, IfRevision: revision}
+	return bound.String()
+}
+
 // lost turns the failure of a change that may have reached a node into one
 // that says how to find its fate out.
 func lost(err error, isChange bool, token string) error {
@@ -107,6 +119,7 @@
 		if err != nil {
 			result.Error = err.Error()
 			errors.As(err, &result.Problem)
+			s.told = true
 		}
 		if writeErr := s.writeJSONLine(result); writeErr != nil {
 			return writeErr
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -141,7 +141,8 @@
 		var report strings.Builder
 		for _, scenario := range scenarios {
 			fmt.Fprintf(&report, "=== %s\n", scenario.name)
-			err := scenario.run(newSession(&report, format, node.address()))
+			session := newSession(&report, format, node.address())
+			err := session.Finish(scenario.run(session))
 			if err != nil {
 				fmt.Fprintf(&report, "error: %v\n", err)
 			}
@@ -256,3 +257,16 @@
 		}
 	}
 }
+
+// TestWatchTellsEachFailure has no node to ask: each look is one document, and
+// the last failure is not written twice.
+func TestWatchTellsEachFailure(t *testing.T) {
+	node := newFakeNode(t)
+	node.server.Close()
+	var output strings.Builder
+	session := newSession(&output, FormatJSON, node.address())
+	err := session.Finish(session.Watch(context.Background(), time.Millisecond, 2))
+	if lines := strings.Count(output.String(), "\n"); err == nil || lines != 2 || strings.Count(output.String(), `{"error":"no node answered`) != 2 {
+		t.Errorf("%v, %s", err, output.String())
+	}
+}
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/api"
 )
 
 // Format is how results are written.
@@ -34,6 +37,25 @@
 	Format Format
 	// Timeout bounds a command that waits for something to happen.
 	Timeout time.Duration
+	// told says that the error of the command is in the output already.
+	told bool
+}
+
+// Failure is the JSON form of the error of a command.
+type Failure struct {
+	Error   string       `json:"error"`
+	Problem *api.Problem `json:"problem,omitempty"`
+}
+
+// Finish ends a command and returns its error. In JSON it first writes the
+// error as the last document of the output, unless a result has it already.
+func (s *Session) Finish(err error) error {
+	if err == nil || s.told || s.Format != FormatJSON {
+		return err
+	}
+	failure := Failure{Error: err.Error()}
+	errors.As(err, &failure.Problem)
+	return errors.Join(err, s.writeJSONLine(failure))
 }
 
 // printf writes text to the output. What cannot be written has no reader.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -36,9 +36,16 @@
 			return nil
 		}
 		last = s.watchOnce(ctx)
-		if last != nil && s.Format == FormatText {
+		if last == nil {
+			continue
+		}
+		if s.Format == FormatText {
 			s.printf("no status: %v\n\n", last)
+			continue
 		}
+		s.told = false
+		last = s.Finish(last)
+		s.told = true
 	}
 	return last
 }
@@ -74,7 +81,8 @@
 		freshness = "NOT FRESH: the answering node cannot show that it holds everything accepted"
 	}
 	s.printf("revision %d, %s\n", status.Revision, freshness)
-	s.printf("%s\n\n", describeMembers(status))
+	s.printf("%s\n", describeMembers(status))
+	s.printf("%s\n\n", describeVoters(status.Voters))
 	s.writeNodes(status.Nodes)
 	if len(status.Services) > 0 {
 		s.printf("\n")
@@ -112,6 +120,29 @@
 	return text
 }
 
+// describeVoters says how many voters are up, how many a change needs, and who
+// is missing. A voter that has left still counts towards the majority.
+func describeVoters(voters []api.VoterStatus) string {
+	if len(voters) == 0 {
+		return "no voters: the store alone accepts changes"
+	}
+	var missing []string
+	for _, voter := range voters {
+		if voter.State != api.NodeAlive {
+			missing = append(missing, fmt.Sprintf("%s (%s)", voter.Name, voter.State))
+		}
+	}
+	up, needed := len(voters)-len(missing), len(voters)/2+1
+	text := fmt.Sprintf("%d of %d voters up, %d needed", up, len(voters), needed)
+	if len(missing) > 0 {
+		text += ", missing: " + strings.Join(missing, ", ")
+	}
+	if up < needed {
+		text += "; NO MAJORITY: no change is accepted and the nodes stop serving"
+	}
+	return text
+}
+
 func (s *Session) writeNodes(nodes []api.NodeStatus) {
 	lines := make([][]string, len(nodes))
 	for i, node := range nodes {
