--- a/internal/rehearsal/report/tables.go
+++ b/internal/rehearsal/report/tables.go
@@ -26,30 +26,74 @@
 		"in milliseconds; a query without a whole answer counts as 60 s.\n\n")
 }
 
+// writeVerdicts writes a table for each judged policy: a row for each bar, a
+// column for each service. Figures that miss their bar are bold.
 func writeVerdicts(page *bytes.Buffer, result *experiment.Result) {
-	if len(result.Verdicts) == 0 {
-		return
+	for _, policy := range result.Experiment.Policies {
+		verdicts := make(map[string][]experiment.Verdict)
+		var order []string
+		met, total := 0, 0
+		for _, verdict := range result.Verdicts {
+			if verdict.Policy != policy.Name {
+				continue
+			}
+			total++
+			if verdict.Pass {
+				met++
+			}
+			row := verdictRow(verdict.Bar)
+			if verdicts[row] == nil {
+				order = append(order, row)
+			}
+			verdicts[row] = append(verdicts[row], verdict)
+		}
+		if total == 0 {
+			continue
+		}
+		fmt.Fprintf(page, "## Bars: %s\n\n%d of %d are met. Figures that miss their bar are bold; the range over the seeds is in brackets.\n\n", policy.Name, met, total)
+		writeVerdictTable(page, result, order, verdicts)
 	}
-	passed := 0
-	for _, verdict := range result.Verdicts {
-		if verdict.Pass {
-			passed++
+}
+
+// verdictRow is the first cells of a row.
+func verdictRow(bar experiment.Bar) string {
+	return fmt.Sprintf("| %s | %s | %s |", join(bar.Scenario, bar.Phase), join(string(bar.Measure), string(bar.Kind)), limit(bar))
+}
+
+func writeVerdictTable(page *bytes.Buffer, result *experiment.Result, order []string, verdicts map[string][]experiment.Verdict) {
+	fmt.Fprint(page, "| scenario | measure | bar |")
+	services := result.Experiment.Deployment.Services
+	for _, service := range services {
+		fmt.Fprintf(page, " %s |", service.Name)
+	}
+	fmt.Fprintf(page, "\n|---|---|---|%s\n", strings.Repeat("---|", len(services)))
+	for _, row := range order {
+		fmt.Fprint(page, row)
+		for _, service := range services {
+			fmt.Fprintf(page, " %s |", verdictCell(verdicts[row], service.Name))
 		}
+		fmt.Fprintln(page)
 	}
-	fmt.Fprintf(page, "## Bars\n\n%d of %d are met.\n\n", passed, len(result.Verdicts))
-	fmt.Fprintln(page, "| scenario | measure | bar | service | policy | mean ± sd | range | verdict |")
-	fmt.Fprintln(page, "|---|---|---|---|---|---|---|---|")
-	for _, verdict := range result.Verdicts {
-		word := "**missed**"
+	fmt.Fprintln(page)
+}
+
+// verdictCell is the figure of one service, or a dash if it has none.
+func verdictCell(verdicts []experiment.Verdict, service string) string {
+	for _, verdict := range verdicts {
+		if verdict.Service != service {
+			continue
+		}
+		figure := verdict.Figure
+		text := spread(figure)
+		if figure.Least != figure.Most {
+			text += fmt.Sprintf(" (%s to %s)", number(figure.Least), number(figure.Most))
+		}
 		if verdict.Pass {
-			word = "met"
+			return text
 		}
-		fmt.Fprintf(page, "| %s | %s | %s | %s | %s | %s | %s | %s |\n",
-			join(verdict.Bar.Scenario, verdict.Bar.Phase), join(string(verdict.Bar.Measure), string(verdict.Bar.Kind)),
-			limit(verdict.Bar), verdict.Service, verdict.Policy, spread(verdict.Figure),
-			fmt.Sprintf("%s to %s", number(verdict.Figure.Least), number(verdict.Figure.Most)), word)
+		return "**" + text + "**"
 	}
-	fmt.Fprintln(page)
+	return "–"
 }
 
 // join puts a detail behind a name.
@@ -68,15 +112,22 @@
 	if figure.Mean > unansweredAbove {
 		return "unanswered"
 	}
+	if figure.Least == figure.Most {
+		return number(figure.Mean)
+	}
 	return number(figure.Mean) + " ± " + number(figure.Deviation)
 }
 
-// number writes four significant digits, or whole numbers from 1000 on.
+// number writes three significant digits, or whole numbers from 1000 on. What
+// is not quite one keeps the digits that show it.
 func number(value float64) string {
-	if value >= 1000 {
+	switch {
+	case value >= 1000:
 		return fmt.Sprintf("%.0f", value)
+	case value > 0.99 && value < 1:
+		return fmt.Sprintf("%.6f", value)
 	}
-	return fmt.Sprintf("%.4g", value)
+	return fmt.Sprintf("%.3g", value)
 }
 
 func writeFigure(page *bytes.Buffer, figure Figure) {
