--- a/internal/api/problem.go
+++ b/internal/api/problem.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
@@ -35,7 +34,6 @@
 	ProblemNotRunDeadline  ProblemType = "urn:micaplank:problem:not-run-deadline"
 	ProblemNotRunDraining  ProblemType = "urn:micaplank:problem:not-run-draining"
 	ProblemNotRunStale     ProblemType = "urn:micaplank:problem:not-run-stale"
-	ProblemNotRunRepeated  ProblemType = "urn:micaplank:problem:not-run-repeated-id"
 	ProblemNotRunRefused   ProblemType = "urn:micaplank:problem:not-run-refused"
 	ProblemNotRunCancelled ProblemType = "urn:micaplank:problem:not-run-cancelled"
 	ProblemFailed          ProblemType = "urn:micaplank:problem:failed"
@@ -44,51 +42,6 @@
 	ProblemInternal        ProblemType = "urn:micaplank:problem:internal"
 )
 
-// ProblemDescription documents one problem type.
-type ProblemDescription struct {
-	Type  ProblemType
-	Title string
-	// Status is the HTTP status that the problem is sent with.
-	Status int
-}
-
-// problemDescriptions lists every problem type, in the order of the docs.
-var problemDescriptions = []ProblemDescription{
-	{ProblemSyntax, "The statement has a syntax error.", http.StatusBadRequest},
-	{ProblemInvalidRequest, "The request is malformed.", http.StatusBadRequest},
-	{ProblemInvalidDeadline, "The deadline is zero, negative or beyond that of the class.", http.StatusBadRequest},
-	{ProblemInvalidChange, "The change breaks a rule of the catalog.", http.StatusUnprocessableEntity},
-	{ProblemBodyTooLarge, "The request body is too large.", http.StatusRequestEntityTooLarge},
-	{ProblemUnknownPath, "There is nothing at this path, or not by this method.", http.StatusNotFound},
-	{ProblemUnknownService, "There is no such service.", http.StatusNotFound},
-	{ProblemUnknownClass, "The service has no such class.", http.StatusNotFound},
-	{ProblemUnknownLeaf, "There is no such leaf.", http.StatusNotFound},
-	{ProblemUnknownVoter, "There is no such voter.", http.StatusNotFound},
-	{ProblemUnknownNode, "There is no such node.", http.StatusNotFound},
-	{ProblemUnknownChange, "No change with this id is known.", http.StatusNotFound},
-	{ProblemConflict, "The change conflicts with the catalog as it is now.", http.StatusConflict},
-	{ProblemNotRunOverload, "Not run: the wait would be longer than the deadline.", http.StatusTooManyRequests},
-	{ProblemNotRunStopped, "Not run: the service is stopped.", http.StatusServiceUnavailable},
-	{ProblemNotRunNoLeaf, "Not run: a needed shard has no usable leaf.", http.StatusServiceUnavailable},
-	{ProblemNotRunSnapshot, "Not run: no snapshot of the service is known yet.", http.StatusServiceUnavailable},
-	{ProblemNotRunDeadline, "Not run: the deadline passed before the request was sent.", http.StatusServiceUnavailable},
-	{ProblemNotRunDraining, "Not run: this node is leaving.", http.StatusServiceUnavailable},
-	{ProblemNotRunStale, "Not run: this node cannot show that its catalog is current.", http.StatusServiceUnavailable},
-	{ProblemNotRunRepeated, "Not run: a request with this id was taken before.", http.StatusConflict},
-	{ProblemNotRunRefused, "Not run: every leaf refused the request.", http.StatusServiceUnavailable},
-	{ProblemNotRunCancelled, "Not run: the caller went away.", http.StatusServiceUnavailable},
-	{ProblemFailed, "No answer can be given; a part of the request may have run.", http.StatusBadGateway},
-	{ProblemOutcomeUnknown, "The request may or may not have run; it is not repeated.", http.StatusGatewayTimeout},
-	{ProblemUnavailable, "A part that is needed cannot be reached.", http.StatusServiceUnavailable},
-	{ProblemInternal, "The node met an internal error.", http.StatusInternalServerError},
-}
-
-// ProblemDescriptions returns every problem type with its title and status, in
-// the order of the docs. The caller owns the slice.
-func ProblemDescriptions() []ProblemDescription {
-	return append([]ProblemDescription(nil), problemDescriptions...)
-}
-
 // Problem is an error as sent to callers and operators: a problem document
 // after RFC 9457 with the members that micaplank adds.
 type Problem struct {
