--- a/internal/rehearsal/simulation/result.go
+++ b/internal/rehearsal/simulation/result.go
@@ -1,5 +1,7 @@
 package simulation
 
+import "github.com/micaplank/micaplank/internal/decide/dispatch"
+
 // QuantilePoints are the quantiles at which latencies are kept.
 var QuantilePoints = quantilePoints()
 
@@ -72,6 +74,8 @@
 	NotRun   int `json:"not_run"`
 	Failed   int `json:"failed"`
 	Unknown  int `json:"unknown"`
+	// Reasons counts the queries without a whole answer by reason.
+	Reasons map[dispatch.Reason]int `json:"reasons,omitempty"`
 	// Lost counts the queries that died with their node.
 	Lost int `json:"lost"`
 	// Coverage is the mean coverage of the queries that were not refused.
--- a/internal/rehearsal/simulation/statistics.go
+++ b/internal/rehearsal/simulation/statistics.go
@@ -128,12 +128,22 @@
 		class.result.Unknown++
 	}
 	record(class.latency, latency)
+	if q.finish.Outcome != dispatch.OutcomeAnswered {
+		class.countReason(q.finish.Reason)
+	}
 	if q.finish.Outcome != dispatch.OutcomeNotRun {
 		class.taken++
 		class.covered += float64(len(q.finish.Answered)) / float64(max(q.finish.Total, 1))
 	}
 }
 
+func (class *classStatistics) countReason(reason dispatch.Reason) {
+	if class.result.Reasons == nil {
+		class.result.Reasons = make(map[dispatch.Reason]int)
+	}
+	class.result.Reasons[reason]++
+}
+
 func (class *classStatistics) collectRefusal(q *query) {
 	record(class.refusals, q.finishedAt-q.atNode)
 	if q.finish.Reason == dispatch.ReasonOverload && q.finish.RetryAfter <= 0 {
