--- a/internal/leaf/raw_server_test.go
+++ b/internal/leaf/raw_server_test.go
@@ -34,7 +34,7 @@
 	number int64
 }
 
-func startRawServer(t *testing.T, onRequest func(*rawConn, uint32, []byte) bool) *rawServer {
+func startRawServer(t testing.TB, onRequest func(*rawConn, uint32, []byte) bool) *rawServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -86,6 +86,9 @@
 		case *http2.PingFrame:
 			conn.framer.WritePing(true, frame.Data)
 		case *http2.DataFrame:
+			if size := uint32(len(frame.Data())); size > 0 {
+				conn.framer.WriteWindowUpdate(0, size)
+			}
 			bodies[frame.StreamID] = append(bodies[frame.StreamID], frame.Data()...)
 			if frame.StreamEnded() {
 				s.arrivals.Add(1)
