--- a/internal/decide/once/ledger.go
+++ b/internal/decide/once/ledger.go
@@ -14,7 +14,8 @@
 //   - The moment handed to NewLedger or Reset is one after a majority of voters
 //     has acknowledged this incarnation of the slot and the revision with the
 //     present voter set. From installing another voter set until then, the
-//     ledger is suspended.
+//     ledger is suspended; also if the set is the same as before, but another
+//     one was in force in between that this node skipped.
 //   - The wall clocks of two voters never differ by more than
 //     Config.ClockDifference, other than by a jump back after the start.
 //
