node: show the dispatchers and leaves as metrics; list all metrics in the docs

docs/METRICS.md is a golden file of a node that is really built: names, types, labels and texts come from its registry. A second test wants the unit in each name, or a text that says 1 or 0.

The list showed what was missing for operators: attempts beyond those needed, hedges that won, queries in the node and leaves by state were kept by the pure cores and shown nowhere. A collector reads them when the metrics are read. The registry learns the types of such a collector from it, as there may be no sample yet.

Also wired here: the limit of queries in the node (limits.concurrency) and the voters in the status.

--- /dev/null
+++ b/internal/node/collector.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+// leafStates are the states that a leaf can be in, in the order of the metric.
+var leafStates = []api.LeafState{
+	api.LeafUsable, api.LeafProbation, api.LeafCold, api.LeafDraining, api.LeafLeaving, api.LeafUnreachable,
+}
+
+// collector shows, when the metrics are read, what the dispatchers and the
+// topology know. Both keep their own counts, since they are pure.
+type collector struct {
+	node     *Node
+	attempts *prometheus.Desc
+	won      *prometheus.Desc
+	inFlight *prometheus.Desc
+	leaves   *prometheus.Desc
+}
+
+var _ prometheus.Collector = (*collector)(nil)
+
+func newCollector(node *Node) *collector {
+	service := []string{"service"}
+	return &collector{
+		node: node,
+		attempts: prometheus.NewDesc("micaplank_dispatch_attempts_total",
+			"Attempts sent to leaves, by service and cause: needed, resent (the former did not execute), or extra: hedge, probe, retry or restart.",
+			[]string{"service", "cause"}, nil),
+		won: prometheus.NewDesc("micaplank_dispatch_hedges_won_total",
+			"Shards answered by a hedge or a probe, by service.", service, nil),
+		inFlight: prometheus.NewDesc("micaplank_dispatch_queries",
+			"Queries that have not ended, waiting or running, by service.", service, nil),
+		leaves: prometheus.NewDesc("micaplank_topology_leaves",
+			"Leaves of the catalog, by service and state as this node sees them.", []string{"service", "state"}, nil),
+	}
+}
+
+// MetricTypes tells the types of the metrics, also before there is a sample.
+func (c *collector) MetricTypes() map[string]telemetry.MetricType {
+	return map[string]telemetry.MetricType{
+		"micaplank_dispatch_attempts_total":   telemetry.TypeCounter,
+		"micaplank_dispatch_hedges_won_total": telemetry.TypeCounter,
+		"micaplank_dispatch_queries":          telemetry.TypeGauge,
+		"micaplank_topology_leaves":           telemetry.TypeGauge,
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{c.attempts, c.won, c.inFlight, c.leaves} {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(metrics chan<- prometheus.Metric) {
+	for _, service := range c.node.dissemination.Current().ServiceNames() {
+		if conn, installed := c.node.services.conn(service); installed {
+			c.collectCounters(metrics, service, conn.Counters())
+			metrics <- prometheus.MustNewConstMetric(c.inFlight, prometheus.GaugeValue, float64(conn.InFlight()), service)
+		}
+	}
+	for service, counts := range countLeaves(c.node.leafStatuses()) {
+		for _, state := range leafStates {
+			metrics <- prometheus.MustNewConstMetric(c.leaves, prometheus.GaugeValue, float64(counts[state]), service, string(state))
+		}
+	}
+}
+
+func (c *collector) collectCounters(metrics chan<- prometheus.Metric, service string, counters dispatch.Counters) {
+	for _, sent := range []struct {
+		cause string
+		count uint64
+	}{
+		{"needed", counters.Needed},
+		{"resent", counters.Resent},
+		{"hedge", counters.Hedges},
+		{"probe", counters.Probes},
+		{"retry", counters.Retries},
+		{"restart", counters.RestartSends},
+	} {
+		metrics <- prometheus.MustNewConstMetric(c.attempts, prometheus.CounterValue, float64(sent.count), service, sent.cause)
+	}
+	metrics <- prometheus.MustNewConstMetric(c.won, prometheus.CounterValue, float64(counters.HedgesWon), service)
+}
+
+// countLeaves counts the leaves of each service by state.
+func countLeaves(statuses []api.LeafStatus) map[string]map[api.LeafState]int {
+	counts := make(map[string]map[api.LeafState]int)
+	for _, status := range statuses {
+		if counts[status.Service] == nil {
+			counts[status.Service] = make(map[api.LeafState]int)
+		}
+		counts[status.Service][status.State]++
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/node/metrics_page_test.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+// metricsPageHead is the part of docs/METRICS.md before the table.
+const metricsPageHead = `# Metrics
+
+<!-- Written by a test: change the text beside the metric and run "go test ./internal/node -update". -->
+
+A node serves these at ` + "`/metrics`" + ` in the Prometheus text format, besides those of the Go runtime and the process. Each name has its unit: seconds, bytes, or the things that are counted; ` + "`_total`" + ` marks counters. Those that say whether something is so are 1 or 0; a revision and a score are plain numbers. Which of them to watch, and what to do, is in [OPERATING.md](OPERATING.md).
+
+`
+
+// buildNode makes a node with all its parts; it does not run.
+func buildNode(t *testing.T) (*Node, *telemetry.Registry) {
+	t.Helper()
+	configured := settings.Example()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	configured.Listen.HTTP, configured.Listen.Peer = loopback, loopback
+	registry := telemetry.NewRegistry("test")
+	built, err := New(configured, registry, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		built.closeSockets()
+		_ = built.peerServer.Close(context.Background())
+	})
+	return built, registry
+}
+
+// TestMetricsPage keeps docs/METRICS.md equal to what a node registers.
+func TestMetricsPage(t *testing.T) {
+	_, registry := buildNode(t)
+	metrics, err := registry.Metrics("micaplank_")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var page strings.Builder
+	page.WriteString(metricsPageHead)
+	if err := telemetry.WriteMetrics(&page, metrics); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).Assert(t, "METRICS", []byte(page.String()))
+}
+
+var (
+	nameWithUnit = regexp.MustCompile(`^micaplank_[a-z]+_[a-z_]*(_seconds|_bytes|_info|_total)$`)
+	// countedThings is the name of a gauge that counts things: they are its
+	// unit.
+	countedThings = regexp.MustCompile(`^micaplank(_[a-z]+)+_(members|leaves|queries|connections|zones|watches_open)$`)
+	// truth is the text of a gauge that is 1 or 0.
+	truth = regexp.MustCompile(`^Whether .*\(1\) or not \(0\)\.$`)
+	// plainNumbers are neither: an ordinal and a score.
+	plainNumbers = []string{"micaplank_build_info", "micaplank_dissemination_revision", "micaplank_membership_health_score"}
+)
+
+// hasUnit says whether a name tells the unit, or the text that there is none.
+func hasUnit(metric telemetry.Metric) bool {
+	if nameWithUnit.MatchString(metric.Name) || slices.Contains(plainNumbers, metric.Name) {
+		return true
+	}
+	return metric.Type == telemetry.TypeGauge && (countedThings.MatchString(metric.Name) || truth.MatchString(metric.Help))
+}
+
+// TestEveryMetricHasItsUnitInItsName checks names, types and texts.
+func TestEveryMetricHasItsUnitInItsName(t *testing.T) {
+	_, registry := buildNode(t)
+	metrics, err := registry.Metrics("micaplank_")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, metric := range metrics {
+		total := strings.HasSuffix(metric.Name, "_total")
+		if (metric.Type == telemetry.TypeCounter) != total {
+			t.Errorf("%s is a %s", metric.Name, metric.Type)
+		}
+		if !hasUnit(metric) {
+			t.Errorf("%s (%s) has no unit in its name", metric.Name, metric.Type)
+		}
+		if metric.Type == telemetry.TypeUnknown || !strings.HasSuffix(metric.Help, ".") {
+			t.Errorf("%s: type %s, help %q", metric.Name, metric.Type, metric.Help)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,13 +220,14 @@
 		RetryWhenStale: n.settings.Freshness.ExchangeInterval.Duration(),
 	})
 	n.gateway = gateway.New(gateway.Config{
-		Queries:    queries{n},
+		Queries:    newIntake(n.executor, n.draining, n.settings.Limits.Concurrency),
 		Operations: &operations{n},
 		Metrics:    n.registry.Handler(),
 		Logger:     n.logger,
 		BodyBytes:  n.settings.Limits.BodyBytes,
 		Ready:      n.ready,
 	})
+	n.registry.MustRegister(newCollector(n))
 	n.http = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -157,18 +157,3 @@
 func (s sink) Notify(notices []topology.Notice) {
 	s.node.spread(notices)
 }
-
-// queries runs callers' queries unless the node is draining.
-type queries struct {
-	node *Node
-}
-
-// Query runs one query of a caller.
-func (q queries) Query(ctx context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
-	select {
-	case <-q.node.draining:
-		return nil, q.node.executor.Refuse(service, request, api.ProblemNotRunDraining)
-	default:
-	}
-	return q.node.executor.Query(ctx, service, request)
-}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -13,10 +13,12 @@
 // Status describes the deployment as this node sees it.
 func (o *operations) Status(_ context.Context) (*api.StatusResponse, error) {
 	current := o.node.dissemination.Current()
+	nodes := o.node.nodeStatuses(current)
 	return &api.StatusResponse{
 		Revision: current.Revision,
 		Fresh:    o.node.dissemination.Fresh(),
-		Nodes:    o.node.nodeStatuses(current),
+		Nodes:    nodes,
+		Voters:   voterStatuses(current, nodes),
 		Leaves:   o.node.leafStatuses(),
 		Services: o.node.serviceStatuses(current),
 	}, nil
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"maps"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,6 +17,13 @@
 	types map[string]MetricType
 }
 
+// TypedCollector is a collector that tells the types of its metrics by name,
+// so that they are known before there is a sample.
+type TypedCollector interface {
+	prometheus.Collector
+	MetricTypes() map[string]MetricType
+}
+
 var _ prometheus.Registerer = (*Registry)(nil)
 
 // NewRegistry returns a registry with the metrics of the Go runtime, of the
@@ -35,6 +43,9 @@
 	if err := r.Registry.Register(collector); err != nil {
 		return err
 	}
+	if described, ok := collector.(TypedCollector); ok {
+		maps.Copy(r.types, described.MetricTypes())
+	}
 	if kind := typeOfVector(collector); kind != "" {
 		for _, metric := range describe(collector) {
 			r.types[metric.Name] = kind
