dispatch: let stragglers back soon, refuse behind the concurrency limit

A leaf that recovered from an 8-fold slowdown got 2 of 100 attempts after three seconds: only probes reached it, one in 500 ms, and the estimate forgot by the number of attempts. It now forgets by time as well, by half when a reply is twice as fast as the estimate, and probes follow each other faster once one was in time. The same test gives 20 or more of 100.

Queries behind the concurrency limit are refused at once if those before them are expected to take too long. A leaf may not ask to be left alone for longer than 2 s.

Tests of the decisions by themselves, and of the mechanisms together.

--- /dev/null
+++ b/internal/decide/admission/admission_test.go
@@ -0,0 +1,33 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+func TestAdmit(t *testing.T) {
+	const second = time.Second
+	for _, test := range []struct {
+		name       string
+		prediction Prediction
+		want       bool
+	}{
+		{"no wait", Prediction{Service: second, Remaining: second / 2}, true},
+		{"short wait", Prediction{Wait: second / 2, Service: second / 100, Remaining: second}, true},
+		{"long wait", Prediction{Wait: second, Service: second / 100, Remaining: second}, false},
+		{"saturated, urgent", Prediction{Wait: second / 2, Remaining: second, Saturated: true, Urgent: true}, true},
+		{"saturated, nothing left", Prediction{Wait: second / 2, Remaining: second, Saturated: true}, false},
+		{"saturated, most is left", Prediction{Wait: second / 2, Remaining: second, Saturated: true, Left: 0.8}, true},
+	} {
+		if got := DefaultConfig().Admit(test.prediction); got != test.want {
+			t.Errorf("%s: %v", test.name, got)
+		}
+	}
+}
+
+func TestRetryAfterIsNeverZero(t *testing.T) {
+	config := DefaultConfig()
+	if config.RetryAfter(0) < config.RetryMinimum || config.RetryAfter(time.Hour) > config.RetryMaximum {
+		t.Error("out of bounds")
+	}
+}
--- a/internal/decide/dispatch/admit.go
+++ b/internal/decide/dispatch/admit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/admission"
@@ -34,6 +35,29 @@
 	})
 }
 
+// admitPending refuses a postponed query if the queries before it are expected
+// to take too long.
+func (d *Dispatcher) admitPending(q *query) {
+	ahead := slices.Index(d.pending, q) + 1
+	wait := seconds(float64(ahead) * d.duration / float64(d.topology.Concurrency))
+	admitted := d.config.Admission.Admit(admission.Prediction{
+		Wait:      wait,
+		Service:   seconds(d.duration),
+		Remaining: q.Deadline - d.now,
+		Urgent:    true,
+	})
+	if !admitted {
+		d.refuse(q, wait)
+	}
+}
+
+// refuse ends a query that is not taken because of load.
+func (d *Dispatcher) refuse(q *query, wait time.Duration) {
+	d.counters.Overloaded++
+	q.retryAfter = d.config.Admission.RetryAfter(wait)
+	d.finish(q, OutcomeNotRun, ReasonOverload)
+}
+
 // saturated is the saturation from which the service counts as overloaded.
 const saturated = 1.0
 
--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -43,7 +43,8 @@
 	budget   hedge.Budget
 
 	saturation         saturation
-	urgent, throughput meter // work that arrived with the highest priority, and that was sent
+	urgent, throughput meter   // work that arrived with the highest priority, and that was sent
+	duration           float64 // mean time that queries run, in seconds
 	waiters            int
 	parked             []waiter
 	order              uint64
@@ -107,6 +108,7 @@
 	d.byID[q.ID] = q
 	if d.topology.Concurrency > 0 && d.started >= d.topology.Concurrency {
 		d.postpone(q)
+		d.admitPending(q)
 		return d.actions
 	}
 	d.start(q)
@@ -163,6 +165,7 @@
 // start pins a snapshot and places all needed shards.
 func (d *Dispatcher) start(q *query) {
 	q.started = true
+	q.startedAt = d.now
 	d.started++
 	if reason := d.pin(q); reason != ReasonNone {
 		d.finish(q, q.failure(), reason)
@@ -173,9 +176,7 @@
 		return
 	}
 	if wait, admitted := d.admit(q); !admitted {
-		d.counters.Overloaded++
-		q.retryAfter = d.config.Admission.RetryAfter(wait)
-		d.finish(q, OutcomeNotRun, ReasonOverload)
+		d.refuse(q, wait)
 		return
 	}
 	for position := range q.shards {
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -37,7 +37,9 @@
 func (d *Dispatcher) measure(ended *attempt, reply Reply) {
 	l, q := ended.leaf, ended.query
 	latency := d.now - ended.sentAt
-	l.speed.Completed(latency.Seconds() / ended.expected)
+	ratio := latency.Seconds() / ended.expected
+	l.speed.Completed(d.now, ratio)
+	l.recovering = ratio < d.config.Probation.Slowness
 	l.succeeded(latency)
 	q.class.learn(latency, ended.expected/q.class.base)
 	l.limiter.Succeeded(d.now, len(l.running)+1, reply.Load.Queue)
@@ -106,10 +108,10 @@
 	switch refusal.Reason {
 	case leaf.RefusedShed:
 		l.limiter.Refused(d.now)
-		l.hold(d.now + pause(refusal.RetryAfter, d.config.Backoff.Shed))
+		l.hold(d.now + d.pause(refusal.RetryAfter, d.config.Backoff.Shed))
 	case leaf.RefusedCold:
 		l.limiter.Restart(true)
-		l.hold(d.now + pause(refusal.RetryAfter, d.config.Backoff.Initial))
+		l.hold(d.now + d.pause(refusal.RetryAfter, d.config.Backoff.Initial))
 	case leaf.RefusedDraining:
 		if l.drains(refusal.BootID) {
 			d.rebuild()
@@ -121,11 +123,12 @@
 	}
 }
 
-func pause(asked, otherwise time.Duration) time.Duration {
-	if asked > 0 {
-		return asked
+// pause returns how long a leaf is left alone that asked for a time, or none.
+func (d *Dispatcher) pause(asked, otherwise time.Duration) time.Duration {
+	if asked <= 0 {
+		return otherwise
 	}
-	return otherwise
+	return min(asked, d.config.Backoff.Maximum)
 }
 
 // refused books a refused attempt with its query.
@@ -138,7 +141,7 @@
 		return
 	}
 	if refusal.Reason == leaf.RefusedShed {
-		q.retryAfter = max(q.retryAfter, refusal.RetryAfter)
+		q.retryAfter = max(q.retryAfter, d.config.Admission.RetryAfter(refusal.RetryAfter))
 	}
 	shard.resend = true
 	shard.fallDue()
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/micaplank/micaplank/internal/decide/replica"
 )
 
@@ -122,6 +124,18 @@
 // expected to take.
 const hedgeTolerance = 1.2
 
+// probeInterval returns the time between two probes of a leaf. It is short
+// once the leaf answered in time, so that it comes back soon.
+func (d *Dispatcher) probeInterval(l *leafState) time.Duration {
+	if l.recovering {
+		return d.config.Probation.ProbeInterval / recoveringProbes
+	}
+	return d.config.Probation.ProbeInterval
+}
+
+// recoveringProbes is how many probes a recovering leaf gets in place of one.
+const recoveringProbes = 8
+
 // probe sends a second attempt, beside the one to the chosen leaf, to a slow
 // leaf of the group that had none for long, to learn whether it is still slow.
 func (d *Dispatcher) probe(q *query, position int32, chosen *leafState) {
@@ -130,7 +144,7 @@
 		return
 	}
 	for _, l := range shard.group.leaves {
-		if l == chosen || len(l.running) > 0 || d.now-l.lastSent < d.config.Probation.ProbeInterval {
+		if l == chosen || len(l.running) > 0 || d.now-l.lastSent < d.probeInterval(l) {
 			continue
 		}
 		if !l.takesWork() || l.held(d.now) {
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -39,12 +39,13 @@
 	groups  []*group
 	running []int32 // attempts whose end was not reported, by table slot
 
-	limiter   limit.Limiter
-	speed     replica.Speed
-	latency   float64
-	failures  int
-	heldUntil Time
-	lastSent  Time
+	limiter    limit.Limiter
+	speed      replica.Speed
+	latency    float64
+	failures   int
+	heldUntil  Time
+	recovering bool // the last reply was not slow
+	lastSent   Time
 	// waiting is the work that waits for the leaf, as the time that it takes
 	// in one slot of an ordinary leaf. It is whole, so that what is added and
 	// taken away leaves nothing behind.
--- /dev/null
+++ b/internal/decide/dispatch/mechanism_test.go
@@ -0,0 +1,281 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+var first = catalog.Snapshot{Epoch: 1, Version: 1}
+
+// rig runs a Dispatcher on one shard with some replicas; the replies take the
+// time that the test sets for each leaf.
+type rig struct {
+	*testing.T
+	d        *Dispatcher
+	now      Time
+	topology Topology
+	took     []time.Duration // by leaf
+	open     []Send
+	sent     []int // by leaf
+	aborted  []AttemptID
+	finishes map[QueryID]Finish
+	nextID   QueryID
+	hedge    float64 // percentile
+}
+
+func newRig(t *testing.T, replicas int, change func(*Config)) *rig {
+	config := DefaultConfig()
+	if change != nil {
+		change(&config)
+	}
+	r := &rig{T: t, d: New(config, rand.New(rand.NewPCG(1, 2))), finishes: make(map[QueryID]Finish), sent: make([]int, replicas), hedge: 0.95}
+	r.topology.Partitions = []catalog.Partition{{Epoch: 1, Shards: 1}}
+	for index := range replicas {
+		r.took = append(r.took, 10*time.Millisecond)
+		r.topology.Leaves = append(r.topology.Leaves, Leaf{
+			Address: address(index), Usable: true, BootID: "1", Slots: 2,
+			Holdings: []leaf.Holding{{Snapshot: first, Shards: []int{0}}},
+		})
+	}
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	return r
+}
+
+func (r *rig) perform(actions []Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case Send:
+			r.open = append(r.open, action)
+			r.sent[r.leafOf(action)]++
+		case Abort:
+			r.aborted = append(r.aborted, action.Attempt)
+			index := slices.IndexFunc(r.open, func(s Send) bool { return s.Attempt == action.Attempt })
+			r.open = slices.Delete(r.open, index, index+1)
+			r.perform(r.d.Fail(r.now, action.Attempt, Failure{Sent: true, Aborted: true}))
+		case Finish:
+			r.finishes[action.Query] = action
+		}
+	}
+}
+
+func (r *rig) leafOf(send Send) int {
+	return slices.IndexFunc(r.topology.Leaves, func(l Leaf) bool { return l.Address == send.Leaf })
+}
+
+// submit sends a query with a deadline of 200 ms that may be hedged.
+func (r *rig) submit(priority int) QueryID {
+	r.nextID++
+	class := catalog.Class{Name: string(rune('0' + priority)), Priority: priority, HedgePercentile: r.hedge, Repeatable: true}
+	r.perform(r.d.Submit(r.now, Query{ID: r.nextID, Class: class, Deadline: r.now + 200*time.Millisecond, MinimumCoverage: 1}))
+	return r.nextID
+}
+
+// run lets time pass in steps of a millisecond.
+func (r *rig) run(length time.Duration) {
+	for end := r.now + length; r.now < end; {
+		r.now += time.Millisecond
+		for _, send := range slices.Clone(r.open) {
+			sentAt := r.d.attempts.find(send.Attempt)
+			if sentAt != nil && r.now-sentAt.sentAt >= r.took[r.leafOf(send)] {
+				r.reply(send)
+			}
+		}
+		if at, known := r.d.NextTick(); known && at <= r.now {
+			r.perform(r.d.Tick(r.now))
+		}
+	}
+}
+
+func (r *rig) reply(send Send) {
+	r.open = slices.DeleteFunc(r.open, func(s Send) bool { return s.Attempt == send.Attempt })
+	load := leaf.LoadSummary{State: leaf.StateServing, Slots: 2}
+	r.perform(r.d.Reply(r.now, send.Attempt, Reply{Shard: send.Shard, Snapshot: send.Snapshot, BootID: "1", Load: load}))
+}
+
+func (r *rig) refuse(reason leaf.Refusal) {
+	send := r.open[0]
+	r.open = r.open[1:]
+	r.perform(r.d.Refuse(r.now, send.Attempt, Refusal{Reason: reason, BootID: "1"}))
+}
+
+// load submits a query every 10 ms.
+func (r *rig) load(queries int) {
+	for range queries {
+		r.submit(1)
+		r.run(10 * time.Millisecond)
+	}
+}
+
+func TestStragglerIsAvoidedAndComesBack(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.load(50)
+	r.took[0] = 80 * time.Millisecond
+	r.load(50)
+	before := r.sent[0]
+	r.load(300)
+	if got := r.sent[0] - before; got > 15 {
+		t.Errorf("%d of 300 attempts to the straggler", got)
+	}
+	if probes := r.d.Counters().Probes; probes < 2 || !r.d.LeafStates()[0].Probation {
+		t.Errorf("%d probes; %+v", probes, r.d.LeafStates()[0])
+	}
+	r.took[0] = 8 * time.Millisecond
+	r.load(300)
+	before = r.sent[0]
+	r.load(100)
+	if got := r.sent[0] - before; got < 20 || r.d.LeafStates()[0].Probation {
+		t.Errorf("%d of 100 attempts to the leaf that recovered; %+v", got, r.d.LeafStates()[0])
+	}
+}
+
+func TestHedgeGoesToTheOtherReplicaAndTheLoserIsAborted(t *testing.T) {
+	r := newRig(t, 2, func(config *Config) { config.Probation.Disabled = true })
+	r.load(100)
+	id := r.submit(1)
+	late := r.open[0]
+	r.took[r.leafOf(late)] = time.Hour
+	r.run(50 * time.Millisecond)
+	finish := r.finishes[id]
+	if finish.Outcome != OutcomeAnswered || finish.Answered[0].Attempt == late.Attempt || !slices.Contains(r.aborted, late.Attempt) {
+		t.Errorf("%+v; aborted %v", finish, r.aborted)
+	}
+	if counters := r.d.Counters(); counters.Hedges == 0 || counters.HedgesWon == 0 {
+		t.Errorf("%+v", counters)
+	}
+}
+
+func TestExtraLoadStaysWithinTheBudget(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.hedge = 0.5
+	r.load(100)
+	for step := range 2000 {
+		r.submit(1)
+		if step%8 == 0 {
+			r.took[r.leafOf(r.open[len(r.open)-1])] = 60 * time.Millisecond
+		}
+		r.run(10 * time.Millisecond)
+		if step%8 == 4 {
+			r.took[0], r.took[1] = 10*time.Millisecond, 10*time.Millisecond
+		}
+	}
+	config := DefaultConfig().Budget
+	counters := r.d.Counters()
+	if most := config.Initial + config.Share*float64(counters.Needed); float64(counters.Extra()) > most || counters.Extra() < 20 {
+		t.Errorf("%d extra attempts, at most %.0f: %+v", counters.Extra(), most, counters)
+	}
+}
+
+func TestUrgentWorkGoesFirst(t *testing.T) {
+	r := newRig(t, 1, func(config *Config) { config.Limit.Headroom = 0 })
+	r.load(20)
+	r.submit(2)
+	r.submit(2)
+	r.submit(2)
+	low := r.submit(2)
+	urgent := r.submit(1)
+	r.run(25 * time.Millisecond)
+	if r.finishes[urgent].Outcome != OutcomeAnswered || r.finishes[low].Outcome != "" {
+		t.Errorf("urgent %+v, other %+v", r.finishes[urgent], r.finishes[low])
+	}
+}
+
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.load(20)
+	refused := 0
+	for range 100 {
+		id := r.submit(1)
+		if finish := r.finishes[id]; finish.Outcome == OutcomeNotRun {
+			refused++
+			if finish.Reason != ReasonOverload || finish.RetryAfter <= 0 {
+				t.Fatalf("%+v", finish)
+			}
+		}
+	}
+	r.run(time.Second)
+	if answered := r.d.Counters().Answered; refused < 50 || answered != uint64(120-refused) {
+		t.Errorf("%d refused, %d answered", refused, answered)
+	}
+}
+
+func TestConcurrencyLimit(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.topology.Concurrency = 1
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	other, urgent := r.submit(2), QueryID(0)
+	r.submit(2)
+	urgent = r.submit(1)
+	if len(r.open) != 1 {
+		t.Fatalf("%d attempts", len(r.open))
+	}
+	r.run(21 * time.Millisecond)
+	if r.finishes[other].Outcome != OutcomeAnswered || r.finishes[urgent].Outcome != OutcomeAnswered || len(r.finishes) != 2 {
+		t.Errorf("%+v", r.finishes)
+	}
+}
+
+func TestSnapshotGone(t *testing.T) {
+	r := newRig(t, 2, nil)
+	id := r.submit(1)
+	tried := r.open[0].Leaf
+	r.refuse(leaf.RefusedSnapshot)
+	if r.open[0].Leaf == tried || r.open[0].Snapshot != first || r.open[0].Extra {
+		t.Fatalf("%+v", r.open)
+	}
+	second := catalog.Snapshot{Epoch: 1, Version: 2}
+	for index := range r.topology.Leaves {
+		r.topology.Leaves[index].Holdings = []leaf.Holding{{Snapshot: second, Shards: []int{0}}}
+	}
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	r.refuse(leaf.RefusedSnapshot)
+	if r.open[0].Snapshot != second || r.d.Counters().Restarts != 1 {
+		t.Fatalf("%+v", r.open)
+	}
+	r.run(20 * time.Millisecond)
+	if finish := r.finishes[id]; finish.Outcome != OutcomeAnswered || finish.Snapshot != second {
+		t.Errorf("%+v", finish)
+	}
+}
+
+func TestColdLeafWarmsUp(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.topology.Leaves[0].BootID, r.topology.Leaves[0].Cold, r.topology.Leaves[0].Slots = "2", true, 4
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	for range 4 {
+		r.submit(1)
+	}
+	if len(r.open) != 1 {
+		t.Errorf("%d attempts on a cold leaf", len(r.open))
+	}
+	r.run(11 * time.Millisecond)
+	if len(r.open) != 2 {
+		t.Errorf("%d attempts after the first reply", len(r.open))
+	}
+}
+
+func TestLostLeafIsLeftAlone(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.load(10)
+	id := r.submit(1)
+	send := r.open[0]
+	r.open = nil
+	r.perform(r.d.Fail(r.now, send.Attempt, Failure{Sent: true}))
+	if len(r.open) != 1 || !r.open[0].Extra || r.open[0].Leaf == send.Leaf {
+		t.Fatalf("%+v", r.open)
+	}
+	for range 5 {
+		r.submit(1)
+		r.run(10 * time.Millisecond)
+	}
+	if state := r.d.LeafStates()[r.leafOf(send)]; state.InFlight != 0 || state.HeldUntil < r.now {
+		t.Errorf("%+v", state)
+	}
+	if r.finishes[id].Outcome != OutcomeAnswered {
+		t.Errorf("%+v", r.finishes[id])
+	}
+}
--- a/internal/decide/dispatch/query.go
+++ b/internal/decide/dispatch/query.go
@@ -67,6 +67,7 @@
 	started      bool // not waiting for the concurrency limit
 	finished     bool
 	index        int // among the queries of the Dispatcher
+	startedAt    Time
 	submitted    Time
 	settleAt     Time
 	promoteAt    Time // when it becomes as urgent as the most urgent
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -189,11 +189,14 @@
 	d.running[last] = nil
 	d.running = d.running[:last]
 	d.countOutcome(outcome)
+	if q.started && q.progress.Answered > 0 {
+		d.duration += durationWeight * ((d.now - q.startedAt).Seconds() - d.duration)
+	}
 	result := q.result()
 	result.Outcome = outcome
 	result.Reason = reason
 	if outcome == OutcomeNotRun || outcome == OutcomeFailed {
-		result.RetryAfter = q.retryAfter
+		result.RetryAfter = d.retryAfter(q, reason)
 	}
 	d.actions = append(d.actions, result)
 	d.releaseShards(q)
@@ -205,6 +208,18 @@
 	d.removePending(q)
 }
 
+// retryAfter returns when a caller that got nothing may ask again. Without a
+// better guess, a request that had too little time may come at once.
+func (d *Dispatcher) retryAfter(q *query, reason Reason) time.Duration {
+	if q.retryAfter == 0 && reason == ReasonDeadline {
+		return d.config.Admission.RetryAfter(0)
+	}
+	return q.retryAfter
+}
+
+// durationWeight is the weight of one query in the mean duration.
+const durationWeight = 0.05
+
 func (d *Dispatcher) removePending(q *query) {
 	for index, other := range d.pending {
 		if other == q {
--- a/internal/decide/hedge/budget.go
+++ b/internal/decide/hedge/budget.go
@@ -7,6 +7,10 @@
 	// Share is the number of extra attempts earned by each needed attempt
 	// whose class sets no share of its own. Default 0.03.
 	Share float64
+	// Earned is the part of the share that is earned, so that what is saved up
+	// and the attempts sent again after refusals stay within the share too.
+	// Default 0.95.
+	Earned float64
 	// Capacity is the most tokens that can be saved up. Default 20.
 	Capacity float64
 	// Initial is the number of tokens at the start. Default 5.
@@ -21,7 +25,7 @@
 
 // DefaultBudgetConfig returns the defaults.
 func DefaultBudgetConfig() BudgetConfig {
-	return BudgetConfig{Share: 0.03, Capacity: 20, Initial: 5, Reserve: 2, Debt: 50}
+	return BudgetConfig{Share: 0.03, Earned: 0.95, Capacity: 20, Initial: 5, Reserve: 2, Debt: 50}
 }
 
 // Budget is a token bucket filled by needed attempts and emptied by extra
@@ -42,7 +46,7 @@
 	if share <= 0 {
 		share = b.config.Share
 	}
-	b.tokens = min(b.tokens+share, b.config.Capacity)
+	b.tokens = min(b.tokens+share*b.config.Earned, b.config.Capacity)
 }
 
 // SpendHedge takes one token for a hedge or a probe, if more than the reserve
--- /dev/null
+++ b/internal/decide/hedge/hedge_test.go
@@ -0,0 +1,89 @@
+package hedge
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestHedgesNeverExceedWhatWasEarned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := DefaultBudgetConfig()
+		config.Initial = float64(rapid.IntRange(0, 30).Draw(t, "initial"))
+		budget := NewBudget(config)
+		needed, hedges, retries := 0, 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "events") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				if budget.SpendRetry(1) {
+					retries++
+				}
+			case 1, 2:
+				if budget.SpendHedge() {
+					hedges++
+				}
+				if hedges > 0 && float64(hedges+retries) > config.Initial+config.Share*float64(needed)+config.Debt+1 {
+					t.Fatalf("%d hedges and %d retries for %d needed", hedges, retries, needed)
+				}
+			default:
+				budget.Earn(0)
+				needed++
+			}
+			if retries == 0 && float64(hedges) > config.Initial+config.Share*float64(needed) {
+				t.Fatalf("%d hedges for %d needed", hedges, needed)
+			}
+			if budget.Tokens() > config.Capacity || budget.Tokens() < -config.Debt-1 {
+				t.Fatalf("%f tokens", budget.Tokens())
+			}
+		}
+	})
+}
+
+func TestHedgesLeaveTheReserve(t *testing.T) {
+	budget := NewBudget(BudgetConfig{Capacity: 10, Initial: 5, Reserve: 2, Debt: 1})
+	count := 0
+	for budget.SpendHedge() {
+		count++
+	}
+	if count != 3 || !budget.SpendRetry(1) {
+		t.Errorf("%d hedges", count)
+	}
+}
+
+func TestQuantilesAreCloseFromAbove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		micros := rapid.SliceOfN(rapid.IntRange(0, 100_000_000), 1, 300).Draw(t, "latencies")
+		quantile := rapid.Float64Range(0.01, 0.99).Draw(t, "quantile")
+		var quantiles Quantiles
+		for _, value := range micros {
+			quantiles.Add(time.Duration(value) * time.Microsecond)
+		}
+		slices.Sort(micros)
+		exact := 0
+		for rank, value := range micros {
+			if float64(rank+1) >= quantile*float64(len(micros)) {
+				exact = value
+				break
+			}
+		}
+		got := quantiles.compute(quantile).Microseconds()
+		if got < int64(exact) || float64(got) > float64(exact)*(1+1.0/bucketsPerOctave)+1 {
+			t.Fatalf("%d for %d", got, exact)
+		}
+	})
+}
+
+func TestQuantilesForget(t *testing.T) {
+	var quantiles Quantiles
+	for range 1000 {
+		quantiles.Add(time.Second)
+	}
+	for range 10 * halvingInterval {
+		quantiles.Add(time.Millisecond)
+	}
+	if got := quantiles.Quantile(0.99); got > 2*time.Millisecond {
+		t.Errorf("still %s", got)
+	}
+}
--- /dev/null
+++ b/internal/decide/replica/replica_test.go
@@ -0,0 +1,97 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func newChooser(policy Policy) Chooser {
+	return NewChooser(policy, DefaultScoreConfig(), rand.New(rand.NewPCG(1, 2)))
+}
+
+func TestChosenReplicaExists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidate := rapid.Custom(func(t *rapid.T) Candidate {
+			return Candidate{
+				InFlight: rapid.IntRange(0, 9).Draw(t, "in flight"), Others: rapid.Float64Range(0, 20).Draw(t, "others"),
+				Slots: rapid.IntRange(1, 5).Draw(t, "slots"), Limit: rapid.IntRange(-3, 6).Draw(t, "limit"),
+				Slowness: rapid.Float64Range(0.1, 50).Draw(t, "slowness"), Near: rapid.Bool().Draw(t, "near"),
+			}
+		})
+		candidates := rapid.SliceOfN(candidate, 1, 5).Draw(t, "candidates")
+		work := Work{Base: 0.01, Mean: 0.02, Ahead: rapid.IntRange(0, 9).Draw(t, "ahead")}
+		chooser := newChooser(rapid.SampledFrom(Policies).Draw(t, "policy"))
+		if index := chooser.Choose(candidates, work); index < 0 || index >= len(candidates) {
+			t.Fatalf("chose %d of %d", index, len(candidates))
+		}
+	})
+}
+
+func TestExpectedCompletion(t *testing.T) {
+	ordinary := Candidate{Slots: 2, Limit: 3, Slowness: 1}
+	slow, near, busy, full := ordinary, ordinary, ordinary, ordinary
+	slow.Slowness = 8
+	near.Near = true
+	busy.InFlight = 2
+	full.InFlight = 3
+	for _, test := range []struct {
+		name       string
+		candidates []Candidate
+		ahead      int
+		want       int
+	}{
+		{"avoids a straggler", []Candidate{slow, ordinary}, 0, 1},
+		{"waits rather than take a straggler", []Candidate{slow, full}, 2, 1},
+		{"takes a straggler when the wait is longer", []Candidate{slow, full}, 60, 0},
+		{"avoids a queue", []Candidate{busy, ordinary}, 0, 1},
+		{"a queue counts more than the zone", []Candidate{busy, ordinary, near}, 0, 2},
+		{"the zone breaks a tie", []Candidate{ordinary, near}, 0, 1},
+	} {
+		chooser := newChooser(ExpectedCompletion)
+		if got := chooser.Choose(test.candidates, Work{Base: 1, Mean: 1, Ahead: test.ahead}); got != test.want {
+			t.Errorf("%s: chose %d", test.name, got)
+		}
+	}
+}
+
+func TestSpeed(t *testing.T) {
+	config := DefaultSpeedConfig()
+	speed := NewSpeed(&config)
+	if got := speed.Slowness(0); got != 1 {
+		t.Errorf("unknown leaf: %.2f", got)
+	}
+	if got := speed.Slowness(Overdue(4) + Overdue(4)); got < 3 {
+		t.Errorf("two attempts at four times their time without a reply: %.2f", got)
+	}
+	for range 20 {
+		speed.Completed(0, 8)
+	}
+	if got := speed.Slowness(0); got < 5 || got > 8 {
+		t.Errorf("straggler of factor 8: %.2f", got)
+	}
+	for range 14 {
+		speed.Completed(0, 1)
+	}
+	if got := speed.Slowness(0); got > 1.4 {
+		t.Errorf("straggler that recovered: %.2f", got)
+	}
+	for range 20 {
+		speed.Completed(0, 8)
+	}
+	for seconds := range 4 {
+		speed.Completed(time.Duration(seconds+1)*time.Second, 1)
+	}
+	if got := speed.Slowness(0); got > 1.4 {
+		t.Errorf("straggler that recovered and was tried four times: %.2f", got)
+	}
+	before := speed.Slowness(0)
+	if speed.GaveUp(0.5); speed.Slowness(0) != before {
+		t.Error("an attempt given up early changed the estimate")
+	}
+	if speed.GaveUp(9); speed.Slowness(0) <= before {
+		t.Error("an attempt given up late did not change the estimate")
+	}
+}
--- a/internal/decide/replica/speed.go
+++ b/internal/decide/replica/speed.go
@@ -1,10 +1,19 @@
 package replica
 
+import (
+	"math"
+	"time"
+)
+
 // SpeedConfig holds the policy of a Speed.
 type SpeedConfig struct {
 	// Memory is the weight kept by the past with each completed attempt, from
 	// 0 to 1. Default 0.93, which is a window of about 14 attempts.
 	Memory float64
+	// Forget is the time constant with which the past loses weight, beside
+	// Memory, when an attempt is completed: a leaf that is seldom tried is
+	// judged by the last tries. Default 1 s.
+	Forget time.Duration
 	// Prior is the number of ordinary attempts assumed before the first one.
 	// Default 2.
 	Prior float64
@@ -12,7 +21,7 @@
 
 // DefaultSpeedConfig returns the defaults.
 func DefaultSpeedConfig() SpeedConfig {
-	return SpeedConfig{Memory: 0.93, Prior: 2}
+	return SpeedConfig{Memory: 0.93, Forget: time.Second, Prior: 2}
 }
 
 // Speed estimates how slow a leaf is: the ratio of the time that its attempts
@@ -27,6 +36,7 @@
 	config   *SpeedConfig
 	exposure float64
 	count    float64
+	last     time.Duration // when an attempt was completed
 }
 
 // NewSpeed returns a Speed without samples. It keeps config.
@@ -34,13 +44,26 @@
 	return Speed{config: config}
 }
 
-// Completed records an attempt that was answered after ratio times the
+// Completed records an attempt that was answered now, after ratio times the
 // expected time.
-func (s *Speed) Completed(ratio float64) {
-	s.exposure = s.exposure*s.config.Memory + ratio
-	s.count = s.count*s.config.Memory + 1
+func (s *Speed) Completed(now time.Duration, ratio float64) {
+	aged := math.Exp(-float64(now-s.last) / float64(s.config.Forget))
+	kept := min(s.config.Memory, aged)
+	if ratio*surprise < s.Slowness(0) {
+		kept = min(kept, keptAfterSurprise)
+	}
+	s.exposure = s.exposure*kept + ratio
+	s.count = s.count*kept + 1
+	s.last = now
 }
 
+// A reply that is faster than the estimate by the factor surprise is seldom
+// chance: the leaf has recovered. Then the past loses half of its weight.
+const (
+	surprise          = 2
+	keptAfterSurprise = 0.5
+)
+
 // GaveUp records an attempt that had no answer after ratio times the expected
 // time. Less than the expected time says nothing.
 func (s *Speed) GaveUp(ratio float64) {
--- /dev/null
+++ b/internal/decide/snapshot/snapshot_test.go
@@ -0,0 +1,82 @@
+package snapshot
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+func drawHoldings(t *rapid.T) [][]leaf.Holding {
+	holding := rapid.Custom(func(t *rapid.T) leaf.Holding {
+		return leaf.Holding{
+			Snapshot: catalog.Snapshot{Epoch: rapid.Uint64Range(1, 3).Draw(t, "epoch"), Version: rapid.Uint64Range(1, 3).Draw(t, "version")},
+			Shards:   rapid.SliceOfN(rapid.IntRange(-1, 4), 0, 5).Draw(t, "shards"),
+		}
+	})
+	return rapid.SliceOfN(rapid.SliceOfN(holding, 0, 3), 0, 5).Draw(t, "holdings")
+}
+
+// covered counts, from the definition, the needed shards that some leaf holds.
+func covered(holdings [][]leaf.Holding, snapshot catalog.Snapshot, shards int, need Need) (count, needed int) {
+	for shard := range shards {
+		if only, single := need.Shard(shards); single && only != shard {
+			continue
+		}
+		needed++
+		if holders(holdings, snapshot, shard) > 0 {
+			count++
+		}
+	}
+	return count, needed
+}
+
+func holders(holdings [][]leaf.Holding, snapshot catalog.Snapshot, shard int) int {
+	count := 0
+	for _, held := range holdings {
+		found := false
+		for _, holding := range held {
+			for _, one := range holding.Shards {
+				found = found || holding.Snapshot == snapshot && one == shard
+			}
+		}
+		if found {
+			count++
+		}
+	}
+	return count
+}
+
+func TestPickFollowsTheDefinition(t *testing.T) {
+	partitions := []catalog.Partition{{Epoch: 1, Shards: 2}, {Epoch: 2, Shards: 3}} // epoch 3 is unknown
+	rapid.Check(t, func(t *rapid.T) {
+		holdings := drawHoldings(t)
+		need := Need{HasKey: rapid.Bool().Draw(t, "key"), KeyHash: rapid.Uint64Range(0, 9).Draw(t, "hash")}
+		views := Build(partitions, holdings)
+		var best catalog.Snapshot
+		bestShare, found := 0.0, false
+		for _, partition := range partitions {
+			for version := uint64(1); version <= 3; version++ {
+				snapshot := catalog.Snapshot{Epoch: partition.Epoch, Version: version}
+				count, needed := covered(holdings, snapshot, partition.Shards, need)
+				share := float64(count) / float64(needed)
+				if count > 0 && share >= bestShare {
+					best, bestShare, found = snapshot, share, true
+				}
+			}
+		}
+		index, ok := Pick(views, need)
+		if ok != found || ok && views[index].Snapshot != best {
+			t.Fatalf("picked %v, wanted %v of %v", index, best, views)
+		}
+		for _, view := range views {
+			for shard, replicas := range view.Replicas {
+				if len(replicas) != holders(holdings, view.Snapshot, shard) {
+					t.Fatalf("%v of shard %d of %v", replicas, shard, view.Snapshot)
+				}
+			}
+		}
+	})
+}
