executor: suspend the ledger at every change of the voting set

Cause: the ledger compared the names of the voters. A node that was cut off while a voter was added and removed saw equal names on its return and went on at once, although an owner in between may have let its ids through.

The catalog now carries the revision of the newest change of the voters, and the ledger compares that. TestVotersThatChangedAndChangedBack failed before (the request ran) and passes now.

--- a/internal/catalog/apply_member.go
+++ b/internal/catalog/apply_member.go
@@ -88,6 +88,7 @@
 		return refuse(CodeLimit, o.Voter.Name, "there are %d voters already, which is the limit", MaximumVoters)
 	}
 	e.next.Voters = with(e.next.Voters, o.Voter.Name, o.Voter)
+	e.next.VotersRevision = e.next.Revision
 	return nil
 }
 
@@ -99,6 +100,7 @@
 		return refuse(CodeInUse, o.Name, "voter %q is the last one and stays", o.Name)
 	}
 	e.next.Voters = without(e.next.Voters, o.Name)
+	e.next.VotersRevision = e.next.Revision
 	return nil
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -106,6 +106,8 @@
 	Revision uint64             `json:"revision"`
 	Services map[string]Service `json:"services,omitempty"`
 	Voters   map[string]Voter   `json:"voters,omitempty"`
+	// VotersRevision is the revision of the newest change of Voters.
+	VotersRevision uint64 `json:"voters_revision,omitempty"`
 	// Recent remembers the ids of the last RetainedChanges changes and the
 	// revision at which each took effect.
 	Recent []AppliedChange `json:"recent,omitempty"`
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -116,9 +116,9 @@
 	return e.queryOnce(ctx, planned)
 }
 
-// SetVoters installs the voting set of the catalog at a revision.
+// SetVoters tells of the voting set of a catalog that was installed.
 func (e *Executor) SetVoters(current *catalog.Catalog) {
-	e.config.Ledger.SetVoters(current.VoterNames(), current.Revision)
+	e.config.Ledger.SetVoters(current.VotersRevision)
 }
 
 // scatter runs a planned query over the shards and merges the answer.
--- a/internal/executor/fixture_test.go
+++ b/internal/executor/fixture_test.go
@@ -143,6 +143,7 @@
 		"plain":     {Name: "plain", Replicas: 2, Partitions: partitions, Classes: classes},
 	}
 	current.Voters = voters("node-a1", "node-b1", "node-c1")
+	current.VotersRevision = current.Revision
 	return current
 }
 
--- a/internal/executor/ledger.go
+++ b/internal/executor/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -45,10 +44,9 @@
 
 	mutex  sync.Mutex
 	ledger *once.Ledger[fate]
-	// voters is the voting set that is installed, of the newest revision that
-	// was given.
-	voters   []string
-	revision uint64
+	// votersRevision is the revision of the newest change of the voting set
+	// that this node knows of.
+	votersRevision uint64
 	// pending is the change of the voting set that is not yet proved.
 	pending *ownership
 }
@@ -76,24 +74,22 @@
 	return once.Reading{Wall: l.wall(), Monotonic: l.clock.Now()}
 }
 
-// SetVoters installs the voting set of a catalog, unless a newer one is.
-func (l *Ledger) SetVoters(voters []string, revision uint64) {
+// SetVoters tells of the newest change of the voting set. The revision counts,
+// not the names: a node that missed two changes which cancel out must be
+// suspended too, since an owner in between may have run its ids.
+func (l *Ledger) SetVoters(votersRevision uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.setVoters(voters, revision)
+	l.setVoters(votersRevision)
 }
 
-func (l *Ledger) setVoters(voters []string, revision uint64) {
-	if revision < l.revision {
+func (l *Ledger) setVoters(votersRevision uint64) {
+	if votersRevision <= l.votersRevision {
 		return
 	}
-	l.revision = revision
-	if slices.Equal(l.voters, voters) {
-		return
-	}
-	l.voters = voters
+	l.votersRevision = votersRevision
 	l.ledger.Suspend()
-	l.pending = &ownership{installed: l.clock.Now(), revision: revision}
+	l.pending = &ownership{installed: l.clock.Now(), revision: votersRevision}
 }
 
 // Run forgets old ids until ctx ends.
@@ -123,14 +119,14 @@
 }
 
 // begin decides about an id that this node owns by the voting set of a
-// catalog. That catalog may be newer than the one that SetVoters was last told
-// of: its set is installed first. If it is older and its set another one, the
-// node may not be the owner any more, and the id is refused.
-func (l *Ledger) begin(id ulid.ULID, voters []string, revision uint64) once.Decision[fate] {
+// catalog, which is named by the revision of its newest change. It may be newer
+// than the one that SetVoters was last told of: it is installed first. If it is
+// older, the node may not be the owner any more, and the id is refused.
+func (l *Ledger) begin(id ulid.ULID, votersRevision uint64) once.Decision[fate] {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.setVoters(voters, revision)
-	if !slices.Equal(l.voters, voters) {
+	l.setVoters(votersRevision)
+	if votersRevision < l.votersRevision {
 		return once.Decision[fate]{Kind: once.Refuse, Reason: once.ReasonSuspended, MayHaveRun: true}
 	}
 	l.settle()
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -95,7 +95,7 @@
 // own decides about an id that this node owns by a catalog. The query goes on when the
 // caller goes away, so that a later submission learns its outcome.
 func (e *Executor) own(ctx context.Context, planned *plan, id ulid.ULID, current *catalog.Catalog) (*api.QueryResponse, error) {
-	decision := e.config.Ledger.begin(id, current.VoterNames(), current.Revision)
+	decision := e.config.Ledger.begin(id, current.VotersRevision)
 	// The decision counts only if the node was still fresh after it was made,
 	// and its ownership lasted until then.
 	fresh := e.config.Catalogs.Fresh() && e.config.Ledger.holds(decision)
--- a/internal/executor/once_test.go
+++ b/internal/executor/once_test.go
@@ -178,7 +178,7 @@
 func TestFenceAfterAVoterChange(t *testing.T) {
 	f := settled(t)
 	changed := exampleCatalog()
-	changed.Revision = 10
+	changed.Revision, changed.VotersRevision = 10, 10
 	changed.Voters = voters("node-a1", "node-b1")
 	f.catalogs.current = changed
 	f.executor.SetVoters(changed)
@@ -205,7 +205,7 @@
 	f := settled(t)
 	request := f.filingOf("node-b1")
 	changed := exampleCatalog()
-	changed.Revision = 10
+	changed.Revision, changed.VotersRevision = 10, 10
 	changed.Voters = voters("node-a1", "node-c1")
 	f.catalogs.current = changed
 	for owner := f.ownerOf(request); owner != "node-a1"; owner = f.ownerOf(request) {
@@ -227,7 +227,7 @@
 	f := settled(t)
 	request := f.filing()
 	changed := exampleCatalog()
-	changed.Revision = 10
+	changed.Revision, changed.VotersRevision = 10, 10
 	changed.Voters = voters("node-a1", "node-b1", "node-c1", "node-d1")
 	f.executor.SetVoters(changed)
 	f.pass(time.Minute)
@@ -239,12 +239,28 @@
 	}
 }
 
+// TestVotersThatChangedAndChangedBack has a node that missed two changes of the
+// voting set, which cancel out: an owner in between may have run its ids.
+func TestVotersThatChangedAndChangedBack(t *testing.T) {
+	f := settled(t)
+	changed := exampleCatalog()
+	changed.Revision, changed.VotersRevision = 11, 11
+	f.catalogs.current = changed
+	f.executor.SetVoters(changed)
+	f.proved = false
+	_, err := f.executor.Query(context.Background(), "rate-desk", f.filing())
+	requireUnavailable(t, "changed back", err)
+	if f.scatterer.calls != 0 {
+		t.Error("it ran")
+	}
+}
+
 // TestOwnershipThatEndsAfterTheDecision takes a decision back if the voting set
 // changed before the node was seen fresh again.
 func TestOwnershipThatEndsAfterTheDecision(t *testing.T) {
 	f := settled(t)
 	changed := exampleCatalog()
-	changed.Revision = 10
+	changed.Revision, changed.VotersRevision = 10, 10
 	changed.Voters = voters("node-b1", "node-c1")
 	f.executor.config.Catalogs = &changingCatalogs{fakeCatalogs: f.catalogs, change: func() { f.executor.SetVoters(changed) }}
 	_, err := f.executor.Query(context.Background(), "rate-desk", f.filing())
