settings: refuse a duration without unit; print defaults, not zeros

Tests of the program found two faults:

- "drain_timeout = 30" was taken as 30 nanoseconds: the TOML decoder puts a whole number into a duration as Go holds it. testdata/wrong_types.toml had such a line all along, and its golden file lacked the error.
A number is refused now, in files, inline tables and flags.
It prints the defaults, or the error with exit code 2.

The value of a flag is no longer quoted twice in an error. Golden files hold help, printed settings and exit codes of the program.

--- a/cmd/micaplank/main.go
+++ b/cmd/micaplank/main.go
@@ -43,12 +43,15 @@
 func run() int {
 	chosen, overrides := parse()
 	configured, err := settings.Load(chosen.file, overrides...)
-	if chosen.print {
-		return report(settings.Print(os.Stdout, configured), exitFailed)
+	if chosen.print && chosen.file == "" && len(overrides) == 0 {
+		configured, err = settings.Defaults(), nil
 	}
 	if err != nil {
 		return report(err, exitUsage)
 	}
+	if chosen.print {
+		return report(settings.Print(os.Stdout, configured), exitFailed)
+	}
 	if chosen.check {
 		fmt.Println("The settings are valid.")
 		return 0
--- /dev/null
+++ b/cmd/micaplank/main_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// runVariable makes the test binary run as the program.
+const runVariable = "MICAPLANK_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runVariable) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// runProgram runs the program and returns its output and exit code.
+func runProgram(t *testing.T, arguments ...string) string {
+	t.Helper()
+	command := exec.Command(os.Args[0], arguments...)
+	// The race detector would sleep a second at the end of each process.
+	command.Env = []string{runVariable + "=1", "GORACE=atexit_sleep_ms=0"}
+	output, err := command.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("$ micaplank %s\n%sexit %d\n\n", strings.Join(arguments, " "), output, command.ProcessState.ExitCode())
+}
+
+func assertGolden(t *testing.T, name string, commands [][]string) {
+	t.Helper()
+	var report strings.Builder
+	for _, arguments := range commands {
+		report.WriteString(runProgram(t, arguments...))
+	}
+	goldie.New(t).Assert(t, name, []byte(report.String()))
+}
+
+func TestHelpGolden(t *testing.T) {
+	assertGolden(t, "help", [][]string{{"--help"}, {"--version"}})
+}
+
+// TestPrintSettingsGolden prints the defaults, also without the name and zone
+// that have none, and what a file and flags make of them.
+func TestPrintSettingsGolden(t *testing.T) {
+	assertGolden(t, "print_settings", [][]string{
+		{"--print-settings"},
+		{"--print-settings", "--settings", "testdata/valid.toml", "--zone", "b", "--set", "limits.drain_timeout=1m"},
+	})
+}
+
+// TestSettingsThatAreWrong ends with exit code 2 and starts nothing.
+func TestSettingsThatAreWrong(t *testing.T) {
+	files, err := filepath.Glob("testdata/wrong_*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no test data: %v", err)
+	}
+	commands := [][]string{
+		{"--check-settings", "--settings", "testdata/valid.toml"},
+		{"--check-settings"},
+		{"--check-settings", "--settings", "testdata/missing.toml"},
+		{"--check-settings", "--settings", "testdata/valid.toml", "--listen-http", "localhost:7201"},
+		{"--check-settings", "--settings", "testdata/valid.toml", "--set", "limits.body_bytes=big"},
+		{"--check-settings", "--settings", "testdata/valid.toml", "--set", "limits"},
+		{"--check-settings", "--bogus"},
+		{"bogus"},
+		{"--print-settings", "--settings", files[0]},
+	}
+	for _, file := range files {
+		commands = append(commands, []string{"--check-settings", "--settings", file}, []string{"--settings", file})
+	}
+	assertGolden(t, "wrong", commands)
+}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -20,6 +20,8 @@
 	key    string
 	expect string
 	table  bool
+	// duration is true for a value that is written as text with a unit.
+	duration bool
 }
 
 // knownFields lists every key, in the order of the settings.
@@ -36,7 +38,7 @@
 			fields = append(fields, listFields(member.Type, key+".")...)
 			continue
 		}
-		fields = append(fields, field{key: key, expect: expect})
+		fields = append(fields, field{key: key, expect: expect, duration: member.Type == reflect.TypeFor[Duration]()})
 	}
 	return fields
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -128,11 +128,50 @@
 }
 
 func decodeStrict(document string, target *Settings) error {
-	return toml.NewDecoder(strings.NewReader(document)).DisallowUnknownFields().Decode(target)
+	decoded := *target
+	if err := toml.NewDecoder(strings.NewReader(document)).DisallowUnknownFields().Decode(&decoded); err != nil {
+		return err
+	}
+	var values map[string]any
+	if err := toml.Unmarshal([]byte(document), &values); err != nil {
+		return err
+	}
+	if err := checkDurations(values, ""); err != nil {
+		return err
+	}
+	*target = decoded
+	return nil
+}
+
+// bareDurationError is a duration that is a number. The decoder would take it
+// as nanoseconds, since that is how Go holds a duration.
+type bareDurationError struct{ key string }
+
+// Error names the key.
+func (e *bareDurationError) Error() string { return e.key + " is a number without a unit" }
+
+func checkDurations(values map[string]any, prefix string) error {
+	for name, value := range values {
+		switch value := value.(type) {
+		case map[string]any:
+			if err := checkDurations(value, prefix+name+"."); err != nil {
+				return err
+			}
+		case int64:
+			if known, _ := findField(prefix + name); known.duration {
+				return &bareDurationError{key: known.key}
+			}
+		}
+	}
+	return nil
 }
 
 // failedKey is the full key at which decoding stopped, or fallback.
 func failedKey(err error, fallback string) string {
+	var bare *bareDurationError
+	if errors.As(err, &bare) {
+		return bare.key
+	}
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
 		return strings.Join(unknown.Errors[0].Key(), ".")
--- a/internal/settings/override.go
+++ b/internal/settings/override.go
@@ -39,7 +39,11 @@
 			return
 		}
 	}
-	l.add(origin, override.Key, known.expect, quote(override.Value))
+	value := override.Value
+	if !strings.HasPrefix(value, `"`) && !strings.HasPrefix(value, "[") {
+		value = quote(value)
+	}
+	l.add(origin, override.Key, known.expect, value)
 }
 
 var escaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`, "\r", `\r`)
