settings: take only node names that can be voters

The name of a node could begin with a digit and have 64 characters; "add voter" takes neither, so such a node could never vote. Both use the rule of the catalog now.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -5,13 +5,12 @@
 	"fmt"
 	"net/netip"
 	"reflect"
-	"regexp"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
-)
 
-var slotPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$`)
+	"github.com/micaplank/micaplank/internal/catalog"
+)
 
 var checker = newChecker()
 
@@ -40,7 +39,7 @@
 	checker.RegisterTagNameFunc(func(member reflect.StructField) string { return member.Tag.Get(tagTOML) })
 	checker.RegisterCustomTypeFunc(addressText, netip.Addr{}, netip.AddrPort{})
 	rules := map[string]validator.Func{
-		"slot":            func(level validator.FieldLevel) bool { return slotPattern.MatchString(level.Field().String()) },
+		"slot":            func(level validator.FieldLevel) bool { return catalog.ValidName(level.Field().String()) },
 		"concrete":        func(level validator.FieldLevel) bool { return isConcrete(level.Field().String()) },
 		"remote":          func(level validator.FieldLevel) bool { return isRemote(level.Field().String()) },
 		"remote_or_empty": func(level validator.FieldLevel) bool { return isRemoteOrEmpty(level.Field().String()) },
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,9 +11,9 @@
 // Settings is everything that a node process is told at its start. The tags
 // "expect" say in words what a value must be, "comment" what it does.
 type Settings struct {
-	Name      string     `toml:"name" comment:"Slot of this node, unique among the nodes. A replacement machine takes its predecessor's." validate:"required,slot" expect:"1 to 64 lower-case letters, digits and hyphens, such as \"node-a1\""`
-	Zone      string     `toml:"zone" comment:"Zone and region of this machine." validate:"required,slot" expect:"1 to 64 lower-case letters, digits and hyphens, such as \"a\""`
-	Region    string     `toml:"region" validate:"required,slot" expect:"1 to 64 lower-case letters, digits and hyphens, such as \"tokyo\""`
+	Name      string     `toml:"name" comment:"Slot of this node, unique among the nodes. A replacement machine takes its predecessor's." validate:"required,slot" expect:"a lower-case letter and at most 62 more lower-case letters, digits and hyphens, such as \"node-a1\""`
+	Zone      string     `toml:"zone" comment:"Zone and region of this machine." validate:"required,slot" expect:"a lower-case letter and at most 62 more lower-case letters, digits and hyphens, such as \"a\""`
+	Region    string     `toml:"region" validate:"required,slot" expect:"a lower-case letter and at most 62 more lower-case letters, digits and hyphens, such as \"tokyo\""`
 	Advertise netip.Addr `toml:"advertise" comment:"IP address at which other nodes reach this one. Empty: that of listen.peer." validate:"concrete" expect:"an IP address such as \"10.0.0.7\", or \"\""`
 
 	Listen     Listen     `toml:"listen"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -140,3 +140,15 @@
 		}
 	})
 }
+
+// TestNamesCanBeVoters takes only names that the command language can name.
+func TestNamesCanBeVoters(t *testing.T) {
+	for name, valid := range map[string]bool{
+		"a": true, "node-a1": true, strings.Repeat("n", 63): true,
+		"1a": false, "-a": false, "Node": false, "node.a": false, strings.Repeat("n", 64): false,
+	} {
+		if _, err := settings.Parse("file", []byte("name = \""+name+"\"\nzone = \"a\"\n")); (err == nil) != valid {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+}
