leaf: check deadline and guard directly before the write

Cause: a process frozen between the decision to send and the write would send the request after it woke, since the context's timer runs late. The body of a request now asks, when net/http reads its first byte, whether the deadline has passed by the clock and whether the new Config.Guard admits the request; if not, nothing goes out and Sent is false. Load reports pass the guard.

Seen failing first: without the question before the write, a request reaches the server although the guard refuses; without the comparison with the clock, one reaches it after its deadline.

Tests wait longer for a connection, as a busy machine dials slowly.

--- a/internal/leaf/body.go
+++ b/internal/leaf/body.go
@@ -11,7 +11,10 @@
 // without its body a request cannot run.
 type requestBody struct {
 	content []byte
-	state   atomic.Uint32
+	// admit is asked directly before the first byte is handed over: the
+	// process may have been frozen since the request was made.
+	admit func() error
+	state atomic.Uint32
 }
 
 // The states of a requestBody.
@@ -23,9 +26,8 @@
 
 // Read implements io.Reader. It is called by one goroutine at a time.
 func (b *requestBody) Read(buffer []byte) (int, error) {
-	b.state.CompareAndSwap(bodyUnread, bodyStarted)
-	if b.state.Load() == bodyAbandoned {
-		return 0, io.ErrClosedPipe
+	if err := b.start(); err != nil {
+		return 0, err
 	}
 	n := copy(buffer, b.content)
 	b.content = b.content[n:]
@@ -35,6 +37,21 @@
 	return n, nil
 }
 
+// start makes sure that the body may be read.
+func (b *requestBody) start() error {
+	if b.state.Load() == bodyUnread {
+		if err := b.admit(); err != nil {
+			b.abandon()
+			return err
+		}
+		b.state.CompareAndSwap(bodyUnread, bodyStarted)
+	}
+	if b.state.Load() == bodyAbandoned {
+		return io.ErrClosedPipe
+	}
+	return nil
+}
+
 // Close implements io.Closer. It abandons the body if it is still unread.
 func (b *requestBody) Close() error {
 	b.abandon()
--- a/internal/leaf/call.go
+++ b/internal/leaf/call.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"sync"
+	"time"
 )
 
 // buffers recycles the buffers that replies are read into.
@@ -30,10 +31,10 @@
 	if err != nil {
 		return false, newTransportError(StepConnect, address, false, err)
 	}
-	if err := ctx.Err(); err != nil {
+	body := &requestBody{content: content, admit: func() error { return c.admit(ctx) }}
+	if err := onTime(ctx); err != nil {
 		return false, newTransportError(StepSend, address, false, err)
 	}
-	body := &requestBody{content: content}
 	response, err := conn.client.RoundTrip(newRequest(ctx, address, method, path, body))
 	if err != nil {
 		return false, sendError(address, body, err)
@@ -45,6 +46,23 @@
 	return conn.watched.goingAway.Load(), nil
 }
 
+// admit reports why a request with a body must not be sent now.
+func (c *Client) admit(ctx context.Context) error {
+	if err := onTime(ctx); err != nil {
+		return err
+	}
+	return c.config.Guard()
+}
+
+// onTime compares the deadline with the clock, because the context's timer
+// runs late after a freeze.
+func onTime(ctx context.Context) error {
+	if deadline, limited := ctx.Deadline(); limited && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return ctx.Err()
+}
+
 // newRequest builds the request by hand: http.NewRequest would set GetBody for
 // some bodies, which allows net/http to send them again. For the same reason
 // there is no Idempotency-Key header.
--- a/internal/leaf/config.go
+++ b/internal/leaf/config.go
@@ -24,6 +24,10 @@
 	// default.
 	PingAfter   time.Duration
 	PingTimeout time.Duration
+	// Guard is asked directly before the first byte of a request's body goes
+	// out; if it returns an error the request is not sent. By default nothing
+	// is held back. It is called concurrently and must not block.
+	Guard func() error
 }
 
 // The defaults of Config.
@@ -47,6 +51,9 @@
 	setDefault(&c.ReplyLimit, DefaultReplyLimit)
 	setDefault(&c.PingAfter, DefaultPingAfter)
 	setDefault(&c.PingTimeout, DefaultPingTimeout)
+	if c.Guard == nil {
+		c.Guard = func() error { return nil }
+	}
 	return c
 }
 
--- a/internal/leaf/once_test.go
+++ b/internal/leaf/once_test.go
@@ -20,6 +20,7 @@
 
 func newTestClient(t *testing.T, config Config) *Client {
 	t.Helper()
+	config.ConnectWait = 5 * time.Second // a busy machine dials slowly
 	client := New(config, prometheus.NewRegistry())
 	t.Cleanup(client.Close)
 	return client
@@ -238,3 +239,38 @@
 		t.Errorf("after Forget: %v", err)
 	}
 }
+
+// frozenContext is a context whose deadline has passed in a freeze, so that
+// its timer has not run yet.
+type frozenContext struct{ context.Context }
+
+func (frozenContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// TestNothingIsSentAfterAFreeze has the guard refuse, or the deadline pass,
+// between the decision to send and the write.
+func TestNothingIsSentAfterAFreeze(t *testing.T) {
+	errStale := errors.New("stale")
+	server := startRawServer(t, func(conn *rawConn, stream uint32, body []byte) bool {
+		conn.reply(stream, answer(body))
+		return true
+	})
+	guarded := newTestClient(t, Config{Guard: func() error { return errStale }})
+	_, err := guarded.Execute(testContext(t), server.address(), testRequest(false))
+	var transportError *TransportError
+	if !errors.As(err, &transportError) || transportError.Sent || !errors.Is(err, errStale) {
+		t.Errorf("stale: %v", err)
+	}
+	client := newTestClient(t, Config{})
+	_, err = client.Execute(frozenContext{testContext(t)}, server.address(), testRequest(false))
+	if !errors.As(err, &transportError) || transportError.Sent || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("late: %v", err)
+	}
+	if _, err := guarded.Load(testContext(t), server.address()); errors.Is(err, errStale) {
+		t.Errorf("a load report is held back: %v", err)
+	}
+	guarded.Close()
+	client.Close()
+	if arrivals := server.arrivals.Load(); arrivals != 0 {
+		t.Errorf("%d arrivals", arrivals)
+	}
+}
