micactl: tell when to ask again, and what a lost majority of voters means

With two of three voters frozen for 9 s, the third stayed fresh by reading the store, and a change was in the store but not accepted. The text of the status said that nodes stop serving; it says now that they serve while they can read the store.

--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/micaplank/micaplank/internal/api"
 	"github.com/micaplank/micaplank/internal/language"
@@ -38,8 +39,14 @@
 	return nil
 }
 
-// queryError says of an insert whose answer was lost that it may have run.
+// queryError says of an insert whose answer was lost that it may have run, and
+// of a problem when to ask again.
 func queryError(statement language.Statement, err error) error {
+	var problem *api.Problem
+	if errors.As(err, &problem) && problem.RetryAfterMilliseconds > 0 {
+		again := time.Duration(problem.RetryAfterMilliseconds) * time.Millisecond
+		return fmt.Errorf("%w\nask again:  after %s", err, again)
+	}
 	var unreachable *UnreachableError
 	if _, isInsert := statement.(*language.Insert); isInsert && errors.As(err, &unreachable) && unreachable.Sent {
 		return fmt.Errorf("the insert may or may not have run: %w", err)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -138,7 +138,7 @@
 		text += ", missing: " + strings.Join(missing, ", ")
 	}
 	if up < needed {
-		text += "; NO MAJORITY: no change is accepted and the nodes stop serving"
+		text += "; NO MAJORITY: no change is accepted, and nodes serve only while they can read the store"
 	}
 	return text
 }
