--- /dev/null
+++ b/internal/node/operating_page_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/micaplank/micaplank/internal/api"
+)
+
+var (
+	metricInText  = regexp.MustCompile(`micaplank_[a-z]+_[a-z_]+`)
+	problemInText = regexp.MustCompile(`urn:micaplank:problem:[a-z-]+`)
+	linkInText    = regexp.MustCompile(`\]\(#([a-z-]+)\)`)
+	headingInText = regexp.MustCompile(`(?m)^#+ (.*)$`)
+)
+
+// TestOperatingPageNamesWhatExists checks the metrics, problem types and
+// sections that docs/OPERATING.md names.
+func TestOperatingPageNamesWhatExists(t *testing.T) {
+	content, err := os.ReadFile("../../docs/OPERATING.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(content)
+	_, registry := buildNode(t)
+	metrics, err := registry.Metrics("micaplank_")
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := make(map[string]bool)
+	for _, metric := range metrics {
+		known[metric.Name] = true
+	}
+	for _, description := range api.ProblemDescriptions() {
+		known[string(description.Type)] = true
+	}
+	for _, name := range append(metricInText.FindAllString(page, -1), problemInText.FindAllString(page, -1)...) {
+		if !known[name] {
+			t.Errorf("there is no %s", name)
+		}
+	}
+	sections := make(map[string]bool)
+	for _, heading := range headingInText.FindAllStringSubmatch(page, -1) {
+		sections[strings.ReplaceAll(strings.ToLower(heading[1]), " ", "-")] = true
+	}
+	for _, link := range linkInText.FindAllStringSubmatch(page, -1) {
+		if !sections[link[1]] {
+			t.Errorf("there is no section %s", link[1])
+		}
+	}
+}
