dispatch: keep requests that run once away from leaves that failed

A leaf that failed is tried again after a pause. If the request that tries it may not be repeated and is lost, its outcome is unknown. Such requests now take a replica that has answered since, if there is one; the new test failed before (4 of 4 requests went to the leaf that had failed). Failures of attempts that were in flight together lengthen the pause once, not once each.

--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -142,8 +142,12 @@
 	l.estimated, l.estimatedAt = others, now
 }
 
-// failed holds the leaf off, longer with each failure in a row.
+// failed holds the leaf off, longer with each failure in a row. Failures of
+// attempts that were in flight together count once.
 func (l *leafState) failed(now Time, config BackoffConfig) {
+	if l.failures > 0 && l.held(now) {
+		return
+	}
 	pause := min(config.Initial<<min(l.failures, 16), config.Maximum)
 	l.failures++
 	l.hold(now + pause)
--- a/internal/decide/dispatch/mechanism_test.go
+++ b/internal/decide/dispatch/mechanism_test.go
@@ -279,3 +279,22 @@
 		t.Errorf("%+v", r.finishes[id])
 	}
 }
+
+func TestRequestThatMayNotBeRepeatedAvoidsDoubtfulLeaves(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.load(10)
+	r.submit(1)
+	failed := r.open[0]
+	r.open = nil
+	r.perform(r.d.Fail(r.now, failed.Attempt, Failure{Sent: true}))
+	r.run(time.Second)
+	class := catalog.Class{Name: "file", Priority: 1}
+	for range 4 {
+		r.nextID++
+		r.perform(r.d.Submit(r.now, Query{ID: r.nextID, Class: class, Deadline: r.now + time.Second}))
+		if sent := r.open[len(r.open)-1]; sent.Leaf == failed.Leaf {
+			t.Errorf("sent to the leaf that failed: %+v", sent)
+		}
+		r.run(20 * time.Millisecond)
+	}
+}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -107,8 +107,12 @@
 	if shard.group == nil {
 		return nil, choiceNone
 	}
-	verdict := d.collect(shard, q.priority(d.now), shard.tried)
-	if verdict == choiceNone && shard.tried != 0 {
+	avoided := shard.tried
+	if !q.Class.Repeatable {
+		avoided |= shard.group.doubtful()
+	}
+	verdict := d.collect(shard, q.priority(d.now), avoided)
+	if verdict == choiceNone && avoided != 0 {
 		verdict = d.collect(shard, q.priority(d.now), 0)
 	}
 	if verdict != choiceSend {
@@ -127,6 +131,18 @@
 	return chosen, choiceSend
 }
 
+// doubtful returns the replicas that have failed and not answered since. A
+// request that may not be repeated is not the one to try them.
+func (g *group) doubtful() uint32 {
+	mask := uint32(0)
+	for index, l := range g.leaves {
+		if l.failures > 0 {
+			mask |= replicaBit(index)
+		}
+	}
+	return mask
+}
+
 // collect fills the candidates for a shard, without the excluded replicas.
 func (d *Dispatcher) collect(shard *shardState, priority int, excluded uint32) choice {
 	d.candidates = d.candidates[:0]
