executor: an owner of once ids must be in touch with a majority of the voters

Seen in a run of the real programs: with two of three voters frozen for 9 s, the third stayed fresh, because a read of the store proves that as well. So a process whose slot another one has taken over, cut off from the other nodes but not from the store, would stay fresh and go on as the owner of its ids, while the new process runs ids beyond its fence. docs/design/0005 rests on the owner being confirmed by a majority of voters, which freshness alone does not show.

The decision of the ledger now counts only if a majority of the voters was heard from within the freshness window; and an ownership is proved only by voters that were heard from since it began, instead of by what they held at any time.

Before: TestOwnerThatIsCutOffFromTheVoters ran the id. After: refused as unavailable, and taken when the node is in touch again. make demo: as before, the filing ran once. Not covered: a node that hears the voters but whose own packets are lost; the exact proof would be the time at which the voters' answers, without the store and relays, confirm the node.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -76,8 +76,13 @@
 	Scatterers Scatterers
 	Forwarder  Forwarder
 	Ledger     *Ledger
-	Clock      clock.Clock
-	Metrics    *Metrics
+	// Acknowledged reports whether a majority of the voters has been heard
+	// from of late. Only then would this process know that another one has
+	// taken over its slot, and so its ids: that the catalog is fresh may also
+	// be known from the store alone.
+	Acknowledged func() bool
+	Clock        clock.Clock
+	Metrics      *Metrics
 	// RetryWhenStale is the time after which a caller that was refused,
 	// because this node was not fresh, may ask again.
 	RetryWhenStale time.Duration
--- a/internal/executor/fixture_test.go
+++ b/internal/executor/fixture_test.go
@@ -98,7 +98,9 @@
 	clock      *manualClock
 	wall       time.Time
 	proved     bool
-	minted     uint64
+	// cutOff says that no other voter is heard from.
+	cutOff bool
+	minted uint64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -122,6 +124,7 @@
 		Scatterers:     f.scatterers,
 		Forwarder:      f.forwarder,
 		Ledger:         f.ledger,
+		Acknowledged:   func() bool { return !f.cutOff },
 		Clock:          f.clock,
 		Metrics:        NewMetrics(prometheus.NewRegistry()),
 		RetryWhenStale: retryWhenStale,
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -96,9 +96,9 @@
 // caller goes away, so that a later submission learns its outcome.
 func (e *Executor) own(ctx context.Context, planned *plan, id ulid.ULID, current *catalog.Catalog) (*api.QueryResponse, error) {
 	decision := e.config.Ledger.begin(id, current.VotersRevision)
-	// The decision counts only if the node was still fresh after it was made,
-	// and its ownership lasted until then.
-	fresh := e.config.Catalogs.Fresh() && e.config.Ledger.holds(decision)
+	// The decision counts only if the node was still fresh and in touch with
+	// the voters after it was made, and its ownership lasted until then.
+	fresh := e.config.Acknowledged() && e.config.Catalogs.Fresh() && e.config.Ledger.holds(decision)
 	switch decision.Kind {
 	case once.Replay:
 		return decision.Outcome.answer, decision.Outcome.err()
--- a/internal/executor/once_test.go
+++ b/internal/executor/once_test.go
@@ -165,6 +165,23 @@
 	}
 }
 
+// TestOwnerThatIsCutOffFromTheVoters is fresh, by reading the store. Another
+// process may have its slot and run the same id.
+func TestOwnerThatIsCutOffFromTheVoters(t *testing.T) {
+	f := settled(t)
+	request := f.filing()
+	f.cutOff = true
+	_, err := f.executor.Query(context.Background(), "rate-desk", request)
+	requireUnavailable(t, "cut off", err)
+	if f.scatterer.calls != 0 {
+		t.Error("it ran")
+	}
+	f.cutOff = false
+	if _, err := f.executor.Query(context.Background(), "rate-desk", request); err != nil {
+		t.Errorf("back in touch: %v", err)
+	}
+}
+
 func TestNoVoters(t *testing.T) {
 	f := newFixture(t)
 	request := f.filing()
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/dissemination"
 	"github.com/micaplank/micaplank/internal/membership"
 )
@@ -24,23 +25,42 @@
 }
 
 // ownershipProved reports whether this node was confirmed after the given
-// reading of the clock and a majority of the voters hold the revision.
+// reading of the clock, and a majority of the voters, each heard from since,
+// hold the revision.
 func (n *Node) ownershipProved(after time.Duration, revision uint64) bool {
 	left := n.dissemination.FreshFor()
 	confirmed := n.clock.Now() + left - n.settings.Freshness.Window.Duration()
 	if left <= 0 || confirmed <= after {
 		return false
 	}
-	voters := n.dissemination.Current().Voters
-	holding := 0
-	if _, voter := voters[n.settings.Name]; voter {
-		holding++
+	return n.majority(func(peer dissemination.PeerRevision) bool {
+		return peer.At > after && peer.Revision >= revision
+	})
+}
+
+// acknowledged reports whether a majority of the voters has been heard from
+// within the freshness window. A process whose slot was taken over learns of it
+// from them; reading the store alone, it would not.
+func (n *Node) acknowledged() bool {
+	since := n.clock.Now() - n.settings.Freshness.Window.Duration()
+	return n.majority(func(peer dissemination.PeerRevision) bool { return peer.At > since })
+}
+
+// majority reports whether the voters that counts accepts, with this node if it
+// is one, are more than half.
+func (n *Node) majority(counts func(dissemination.PeerRevision) bool) bool {
+	return isMajority(n.dissemination.Current().Voters, n.settings.Name, n.dissemination.PeerRevisions(), counts)
+}
+
+func isMajority(voters map[string]catalog.Voter, self string, peers []dissemination.PeerRevision, counts func(dissemination.PeerRevision) bool) bool {
+	counted := 0
+	if _, voter := voters[self]; voter {
+		counted++
 	}
-	for _, peer := range n.dissemination.PeerRevisions() {
-		_, voter := voters[peer.Name]
-		if voter && peer.Name != n.settings.Name && peer.Revision >= revision {
-			holding++
+	for _, peer := range peers {
+		if _, voter := voters[peer.Name]; voter && peer.Name != self && counts(peer) {
+			counted++
 		}
 	}
-	return holding > len(voters)/2
+	return counted > len(voters)/2
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -215,6 +215,7 @@
 		Scatterers:     n.services,
 		Forwarder:      forwarder{n},
 		Ledger:         n.ledger,
+		Acknowledged:   n.acknowledged,
 		Clock:          n.clock,
 		Metrics:        executor.NewMetrics(n.registry),
 		RetryWhenStale: n.settings.Freshness.ExchangeInterval.Duration(),
