--- a/internal/rehearsal/experiment/bar.go
+++ b/internal/rehearsal/experiment/bar.go
@@ -82,8 +82,9 @@
 	}
 	figure := Figure{Least: slices.Min(values), Most: slices.Max(values), Count: len(values)}
 	for _, value := range values {
-		figure.Mean += value / float64(len(values))
+		figure.Mean += value
 	}
+	figure.Mean /= float64(len(values))
 	for _, value := range values {
 		figure.Deviation += (value - figure.Mean) * (value - figure.Mean)
 	}
--- a/internal/rehearsal/experiment/experiment_test.go
+++ b/internal/rehearsal/experiment/experiment_test.go
@@ -90,6 +90,9 @@
 	if figure.Mean != 2 || figure.Deviation != 1 || figure.Least != 1 || figure.Most != 3 {
 		t.Errorf("%+v", figure)
 	}
+	if ones := NewFigure([]float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}); ones.Mean != 1 || ones.Deviation != 0 {
+		t.Errorf("ten ones: %+v", ones)
+	}
 	most := 2.0
 	if bar := (Bar{Most: &most}); !bar.meets(figure) || bar.meets(NewFigure([]float64{3})) {
 		t.Error("the bar is judged wrongly")
