dissemination: name the voters' incarnations only when the requester lacks them

Every answer of a voter listed the incarnations of all voters' slots, which is most of its size with 13 voters. A request now carries a hash of what the requester knows of them, and the list is left out if it is the same.

A proposer with more than 64 members looks at them each 50 ms instead of after each answer, and polls from a random one on, so that silent members do not keep the others waiting.

--- a/internal/dissemination/core.go
+++ b/internal/dissemination/core.go
@@ -26,9 +26,11 @@
 	voters []string
 
 	// claims holds the highest incarnation known of each voter's slot.
-	claims   map[string]uint64
-	slots    map[string]*slot
-	takeover takeover
+	claims map[string]uint64
+	// knownHash is the hash of what is known of the slots; 0 if out of date.
+	knownHash uint64
+	slots     map[string]*slot
+	takeover  takeover
 
 	sequence uint64
 	requests map[uint64]pendingRequest
@@ -207,6 +209,7 @@
 func (c *Core) installed(now Time) {
 	c.ready.Catalog = c.log.catalog
 	c.voters = c.log.catalog.VoterNames()
+	c.knownHash = 0
 	c.resetSlots()
 	c.applyRelayed()
 	c.reconfirm(now)
--- a/internal/dissemination/exchange.go
+++ b/internal/dissemination/exchange.go
@@ -107,6 +107,7 @@
 		Incarnation: c.self.Incarnation,
 		Revision:    c.log.revision(),
 		Claim:       pending.claimed != 0,
+		Known:       c.knownClaims(),
 	}})
 }
 
@@ -139,22 +140,6 @@
 	c.send(from, Packet{Response: response})
 }
 
-// claimsFor lists the claims on voters' slots, if this node is a voter, and in
-// any case one that supersedes the requester.
-func (c *Core) claimsFor(request *ExchangeRequest) []Claim {
-	var claims []Claim
-	voter := c.holdsSlot()
-	for _, name := range c.voters {
-		if known := c.claims[name]; voter && known != 0 && name != request.Name {
-			claims = append(claims, Claim{Name: name, Incarnation: known})
-		}
-	}
-	if known := c.claims[request.Name]; known > request.Incarnation {
-		claims = append(claims, Claim{Name: request.Name, Incarnation: known})
-	}
-	return claims
-}
-
 // learn takes the answer to a request of this process; any other is dropped.
 func (c *Core) learn(now Time, from netip.AddrPort, response *ExchangeResponse) {
 	pending, ok := c.requests[response.Sequence]
--- a/internal/dissemination/proposal.go
+++ b/internal/dissemination/proposal.go
@@ -83,6 +83,7 @@
 	acceptance acceptance
 	acceptedAt Time
 	nextPoll   Time
+	nextCheck  Time
 	result     *Result
 }
 
@@ -214,6 +215,12 @@
 // listed but not alive may serve on for a while, so it is waited for as well;
 // after the window no member that lacks the change can serve.
 func (c *Core) spread(now Time, p *proposal) {
+	if now < p.nextCheck {
+		return
+	}
+	if len(c.members.alive) > maximumPushedTo {
+		p.nextCheck = now + spreadCheckInterval
+	}
 	held, missing := c.holding(p.change.Revision)
 	if len(missing) == 0 && c.allListedHold(p.change.Revision) {
 		c.finish(p, FateInForce, "")
@@ -226,14 +233,23 @@
 	}
 	if now >= p.nextPoll {
 		p.nextPoll = now + c.config.RetryInterval
-		for _, member := range missing[:min(len(missing), maximumPolled)] {
-			c.request(now, member.Address)
+		first := 0
+		if len(missing) > maximumPolled {
+			first = c.random.IntN(len(missing))
+		}
+		for index := range min(len(missing), maximumPolled) {
+			c.request(now, missing[(first+index)%len(missing)].Address)
 		}
 	}
 }
 
-// maximumPolled bounds the requests of one poll of the members.
-const maximumPolled = 256
+const (
+	// maximumPolled bounds the requests of one poll of the members.
+	maximumPolled = 256
+	// spreadCheckInterval is the time between looks at many members; a few are
+	// looked at after each answer.
+	spreadCheckInterval = 50 * time.Millisecond
+)
 
 // holding counts the alive members known to hold a revision, this node
 // included, and returns the others.
--- a/internal/dissemination/takeover.go
+++ b/internal/dissemination/takeover.go
@@ -1,5 +1,11 @@
 package dissemination
 
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // takeover is how a process comes to vote in its slot. Machines have no disks:
 // a process that holds a voter's name may be a replacement that has forgotten
 // what its predecessor acknowledged, while the predecessor may even run on.
@@ -76,6 +82,46 @@
 	return min(majority(voters), voters-1)
 }
 
+// known returns the incarnation that holds a voter's slot as far as is known;
+// zero if none is.
+func (c *Core) known(voter string) uint64 {
+	if voter == c.self.Name {
+		return c.self.Incarnation
+	}
+	return c.claims[voter]
+}
+
+// knownClaims returns a hash of what is known of the voters' slots.
+func (c *Core) knownClaims() uint64 {
+	if c.knownHash == 0 {
+		var digest xxhash.Digest
+		digest.Reset()
+		for _, name := range c.voters {
+			_, _ = digest.WriteString(name)
+			_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, c.known(name)))
+		}
+		c.knownHash = digest.Sum64()
+	}
+	return c.knownHash
+}
+
+// claimsFor lists what a requester may not know of the voters' slots, if this
+// node is a voter, and in any case a claim that supersedes the requester.
+func (c *Core) claimsFor(request *ExchangeRequest) []Claim {
+	var claims []Claim
+	if c.holdsSlot() && request.Known != c.knownClaims() {
+		for _, name := range c.voters {
+			if known := c.known(name); known != 0 && name != request.Name {
+				claims = append(claims, Claim{Name: name, Incarnation: known})
+			}
+		}
+	}
+	if known := c.claims[request.Name]; known > request.Incarnation {
+		claims = append(claims, Claim{Name: request.Name, Incarnation: known})
+	}
+	return claims
+}
+
 // maximumClaims bounds the slots remembered.
 const maximumClaims = 1024
 
@@ -90,6 +136,7 @@
 		return
 	}
 	c.claims[claim.Name] = claim.Incarnation
+	c.knownHash = 0
 	// What the predecessor registered says nothing of its successor.
 	delete(c.takeover.registered, claim.Name)
 }
@@ -103,6 +150,7 @@
 	}
 	if !c.takeover.recovered && now-c.startedAt < c.config.Window {
 		c.self.Incarnation = claim.Incarnation + 1 + c.random.Uint64N(incarnationSpread)
+		c.knownHash = 0
 		c.takeover.complete = false
 		clear(c.takeover.registered)
 		return
--- a/internal/dissemination/types.go
+++ b/internal/dissemination/types.go
@@ -38,6 +38,9 @@
 	// Claim says that the sender holds a voter's slot; the receiver registers
 	// the incarnation.
 	Claim bool
+	// Known is a hash of the incarnations of the voters' slots that the sender
+	// knows.
+	Known uint64
 }
 
 // ExchangeResponse answers an ExchangeRequest.
@@ -54,7 +57,7 @@
 	Confirmed bool
 	Age       time.Duration
 	// Claims lists the highest incarnations that the sender knows of voter
-	// slots.
+	// slots; it is empty if the requester knows the same ones.
 	Claims []Claim
 }
 
