node: a node that was cut off learns which leaves are leaving before it sends

Cause, found by the test of real processes that stops one node (SIGSTOP) while leaves are told to leave: notices of leaving leaves were pushed once. The node that slept through them woke fresh and sent 273 attempts to two leaves that had left (a leaf with a lying report, and one that flapped), the first 6.4 s after the word, the last when the test ended. Each node now asks another one for all marks every second, and sends nothing unless it was answered within 3 s.

Second cause: freshness speaks of the newest catalog, but the dispatchers were told of it a moment later by another goroutine: one attempt reached a retired leaf 7.4 s after the command. Whoever asks for permission to act now installs the newest catalog first, and scatter looks again whether the leaf is usable, directly before the send.

The status page read the revision before the freshness; a catalog installed in between made it claim 'fresh' at an older revision. Now the other way round.

Not covered: two nodes that sleep in turn and ask only each other.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	errNotFresh   = errors.New("the catalog may be out of date")
 	errDraining   = errors.New("the node is leaving")
 	errSuperseded = errors.New("another process has taken over the slot of this node")
+	errMarks      = errors.New("other nodes have not been asked of late which leaves are leaving")
 	errLeaves     = errors.New("some leaves have not been asked for their load yet")
 )
 
@@ -58,6 +59,8 @@
 	membership    *membership.Service
 	dissemination *dissemination.Service
 	health        *topology.HealthCheck
+	marks         marksClock
+	installed     installation
 	services      *services
 	ledger        *executor.Ledger
 	executor      *executor.Executor
@@ -188,7 +191,11 @@
 
 // buildQueryPath makes the parts that run queries.
 func (n *Node) buildQueryPath() {
-	n.leaves = leaf.New(leafConfig(n.settings.Leaf), n.registry)
+	leaves := leafConfig(n.settings.Leaf)
+	// Scatter asks before it hands an attempt over; the client asks again
+	// directly before the first byte, since a freeze may lie in between.
+	leaves.Guard = n.mayAct
+	n.leaves = leaf.New(leaves, n.registry)
 	dispatchConfig := dispatch.DefaultConfig()
 	dispatchConfig.Zone = n.settings.Zone
 	n.services = newServices(dispatchConfig, scatter.Config{
@@ -211,7 +218,7 @@
 	n.ledger = executor.NewLedger(onceConfig(n.settings), n.clock, n.ownershipProved)
 	n.executor = executor.New(executor.Config{
 		Self:           n.settings.Name,
-		Catalogs:       n.dissemination,
+		Catalogs:       catalogs{n},
 		Scatterers:     n.services,
 		Forwarder:      forwarder{n},
 		Ledger:         n.ledger,
@@ -232,6 +239,17 @@
 	n.http = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout}
 }
 
+// catalogs tells the executor what is in force.
+type catalogs struct {
+	node *Node
+}
+
+// Current returns the installed catalog.
+func (c catalogs) Current() *catalog.Catalog { return c.node.dissemination.Current() }
+
+// Fresh reports whether the node may take work now.
+func (c catalogs) Fresh() bool { return c.node.mayAct() == nil }
+
 // mayAct says directly before a send whether the node may still send work.
 func (n *Node) mayAct() error {
 	if n.membership.Superseded() {
@@ -240,6 +258,10 @@
 	if !n.dissemination.Fresh() {
 		return errNotFresh
 	}
+	if !n.marks.inStep(n.clock.Now()) {
+		return errMarks
+	}
+	n.install()
 	return nil
 }
 
@@ -264,10 +286,3 @@
 func (n *Node) leafDraining(address netip.AddrPort, bootID string) {
 	n.health.Draining(address, bootID)
 }
-
-// install hands a new catalog to the parts that act on it.
-func (n *Node) install(current *catalog.Catalog) {
-	n.health.SetCatalog(current)
-	n.services.setCatalog(current)
-	n.executor.SetVoters(current)
-}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,6 +18,7 @@
 const (
 	methodQuery   = "query.owner"
 	methodLeaving = "topology.leaving"
+	methodMarks   = "topology.marks"
 	methodDrain   = "node.drain"
 )
 
@@ -57,6 +58,7 @@
 func (n *Node) registerCalls() {
 	peer.Register(n.peerServer, methodQuery, n.takeForward)
 	peer.Register(n.peerServer, methodLeaving, n.takeNotices)
+	peer.Register(n.peerServer, methodMarks, n.takeMarks)
 	peer.Register(n.peerServer, methodDrain, n.takeDrain)
 	n.datagrams.Handle(peer.KindMembership, n.membership.Receive)
 	n.dissemination.Serve(n.datagrams, n.peerServer)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -33,6 +33,7 @@
 	n.background.Go(n.followCatalog)
 	n.background.Go(n.followMembers)
 	n.background.Go(n.followMachines)
+	n.background.Go(n.followMarks)
 	n.background.Go(func() { n.ledger.Run(n.running) })
 	failed := make(chan error, 1)
 	n.background.Go(func() { failed <- ignoreClosed(n.http.Serve(n.listener)) })
@@ -94,13 +95,13 @@
 func (n *Node) followCatalog() {
 	changes, cancel := n.dissemination.Subscribe()
 	defer cancel()
-	n.install(n.dissemination.Current())
+	n.install()
 	for {
 		select {
 		case <-n.running.Done():
 			return
 		case <-changes:
-			n.install(n.dissemination.Current())
+			n.install()
 		}
 	}
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -12,11 +12,14 @@
 
 // Status describes the deployment as this node sees it.
 func (o *operations) Status(_ context.Context) (*api.StatusResponse, error) {
+	// In this order: a node that was fresh before its catalog was read holds
+	// all that was accepted by then.
+	fresh := o.node.dissemination.Fresh()
 	current := o.node.dissemination.Current()
 	nodes := o.node.nodeStatuses(current)
 	return &api.StatusResponse{
 		Revision: current.Revision,
-		Fresh:    o.node.dissemination.Fresh(),
+		Fresh:    fresh,
 		Nodes:    nodes,
 		Voters:   voterStatuses(current, nodes),
 		Leaves:   o.node.leafStatuses(),
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -18,9 +18,13 @@
 // The steps of an attempt before the leaf client takes over.
 const (
 	stepGuard    leaf.Step = "scatter_guard"
+	stepTopology leaf.Step = "scatter_topology"
 	stepDeadline leaf.Step = "scatter_deadline"
 )
 
+// errNotUsable says that a leaf was given up between the decision and the send.
+var errNotUsable = errors.New("the leaf takes no new work any more")
+
 // Conn runs the queries of one service. It is safe for concurrent use.
 type Conn struct {
 	config Config
@@ -28,6 +32,7 @@
 	mutex      sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	topology   dispatch.Topology
+	usable     map[netip.AddrPort]bool
 	lastQuery  dispatch.QueryID
 	queries    map[dispatch.QueryID]*query
 	attempts   map[dispatch.AttemptID]*attempt
@@ -120,10 +125,27 @@
 func (c *Conn) SetTopology(topology dispatch.Topology) {
 	c.step(func(now dispatch.Time) []dispatch.Action {
 		c.topology = topology
+		c.usable = usableLeaves(topology)
 		return c.dispatcher.SetTopology(now, topology)
 	})
 }
 
+func usableLeaves(topology dispatch.Topology) map[netip.AddrPort]bool {
+	usable := make(map[netip.AddrPort]bool, len(topology.Leaves))
+	for _, candidate := range topology.Leaves {
+		usable[candidate.Address] = candidate.Usable
+	}
+	return usable
+}
+
+// mayGetWork reports whether a leaf is usable now: the guard may have brought
+// in a newer topology than the one that a send was decided on.
+func (c *Conn) mayGetWork(address netip.AddrPort) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.usable[address]
+}
+
 // Snapshot returns the snapshot that a query of every shard would be pinned to
 // now; zero if none is known.
 func (c *Conn) Snapshot() catalog.Snapshot {
@@ -268,6 +290,9 @@
 	if err := c.config.Guard(); err != nil {
 		return nil, notSent(stepGuard, send.Leaf, err)
 	}
+	if !c.mayGetWork(send.Leaf) {
+		return nil, notSent(stepTopology, send.Leaf, errNotUsable)
+	}
 	remaining := running.deadline - c.config.Clock.Now()
 	if remaining <= 0 {
 		return nil, notSent(stepDeadline, send.Leaf, context.DeadlineExceeded)
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -169,6 +169,26 @@
 	}
 }
 
+// TestGuardMayBringANewerTopology covers a node that slept between the decision
+// and the send, while the leaves were retired: none gets work.
+func TestGuardMayBringANewerTopology(t *testing.T) {
+	leaves := newFaultyLeaves(1)
+	var conn *Conn
+	conn = newTestConn(leaves, func() error {
+		retired := testTopology()
+		for i := range retired.Leaves {
+			retired.Leaves[i].Usable = false
+		}
+		conn.SetTopology(retired)
+		return nil
+	})
+	defer conn.Close()
+	result := conn.Execute(context.Background(), Request{RequestID: "r", Class: repeatable, Timeout: time.Second, MinimumCoverage: 1})
+	if result.Outcome != dispatch.OutcomeNotRun || len(leaves.executed) > 0 {
+		t.Errorf("%s, executed %v", result.Outcome, leaves.executed)
+	}
+}
+
 // TestGuardForbidsSends covers a node that was frozen between the decision and
 // the send: nothing leaves, and "not run" is true.
 func TestGuardForbidsSends(t *testing.T) {
--- a/internal/topology/healthcheck.go
+++ b/internal/topology/healthcheck.go
@@ -91,6 +91,13 @@
 	h.change(func(Time) { h.table.Apply(notice) })
 }
 
+// Marks returns the marks of leaving leaves in force.
+func (h *HealthCheck) Marks() []Notice {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.table.Marks()
+}
+
 // Statuses lists every leaf of every service.
 func (h *HealthCheck) Statuses() []LeafStatus {
 	h.mutex.Lock()
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -219,6 +219,23 @@
 	return notices
 }
 
+// Marks returns the marks in force, however learned, in order of the leaves.
+// A node that was cut off from the others asks for them.
+func (t *Table) Marks() []Notice {
+	var marks []Notice
+	for _, address := range t.Addresses() {
+		if seen := t.observed[address]; seen != nil && seen.leaving != nil {
+			marks = append(marks, Notice{
+				Address: address,
+				BootID:  seen.leaving.bootID,
+				AddedAt: seen.leaving.addedAt,
+				Source:  seen.leaving.source,
+			})
+		}
+	}
+	return marks
+}
+
 func (t *Table) mark(address netip.AddrPort, bootID string, source Source) {
 	addedAt, configured := t.addedAt(address)
 	if !configured {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -140,3 +140,32 @@
 		t.Fatalf("got %v, want one notice %v", got, want)
 	}
 }
+
+// TestMarksBringAnotherNodeInStep hands the marks of one Table to another that
+// heard nothing but serving reports.
+func TestMarksBringAnotherNodeInStep(t *testing.T) {
+	tables := []*Table{New(DefaultConfig()), New(DefaultConfig())}
+	for _, table := range tables {
+		table.SetCatalog(catalogWith(1, false))
+		table.Report(0, testAddress, reportOf("a", leaf.StateServing))
+	}
+	told, other := tables[0], tables[1]
+	if marks := told.Marks(); len(marks) > 0 {
+		t.Errorf("marks before any word: %v", marks)
+	}
+	told.Draining(testAddress, "a")
+	told.Report(0, testAddress, reportOf("a", leaf.StateServing))
+	for _, mark := range told.Marks() {
+		other.Apply(mark)
+	}
+	if usable(other, 0) || len(other.Marks()) != 1 {
+		t.Error("the leaf is still usable")
+	}
+	if len(other.Notices()) > 0 {
+		t.Error("a mark of another node is spread again")
+	}
+	told.Report(0, testAddress, reportOf("b", leaf.StateServing))
+	if marks := told.Marks(); len(marks) > 0 {
+		t.Errorf("marks of an older boot: %v", marks)
+	}
+}
