node: run one against the stand-in of the store, through the operators' client

The test goes the whole way of an operator: language, HTTP, log of changes, fates, problems, a change found by its token, and the planned stop, after which no goroutine is left. It found that a change that would change nothing was a broken rule of the catalog (422); whether it changes something depends on the catalog as it is, so it is a conflict (409) now, as a taken name is.

--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -134,7 +134,7 @@
 		return api.ProblemUnknownLeaf
 	case catalog.CodeUnknownVoter:
 		return api.ProblemUnknownVoter
-	case catalog.CodeRevision, catalog.CodeDuplicate, catalog.CodeInUse:
+	case catalog.CodeRevision, catalog.CodeDuplicate, catalog.CodeInUse, catalog.CodeUnchanged:
 		return api.ProblemConflict
 	}
 	return api.ProblemInvalidChange
--- /dev/null
+++ b/internal/node/run_test.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/operator"
+	standin "github.com/micaplank/micaplank/internal/rehearsal/store"
+	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+// patience bounds every wait of these tests; nothing is measured by it.
+const patience = 30 * time.Second
+
+// runningNode is a node that runs against a stand-in of the store.
+type runningNode struct {
+	node    *Node
+	session *operator.Session
+	output  *strings.Builder
+	ended   chan error
+}
+
+func startNode(t *testing.T) *runningNode {
+	t.Helper()
+	store, err := standin.Start(standin.Config{Address: "127.0.0.1:0"}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	configured := settings.Example()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	configured.Listen.HTTP, configured.Listen.Peer = loopback, loopback
+	configured.Store.Endpoints = []netip.AddrPort{netip.MustParseAddrPort(store.Address())}
+	configured.Machines.Address = netip.AddrPort{}
+	started, err := New(configured, telemetry.NewRegistry("test"), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := &runningNode{node: started, output: new(strings.Builder), ended: make(chan error, 1)}
+	running.session = &operator.Session{
+		Client:  operator.NewClient([]netip.AddrPort{started.HTTPAddress()}, patience, "mori"),
+		Output:  running.output,
+		Format:  operator.FormatText,
+		Timeout: patience,
+	}
+	go func() { running.ended <- started.Run(context.Background()) }()
+	return running
+}
+
+// exec runs a statement and returns what the operator is told.
+func (r *runningNode) exec(text string, options operator.ExecOptions) (string, error) {
+	r.output.Reset()
+	err := r.session.Exec(context.Background(), text, options)
+	return r.output.String(), err
+}
+
+// awaitReady waits until the node takes work.
+func (r *runningNode) awaitReady(t *testing.T) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		response, err := client.Get("http://" + r.node.HTTPAddress().String() + "/readyz")
+		if err != nil {
+			continue
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Fatal("the node is not ready")
+}
+
+// TestOperatorsAtARunningNode goes the whole way of the operators: language,
+// HTTP, log of changes, and the planned stop.
+func TestOperatorsAtARunningNode(t *testing.T) {
+	ignored := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, ignored) }) // runs after the stand-in is closed
+	running := startNode(t)
+	running.awaitReady(t)
+	steps := []struct {
+		statement string
+		options   operator.ExecOptions
+		// want is part of the output, or the type of the problem.
+		want string
+	}{
+		{"add voter node-a1 zone a", operator.ExecOptions{}, "in force on 1 of 1 members, revision 1"},
+		{"create service rate-desk shards 4 replicas 1", operator.ExecOptions{DryRun: true}, "valid at revision 1"},
+		{"create service rate-desk shards 4 replicas 1", operator.ExecOptions{ChangeID: "token-7"}, "change 2-token-7"},
+		{"create service rate-desk shards 4 replicas 1", operator.ExecOptions{ChangeID: "token-7"}, "change 2-token-7"},
+		{"create service rate-desk shards 4 replicas 1", operator.ExecOptions{}, string(api.ProblemConflict)},
+		{"limit rate-desk concurrency 4 if revision 1", operator.ExecOptions{}, string(api.ProblemConflict)},
+		{"limit rate-desk concurrency 4 if revision 2", operator.ExecOptions{}, "revision 3"},
+		{"add voter node-x1 zone a", operator.ExecOptions{}, string(api.ProblemUnknownNode)},
+		{"stop service rate-desks", operator.ExecOptions{}, string(api.ProblemUnknownService)},
+		{"retire leaf 127.0.0.1:1", operator.ExecOptions{}, string(api.ProblemUnknownLeaf)},
+		{"drop class sweep on rate-desk", operator.ExecOptions{}, string(api.ProblemUnknownClass)},
+		{"show classes of rate-desks", operator.ExecOptions{}, string(api.ProblemUnknownService)},
+		{"show voters", operator.ExecOptions{}, "node-a1"},
+	}
+	for _, step := range steps {
+		output, err := running.exec(step.statement, step.options)
+		var problem *api.Problem
+		if errors.As(err, &problem) {
+			output = string(problem.Type)
+		} else if err != nil {
+			output = err.Error()
+		}
+		if !strings.Contains(output, step.want) {
+			t.Errorf("%s: got %q, want %q", step.statement, output, step.want)
+		}
+	}
+	running.output.Reset()
+	if err := running.session.Change(context.Background(), "token-7"); err != nil || !strings.Contains(running.output.String(), "revision 2") {
+		t.Errorf("change by its token: %v, %q", err, running.output)
+	}
+	if err := running.session.Drain(context.Background(), "node-a1"); err != nil {
+		t.Errorf("drain: %v", err)
+	}
+	select {
+	case err := <-running.ended:
+		if err != nil {
+			t.Errorf("the planned stop ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the node did not stop")
+	}
+}
+
+// TestStatusNamesVotersThatAreGone asks a running node.
+func TestStatusNamesVotersThatAreGone(t *testing.T) {
+	running := startNode(t)
+	running.awaitReady(t)
+	if _, err := running.exec("add voter node-a1 zone a", operator.ExecOptions{}); err != nil {
+		t.Fatal(err)
+	}
+	status, err := running.session.Client.Status(context.Background())
+	if err != nil || len(status.Voters) != 1 || status.Voters[0].State != api.NodeAlive || status.Voters[0].Revision != 1 {
+		t.Errorf("got %+v, %v", status, err)
+	}
+	running.node.beginDrain()
+	if err := <-running.ended; err != nil {
+		t.Error(err)
+	}
+}
