executor: say in words why an id is refused

"A part that is needed cannot be reached: The request id was refused: fenced" told a caller nothing: nothing was out of reach, and the word is the code's. The title covers what is not certain yet as well, and each reason has its words; a test wants them for every reason.

--- a/internal/api/problem_descriptions.go
+++ b/internal/api/problem_descriptions.go
@@ -62,7 +62,7 @@
 		"Ask again if the request may be repeated: a class declared `repeatable` may."},
 	{ProblemOutcomeUnknown, "The request may or may not have run; it is not repeated.", http.StatusGatewayTimeout,
 		"Ask again under the same request id: that never runs it a second time, and tells the outcome if the owner of the id still knows it. Do not send it under a new id unless running twice does no harm."},
-	{ProblemUnavailable, "A part that is needed cannot be reached.", http.StatusServiceUnavailable,
+	{ProblemUnavailable, "This cannot be done now: a part that is needed is away or not certain yet.", http.StatusServiceUnavailable,
 		"Ask again after Retry-After, or at another node. For a request that runs at most once: under the same id, if an earlier submission of it may have run; under a new id, made after that time, if there was none. An id that is refused as fenced is never taken later."},
 	{ProblemInternal, "The node met an internal error.", http.StatusInternalServerError,
 		"Report it with the request id; the log of the node has the error."},
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -133,10 +133,19 @@
 	return problem
 }
 
+// refusalTexts says in words why an id is refused.
+var refusalTexts = map[once.Reason]string{
+	once.ReasonFenced:    "its owner has changed, and the one before may have run it",
+	once.ReasonTooOld:    "it is older than the ids that are remembered",
+	once.ReasonFuture:    "the time in it is ahead of the clock of its owner",
+	once.ReasonFull:      "no more ids can be remembered now",
+	once.ReasonSuspended: "the voters or their processes have changed, and its owner is not certain yet",
+}
+
 // refuseOnce tells the caller of a refused id. "Not run" is said only if no
 // earlier submission of the id can have run.
 func (e *Executor) refuseOnce(planned *plan, decision once.Decision[fate], fresh bool) *api.Problem {
-	detail := fmt.Sprintf("The request id was refused: %s.", decision.Reason)
+	detail := fmt.Sprintf("The request id was refused (%s): %s.", decision.Reason, refusalTexts[decision.Reason])
 	if decision.MayHaveRun || !fresh {
 		problem := e.unavailable(planned.request, detail)
 		problem.RetryAfterMilliseconds = max(problem.RetryAfterMilliseconds, roundUpMilliseconds(decision.RetryAfter))
--- a/internal/executor/once_test.go
+++ b/internal/executor/once_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/micaplank/micaplank/internal/api"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/decide/once"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
@@ -203,6 +204,9 @@
 	old := f.filing()
 	_, err := f.executor.Query(context.Background(), "rate-desk", old)
 	requireUnavailable(t, "suspended", err)
+	if !strings.Contains(err.Error(), "(suspended): the voters") {
+		t.Errorf("got %v", err)
+	}
 	f.proved = true
 	_, err = f.executor.Query(context.Background(), "rate-desk", old)
 	requireUnavailable(t, "fenced", err)
@@ -215,6 +219,14 @@
 	}
 }
 
+func TestEveryReasonIsPutInWords(t *testing.T) {
+	for _, reason := range []once.Reason{once.ReasonFenced, once.ReasonTooOld, once.ReasonFuture, once.ReasonFull, once.ReasonSuspended} {
+		if refusalTexts[reason] == "" {
+			t.Errorf("no words for %s", reason)
+		}
+	}
+}
+
 // TestVotersThatTheLedgerDoesNotKnowYet has a catalog with another voting set
 // that is current already, before the ledger was told of it: the id, which
 // another node owned until now, must not run.
