--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -84,7 +84,8 @@
 
 func newSession(output io.Writer, format Format, nodes ...netip.AddrPort) *Session {
 	timeout := 5 * time.Second
-	return &Session{Client: NewClient(nodes, timeout, "mori"), Output: output, Format: format, Timeout: timeout}
+	now := func() time.Time { return time.Date(2026, 12, 2, 8, 15, 30, 0, time.UTC) }
+	return &Session{Client: NewClient(nodes, timeout, "mori"), Output: output, Format: format, Timeout: timeout, Now: now}
 }
 
 const rateDesk = `add voter node-a1 zone a
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -37,6 +37,8 @@
 	Format Format
 	// Timeout bounds a command that waits for something to happen.
 	Timeout time.Duration
+	// Now tells the time of day that watch shows; nil stands for time.Now.
+	Now func() time.Time
 	// told says that the error of the command is in the output already.
 	told bool
 }
@@ -58,6 +60,13 @@
 	return errors.Join(err, s.writeJSONLine(failure))
 }
 
+func (s *Session) now() time.Time {
+	if s.Now == nil {
+		return time.Now()
+	}
+	return s.Now()
+}
+
 // printf writes text to the output. What cannot be written has no reader.
 func (s *Session) printf(format string, arguments ...any) {
 	fmt.Fprintf(s.Output, format, arguments...)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if s.Format == FormatText {
-			s.printf("no status: %v\n\n", last)
+			s.printf("--- %s\nno status: %v\n\n", s.now().Format(time.TimeOnly), last)
 			continue
 		}
 		s.told = false
@@ -58,6 +58,7 @@
 	if s.Format == FormatJSON {
 		return s.writeJSONLine(status)
 	}
+	s.printf("--- %s\n", s.now().Format(time.TimeOnly))
 	s.writeStatus(status)
 	s.printf("\n")
 	return nil
