--- /dev/null
+++ b/internal/node/benchmark_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/operator"
+	standinleaf "github.com/micaplank/micaplank/internal/rehearsal/leaf"
+)
+
+const benchmarkStatement = "select * from filing-vault where quote = 'Q-17'"
+
+// BenchmarkAddedLatency asks one idle leaf without service time for one key,
+// directly by the leaf protocol and through an idle node. The difference of
+// the medians is the time that a node adds.
+func BenchmarkAddedLatency(b *testing.B) {
+	stand := startBenchmarkLeaf(b)
+	running := startNode(b)
+	running.awaitReady(b)
+	for _, statement := range []string{
+		"add voter node-a1 zone a",
+		"create service filing-vault shards 1 replicas 1 key quote",
+		"class pull on filing-vault priority 1 deadline 2s coverage 1.0 repeatable",
+		fmt.Sprintf("add leaf %s to filing-vault zone a shards 0", stand.Address()),
+	} {
+		if output, err := running.exec(statement, operator.ExecOptions{}); err != nil {
+			b.Fatal(statement, output, err)
+		}
+	}
+	running.awaitReady(b)
+	b.Run("direct", func(b *testing.B) { measureMedian(b, directCall(b, stand)) })
+	b.Run("through-node", func(b *testing.B) { measureMedian(b, queryCall(b, running)) })
+	running.node.beginDrain()
+	<-running.ended
+}
+
+func startBenchmarkLeaf(b *testing.B) *standinleaf.Server {
+	config := standinleaf.DefaultConfig()
+	config.Service, config.Zone = "filing-vault", "a"
+	config.Versions = []uint64{1}
+	config.Partitions = []standinleaf.Partition{{Epoch: 1, Shards: 1, Hold: []int{0}}}
+	config.Select = standinleaf.ServiceTime{}
+	server, err := standinleaf.Start(config, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(server.Close)
+	return server
+}
+
+// measureMedian reports the median time of a call, in microseconds.
+func measureMedian(b *testing.B, call func()) {
+	call()
+	var took []time.Duration
+	b.ReportAllocs()
+	for b.Loop() {
+		started := time.Now()
+		call()
+		took = append(took, time.Since(started))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "median-us")
+}
+
+func directCall(b *testing.B, stand *standinleaf.Server) func() {
+	client := leaf.New(leaf.Config{}, nil)
+	b.Cleanup(client.Close)
+	request := leaf.ExecuteRequest{
+		RequestID: "r", AttemptID: "a", Service: "filing-vault", Snapshot: catalog.Snapshot{Version: 1, Epoch: 1},
+		Statement: benchmarkStatement, RemainingMilliseconds: 2000, Repeatable: true,
+	}
+	return func() {
+		response, err := client.Execute(context.Background(), stand.Address(), request)
+		if err != nil || !response.Executed {
+			b.Fatal(response, err)
+		}
+	}
+}
+
+func queryCall(b *testing.B, running *runningNode) func() {
+	client := &http.Client{}
+	b.Cleanup(client.CloseIdleConnections)
+	url := "http://" + running.node.HTTPAddress().String() + strings.Replace(api.QueryPath, "{service}", "filing-vault", 1)
+	body, err := json.Marshal(api.QueryRequest{Class: "pull", Statement: benchmarkStatement})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return func() {
+		response, err := client.Post(url, "application/json", bytes.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		content, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			b.Fatalf("%s", content)
+		}
+	}
+}
--- a/internal/node/run_test.go
+++ b/internal/node/run_test.go
@@ -31,7 +31,7 @@
 	ended   chan error
 }
 
-func startNode(t *testing.T) *runningNode {
+func startNode(t testing.TB) *runningNode {
 	t.Helper()
 	store, err := standin.Start(standin.Config{Address: "127.0.0.1:0"}, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -66,7 +66,7 @@
 }
 
 // awaitReady waits until the node takes work.
-func (r *runningNode) awaitReady(t *testing.T) {
+func (r *runningNode) awaitReady(t testing.TB) {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
