--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -8,9 +8,13 @@
 type Config struct {
 	// Disabled takes every query; it is meant for experiments.
 	Disabled bool
-	// Safety is the share of the remaining time that the predicted time may
-	// fill. Default 0.8.
+	// Safety is the share of the remaining time that the predicted time of the
+	// most urgent work may fill. Default 0.8.
 	Safety float64
+	// Lenient takes the place of Safety for other work while the service is
+	// not saturated: what waits too long is served as the most urgent then.
+	// Default 0.95.
+	Lenient float64
 	// Strict takes the place of Safety for all but the most urgent work while
 	// the service is saturated: such work may starve, and predictions from
 	// its past are too good. Relief times the share of the work that the most
@@ -30,6 +34,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Safety:       0.8,
+		Lenient:      0.95,
 		Strict:       0.04,
 		Relief:       0.8,
 		Spread:       2,
@@ -63,12 +68,20 @@
 	if p.Wait <= 0 {
 		return p.Remaining > 0
 	}
-	share := c.Safety
-	if p.Saturated && !p.Urgent {
-		share = min(c.Strict+c.Relief*p.Left, c.Safety)
-	}
 	predicted := float64(p.Wait) + c.Spread*float64(p.Service)
-	return predicted <= share*float64(p.Remaining)
+	return predicted <= c.share(p)*float64(p.Remaining)
+}
+
+// share returns the share of the remaining time that the prediction may fill.
+func (c Config) share(p Prediction) float64 {
+	switch {
+	case p.Urgent:
+		return c.Safety
+	case p.Saturated:
+		return min(c.Strict+c.Relief*p.Left, c.Safety)
+	default:
+		return c.Lenient
+	}
 }
 
 // RetryAfter returns when a refused caller may ask again: after the work that
--- a/internal/decide/dispatch/admit.go
+++ b/internal/decide/dispatch/admit.go
@@ -18,19 +18,18 @@
 	if d.waiters == 0 {
 		return 0, true
 	}
-	longest := 0.0
+	wait := time.Duration(0)
 	for position := range q.shards {
 		if shard := &q.shards[position]; shard.group != nil {
-			longest = max(longest, d.predictWait(shard.group, q.class))
+			wait = max(wait, d.predictWait(shard.group, q))
 		}
 	}
-	wait := seconds(longest)
 	return wait, d.config.Admission.Admit(admission.Prediction{
 		Wait:      wait,
 		Service:   seconds(q.class.base),
 		Remaining: q.Deadline - d.now,
 		Urgent:    urgent,
-		Saturated: d.saturation.mean >= saturated,
+		Saturated: d.saturated(),
 		Left:      d.leftByUrgent(),
 	})
 }
@@ -58,34 +57,41 @@
 	d.finish(q, OutcomeNotRun, ReasonOverload)
 }
 
-// saturated is the saturation from which the service counts as overloaded.
-const saturated = 1.0
+// fullSaturation is the saturation from which the service counts as overloaded.
+const fullSaturation = 1.0
 
-// predictWait returns the time in seconds until new work of the class gets a
-// slot of the group: for each class that goes first, the work that waits for
-// the leaves of the group over the rate at which such work can be sent there.
-// That is the rate of late, or that of the slots that others and the classes
-// before it leave free.
-func (d *Dispatcher) predictWait(g *group, class *classState) float64 {
+// predictWait returns the time until a new query gets a slot of the group: for
+// each class that goes first, the work that waits for the leaves of the group
+// over the rate at which such work can be sent there. That is the rate of
+// late, or that of the slots that others and the classes before it leave free.
+// Unless the service is saturated, the query waits until its promotion, and
+// then for the most urgent work only.
+func (d *Dispatcher) predictWait(g *group, q *query) time.Duration {
 	d.loads = d.loads[:0]
 	for _, l := range g.leaves {
 		if l.takesWork() && !l.held(d.now) {
 			d.loads = append(d.loads, leafLoad{leaf: l, slowness: d.slowness(l), spare: float64(l.slots) - l.othersLong})
 		}
 	}
-	longest := 0.0
+	longest, urgent := time.Duration(0), time.Duration(0)
 	for _, other := range d.ranked {
 		longest = max(longest, d.predictClass(g, other))
-		if other == class {
+		if other.priority <= d.ranked[0].priority {
+			urgent = longest
+		}
+		if other == q.class {
 			break
 		}
 	}
-	return longest
+	if d.saturated() {
+		return longest
+	}
+	return min(longest, urgent+q.promoteAt-d.now)
 }
 
-// predictClass does so for one class, and takes its slots from the loads. The
-// wait is at least that of the first that waits.
-func (d *Dispatcher) predictClass(g *group, class *classState) float64 {
+// predictClass predicts the wait for the work of one class, and takes its
+// slots from the loads. The wait is at least that of the first that waits.
+func (d *Dispatcher) predictClass(g *group, class *classState) time.Duration {
 	work, sent, free := 0.0, 0.0, 0.0
 	for index := range d.loads {
 		load := &d.loads[index]
@@ -100,7 +106,7 @@
 	if work == 0 || rate == 0 {
 		return 0
 	}
-	return max(work/rate, g.waiting.age(class, d.now).Seconds())
+	return max(seconds(work/rate), g.waiting.age(class, d.now))
 }
 
 // saturation is the share of the slots of all leaves that are in use, as a
@@ -113,6 +119,12 @@
 // saturationMemory is the time constant of the mean: a few bursts long.
 const saturationMemory = 100 * time.Millisecond
 
+// saturated reports whether the service is overloaded, as far as the leaves
+// tell.
+func (d *Dispatcher) saturated() bool {
+	return d.saturation.mean >= fullSaturation
+}
+
 // sampleSaturation takes in the present use of the slots.
 func (d *Dispatcher) sampleSaturation() {
 	busy, slots := 0.0, 0
