gateway: give up on a body that does not arrive

A caller that sent half of a body held its request until it went away; such a request also held up a planned stop for the whole drain timeout, which then ended as if something had been cut off. The body has 10 s now.

--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -19,9 +21,9 @@
 	DeadlineMilliseconds *int64 `json:"deadline_ms"`
 }
 
-func decodeQuery(c echo.Context) (api.QueryRequest, error) {
+func (g *Gateway) decodeQuery(c echo.Context) (api.QueryRequest, error) {
 	var body queryBody
-	if err := decode(c, &body); err != nil {
+	if err := g.decode(c, &body); err != nil {
 		return api.QueryRequest{}, err
 	}
 	request := body.QueryRequest
@@ -37,9 +39,17 @@
 }
 
 // decode reads a JSON body strictly: an unknown key, a wrong type or a second
-// value is an error that says where.
-func decode(c echo.Context, target any) error {
-	decoder := json.NewDecoder(c.Request().Body)
+// value is an error that says where. A body that arrives too slowly is given up
+// on, since it would hold up a planned stop.
+func (g *Gateway) decode(c echo.Context, target any) error {
+	// The server ends the deadline itself when it has read the whole body. A
+	// writer that is no connection, as in tests, has none.
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
+	return decodeStrict(c.Request().Body, target)
+}
+
+func decodeStrict(body io.Reader, target any) error {
+	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
 		return decodeProblem(err)
@@ -49,8 +59,8 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		return nil
-	case errors.As(err, &tooLarge):
-		return err
+	case errors.As(err, &tooLarge), errors.Is(err, os.ErrDeadlineExceeded):
+		return decodeProblem(err)
 	}
 	return api.NewProblem(api.ProblemInvalidRequest, "The body must hold one JSON object and nothing after it.")
 }
@@ -63,6 +73,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return api.NewProblem(api.ProblemInvalidRequest, "The body did not arrive in time.")
 	case errors.As(err, &wrongType):
 		return api.NewProblem(api.ProblemInvalidRequest, describeWrongType(wrongType))
 	case errors.As(err, &syntax):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
@@ -41,10 +42,16 @@
 	Logger  *slog.Logger
 	// BodyBytes limits the size of a request body.
 	BodyBytes int64
+	// BodyTimeout limits the time in which a request body arrives; zero means
+	// DefaultBodyTimeout.
+	BodyTimeout time.Duration
 	// Ready says whether the node takes work now, and if not, why.
 	Ready func() error
 }
 
+// DefaultBodyTimeout is the longest time in which a request body arrives.
+const DefaultBodyTimeout = 10 * time.Second
+
 // Gateway is an http.Handler. It is safe for concurrent use.
 type Gateway struct {
 	config   Config
@@ -54,6 +61,9 @@
 
 // New returns a Gateway.
 func New(config Config) *Gateway {
+	if config.BodyTimeout == 0 {
+		config.BodyTimeout = DefaultBodyTimeout
+	}
 	gateway := &Gateway{config: config, router: echo.New()}
 	gateway.router.HTTPErrorHandler = gateway.writeError
 	gateway.router.Use(gateway.recoverPanics(), gateway.limitBody, gateway.closeWhenDraining)
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -21,7 +21,7 @@
 const maximumOperatorTimeout = 5 * time.Minute
 
 func (g *Gateway) query(c echo.Context) error {
-	request, err := decodeQuery(c)
+	request, err := g.decodeQuery(c)
 	if err != nil {
 		return err
 	}
@@ -34,7 +34,7 @@
 
 func (g *Gateway) statement(c echo.Context) error {
 	var request api.StatementRequest
-	if err := decode(c, &request); err != nil {
+	if err := g.decode(c, &request); err != nil {
 		return err
 	}
 	ctx, cancel, err := operatorContext(c, request.TimeoutMilliseconds)
