dissemination: prove when a voter's slot was last this process's own

The ledger of at-most-once requests asks whether the voters still acknowledge this process. The times of PeerRevisions cannot tell: a packet that waited in the socket buffer of a frozen process, or was delayed, is noted when it is taken in. HeldAt counts from the sending of the request, counts only voters that have recovered and have registered this incarnation, and optionally asks for a revision.

--- a/internal/dissemination/core.go
+++ b/internal/dissemination/core.go
@@ -182,7 +182,8 @@
 	Name        string
 	Incarnation uint64
 	Revision    uint64
-	// At is when that was learned.
+	// At is when that was learned. What was learned then may have been on the
+	// way for long; HeldAt tells what is proved.
 	At Time
 }
 
--- a/internal/dissemination/evidence.go
+++ b/internal/dissemination/evidence.go
@@ -20,6 +20,9 @@
 	incarnation uint64
 	revision    uint64
 	voter       bool
+	// registered says that the request claimed this node's slot with its
+	// incarnation, so that the voter knows it.
+	registered bool
 }
 
 // relayedConfirmation is a peer's confirmation that counts once this node holds
@@ -113,6 +116,37 @@
 	c.recover(now)
 }
 
+// HeldAt returns the latest time c such that a majority of the voters have
+// answered requests that were sent at c or later with at least a revision; false
+// if there is none. This node counts as asked now if it votes.
+//
+// If this node holds a voter's slot, only answers count that register its
+// incarnation. As soon as a successor in the slot has been registered by a
+// majority, some answer names it and HeldAt rises no more. So HeldAt with
+// revision 0 dates the last moment at which the slot was certainly this
+// process's own.
+func (c *Core) HeldAt(now Time, revision uint64) (Time, bool) {
+	if c.takeover.superseded || len(c.voters) == 0 {
+		return 0, false
+	}
+	times := make([]Time, 0, len(c.voters))
+	if c.votes() && c.log.revision() >= revision {
+		times = append(times, now)
+	}
+	holder := c.holdsSlot()
+	for name, s := range c.slots {
+		if c.counts(name, s, revision) && (s.latest.registered || !holder) {
+			times = append(times, s.latest.sentAt)
+		}
+	}
+	need := c.quorum()
+	if len(times) < need {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[len(times)-need], true
+}
+
 // advance raises the confirmation; it never falls, because what is proved
 // once stays true.
 func (c *Core) advance(at Time) {
--- a/internal/dissemination/exchange.go
+++ b/internal/dissemination/exchange.go
@@ -172,7 +172,8 @@
 	if !c.current(response.Name, response.Incarnation) {
 		return
 	}
-	if pending.claimed != 0 && pending.claimed == c.self.Incarnation {
+	registered := pending.claimed != 0 && pending.claimed == c.self.Incarnation
+	if registered {
 		c.takeover.registered[response.Name] = true
 	}
 	sentAt := pending.sentAt
@@ -185,6 +186,7 @@
 		incarnation: response.Incarnation,
 		revision:    response.Revision,
 		voter:       response.Voter,
+		registered:  registered,
 	})
 }
 
--- a/internal/dissemination/service.go
+++ b/internal/dissemination/service.go
@@ -283,6 +283,17 @@
 	return s.core.Superseded()
 }
 
+// HeldAt returns the latest reading of the clock such that a majority of the
+// voters have answered requests sent then or later with at least a revision, and
+// whether there is one. With revision 0 it dates the last moment at which the
+// voter slot of this node, if it holds one, was certainly its own. Unlike the
+// times of PeerRevisions it is proof after a freeze or a delay.
+func (s *Service) HeldAt(revision uint64) (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.HeldAt(s.clock.Now(), revision)
+}
+
 // PeerRevisions returns what is known of the members' revisions.
 func (s *Service) PeerRevisions() []PeerRevision {
 	s.mutex.Lock()
--- a/internal/dissemination/simulation_test.go
+++ b/internal/dissemination/simulation_test.go
@@ -211,6 +211,7 @@
 
 // check is what a node does before it acts.
 func (p *process) check() {
+	p.checkSlot()
 	p.world.asked++
 	if !p.core.Fresh(p.local()) {
 		return
@@ -222,6 +223,22 @@
 	}
 }
 
+// checkSlot checks that a voter's slot belongs to one process: the last time at
+// which it was this one's own is before a successor had been registered.
+func (p *process) checkSlot() {
+	own, ok := p.core.HeldAt(p.local(), 0)
+	if !ok || !p.core.votes() || len(p.core.Catalog().Voters) < 2 {
+		return
+	}
+	for _, other := range p.world.processes {
+		taken := &other.core.takeover
+		if other.member.Name == p.member.Name && !other.dead && other.core.Incarnation() > p.core.Incarnation() &&
+			taken.complete && len(other.core.Catalog().Voters) > 1 && taken.completedAt-other.offset < own-p.offset {
+			p.world.violate("slot %s belongs to two processes", p.member.Name)
+		}
+	}
+}
+
 // collect carries out what the core asks for.
 func (p *process) collect() {
 	w := p.world
