--- a/internal/rehearsal/experiment/experiment_test.go
+++ b/internal/rehearsal/experiment/experiment_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -27,10 +28,20 @@
 	}
 }
 
+func readCommitted(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(committed, "saigon.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
 func TestLoadIsStrict(t *testing.T) {
 	cases := map[string]string{
 		"unknown key":   "name = \"x\"\nspeed = 1\n",
 		"missing parts": "name = \"x\"\n",
+		"unknown fault": strings.Replace(readCommitted(t), `kind = "slow"`, `kind = "sleepy"`, 1),
 		"bad duration":  "[deployment.network]\nclients = \"fast\"\n",
 	}
 	for name, text := range cases {
--- a/internal/rehearsal/simulation/config.go
+++ b/internal/rehearsal/simulation/config.go
@@ -178,7 +178,7 @@
 
 // Fault is one entry of a schedule.
 type Fault struct {
-	Kind     FaultKind `toml:"kind" json:"kind" validate:"required"`
+	Kind     FaultKind `toml:"kind" json:"kind" validate:"oneof=slow pause crash lose lose_zone drain retire list_leaving lie stale_reply roll repartition freeze_node"`
 	At       Duration  `toml:"at" json:"at" validate:"gte=0"`
 	Duration Duration  `toml:"duration" json:"duration" validate:"gte=0"`
 	Leaf     int       `toml:"leaf" json:"leaf" validate:"gte=0"`
--- a/internal/rehearsal/simulation/world.go
+++ b/internal/rehearsal/simulation/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/catalog"
@@ -67,6 +68,9 @@
 		if fault.Leaf >= c.Service.Leaves || fault.Node >= len(c.Deployment.Nodes) {
 			return fmt.Errorf("scenario %s: fault %d: no such leaf or node", c.Scenario.Name, i+1)
 		}
+		if fault.Kind == FaultLoseZone && !slices.Contains(c.Deployment.Zones, fault.Zone) {
+			return fmt.Errorf("scenario %s: fault %d: no zone %q", c.Scenario.Name, i+1, fault.Zone)
+		}
 	}
 	return nil
 }
