peer: close promptly, and try again on another connection that ended idle

A server's Close waited up to 3 s for connections that had not sent their greeting. TestIdleConnectionsAreClosedAndReopened failed once in about ten runs under load (idle timeout 1 ms): a call that found its pooled connection ended was given the same one again.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -74,6 +74,10 @@
 	}
 }
 
+// linkRetries is how often a call is tried again on another connection after
+// one that ended before anything was sent on it.
+const linkRetries = 3
+
 // Call sends request to a method of a peer and waits for its response, which
 // it stores into response, a pointer to a struct. It never sends a request
 // twice: it tries again only if no byte of it was sent. It blocks until the response, the end of ctx or the loss of the
@@ -82,7 +86,10 @@
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	failure := c.call(ctx, to, method, request, response)
-	if failure != nil && !failure.Sent && errors.Is(failure.Err, ErrLost) {
+	for range linkRetries {
+		if failure == nil || failure.Sent || !errors.Is(failure.Err, ErrLost) {
+			break
+		}
 		// The pooled connection had just ended; nothing was sent on it.
 		failure = c.call(ctx, to, method, request, response)
 	}
@@ -116,7 +123,11 @@
 	if l.failure != nil {
 		return &Error{Step: l.failure.Step, Err: l.failure.Err}
 	}
-	return l.exchange(ctx, method, request, response)
+	failure := l.exchange(ctx, method, request, response)
+	if failure != nil && errors.Is(failure.Err, ErrLost) {
+		c.forget(l)
+	}
+	return failure
 }
 
 // link returns a usable connection or one that is being opened, and counts a
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,6 +29,7 @@
 	mutex    sync.Mutex
 	methods  map[string]method
 	links    map[*serverLink]struct{}
+	greeting map[net.Conn]struct{} // connections that have not greeted yet
 	draining bool
 	closed   bool
 
@@ -51,6 +52,7 @@
 		metrics:  metrics,
 		methods:  map[string]method{},
 		links:    map[*serverLink]struct{}{},
+		greeting: map[net.Conn]struct{}{},
 	}, nil
 }
 
@@ -104,11 +106,17 @@
 
 func (s *Server) greet(connection net.Conn) {
 	defer s.running.Done()
+	if !s.beginGreeting(connection) {
+		_ = connection.Close()
+		return
+	}
 	_ = connection.SetDeadline(time.Now().Add(handshakeTimeout))
 	// The greeting is answered also if the other side's is wrong: it then
 	// sees whom it has reached.
 	wrong := expectGreeting(connection)
-	if greet(connection) != nil || wrong != nil {
+	unsent := greet(connection)
+	s.endGreeting(connection)
+	if unsent != nil || wrong != nil {
 		s.metrics.calls.WithLabelValues("", "handshake_failed").Inc()
 		_ = connection.Close()
 		return
@@ -117,6 +125,22 @@
 	s.serve(connection)
 }
 
+func (s *Server) beginGreeting(connection net.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		return false
+	}
+	s.greeting[connection] = struct{}{}
+	return true
+}
+
+func (s *Server) endGreeting(connection net.Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.greeting, connection)
+}
+
 func (s *Server) serve(connection net.Conn) {
 	sent := s.metrics.bytes.WithLabelValues("sent")
 	received := s.metrics.bytes.WithLabelValues("received")
@@ -197,6 +221,9 @@
 	for l := range s.links {
 		l.link.close()
 	}
+	for connection := range s.greeting {
+		_ = connection.Close()
+	}
 	s.mutex.Unlock()
 	s.running.Wait()
 	return err
