node: the question before the first byte does not install a catalog

It is asked by net/http's write of a body and must not block. Work is admitted, with the newest catalog installed, by the executor and by scatter directly before an attempt; the leaf client only asks whether the node may still act.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,7 +202,7 @@
 		AttemptPrefix: fmt.Sprintf("%s/%d", n.settings.Name, n.incarnation),
 		Leaves:        n.leaves,
 		Clock:         n.clock,
-		Guard:         n.mayAct,
+		Guard:         n.admit,
 		OnDraining:    n.leafDraining,
 		Metrics:       scatter.NewMetrics(n.registry),
 	}, n.incarnation)
@@ -248,7 +248,7 @@
 func (c catalogs) Current() *catalog.Catalog { return c.node.dissemination.Current() }
 
 // Fresh reports whether the node may take work now.
-func (c catalogs) Fresh() bool { return c.node.mayAct() == nil }
+func (c catalogs) Fresh() bool { return c.node.admit() == nil }
 
 // mayAct says directly before a send whether the node may still send work.
 func (n *Node) mayAct() error {
@@ -261,6 +261,15 @@
 	if !n.marks.inStep(n.clock.Now()) {
 		return errMarks
 	}
+	return nil
+}
+
+// admit says whether work may begin now. It installs the newest catalog first,
+// so that what is decided from here on follows it.
+func (n *Node) admit() error {
+	if err := n.mayAct(); err != nil {
+		return err
+	}
 	n.install()
 	return nil
 }
