membership: do not pass on what a digest brought; keep the list of members

Cause: a run of 1,600 hollow nodes was still spreading the news of its start after 40 s, at 9 KB a second and node: a new node takes in all members by digests, and passed each of them on as news, though all others had them.

Names of zones and regions are shared between the records.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -88,6 +90,12 @@
 	nextGossip time.Duration
 	nextZones  time.Duration
 
+	// listed is the last list of members, made at listedVersion of the view,
+	// and listedSelf the place of this node in it.
+	listed        []Member
+	listedVersion uint64
+	listedSelf    int
+
 	ready      Ready
 	statistics Statistics
 }
@@ -126,14 +134,22 @@
 	c.heard = max(c.heard, revision)
 }
 
-// Members returns all known members that are not gone, this node first.
+// Members returns all known members that are not gone, this node included,
+// ordered by name. The list is made anew only after a change; it must not be
+// modified.
 func (c *Core) Members() []Member {
-	members := make([]Member, 0, len(c.view.live)+1)
-	members = append(members, c.self)
-	for _, p := range c.view.live {
-		members = append(members, p.Member)
+	if c.listed == nil || c.listedVersion != c.view.version || c.listed[c.listedSelf] != c.self {
+		c.listed = make([]Member, 0, c.members())
+		for _, p := range c.view.ordered {
+			c.listed = append(c.listed, p.Member)
+		}
+		c.listedSelf, _ = slices.BinarySearchFunc(c.listed, c.self.Name, func(m Member, name string) int {
+			return strings.Compare(m.Name, name)
+		})
+		c.listed = slices.Insert(c.listed, c.listedSelf, c.self)
+		c.listedVersion = c.view.version
 	}
-	return members
+	return c.listed
 }
 
 // Lookup returns what is known of a member, gone ones included.
@@ -231,9 +247,11 @@
 	}
 	c.advance(now)
 	c.hearRevision(packet.Revision)
+	c.syncing.receiving = packet.Kind == PacketRecords
 	for _, update := range packet.Updates {
 		c.merge(update)
 	}
+	c.syncing.receiving = false
 	c.observeSender(from, packet)
 	if c.silent() {
 		return
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -18,7 +18,8 @@
 // gone, by bucket of the name.
 type digest [digestBuckets]uint32
 
-// bucketOf returns the bucket of a name out of a power of two of buckets.
+// bucketOf returns the bucket of a name out of a power of two of buckets. The
+// bucket out of fewer is the remainder of the bucket out of more.
 func bucketOf(name string, buckets int) int {
 	return int(xxhash.Sum64String(name) % uint64(buckets))
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -50,7 +50,9 @@
 	c.adopt(update, known.Member)
 }
 
-// adopt stores a record, tells the node and passes the update on.
+// adopt stores a record, tells the node and passes the update on. What came in
+// answer to a digest is not passed on: the others have it, or get it by their
+// own digests, and a new node gets all members in this way.
 func (c *Core) adopt(update Update, previous Member) {
 	record := update.member()
 	if previous.State == StateSuspect && record.State != StateSuspect {
@@ -67,7 +69,9 @@
 	if isNew && !p.gone() {
 		c.probing.include(c.random, p)
 	}
-	c.broadcasts.add(c.forwarded(update, previous))
+	if !c.syncing.receiving {
+		c.broadcasts.add(c.forwarded(update, previous))
+	}
 	c.event(Event{Kind: EventChanged, Member: record, Previous: previous})
 }
 
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -174,7 +174,8 @@
 	}
 }
 
-// Members returns all known members that are not gone, this node first.
+// Members returns all known members that are not gone, this node included,
+// ordered by name. The list must not be modified.
 func (s *Service) Members() []Member {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -16,6 +16,8 @@
 	nextReconnect time.Duration
 	// rounds is how many more digests may follow in the exchange that runs.
 	rounds int
+	// receiving is set while the answer to a digest is taken in.
+	receiving bool
 	// replies is how many digests were answered since repliesSince.
 	replies      int
 	repliesSince time.Duration
@@ -132,22 +134,15 @@
 // at a random place.
 func (c *Core) recordsOf(wanted []bool, buckets int) []Update {
 	var records []Update
-	collect := func(m Member, p *peer) {
-		if !wanted[bucketOf(m.Name, buckets)] {
-			return
-		}
-		if p == nil {
-			records = append(records, fullUpdate(m))
-			return
+	if wanted[bucketOf(c.self.Name, buckets)] {
+		records = append(records, fullUpdate(c.self))
+	}
+	for _, peers := range [][]*peer{c.view.live, c.view.gone} {
+		for _, p := range peers {
+			if wanted[p.bucket%buckets] {
+				records = append(records, c.describe(p))
+			}
 		}
-		records = append(records, c.describe(p))
-	}
-	collect(c.self, nil)
-	for _, p := range c.view.live {
-		collect(p.Member, p)
-	}
-	for _, p := range c.view.gone {
-		collect(p.Member, p)
 	}
 	start := c.random.IntN(len(records) + 1)
 	return append(records[start:], records[:start]...)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -10,8 +10,9 @@
 // peer is a member other than this node, with what is kept about it.
 type peer struct {
 	Member
-	// fingerprint is the share of this member in the digest; zero while gone.
+	// fingerprint is the share of this member in its bucket of the digest.
 	fingerprint uint32
+	bucket      int
 	suspicion   *suspicion
 	goneAt      time.Duration
 	// liveIndex and zoneIndex are the places in view.live and zone.live; they
@@ -41,7 +42,12 @@
 type view struct {
 	byName map[string]*peer
 	live   []*peer
-	zones  []*zone
+	// ordered is live in the order of names, and version counts its changes.
+	ordered []*peer
+	version uint64
+	zones   []*zone
+	// regions are the names of the regions met.
+	regions []string
 	// gone is ordered by goneAt.
 	gone []*peer
 	// suspects lists the members with a running suspicion.
@@ -62,16 +68,30 @@
 	return v.zones[index]
 }
 
+// region returns the stored text that is equal to name. Regions are few.
+func (v *view) region(name string) string {
+	index := slices.Index(v.regions, name)
+	if index < 0 {
+		v.regions = append(v.regions, name)
+		return name
+	}
+	return v.regions[index]
+}
+
 // set stores a new record of a member, in place of the old one, and keeps the
 // indexes.
 func (v *view) set(now time.Duration, record Member) *peer {
+	v.version++
 	p := v.byName[record.Name]
 	if p == nil {
-		p = &peer{}
+		p = &peer{bucket: bucketOf(record.Name, digestBuckets)}
 		v.byName[record.Name] = p
 	} else {
 		v.unlink(p)
 	}
+	// Members share the texts of their zone and region.
+	record.Zone = v.zone(record.Zone).name
+	record.Region = v.region(record.Region)
 	p.Member = record
 	v.link(now, p)
 	return p
@@ -84,9 +104,10 @@
 		return
 	}
 	p.fingerprint = p.Member.fingerprint()
-	v.digest.toggle(p.Name, p.fingerprint)
+	v.digest[p.bucket] ^= p.fingerprint
 	p.liveIndex = len(v.live)
 	v.live = append(v.live, p)
+	v.ordered = slices.Insert(v.ordered, v.orderOf(p.Name), p)
 	z := v.zone(p.Zone)
 	p.zoneIndex = len(z.live)
 	z.live = append(z.live, p)
@@ -101,10 +122,12 @@
 		v.gone = slices.DeleteFunc(v.gone, func(other *peer) bool { return other == p })
 		return
 	}
-	v.digest.toggle(p.Name, p.fingerprint)
+	v.digest[p.bucket] ^= p.fingerprint
 	last := v.live[len(v.live)-1]
 	v.live[p.liveIndex], last.liveIndex = last, p.liveIndex
 	v.live = v.live[:len(v.live)-1]
+	place := v.orderOf(p.Name)
+	v.ordered = slices.Delete(v.ordered, place, place+1)
 	z := v.zone(p.Zone)
 	lastOfZone := z.live[len(z.live)-1]
 	z.live[p.zoneIndex], lastOfZone.zoneIndex = lastOfZone, p.zoneIndex
@@ -115,6 +138,14 @@
 	}
 }
 
+// orderOf returns the place of a name in ordered.
+func (v *view) orderOf(name string) int {
+	place, _ := slices.BinarySearchFunc(v.ordered, name, func(p *peer, name string) int {
+		return strings.Compare(p.Name, name)
+	})
+	return place
+}
+
 // forget drops a member that is gone.
 func (v *view) forget(p *peer) {
 	v.unlink(p)
--- a/internal/rehearsal/hollow/run.go
+++ b/internal/rehearsal/hollow/run.go
@@ -48,6 +48,9 @@
 		return result, err
 	}
 	result.HeapBytesPerNode = float64(heapBytes()-before) / float64(config.Nodes)
+	if err := r.fleet.advance(ctx, config.WarmUp); err != nil {
+		return result, err
+	}
 	for _, scenario := range config.Scenarios {
 		phase, err := r.phase(ctx, scenario)
 		if err != nil {
