--- a/internal/rehearsal/promises/changes_test.go
+++ b/internal/rehearsal/promises/changes_test.go
@@ -40,7 +40,7 @@
 	stopOperators := d.load(4, d.operate)
 	d.schedule(1200*time.Millisecond, 600*time.Millisecond, []fault{
 		d.storeFault(store.Faults{LoseReplies: 1}), d.storeFault(store.Faults{LoseReplies: 4}), d.storeFault(store.Faults{Outage: store.OutageHang}),
-		d.outageAfterWrite(), d.killNode(1), d.freezeNode(0), d.overtakeNode(2), d.killNode(2),
+		d.outageAfterWrite(), d.killNode(1), d.freezeNode(0), d.overtakeNode(2), d.replaceInOutage(2),
 	})
 	stopOperators()
 	stopped, until := d.stopWhileOneSleeps()
@@ -134,6 +134,23 @@
 	}
 }
 
+// replaceInOutage kills a node and starts its replacement while the store is
+// down: that one has to learn the catalog from the others.
+func (d *deployment) replaceInOutage(index int) fault {
+	down := d.storeFault(store.Faults{Outage: store.OutageClose})
+	return fault{
+		name:    fmt.Sprintf("replace node %d in an outage", index),
+		targets: []string{nodeTarget(index)},
+		inject: func() error {
+			err := down.inject()
+			d.node(index).Kill()
+			d.replace(index)
+			return err
+		},
+		repair: down.repair,
+	}
+}
+
 // stopWhileOneSleeps stops the service while a node is frozen, and wakes the
 // node after the bound. Callers ask all nodes, so that requests wait for the
 // node when it wakes; it returns the accepted command and the time until which
