dispatch: add up overdue attempts once for each moment

The choice added up the ages of all attempts in flight of both replicas for each of 760 shards. Attempts that start do not change the sum, so it is kept until one ends or time passes.

--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -228,6 +228,7 @@
 	l.running[ended.running] = moved
 	d.attempts.slots[moved].running = ended.running
 	l.running = l.running[:last]
+	l.overdueAt = unknown
 	d.attempts.remove(entry)
 	return ended, true
 }
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -58,6 +58,10 @@
 	othersAt                       Time
 	estimated                      float64 // estimateOthers at estimatedAt
 	estimatedAt                    Time
+	// overdue is the sum of replica.Overdue over the attempts at overdueAt, or
+	// unknown. Attempts that start do not change it, those that end do.
+	overdue   float64
+	overdueAt Time
 }
 
 // goneHolding overrides the topology until a time: the leaf said that it does
@@ -70,6 +74,9 @@
 
 const allShards = -1
 
+// unknown is no time.
+const unknown Time = -1
+
 func (l *leafState) boot() string {
 	if len(l.boots) == 0 {
 		return ""
@@ -201,12 +208,15 @@
 // slowness estimates how slow the leaf is, with the attempts that it still
 // runs.
 func (d *Dispatcher) slowness(l *leafState) float64 {
-	overdue := 0.0
-	for _, slot := range l.running {
-		entry := &d.attempts.slots[slot]
-		overdue += replica.Overdue((d.now - entry.sentAt).Seconds() / entry.expected)
+	if l.overdueAt != d.now {
+		l.overdue = 0
+		for _, slot := range l.running {
+			entry := &d.attempts.slots[slot]
+			l.overdue += replica.Overdue((d.now - entry.sentAt).Seconds() / entry.expected)
+		}
+		l.overdueAt = d.now
 	}
-	return l.speed.Slowness(overdue)
+	return l.speed.Slowness(l.overdue)
 }
 
 // candidate describes the leaf for the choice of a replica for work of the
--- a/internal/decide/dispatch/topology.go
+++ b/internal/decide/dispatch/topology.go
@@ -60,11 +60,12 @@
 func (d *Dispatcher) newLeaf(listed *Leaf) *leafState {
 	slots := slotsOf(listed)
 	return &leafState{
-		address:  listed.Address,
-		slots:    slots,
-		limiter:  limit.New(&d.config.Limit, slots, listed.Cold),
-		speed:    replica.NewSpeed(&d.config.Speed),
-		lastSent: d.now,
+		address:   listed.Address,
+		slots:     slots,
+		limiter:   limit.New(&d.config.Limit, slots, listed.Cold),
+		speed:     replica.NewSpeed(&d.config.Speed),
+		lastSent:  d.now,
+		overdueAt: unknown,
 	}
 }
 
