--- a/internal/dissemination/needed_test.go
+++ b/internal/dissemination/needed_test.go
@@ -176,6 +176,7 @@
 // TestEachMechanismIsNeeded leaves one mechanism out at a time: some schedule
 // must show a violation, and none with the mechanism in place.
 func TestEachMechanismIsNeeded(t *testing.T) {
+	t.Parallel()
 	for _, m := range mechanisms {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/dissemination/proof_test.go
+++ b/internal/dissemination/proof_test.go
@@ -20,6 +20,7 @@
 // TestFreshnessIsKept checks that the fence does not stop service where it need
 // not: in an outage of the store, and while voters are replaced one by one.
 func TestFreshnessIsKept(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := newWorld(seed, 5, seed%2 == 1)
 		w.begin(fault{kind: "outage", duration: 50 * time.Second})
@@ -36,6 +37,7 @@
 //
 //	go test -run TestSchedules -rapid.checks=5000 ./internal/dissemination
 func TestSchedules(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := schedule{
 			seed:   rapid.Uint64().Draw(t, "seed"),
--- a/internal/dissemination/properties_test.go
+++ b/internal/dissemination/properties_test.go
@@ -14,6 +14,7 @@
 
 // TestLogGrowsOnlyInOrder installs changes and checkpoints in any order.
 func TestLogGrowsOnlyInOrder(t *testing.T) {
+	t.Parallel()
 	reference := []*catalog.Catalog{catalog.Empty()}
 	var changes []catalog.Change
 	for index := range 40 {
@@ -49,6 +50,7 @@
 // TestRelayTree checks that each member of a zone takes confirmations from
 // members nearer to the roots, and that none has too many children.
 func TestRelayTree(t *testing.T) {
+	t.Parallel()
 	const roots, fanout = 2, 8
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 120).Draw(t, "members")
--- a/internal/dissemination/service_test.go
+++ b/internal/dissemination/service_test.go
@@ -153,6 +153,7 @@
 }
 
 func TestServicesOverRealSockets(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, 3)
 	d.want(d.propose(0, createService("first"), dissemination.ProposeOptions{DryRun: true}), dissemination.FateDryRun)
 	d.want(d.propose(0, createService("first"), dissemination.ProposeOptions{}), dissemination.FateInForce)
