node: prove the ownership of ids by when the voters were asked

Cause: the node took the arrival time of the voters' messages. After a freeze, packets that waited in the socket look new, so that a process whose slot was taken over could for a moment believe itself acknowledged. It now asks HeldAt, which counts from the sending of the request and only voters that registered this process.

--- a/internal/dissemination/service.go
+++ b/internal/dissemination/service.go
@@ -93,7 +93,7 @@
 	s := &Service{
 		options: options,
 		clock:   options.Clock,
-		logger:  options.Logger.With("subsystem", "dissemination", "node", options.Self.Name),
+		logger:  options.Logger.With("subsystem", "dissemination"),
 		core: New(Options{
 			Config: options.Config,
 			Self:   options.Self,
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/dissemination"
 	"github.com/micaplank/micaplank/internal/membership"
 )
@@ -24,43 +23,20 @@
 	return members
 }
 
-// ownershipProved reports whether this node was confirmed after the given
-// reading of the clock, and a majority of the voters, each heard from since,
-// hold the revision.
+// ownershipProved reports whether this node is fresh, and a majority of the
+// voters that know this process answered, to requests sent after the given
+// reading of the clock, that they hold the revision.
 func (n *Node) ownershipProved(after time.Duration, revision uint64) bool {
-	left := n.dissemination.FreshFor()
-	confirmed := n.clock.Now() + left - n.settings.Freshness.Window.Duration()
-	if left <= 0 || confirmed <= after {
-		return false
-	}
-	return n.majority(func(peer dissemination.PeerRevision) bool {
-		return peer.At > after && peer.Revision >= revision
-	})
+	held, proved := n.dissemination.HeldAt(revision)
+	return proved && held > after && n.dissemination.Fresh()
 }
 
-// acknowledged reports whether a majority of the voters has been heard from
-// within the freshness window. A process whose slot was taken over learns of it
-// from them; reading the store alone, it would not.
+// acknowledged reports whether a majority of the voters that know this process
+// answered requests sent within the freshness window. A process whose slot was
+// taken over learns of it from them; reading the store alone, it would not.
+// The time of sending counts: after a freeze, answers that waited in the socket
+// prove nothing.
 func (n *Node) acknowledged() bool {
-	since := n.clock.Now() - n.settings.Freshness.Window.Duration()
-	return n.majority(func(peer dissemination.PeerRevision) bool { return peer.At > since })
-}
-
-// majority reports whether the voters that counts accepts, with this node if it
-// is one, are more than half.
-func (n *Node) majority(counts func(dissemination.PeerRevision) bool) bool {
-	return isMajority(n.dissemination.Current().Voters, n.settings.Name, n.dissemination.PeerRevisions(), counts)
-}
-
-func isMajority(voters map[string]catalog.Voter, self string, peers []dissemination.PeerRevision, counts func(dissemination.PeerRevision) bool) bool {
-	counted := 0
-	if _, voter := voters[self]; voter {
-		counted++
-	}
-	for _, peer := range peers {
-		if _, voter := voters[peer.Name]; voter && peer.Name != self && counts(peer) {
-			counted++
-		}
-	}
-	return counted > len(voters)/2
+	held, proved := n.dissemination.HeldAt(0)
+	return proved && held > n.clock.Now()-n.settings.Freshness.Window.Duration()
 }
