--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/machines"
-	"github.com/micaplank/micaplank/internal/membership"
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
@@ -19,6 +18,8 @@
 	// drainGrace is the time between the announcement of a planned stop and
 	// the closing of idle connections: callers and peers need it to move.
 	drainGrace = time.Second
+	// slotInterval is the time between two looks at who holds this node's slot.
+	slotInterval = 500 * time.Millisecond
 	// leaveTimeout bounds the announcement to the other nodes.
 	leaveTimeout = 2 * time.Second
 )
@@ -31,7 +32,7 @@
 	n.membership.Start()
 	n.dissemination.Start()
 	n.background.Go(n.followCatalog)
-	n.background.Go(n.followMembers)
+	n.background.Go(n.followSlot)
 	n.background.Go(n.followMachines)
 	n.background.Go(n.followMarks)
 	n.background.Go(func() { n.ledger.Run(n.running) })
@@ -106,25 +107,30 @@
 	}
 }
 
-// followMembers logs nothing by itself; it ends the node when its slot was
-// taken over by another process.
-func (n *Node) followMembers() {
+// followSlot ends the node when another process has taken over its slot. The
+// members or the voters may be the first to tell.
+func (n *Node) followSlot() {
 	events, cancel := n.membership.Subscribe()
 	defer cancel()
-	for {
+	ticker := time.NewTicker(slotInterval)
+	defer ticker.Stop()
+	for !n.superseded() {
 		select {
 		case <-n.running.Done():
 			return
-		case event, open := <-events:
+		case _, open := <-events:
 			if !open {
-				return
-			}
-			if event.Kind == membership.EventSuperseded {
-				n.logger.Error("slot taken over", "node", n.settings.Name)
-				n.beginDrain()
+				events = nil // the ticker goes on
 			}
+		case <-ticker.C:
 		}
 	}
+	n.logger.Error("slot taken over")
+	n.beginDrain()
+}
+
+func (n *Node) superseded() bool {
+	return n.membership.Superseded() || n.dissemination.Superseded()
 }
 
 // followMachines marks the leaves that the machine list calls leaving.
