--- a/internal/membership/proof_test.go
+++ b/internal/membership/proof_test.go
@@ -68,14 +68,14 @@
 }
 
 func TestNoFalseDeathAtTwentyPercentLoss(t *testing.T) {
-	deaths, sum := lossRun(DefaultConfig(), 2*time.Minute, 11)
+	deaths, sum := lossRun(DefaultConfig(), 5*time.Minute, 11)
 	t.Logf("%d probes, %d suspicions, %d refutations, %d false deaths", sum.Probes, sum.SuspicionsRaised, sum.SelfRefutations, deaths.count)
 	if deaths.count > 0 {
 		t.Errorf("%d views declared a live member gone, for up to %v", deaths.count, deaths.longest)
 	}
 	unrefuted := DefaultConfig()
 	unrefuted.disabled.refutation = true
-	without, _ := lossRun(unrefuted, 30*time.Second, 11)
+	without, _ := lossRun(unrefuted, time.Minute, 11)
 	t.Logf("without refutation: %d false deaths", without.count)
 	if without.count == 0 {
 		t.Error("the run does not need refutation: it proves nothing")
@@ -149,7 +149,7 @@
 
 func TestNodeThatWakesAccusesNobody(t *testing.T) {
 	var accusedWithout uint64
-	for seed := range uint64(5) {
+	for seed := range uint64(10) {
 		accused, deaths := pauseRun(DefaultConfig(), seed)
 		if accused > 0 || deaths.count > 0 {
 			t.Errorf("seed %d: woken nodes accused %d, false deaths %d", seed, accused, deaths.count)
@@ -215,9 +215,9 @@
 // the end.
 func TestSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		size := rapid.IntRange(3, 8).Draw(t, "size")
+		size := rapid.IntRange(3, 12).Draw(t, "size")
 		config := DefaultConfig()
-		config.ZoneHold = 15 * time.Second
+		config.ZoneHold = 30 * time.Second
 		c := newCluster(config, size, 3, rapid.Uint64().Draw(t, "seed"))
 		c.encode = true
 		c.onEvent = func(_ *simulated, event Event) {
@@ -226,12 +226,12 @@
 				t.Fatalf("%+v came back in place of %+v", event.Member, event.Previous)
 			}
 		}
-		steps := rapid.IntRange(1, 8).Draw(t, "steps")
+		steps := rapid.IntRange(1, 12).Draw(t, "steps")
 		incarnation := uint64(1000)
 		for range steps {
 			incarnation++
 			disturb(t, c, incarnation)
-			c.run(time.Duration(rapid.IntRange(100, 10000).Draw(t, "milliseconds")) * time.Millisecond)
+			c.run(time.Duration(rapid.IntRange(100, 20000).Draw(t, "milliseconds")) * time.Millisecond)
 		}
 		c.cut, c.loss, c.delay = nil, 0, 2*time.Millisecond
 		for _, node := range c.nodes {
