--- a/internal/dissemination/service_test.go
+++ b/internal/dissemination/service_test.go
@@ -20,7 +20,7 @@
 
 // defaultChecks is how many schedules and values the properties are tried with;
 // -rapid.checks asks for more. The seed is fixed unless -rapid.seed is given.
-const defaultChecks = "15"
+const defaultChecks = "60"
 
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20261202")
