--- /dev/null
+++ b/cmd/micarehearse/main_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func TestSubcommandsAreNamedAndDescribed(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, candidate := range commands() {
+		sub := candidate.attach()
+		if sub.Name == "" || sub.Description == "" || seen[sub.Name] {
+			t.Errorf("subcommand %q, %q", sub.Name, sub.Description)
+		}
+		seen[sub.Name] = true
+	}
+}
+
+func TestParseShards(t *testing.T) {
+	if got, err := parseShards("0, 3,1"); err != nil || !slices.Equal(got, []int{0, 3, 1}) {
+		t.Errorf("got %v, %v", got, err)
+	}
+	for _, wrong := range []string{"", "1,,2", "a"} {
+		if _, err := parseShards(wrong); err == nil || !strings.Contains(err.Error(), "--shards") {
+			t.Errorf("%q: got %v", wrong, err)
+		}
+	}
+}
+
+func TestLeafCommandRefusesWhatIsNoAddress(t *testing.T) {
+	command := &leafCommand{}
+	command.attach()
+	command.listen, command.shards = "localhost:7101", "0"
+	if _, err := command.config(); err == nil || !strings.Contains(err.Error(), "IP address") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestReadSettingsIsStrict(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "wrong.toml")
+	if err := os.WriteFile(path, []byte("adress = \"127.0.0.1:1\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var target struct {
+		Address string `toml:"address"`
+	}
+	if err := readSettings(path, &target); err == nil || !strings.Contains(err.Error(), path) {
+		t.Errorf("got %v", err)
+	}
+}
