dispatch: hear what a leaf says of itself before ending its query

Cause: a refused statement, or a lost attempt that may not be repeated, ended its query before the load that came with the same message was heard. Ending it starts a query that waited for the concurrency limit, which could be sent to the leaf that had just said it drains.

--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -137,7 +137,7 @@
 	shard := &q.shards[ended.position]
 	q.lastReason = ReasonRefused
 	if refusal.Reason == leaf.RefusedInvalid {
-		d.finish(q, q.failure(), ReasonInvalid)
+		q.invalid = true
 		return
 	}
 	if refusal.Reason == leaf.RefusedShed {
@@ -202,7 +202,7 @@
 	shard := &q.shards[ended.position]
 	q.lastReason = ReasonLost
 	if !q.Class.Repeatable {
-		d.finish(q, OutcomeUnknown, ReasonLost)
+		q.unknown = true
 		return
 	}
 	shard.lost++
--- a/internal/decide/dispatch/query.go
+++ b/internal/decide/dispatch/query.go
@@ -62,6 +62,8 @@
 	executed bool
 	// snapshotLost is set if no leaf holds a needed shard at the snapshot.
 	snapshotLost bool
+	invalid      bool // a leaf cannot run the statement
+	unknown      bool // its only attempt is lost and may have executed
 	restarted    bool
 	hedgesArmed  bool
 	started      bool // not waiting for the concurrency limit
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -72,7 +72,9 @@
 		d.reviewPending(q)
 		return
 	}
-	d.armHedges(q)
+	if !q.invalid && !q.unknown {
+		d.armHedges(q)
+	}
 	if q.snapshotLost {
 		q.snapshotLost = false
 		d.restart(q)
@@ -96,6 +98,10 @@
 	switch {
 	case progress.Whole():
 		return OutcomeAnswered, ReasonNone, true
+	case q.unknown:
+		return OutcomeUnknown, ReasonLost, true
+	case q.invalid:
+		return q.failure(), ReasonInvalid, true
 	case progress.Hopeless():
 		return q.failure(), q.lastReason, true
 	case d.now >= q.Deadline && progress.Answered > 0:
