--- a/internal/rehearsal/cluster/cluster.go
+++ b/internal/rehearsal/cluster/cluster.go
@@ -276,8 +276,8 @@
 // readyPoll is the time between two looks at a node's readiness.
 const readyPoll = 20 * time.Millisecond
 
-// AwaitReady blocks until every node answers a query class-independently: its
-// readiness page says that it takes work.
+// AwaitReady blocks until the readiness page of every node says that it takes
+// work.
 func (c *Cluster) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
