--- a/internal/rehearsal/report/report_test.go
+++ b/internal/rehearsal/report/report_test.go
@@ -79,3 +79,12 @@
 		t.Errorf("read back something else: %v", err)
 	}
 }
+
+func TestNumber(t *testing.T) {
+	cases := map[float64]string{1: "1", 0.999: "0.999", 0.99996: "0.99996", 0.98765: "0.988", 1.0512: "1.05", 0: "0", 60031.4: "60031"}
+	for value, want := range cases {
+		if got := number(value); got != want {
+			t.Errorf("%g: %s, want %s", value, got, want)
+		}
+	}
+}
--- a/internal/rehearsal/report/tables.go
+++ b/internal/rehearsal/report/tables.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
+	"strconv"
 	"strings"
 
 	"github.com/micaplank/micaplank/internal/rehearsal/experiment"
@@ -121,13 +123,14 @@
 // number writes three significant digits, or whole numbers from 1000 on. What
 // is not quite one keeps the digits that show it.
 func number(value float64) string {
-	switch {
-	case value >= 1000:
+	if value >= 1000 {
 		return fmt.Sprintf("%.0f", value)
-	case value > 0.99 && value < 1:
-		return fmt.Sprintf("%.6f", value)
 	}
-	return fmt.Sprintf("%.3g", value)
+	digits := 3
+	for value > 0.99 && value < 1 && digits < 9 && math.Round(value*math.Pow10(digits)) == math.Pow10(digits) {
+		digits++
+	}
+	return strconv.FormatFloat(value, 'g', digits, 64)
 }
 
 func writeFigure(page *bytes.Buffer, figure Figure) {
