--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -11,13 +11,11 @@
 package topology
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/catalog"
-	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/leaf"
 )
 
@@ -36,18 +34,6 @@
 	SourcePeer     Source = "peer"
 )
 
-// Status is a leaf's place in its life, as this node sees it.
-type Status string
-
-// The statuses.
-const (
-	StatusUsable      Status = "usable"
-	StatusCold        Status = "cold"
-	StatusLeaving     Status = "leaving"
-	StatusUnreachable Status = "unreachable"
-	StatusUnknown     Status = "unknown" // never heard of
-)
-
 // Config holds the bounds of a Table.
 type Config struct {
 	// UnreachableAfter is the number of load polls in a row that must fail
@@ -73,15 +59,6 @@
 	Source  Source
 }
 
-// LeafStatus describes one leaf of one service for status pages.
-type LeafStatus struct {
-	Service string
-	Leaf    catalog.Leaf
-	Status  Status
-	Reason  string
-	Report  leaf.LoadReport
-}
-
 // mark remembers that one boot of a leaf is leaving.
 type mark struct {
 	bootID  string
@@ -278,92 +255,3 @@
 	}
 	return newest, found
 }
-
-// Service returns what the dispatcher of a service may use at this moment. It
-// reports false if the catalog has no such service.
-func (t *Table) Service(now Time, name string) (dispatch.Topology, bool) {
-	service, ok := t.catalog.Services[name]
-	if !ok {
-		return dispatch.Topology{}, false
-	}
-	topology := dispatch.Topology{
-		Revision:    t.catalog.Revision,
-		Partitions:  service.Partitions,
-		Concurrency: service.Concurrency,
-		Stopped:     service.Stopped,
-		Leaves:      make([]dispatch.Leaf, 0, len(service.Leaves)),
-	}
-	for _, configured := range sortedLeaves(service) {
-		topology.Leaves = append(topology.Leaves, t.dispatchLeaf(now, configured))
-	}
-	return topology, true
-}
-
-func (t *Table) dispatchLeaf(now Time, configured catalog.Leaf) dispatch.Leaf {
-	status, _ := t.status(now, configured)
-	described := dispatch.Leaf{
-		Address: configured.Address,
-		Zone:    configured.Zone,
-		Usable:  status == StatusUsable || status == StatusCold,
-		Cold:    status == StatusCold,
-	}
-	if seen := t.observed[configured.Address]; seen != nil {
-		described.BootID = seen.report.BootID
-		described.Slots = seen.report.Slots
-		described.Holdings = seen.report.Holdings
-	}
-	return described
-}
-
-// status decides a leaf's place in its life, and why.
-func (t *Table) status(now Time, configured catalog.Leaf) (Status, string) {
-	if configured.Retiring {
-		return StatusLeaving, string(SourceCatalog)
-	}
-	seen := t.observed[configured.Address]
-	switch {
-	case seen == nil || !seen.heard && seen.leaving == nil && seen.failures == 0:
-		return StatusUnknown, "no report yet"
-	case seen.leaving != nil:
-		return StatusLeaving, string(seen.leaving.source)
-	case !seen.heard || seen.failures >= t.config.UnreachableAfter:
-		return StatusUnreachable, "load polls fail"
-	case now-seen.reportedAt > t.config.ReportLifetime:
-		return StatusUnreachable, "report too old"
-	case seen.report.State == leaf.StateCold:
-		return StatusCold, string(SourceReport)
-	}
-	return StatusUsable, ""
-}
-
-// Statuses lists every leaf of every service, in order.
-func (t *Table) Statuses(now Time) []LeafStatus {
-	var statuses []LeafStatus
-	for name, service := range t.catalog.Services {
-		for _, configured := range service.Leaves {
-			statuses = append(statuses, t.leafStatus(now, name, configured))
-		}
-	}
-	slices.SortFunc(statuses, func(a, b LeafStatus) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), a.Leaf.Address.Compare(b.Leaf.Address))
-	})
-	return statuses
-}
-
-func (t *Table) leafStatus(now Time, service string, configured catalog.Leaf) LeafStatus {
-	described := LeafStatus{Service: service, Leaf: configured}
-	described.Status, described.Reason = t.status(now, configured)
-	if seen := t.observed[configured.Address]; seen != nil {
-		described.Report = seen.report
-	}
-	return described
-}
-
-func sortedLeaves(service catalog.Service) []catalog.Leaf {
-	leaves := make([]catalog.Leaf, 0, len(service.Leaves))
-	for _, configured := range service.Leaves {
-		leaves = append(leaves, configured)
-	}
-	slices.SortFunc(leaves, func(a, b catalog.Leaf) int { return a.Address.Compare(b.Address) })
-	return leaves
-}
