--- a/internal/rehearsal/hollow/report.go
+++ b/internal/rehearsal/hollow/report.go
@@ -20,11 +20,11 @@
 
 func writePhases(w io.Writer, results []Result) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "nodes\tleaves\tformed s\theap KB/node\tscenario\tcore %/node\tchanges\tin force median s\tmax s\tsuspicions\tgone\tagreed s\tstore calls/s\t")
+	fmt.Fprintln(table, "nodes\tleaves\tformed s\tstore calls\theap KB/node\tscenario\tcore %/node\tchanges\tin force median s\tmax s\tsuspicions\tgone\tagreed s\tstore calls/s\t")
 	for _, result := range results {
 		for _, phase := range result.Phases {
-			fmt.Fprintf(table, "%d\t%d\t%.1f\t%.0f\t%s\t%.3f\t%d of %d\t%.2f\t%.2f\t%d\t%d\t%.1f\t%.1f\t\n",
-				result.Config.Nodes, result.Config.Leaves, result.FormedSeconds, result.HeapBytesPerNode/kilobyte,
+			fmt.Fprintf(table, "%d\t%d\t%.1f\t%d\t%.0f\t%s\t%.3f\t%d of %d\t%.2f\t%.2f\t%d\t%d\t%.1f\t%.1f\t\n",
+				result.Config.Nodes, result.Config.Leaves, result.FormedSeconds, result.FormStoreCalls, result.HeapBytesPerNode/kilobyte,
 				phase.Scenario, percent*phase.ProcessorShare,
 				phase.Changes.InForce.Count, phase.Changes.Proposed,
 				phase.Changes.InForce.Median, phase.Changes.InForce.Max,
--- a/internal/rehearsal/hollow/result.go
+++ b/internal/rehearsal/hollow/result.go
@@ -6,6 +6,10 @@
 	Config Config `json:"config"`
 	// FormedSeconds is the time until all nodes had met and were fresh.
 	FormedSeconds float64 `json:"formed_seconds"`
+	// FormStoreCalls is what all nodes asked of the store until then, and
+	// FormCheckpoints how many of these calls loaded a checkpoint.
+	FormStoreCalls  int `json:"form_store_calls"`
+	FormCheckpoints int `json:"form_checkpoints"`
 	// HeapBytesPerNode is the live heap and stacks, divided by the nodes.
 	HeapBytesPerNode float64 `json:"heap_bytes_per_node"`
 	Phases           []Phase `json:"phases"`
--- a/internal/rehearsal/hollow/run.go
+++ b/internal/rehearsal/hollow/run.go
@@ -47,6 +47,7 @@
 	if result.FormedSeconds, err = r.form(ctx); err != nil {
 		return result, err
 	}
+	result.FormStoreCalls, result.FormCheckpoints = storage.callCount(), storage.loadCount()
 	result.HeapBytesPerNode = float64(heapBytes()-before) / float64(config.Nodes)
 	if err := r.fleet.advance(ctx, config.WarmUp); err != nil {
 		return result, err
--- a/internal/rehearsal/hollow/storage.go
+++ b/internal/rehearsal/hollow/storage.go
@@ -24,6 +24,7 @@
 	watchers map[int]func([]catalog.Change)
 	lastID   int
 	calls    int
+	loads    int
 	// created is called with each new change, under the mutex.
 	created func(catalog.Change)
 }
@@ -164,6 +165,13 @@
 	return s.calls
 }
 
+// loadCount is the number of checkpoints loaded so far.
+func (s *storage) loadCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.loads
+}
+
 // errCut is the error of a node that is cut off from the store or a peer.
 var errCut = errors.New("hollow: cut off")
 
@@ -233,6 +241,7 @@
 func (s *storage) load() (*catalog.Catalog, error) {
 	s.mutex.Lock()
 	s.calls++
+	s.loads++
 	checkpoint := s.checkpoint
 	s.mutex.Unlock()
 	data, err := catalog.Encode(checkpoint)
