hedge: a class without extra load earns none

Cause: Budget.Earn took a share of zero as "not set" and earned the default of 3 %, so that "extra 0%" did not hold. The language writes the default into the class, so the budget needs none. TestClassWithoutExtraLoadEarnsNothing is new.

Left: such a class still draws on what other classes of the service earned.

--- a/internal/decide/dispatch/benchmark_test.go
+++ b/internal/decide/dispatch/benchmark_test.go
@@ -38,7 +38,7 @@
 }
 
 func wideQuery(id QueryID, now Time) Query {
-	class := catalog.Class{Name: "sweep", Priority: 1, HedgePercentile: 0.95, Repeatable: true}
+	class := catalog.Class{Name: "sweep", Priority: 1, HedgePercentile: 0.95, ExtraLoad: 0.03, Repeatable: true}
 	return Query{ID: id, Class: class, Deadline: now + time.Second, MinimumCoverage: 1}
 }
 
--- a/internal/decide/dispatch/machine_test.go
+++ b/internal/decide/dispatch/machine_test.go
@@ -85,7 +85,7 @@
 	m.advance(t)
 	m.nextID++
 	once := rapid.IntRange(0, 3).Draw(t, "once") == 0
-	class := catalog.Class{Name: "sweep", Priority: rapid.IntRange(1, 3).Draw(t, "priority"), HedgePercentile: 0.5, Repeatable: true}
+	class := catalog.Class{Name: "sweep", Priority: rapid.IntRange(1, 3).Draw(t, "priority"), HedgePercentile: 0.5, ExtraLoad: 0.03, Repeatable: true}
 	if once {
 		class.Name, class.Repeatable = "file", false
 	}
--- a/internal/decide/dispatch/mechanism_test.go
+++ b/internal/decide/dispatch/mechanism_test.go
@@ -10,6 +10,9 @@
 	"github.com/micaplank/micaplank/internal/leaf"
 )
 
+// extraShare is the extra load that the classes of these tests allow.
+const extraShare = 0.03
+
 var first = catalog.Snapshot{Epoch: 1, Version: 1}
 
 // rig runs a Dispatcher on one shard with some replicas; the replies take the
@@ -70,7 +73,7 @@
 // submit sends a query with a deadline of 200 ms that may be hedged.
 func (r *rig) submit(priority int) QueryID {
 	r.nextID++
-	class := catalog.Class{Name: string(rune('0' + priority)), Priority: priority, HedgePercentile: r.hedge, Repeatable: true}
+	class := catalog.Class{Name: string(rune('0' + priority)), Priority: priority, HedgePercentile: r.hedge, ExtraLoad: extraShare, Repeatable: true}
 	r.perform(r.d.Submit(r.now, Query{ID: r.nextID, Class: class, Deadline: r.now + 200*time.Millisecond, MinimumCoverage: 1}))
 	return r.nextID
 }
@@ -165,7 +168,7 @@
 	}
 	config := DefaultConfig().Budget
 	counters := r.d.Counters()
-	if most := config.Initial + config.Share*float64(counters.Needed); float64(counters.Extra()) > most || counters.Extra() < 20 {
+	if most := config.Initial + extraShare*float64(counters.Needed); float64(counters.Extra()) > most || counters.Extra() < 20 {
 		t.Errorf("%d extra attempts, at most %.0f: %+v", counters.Extra(), most, counters)
 	}
 }
--- a/internal/decide/hedge/budget.go
+++ b/internal/decide/hedge/budget.go
@@ -4,9 +4,6 @@
 
 // BudgetConfig holds the policy of a Budget.
 type BudgetConfig struct {
-	// Share is the number of extra attempts earned by each needed attempt
-	// whose class sets no share of its own. Default 0.03.
-	Share float64
 	// Earned is the part of the share that is earned, so that what is saved up
 	// and the attempts sent again after refusals stay within the share too.
 	// Default 0.95.
@@ -25,7 +22,7 @@
 
 // DefaultBudgetConfig returns the defaults.
 func DefaultBudgetConfig() BudgetConfig {
-	return BudgetConfig{Share: 0.03, Earned: 0.95, Capacity: 20, Initial: 5, Reserve: 2, Debt: 50}
+	return BudgetConfig{Earned: 0.95, Capacity: 20, Initial: 5, Reserve: 2, Debt: 50}
 }
 
 // Budget is a token bucket filled by needed attempts and emptied by extra
@@ -40,12 +37,9 @@
 	return Budget{config: config, tokens: min(config.Initial, config.Capacity)}
 }
 
-// Earn adds the tokens of one needed attempt. A share of zero or less means
-// the default share.
+// Earn adds the tokens of one needed attempt of a class whose share of extra
+// load is given, from 0 to 1. A class without extra load earns nothing.
 func (b *Budget) Earn(share float64) {
-	if share <= 0 {
-		share = b.config.Share
-	}
 	b.tokens = min(b.tokens+share*b.config.Earned, b.config.Capacity)
 }
 
--- a/internal/decide/hedge/hedge_test.go
+++ b/internal/decide/hedge/hedge_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestHedgesNeverExceedWhatWasEarned(t *testing.T) {
+	const share = 0.03
 	rapid.Check(t, func(t *rapid.T) {
 		config := DefaultBudgetConfig()
 		config.Initial = float64(rapid.IntRange(0, 30).Draw(t, "initial"))
@@ -24,14 +25,14 @@
 				if budget.SpendHedge() {
 					hedges++
 				}
-				if hedges > 0 && float64(hedges+retries) > config.Initial+config.Share*float64(needed)+config.Debt+1 {
+				if hedges > 0 && float64(hedges+retries) > config.Initial+share*float64(needed)+config.Debt+1 {
 					t.Fatalf("%d hedges and %d retries for %d needed", hedges, retries, needed)
 				}
 			default:
-				budget.Earn(0)
+				budget.Earn(share)
 				needed++
 			}
-			if retries == 0 && float64(hedges) > config.Initial+config.Share*float64(needed) {
+			if retries == 0 && float64(hedges) > config.Initial+share*float64(needed) {
 				t.Fatalf("%d hedges for %d needed", hedges, needed)
 			}
 			if budget.Tokens() > config.Capacity || budget.Tokens() < -config.Debt-1 {
@@ -41,6 +42,17 @@
 	})
 }
 
+func TestClassWithoutExtraLoadEarnsNothing(t *testing.T) {
+	budget := NewBudget(DefaultBudgetConfig())
+	before := budget.Tokens()
+	for range 1000 {
+		budget.Earn(0)
+	}
+	if budget.Tokens() != before {
+		t.Errorf("%f tokens, %f before", budget.Tokens(), before)
+	}
+}
+
 func TestHedgesLeaveTheReserve(t *testing.T) {
 	budget := NewBudget(BudgetConfig{Capacity: 10, Initial: 5, Reserve: 2, Debt: 1})
 	count := 0
