--- a/internal/rehearsal/hollow/config.go
+++ b/internal/rehearsal/hollow/config.go
@@ -20,6 +20,8 @@
 	// ScenarioCut cuts the last zone off from all others, while changes are
 	// made, and then heals the cut.
 	ScenarioCut Scenario = "cut"
+	// ScenarioRegion does the same with all zones of the last region.
+	ScenarioRegion Scenario = "region"
 )
 
 // Config describes one run. Use DefaultConfig and change single fields.
@@ -67,7 +69,7 @@
 	return Config{
 		Nodes: nodes, Zones: 13, Regions: 4, Voters: 5,
 		Leaves:          int(float64(nodes) * leavesPerNode),
-		Scenarios:       []Scenario{ScenarioRest, ScenarioChanges, ScenarioRolling, ScenarioCut},
+		Scenarios:       []Scenario{ScenarioRest, ScenarioChanges, ScenarioRolling, ScenarioCut, ScenarioRegion},
 		Duration:        30 * time.Second,
 		WarmUp:          20 * time.Second,
 		ChangeInterval:  time.Second,
--- a/internal/rehearsal/hollow/fleet.go
+++ b/internal/rehearsal/hollow/fleet.go
@@ -21,9 +21,9 @@
 	propose(index int, command catalog.Command, token string, ended func(dissemination.Result))
 	// restart lets a node leave and starts its successor.
 	restart(index int)
-	// cut separates the nodes of a zone from all others and the store, or
-	// heals that.
-	cut(zone int, separate bool)
+	// cut separates the nodes of some zones from all others and the store; no
+	// zones heal the cut.
+	cut(zones []int)
 	// traffic returns the counters of every slot since the start.
 	traffic() []traffic
 	// agreed reports whether all nodes see exactly the nodes that run.
--- a/internal/rehearsal/hollow/phase.go
+++ b/internal/rehearsal/hollow/phase.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/dissemination"
@@ -12,14 +13,33 @@
 type plan struct {
 	changes  bool
 	restarts bool
-	cut      bool
+	cut      func(Config) []int
 }
 
 var scenarios = map[Scenario]plan{
 	ScenarioRest:    {},
 	ScenarioChanges: {changes: true},
 	ScenarioRolling: {changes: true, restarts: true},
-	ScenarioCut:     {changes: true, cut: true},
+	ScenarioCut:     {changes: true, cut: lastZone},
+	ScenarioRegion:  {changes: true, cut: lastRegion},
+}
+
+func lastZone(config Config) []int { return []int{config.Zones - 1} }
+
+func lastRegion(config Config) []int {
+	var zones []int
+	for zone := config.Regions - 1; zone < config.Zones; zone += config.Regions {
+		zones = append(zones, zone)
+	}
+	return zones
+}
+
+// cutZones returns the zones that the plan cuts off.
+func (p plan) cutZones(config Config) []int {
+	if p.cut == nil {
+		return nil
+	}
+	return p.cut(config)
 }
 
 // settleLimit bounds the time after a phase until all views agree again.
@@ -33,19 +53,14 @@
 // until all views agree, is not part of the loads.
 func (r *run) phase(ctx context.Context, scenario Scenario) (Phase, error) {
 	plan := scenarios[scenario]
-	cutZone := r.config.Zones - 1
-	if plan.cut {
-		r.fleet.cut(cutZone, true)
-	}
+	r.fleet.cut(plan.cutZones(r.config))
 	r.tracker.reset()
 	before := r.take()
 	if err := r.disturb(ctx, plan, before.at+r.config.Duration); err != nil {
 		return Phase{}, err
 	}
 	after := r.take()
-	if plan.cut {
-		r.fleet.cut(cutZone, false)
-	}
+	r.fleet.cut(nil)
 	agreed, err := r.settle(ctx)
 	if err != nil {
 		return Phase{}, err
@@ -104,7 +119,7 @@
 	slots := r.config.slots()
 	for range 10 * len(statuses) {
 		index := r.random.IntN(len(statuses))
-		isCut := plan.cut && slots[index].zone == r.config.Zones-1
+		isCut := slices.Contains(plan.cutZones(r.config), slots[index].zone)
 		if !statuses[index].serves || isCut {
 			continue
 		}
--- a/internal/rehearsal/hollow/sockets.go
+++ b/internal/rehearsal/hollow/sockets.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +27,7 @@
 
 	mutex    sync.RWMutex
 	zones    map[netip.AddrPort]int
-	cutZones map[int]bool
+	cutZones []int
 }
 
 var loopback = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
@@ -36,7 +37,7 @@
 		config: config, storage: storage, origin: time.Now(), slots: config.slots(),
 		nodes: make([]*socketNode, config.Nodes), earlier: make([]status, config.Nodes),
 		counts: make([]traffic, config.Nodes),
-		zones:  make(map[netip.AddrPort]int), cutZones: make(map[int]bool),
+		zones:  make(map[netip.AddrPort]int),
 	}
 	for i := range f.slots {
 		if err := f.start(i, firstIncarnation, loopback); err != nil {
@@ -81,19 +82,19 @@
 	f.mutex.RLock()
 	defer f.mutex.RUnlock()
 	other, known := f.zones[to]
-	return !known || zone != other && (f.cutZones[zone] || f.cutZones[other])
+	return !known || slices.Contains(f.cutZones, zone) != slices.Contains(f.cutZones, other)
 }
 
 func (f *socketFleet) reachesStore(zone int) bool {
 	f.mutex.RLock()
 	defer f.mutex.RUnlock()
-	return !f.cutZones[zone]
+	return !slices.Contains(f.cutZones, zone)
 }
 
-func (f *socketFleet) cut(zone int, separate bool) {
+func (f *socketFleet) cut(zones []int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.cutZones[zone] = separate
+	f.cutZones = zones
 }
 
 // settled waits for a node that is being replaced.
--- a/internal/rehearsal/hollow/virtual.go
+++ b/internal/rehearsal/hollow/virtual.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/catalog"
@@ -24,7 +25,7 @@
 	counts  []traffic
 	// earlier and restarts are totals of the slots' former nodes.
 	earlier  []status
-	cutZones map[int]bool
+	cutZones []int
 }
 
 const (
@@ -46,7 +47,7 @@
 		random:  rand.New(rand.NewPCG(config.Seed, 1)),
 		byPlace: make(map[netip.AddrPort]*virtualNode),
 		counts:  make([]traffic, config.Nodes), earlier: make([]status, config.Nodes),
-		nodes: make([]*virtualNode, config.Nodes), cutZones: make(map[int]bool),
+		nodes: make([]*virtualNode, config.Nodes),
 	}
 	for i := range f.slots {
 		f.start(i, firstIncarnation)
@@ -127,10 +128,12 @@
 
 // separated reports whether a cut lies between two zones.
 func (f *virtualFleet) separated(one, other slot) bool {
-	return one.zone != other.zone && (f.cutZones[one.zone] || f.cutZones[other.zone])
+	return f.isCut(one) != f.isCut(other)
 }
 
-func (f *virtualFleet) cut(zone int, separate bool) { f.cutZones[zone] = separate }
+func (f *virtualFleet) isCut(place slot) bool { return slices.Contains(f.cutZones, place.zone) }
+
+func (f *virtualFleet) cut(zones []int) { f.cutZones = zones }
 
 func (f *virtualFleet) statuses() []status {
 	statuses := make([]status, len(f.nodes))
--- a/internal/rehearsal/hollow/virtual_node.go
+++ b/internal/rehearsal/hollow/virtual_node.go
@@ -205,7 +205,7 @@
 // reach for zones that are cut off.
 func (n *virtualNode) operate(operation dissemination.StoreOperation) {
 	f := n.fleet
-	if f.cutZones[n.slot.zone] {
+	if f.isCut(n.slot) {
 		f.after(3*time.Second, n, func() {
 			n.dissemination.StepStore(f.clock, dissemination.StoreResult{ID: operation.ID, Err: errCut})
 		})
@@ -238,7 +238,7 @@
 	switch {
 	case wanted && n.stopWatch == nil:
 		n.stopWatch = f.storage.watch(func(changes []catalog.Change) {
-			if !f.cutZones[n.slot.zone] {
+			if !f.isCut(n.slot) {
 				f.after(f.delay(slot{zone: -1}, n.slot), n, func() { n.dissemination.StepWatched(f.clock, changes) })
 			}
 		})
