membership: the load of seeds does not grow with the number of nodes

Cause: 1,600 hollow nodes showed voters that received 27.8 KB a second under changes, against 7.2 KB at 800. Counted by kind, 1.8 of 2.1 MB were digests of the membership: the first nodes are voters and seeds, and every node made its exchange with a seed each minute, all at the same moment after a common start.

Change: nodes share these exchanges. In each minute about sixteen nodes make one, however many there are, at times that are spread out. Islands still find each other: an island of any size makes as many.

TestSeedsCarryNoMoreThanOthers, 150 nodes, five minutes: before, seeds got 263 to 307 digests where the mean node got 35, and it fails; now it passes.

hollow: waits longer before it measures more than 400 nodes, so that the news of their start is not taken for traffic at rest.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -40,7 +40,8 @@
 	SyncPackets          int
 	SyncRepliesPerSecond int
 	// SeedInterval is the time between digest exchanges with a seed address,
-	// which join groups of nodes that do not know of each other.
+	// which join groups of nodes that do not know of each other. A node among
+	// many makes them more rarely.
 	SeedInterval time.Duration
 	// ReconnectInterval is the time in which each member that is gone is
 	// tried about once, by one of all the nodes.
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -61,3 +61,24 @@
 		}
 	}
 }
+
+// TestSeedsCarryNoMoreThanOthers counts the digests that arrive at each node.
+func TestSeedsCarryNoMoreThanOthers(t *testing.T) {
+	c := newCluster(DefaultConfig(), 150, 3, 5)
+	mustConverge(t, c, time.Minute)
+	digests := make(map[*simulated]int)
+	total := 0
+	c.onPacket = func(to *simulated, packet Packet) {
+		if packet.Kind == PacketDigest {
+			digests[to]++
+			total++
+		}
+	}
+	c.run(5 * time.Minute)
+	mean := total / len(c.nodes)
+	for _, seed := range c.nodes[:3] {
+		if digests[seed] > 3*mean {
+			t.Errorf("%s got %d digests, the mean is %d", seed.core.Self().Name, digests[seed], mean)
+		}
+	}
+}
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -24,6 +24,8 @@
 	encode  bool
 	order   int
 	onEvent func(*simulated, Event)
+	// onPacket is called with each packet that arrives.
+	onPacket func(to *simulated, packet Packet)
 }
 
 type simulated struct {
@@ -139,6 +141,9 @@
 		node.core.Tick(c.now)
 		c.schedule(arrival{at: c.now + c.config.TickInterval, to: node})
 	} else {
+		if c.onPacket != nil {
+			c.onPacket(node, *a.packet)
+		}
 		node.core.Step(c.now, a.from, *a.packet)
 	}
 	c.drain(node)
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -38,10 +38,7 @@
 func (c *Core) tickSync() {
 	s := &c.syncing
 	if c.now >= s.nextSeed {
-		s.nextSeed = c.now + c.config.SeedInterval
-		if c.alone() {
-			s.nextSeed = c.now + joinInterval
-		}
+		s.nextSeed = c.now + c.seedInterval()
 		c.syncWithSeed()
 	}
 	if c.config.disabled.synchronisation {
@@ -61,6 +58,21 @@
 	}
 }
 
+// seedSharers is how many nodes together make an exchange with a seed in each
+// Config.SeedInterval; among more nodes each does it more rarely, so that the
+// load of the seeds does not grow with their number.
+const seedSharers = 16
+
+// seedInterval is the time until this node's next exchange with a seed.
+func (c *Core) seedInterval() time.Duration {
+	if c.alone() {
+		return joinInterval
+	}
+	sharers := max(1, c.members()/seedSharers)
+	interval := c.config.SeedInterval * time.Duration(sharers)
+	return interval/2 + c.fraction(interval)
+}
+
 // syncWithSeed begins an exchange with the next seed, or with the next two if
 // this node is alone.
 func (c *Core) syncWithSeed() {
--- a/internal/rehearsal/hollow/config.go
+++ b/internal/rehearsal/hollow/config.go
@@ -71,7 +71,7 @@
 		Leaves:          int(float64(nodes) * leavesPerNode),
 		Scenarios:       []Scenario{ScenarioRest, ScenarioChanges, ScenarioRolling, ScenarioCut, ScenarioRegion},
 		Duration:        30 * time.Second,
-		WarmUp:          20 * time.Second,
+		WarmUp:          warmUp * time.Duration(max(1, nodes/400)),
 		ChangeInterval:  time.Second,
 		RestartInterval: time.Second,
 		ZoneDelay:       time.Millisecond,
@@ -81,6 +81,10 @@
 	}
 }
 
+// warmUp is that of up to 400 nodes; the news of a start takes longer to die
+// down among more.
+const warmUp = 20 * time.Second
+
 // Limits of a run, which keep it within one machine.
 const (
 	MaximumSocketNodes  = 1000
