--- a/internal/decide/coverage/coverage.go
+++ b/internal/decide/coverage/coverage.go
@@ -20,18 +20,25 @@
 	// MarginShare bounds Margin by a share of the time that the query was
 	// given. Default 0.05.
 	MarginShare float64
+	// ObjectiveShare is the share of the time until a query's objective after
+	// which it settles, if its coverage is enough. Default 0.9.
+	ObjectiveShare float64
 }
 
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
-	return Config{Margin: 5 * time.Millisecond, MarginShare: 0.05}
+	return Config{Margin: 5 * time.Millisecond, MarginShare: 0.05, ObjectiveShare: 0.9}
 }
 
 // SettleAt returns the time from which a query that was submitted at start
-// settles if its coverage is enough.
-func (c Config) SettleAt(start, deadline time.Duration) time.Duration {
+// settles if its coverage is enough. An objective of zero is none.
+func (c Config) SettleAt(start, deadline, objective time.Duration) time.Duration {
 	margin := min(c.Margin, time.Duration(c.MarginShare*float64(deadline-start)))
-	return deadline - max(margin, 0)
+	latest := deadline - max(margin, 0)
+	if objective <= start {
+		return latest
+	}
+	return min(latest, start+time.Duration(c.ObjectiveShare*float64(objective-start)))
 }
 
 // Whole reports whether every shard is answered.
--- a/internal/decide/coverage/coverage_test.go
+++ b/internal/decide/coverage/coverage_test.go
@@ -33,7 +33,7 @@
 		{time.Second, 5 * time.Millisecond},
 		{40 * time.Millisecond, 2 * time.Millisecond},
 	} {
-		if got := config.SettleAt(time.Hour, time.Hour+test.given); got != time.Hour+test.given-test.margin {
+		if got := config.SettleAt(time.Hour, time.Hour+test.given, 0); got != time.Hour+test.given-test.margin {
 			t.Errorf("%s: settles at %s", test.given, got)
 		}
 	}
--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -33,6 +33,15 @@
 	Settle coverage.Config
 	// Budget pays for hedges, probes and retries.
 	Budget hedge.BudgetConfig
+	// BudgetByShard gives each shard a budget of its own, where the shards are
+	// back ends that are metered one by one.
+	BudgetByShard bool
+	// ChargeRefusals books an attempt that follows a refusal as a retry, where
+	// the back ends count what they refused as load.
+	ChargeRefusals bool
+	// WorkByLeaf keeps the mean work for each leaf, where the leaves of one
+	// Dispatcher do work of different size.
+	WorkByLeaf bool
 	// Hedge is when a second attempt is sent.
 	Hedge HedgeConfig
 	// Probation is how stragglers are kept out and let back.
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -33,8 +33,20 @@
 	// number of shards of the pinned partition. Otherwise all are needed.
 	KeyHash uint64
 	HasKey  bool
+	// Shards, if not empty, lists the shards needed, in place of all. The
+	// Dispatcher keeps it; the caller must not modify it afterwards.
+	Shards []int
 	// Deadline is absolute, on the clock of Time.
 	Deadline Time
+	// Objective is the moment after which an answer is worth little; zero for
+	// none. A query with enough coverage settles shortly before it.
+	Objective Time
+	// HedgeDelay bounds the age at which an attempt counts as late; zero for
+	// no bound but the quantile of the class.
+	HedgeDelay time.Duration
+	// MaximumSends is how many attempts each shard may cause; zero for that
+	// of the Config.
+	MaximumSends int
 	// MinimumCoverage is the share of needed shards, from 0 to 1, below which
 	// the query waits until its deadline instead of settling.
 	MinimumCoverage float64
@@ -105,10 +117,13 @@
 // Leaf. The driver reports the end of each attempt exactly once, by Reply,
 // Refuse or Fail, also after Abort.
 type Send struct {
-	Attempt  AttemptID
-	Query    QueryID
-	Shard    int
-	Leaf     netip.AddrPort
+	Attempt AttemptID
+	Query   QueryID
+	Shard   int
+	Leaf    netip.AddrPort
+	// BootID is the incarnation of the leaf that the attempt is meant for, as
+	// the topology lists it.
+	BootID   string
 	Snapshot catalog.Snapshot
 	// Remaining is the time left until the query's deadline.
 	Remaining time.Duration
--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -41,6 +41,7 @@
 	ranked   []*classState // in the order in which their work goes
 	meanWork float64       // mean base of the attempts, in seconds
 	budget   hedge.Budget
+	budgets  map[int]*hedge.Budget // by shard, if Config.BudgetByShard
 
 	saturation         saturation
 	urgent, throughput meter   // work that arrived with the highest priority, and that was sent
@@ -71,6 +72,7 @@
 		classes:   make(map[string]*classState),
 		meanWork:  config.InitialLatency.Seconds(),
 		budget:    hedge.NewBudget(config.Budget),
+		budgets:   make(map[int]*hedge.Budget),
 	}
 }
 
@@ -92,7 +94,7 @@
 		Query:     request,
 		class:     d.classOf(request.Class),
 		submitted: d.now,
-		settleAt:  d.config.Settle.SettleAt(d.now, request.Deadline),
+		settleAt:  d.config.Settle.SettleAt(d.now, request.Deadline, request.Objective),
 		promoteAt: d.now + time.Duration(d.config.Promotion*float64(request.Deadline-d.now)),
 		timer:     -1,
 	}
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -144,6 +144,7 @@
 		q.retryAfter = max(q.retryAfter, d.config.Admission.RetryAfter(refusal.RetryAfter))
 	}
 	shard.resend = true
+	shard.charged = d.config.ChargeRefusals
 	shard.fallDue()
 }
 
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -44,10 +44,10 @@
 	if d.now >= q.Deadline {
 		return
 	}
-	if q.class.latency.Samples() < d.config.Hedge.Samples {
+	delay, known := d.hedgeDelay(q)
+	if !known {
 		return
 	}
-	delay := q.class.latency.Quantile(q.Class.HedgePercentile)
 	q.hedgeAt = q.Deadline
 	for position := range q.shards {
 		shard := &q.shards[position]
@@ -66,6 +66,18 @@
 	}
 }
 
+// hedgeDelay returns the age at which an attempt of the query counts as late.
+func (d *Dispatcher) hedgeDelay(q *query) (time.Duration, bool) {
+	if q.class.latency.Samples() < d.config.Hedge.Samples {
+		return q.HedgeDelay, q.HedgeDelay > 0
+	}
+	delay := q.class.latency.Quantile(q.Class.HedgePercentile)
+	if q.HedgeDelay > 0 {
+		delay = min(delay, q.HedgeDelay)
+	}
+	return delay, true
+}
+
 // replace gives up the only attempt of a shard and lets the shard wait for
 // another leaf, if the attempt is that late that its answer will not come, and
 // the query has no time to wait for the certainty.
@@ -73,7 +85,7 @@
 	shard := &q.shards[position]
 	only := &d.attempts.slots[shard.first]
 	age := (d.now - only.sentAt).Seconds()
-	if !q.rescuing(d.now) || age < lostAge*only.expected || !d.budget.CanRetry() {
+	if !q.rescuing(d.now) || age < lostAge*only.expected || !d.budgetOf(q, position).CanRetry() {
 		return
 	}
 	d.abort(only)
@@ -91,13 +103,13 @@
 // to answer before the first.
 func (d *Dispatcher) hedgeShard(q *query, position int32, first *attempt) bool {
 	shard := &q.shards[position]
-	if shard.group == nil || shard.group.waiting.live > 0 || int(shard.sends) >= d.config.MaximumSends {
+	if shard.group == nil || shard.group.waiting.live > 0 || int(shard.sends) >= q.maximumSends(&d.config) {
 		return false
 	}
 	if d.collect(shard, q.priority(d.now), shard.tried) != choiceSend {
 		return false
 	}
-	work := replica.Work{Base: q.class.base, Mean: d.meanWork}
+	work := replica.Work{Base: q.class.base, Mean: d.workOf(shard.group.leaves[0])}
 	index := d.chooser.Choose(d.candidates, work)
 	chosen := &d.candidates[index]
 	idle := float64(chosen.InFlight)+chosen.Others+1 <= float64(chosen.Slots)
@@ -105,7 +117,7 @@
 		return false
 	}
 	remaining := d.config.Score.Significant(d.slowness(first.leaf)) * q.class.base
-	if d.config.Score.Expected(chosen, work) > remaining*hedgeTolerance || !d.payHedge(q) {
+	if d.config.Score.Expected(chosen, work) > remaining*hedgeTolerance || !d.payHedge(q, position) {
 		return false
 	}
 	d.send(q, position, d.candidateLeaves[index], causeHedge)
@@ -113,11 +125,12 @@
 }
 
 // payHedge takes what a hedge costs.
-func (d *Dispatcher) payHedge(q *query) bool {
+func (d *Dispatcher) payHedge(q *query, position int32) bool {
+	budget := d.budgetOf(q, position)
 	if q.rescuing(d.now) {
-		return d.budget.SpendRetry(1)
+		return budget.SpendRetry(1)
 	}
-	return d.budget.SpendHedge()
+	return budget.SpendHedge()
 }
 
 // hedgeTolerance is how much longer than the first attempt the second may be
@@ -140,7 +153,7 @@
 // leaf of the group that had none for long, to learn whether it is still slow.
 func (d *Dispatcher) probe(q *query, position int32, chosen *leafState) {
 	shard := &q.shards[position]
-	if d.config.Probation.Disabled || !q.Class.Repeatable || len(shard.group.leaves) < 2 {
+	if d.config.Probation.Disabled || !q.Class.Repeatable || len(shard.group.leaves) < 2 || int(shard.sends) >= q.maximumSends(&d.config) {
 		return
 	}
 	for _, l := range shard.group.leaves {
@@ -150,7 +163,7 @@
 		if !l.takesWork() || l.held(d.now) {
 			continue
 		}
-		if d.slowness(l) > d.config.Probation.Slowness*d.slowness(chosen) && d.budget.SpendHedge() {
+		if d.slowness(l) > d.config.Probation.Slowness*d.slowness(chosen) && d.budgetOf(q, position).SpendHedge() {
 			d.send(q, position, l, causeProbe)
 			return
 		}
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -27,6 +27,7 @@
 	zone       string
 	near       bool
 	usable     bool   // says the topology
+	listedBoot string // incarnation, says the topology
 	listedIn   uint64 // number of the last topology that has it
 	unlistedAt Time
 	holdings   []leaf.Holding
@@ -42,6 +43,7 @@
 	limiter    limit.Limiter
 	speed      replica.Speed
 	latency    float64
+	meanWork   float64 // mean base of its attempts, in seconds; zero without one
 	failures   int
 	heldUntil  Time
 	recovering bool // the last reply was not slow
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"github.com/micaplank/micaplank/internal/decide/hedge"
 	"github.com/micaplank/micaplank/internal/decide/replica"
 )
 
@@ -37,11 +38,11 @@
 	if d.now >= q.Deadline {
 		return false
 	}
-	if shard.spent && !d.budget.CanRetry() {
+	if (shard.spent || shard.charged) && !d.budgetOf(q, position).CanRetry() {
 		d.park(q, position, waiting)
 		return true
 	}
-	if int(shard.sends) >= d.config.MaximumSends || int(shard.lost) >= d.config.MaximumLost {
+	if int(shard.sends) >= q.maximumSends(&d.config) || int(shard.lost) >= d.config.MaximumLost {
 		d.lose(q, position, waiting)
 		return true
 	}
@@ -72,7 +73,7 @@
 	switch {
 	case shard.spent && q.restarted:
 		return causeRestart
-	case shard.spent:
+	case shard.spent, shard.charged:
 		return causeRetry
 	case shard.resend || shard.sends > 0:
 		return causeResend
@@ -122,7 +123,7 @@
 	if waiting {
 		ahead = 0
 	}
-	work := replica.Work{Base: q.class.base, Mean: d.meanWork, Ahead: ahead}
+	work := replica.Work{Base: q.class.base, Mean: d.workOf(shard.group.leaves[0]), Ahead: ahead}
 	index := d.chooser.Choose(d.candidates, work)
 	chosen := d.candidateLeaves[index]
 	if d.candidates[index].Full() {
@@ -181,19 +182,19 @@
 // send starts an attempt.
 func (d *Dispatcher) send(q *query, position int32, l *leafState, why cause) {
 	shard := &q.shards[position]
-	d.count(q, why)
+	d.count(q, position, why)
 	queue := replica.Queue(float64(len(l.running))+l.estimateOthers(d.now), l.slots)
 	slot, entry := d.attempts.add()
 	entry.query = q
 	entry.wanted = true
 	entry.leaf = l
 	entry.snapshot = q.snapshot
-	entry.shard = q.firstShard + int(position)
+	entry.shard = q.shardAt(int(position))
 	entry.position = position
 	entry.next = shard.first
 	entry.cause = why
 	entry.sentAt = d.now
-	entry.expected = q.class.base + d.meanWork*queue
+	entry.expected = q.class.base + d.workOf(l)*queue
 	entry.running = int32(len(l.running))
 	l.running = append(l.running, slot)
 	l.lastSent = d.now
@@ -205,12 +206,13 @@
 	shard.try(l)
 	q.inFlight++
 	q.unresolved++
-	d.meanWork += meanWorkWeight * (q.class.base - d.meanWork)
+	d.learnWork(l, q.class.base)
 	d.actions = append(d.actions, Send{
 		Attempt:   entry.id,
 		Query:     q.ID,
 		Shard:     entry.shard,
 		Leaf:      l.address,
+		BootID:    l.listedBoot,
 		Snapshot:  q.snapshot,
 		Remaining: q.Deadline - d.now,
 		Extra:     why.extra(),
@@ -220,20 +222,53 @@
 // meanWorkWeight is the weight of one attempt in the mean work.
 const meanWorkWeight = 0.02
 
+// workOf returns the mean work of the attempts that a leaf gets.
+func (d *Dispatcher) workOf(l *leafState) float64 {
+	if d.config.WorkByLeaf && l.meanWork > 0 {
+		return l.meanWork
+	}
+	return d.meanWork
+}
+
+// learnWork takes in the work of one attempt.
+func (d *Dispatcher) learnWork(l *leafState, work float64) {
+	d.meanWork += meanWorkWeight * (work - d.meanWork)
+	if l.meanWork == 0 {
+		l.meanWork = work
+	}
+	l.meanWork += meanWorkWeight * (work - l.meanWork)
+}
+
+// budgetOf returns the budget that pays for extra attempts of a shard.
+func (d *Dispatcher) budgetOf(q *query, position int32) *hedge.Budget {
+	if !d.config.BudgetByShard {
+		return &d.budget
+	}
+	shard := q.shardAt(int(position))
+	budget, known := d.budgets[shard]
+	if !known {
+		created := hedge.NewBudget(d.config.Budget)
+		budget = &created
+		d.budgets[shard] = budget
+	}
+	return budget
+}
+
 // count books the attempt with the budget and the counters.
-func (d *Dispatcher) count(q *query, why cause) {
+func (d *Dispatcher) count(q *query, position int32, why cause) {
+	budget := d.budgetOf(q, position)
 	switch why {
 	case causeNeeded:
 		d.counters.Needed++
-		d.budget.Earn(q.Class.ExtraLoad)
+		budget.Earn(q.Class.ExtraLoad)
 	case causeResend:
 		d.counters.Resent++
 	case causeRetry:
 		d.counters.Retries++
-		d.budget.SpendRetry(1)
+		budget.SpendRetry(1)
 	case causeRestart:
 		d.counters.RestartSends++
-		d.budget.SpendRetry(1)
+		budget.SpendRetry(1)
 	case causeHedge:
 		d.counters.Hedges++
 	case causeProbe:
--- a/internal/decide/dispatch/query.go
+++ b/internal/decide/dispatch/query.go
@@ -25,6 +25,7 @@
 	lost    uint8
 	resend  bool   // the former attempt provably did not execute
 	spent   bool   // an attempt that may have executed has ended without use
+	charged bool   // the next attempt is extra load, though the former did not execute
 	tried   uint32 // replicas that got an attempt
 	group   *group
 	first   int32 // list of wanted attempts in flight
@@ -96,6 +97,22 @@
 	return q.executed || q.unresolved > 0
 }
 
+// shardAt returns the number of the shard at a position.
+func (q *query) shardAt(position int) int {
+	if len(q.Shards) > 0 {
+		return q.Shards[position]
+	}
+	return q.firstShard + position
+}
+
+// maximumSends returns how many attempts each shard may cause.
+func (q *query) maximumSends(config *Config) int {
+	if q.MaximumSends > 0 {
+		return q.MaximumSends
+	}
+	return config.MaximumSends
+}
+
 // outstanding returns the number of shards without an answer.
 func (q *query) outstanding() int {
 	return q.progress.Total - q.progress.Answered
@@ -123,7 +140,7 @@
 		finish.Missing = make([]int, 0, missing)
 	}
 	for position := range q.shards {
-		shard := q.firstShard + position
+		shard := q.shardAt(position)
 		if q.shards[position].status == shardAnswered {
 			answer := ShardAnswer{Shard: shard, Attempt: q.shards[position].answer}
 			finish.Answered = append(finish.Answered, answer)
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -9,7 +9,7 @@
 )
 
 func (q *query) need() snapshot.Need {
-	return snapshot.Need{KeyHash: q.KeyHash, HasKey: q.HasKey}
+	return snapshot.Need{KeyHash: q.KeyHash, HasKey: q.HasKey, Shards: q.Shards}
 }
 
 // pin fixes the snapshot of a query and the shards that it needs there.
@@ -32,9 +32,12 @@
 	if shard, single := q.need().Shard(count); single {
 		q.firstShard, count = shard, 1
 	}
+	if len(q.Shards) > 0 {
+		count = len(q.Shards)
+	}
 	q.shards = d.newShards(count)
 	for position := range q.shards {
-		q.shards[position].group = pinned.group(q.firstShard + position)
+		q.shards[position].group = pinned.group(q.shardAt(position))
 		q.shards[position].first = none
 	}
 	d.actions = slices.Grow(d.actions, count)
--- a/internal/decide/dispatch/topology.go
+++ b/internal/decide/dispatch/topology.go
@@ -83,6 +83,7 @@
 	l.zone = listed.Zone
 	l.near = listed.Zone == d.config.Zone
 	l.usable = listed.Usable
+	l.listedBoot = listed.BootID
 	if slots := slotsOf(listed); slots != l.slots {
 		l.slots = slots
 		l.limiter.Resize(slots)
@@ -209,7 +210,7 @@
 		shard := &q.shards[position]
 		shard.group = nil
 		if pinned != nil {
-			shard.group = pinned.group(q.firstShard + position)
+			shard.group = pinned.group(q.shardAt(position))
 		}
 		d.markTried(shard)
 		if shard.status == shardUnavailable {
--- a/internal/decide/snapshot/snapshot.go
+++ b/internal/decide/snapshot/snapshot.go
@@ -73,10 +73,12 @@
 	}
 }
 
-// Need says which shards a query needs: all, or the one that a key names.
+// Need says which shards a query needs: all, the one that a key names, or
+// those listed.
 type Need struct {
 	KeyHash uint64
 	HasKey  bool
+	Shards  []int
 }
 
 // Shard returns the only shard needed out of a number of shards, if a key
@@ -91,6 +93,9 @@
 // Covered returns how many of the needed shards of the view have a leaf, and
 // how many are needed.
 func (n Need) Covered(view *View) (covered, needed int) {
+	if len(n.Shards) > 0 {
+		return n.coveredOfListed(view), len(n.Shards)
+	}
 	shard, single := n.Shard(len(view.Replicas))
 	if !single {
 		return view.Covered, len(view.Replicas)
@@ -101,6 +106,16 @@
 	return 0, 1
 }
 
+func (n Need) coveredOfListed(view *View) int {
+	covered := 0
+	for _, shard := range n.Shards {
+		if shard >= 0 && shard < len(view.Replicas) && len(view.Replicas[shard]) > 0 {
+			covered++
+		}
+	}
+	return covered
+}
+
 // Pick returns the index of the newest view in which every needed shard has a
 // leaf; without one, that of the newest of those with the largest share of
 // the needed shards. It returns false if no view holds any needed shard.
--- a/internal/executor/answer.go
+++ b/internal/executor/answer.go
@@ -12,7 +12,7 @@
 
 // answer turns the fate of a scattered query into what the caller is told. A
 // statement that leaves refuse, and none has run, is the caller's mistake.
-func (p *plan) answer(result scatter.Result) (*api.QueryResponse, error) {
+func (p *plan) answer(result scatter.Result[rows.Table]) (*api.QueryResponse, error) {
 	switch result.Outcome {
 	case dispatch.OutcomeAnswered, dispatch.OutcomePartial:
 		return p.merged(result)
@@ -31,8 +31,8 @@
 }
 
 // merged builds the answer from exactly the tables that the dispatcher counts.
-func (p *plan) merged(result scatter.Result) (*api.QueryResponse, error) {
-	table, err := p.merge(result.Tables)
+func (p *plan) merged(result scatter.Result[rows.Table]) (*api.QueryResponse, error) {
+	table, err := p.merge(result.Parts)
 	if err != nil {
 		return nil, p.problem(api.ProblemInternal, err.Error())
 	}
@@ -73,7 +73,7 @@
 	return api.ProblemNotRunOverload
 }
 
-func (p *plan) fateProblem(problemType api.ProblemType, result scatter.Result) *api.Problem {
+func (p *plan) fateProblem(problemType api.ProblemType, result scatter.Result[rows.Table]) *api.Problem {
 	detail := result.Detail
 	if detail == "" && result.Total > 0 {
 		detail = fmt.Sprintf("%d of %d shards answered.", len(result.Answered), result.Total)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"github.com/micaplank/micaplank/internal/rows"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/api"
@@ -27,7 +28,7 @@
 
 // Scatterer runs a planned query over the shards of one service.
 type Scatterer interface {
-	Execute(ctx context.Context, request scatter.Request) scatter.Result
+	Execute(ctx context.Context, request scatter.Request[string]) scatter.Result[rows.Table]
 }
 
 // Scatterers finds the Scatterer of a service; it reports false if the service
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -177,7 +177,7 @@
 	for _, test := range cases {
 		fixture := newFixture(t)
 		test.finish.RetryAfter = 1500 * time.Microsecond
-		fixture.scatterer.result = scatter.Result{Finish: test.finish, Detail: "a leaf's word"}
+		fixture.scatterer.result = scatter.Result[rows.Table]{Finish: test.finish, Detail: "a leaf's word"}
 		_, err := fixture.executor.Query(context.Background(), "rate-desk", api.QueryRequest{Class: "sweep", Statement: broadSelect})
 		problem := requireProblem(t, test.name, err, test.want)
 		if problem.Outcome != test.finish.Outcome || problem.Reason != test.finish.Reason || problem.RetryAfterMilliseconds != 2 || problem.Detail != "a leaf's word" {
@@ -197,12 +197,12 @@
 	lane := func(name string) rows.Table {
 		return rows.Table{Columns: []string{"lane"}, Rows: []rows.Row{{rows.Value{Kind: rows.Text, Text: name}}}}
 	}
-	fixture.scatterer.result = scatter.Result{
+	fixture.scatterer.result = scatter.Result[rows.Table]{
 		Finish: dispatch.Finish{
 			Outcome: dispatch.OutcomePartial, Reason: dispatch.ReasonDeadline, Total: 3, Missing: []int{1},
 			Answered: []dispatch.ShardAnswer{{Shard: 0, Attempt: 1}, {Shard: 2, Attempt: 3}},
 		},
-		Tables: []scatter.ShardTable{{Shard: 2, Table: lane("b")}, {Shard: 0, Table: lane("a")}},
+		Parts: []scatter.ShardPart[rows.Table]{{Shard: 2, Part: lane("b")}, {Shard: 0, Part: lane("a")}},
 	}
 	answer, err := fixture.executor.Query(context.Background(), "rate-desk", api.QueryRequest{Class: "sweep", Statement: broadSelect})
 	if err != nil {
@@ -219,7 +219,7 @@
 // TestTablesThatDoNotFitAreAnInternalError gives no half-merged answer.
 func TestTablesThatDoNotFitAreAnInternalError(t *testing.T) {
 	fixture := newFixture(t)
-	fixture.scatterer.result.Tables = []scatter.ShardTable{{Shard: 0, Table: rows.Table{Columns: []string{"other"}}}}
+	fixture.scatterer.result.Parts = []scatter.ShardPart[rows.Table]{{Shard: 0, Part: rows.Table{Columns: []string{"other"}}}}
 	_, err := fixture.executor.Query(context.Background(), "rate-desk", api.QueryRequest{Class: "sweep", Statement: broadSelect})
 	requireProblem(t, "columns", err, api.ProblemInternal)
 }
--- a/internal/executor/fixture_test.go
+++ b/internal/executor/fixture_test.go
@@ -43,13 +43,13 @@
 type fakeScatterer struct {
 	mutex  sync.Mutex
 	calls  int
-	last   scatter.Request
-	result scatter.Result
+	last   scatter.Request[string]
+	result scatter.Result[rows.Table]
 	// during runs while a query is scattered.
 	during func(ctx context.Context)
 }
 
-func (f *fakeScatterer) Execute(ctx context.Context, request scatter.Request) scatter.Result {
+func (f *fakeScatterer) Execute(ctx context.Context, request scatter.Request[string]) scatter.Result[rows.Table] {
 	f.mutex.Lock()
 	f.calls++
 	f.last = request
@@ -115,8 +115,8 @@
 		proved:    true,
 	}
 	f.scatterers = &fakeScatterers{scatterer: f.scatterer}
-	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeAnswered, Total: 1, Answered: []dispatch.ShardAnswer{{Shard: 0, Attempt: 1}}}}
-	f.scatterer.result.Tables = []scatter.ShardTable{{Shard: 0, Table: rows.Table{Columns: []string{"lane"}}}}
+	f.scatterer.result = scatter.Result[rows.Table]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeAnswered, Total: 1, Answered: []dispatch.ShardAnswer{{Shard: 0, Attempt: 1}}}}
+	f.scatterer.result.Parts = []scatter.ShardPart[rows.Table]{{Shard: 0, Part: rows.Table{Columns: []string{"lane"}}}}
 	f.ledger = newLedger(once.DefaultConfig(), f.clock, func() time.Time { return f.wall }, func(time.Duration, uint64) bool { return f.proved })
 	f.executor = New(Config{
 		Self:           "node-a1",
--- a/internal/executor/once_test.go
+++ b/internal/executor/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/micaplank/micaplank/internal/rows"
 	"strings"
 	"testing"
 	"time"
@@ -20,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeFailed}}
+	f.scatterer.result = scatter.Result[rows.Table]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeFailed}}
 	second, err := f.executor.Query(context.Background(), "rate-desk", request)
 	if err != nil || second != first || f.scatterer.calls != 1 {
 		t.Errorf("the replay is %v, %v after %d runs", second, err, f.scatterer.calls)
@@ -32,7 +33,7 @@
 	f := settled(t)
 	request := f.filing()
 	answered := f.scatterer.result
-	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeUnknown, Reason: dispatch.ReasonLost}}
+	f.scatterer.result = scatter.Result[rows.Table]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeUnknown, Reason: dispatch.ReasonLost}}
 	for range 2 {
 		_, err := f.executor.Query(context.Background(), "rate-desk", request)
 		requireProblem(t, "lost", err, api.ProblemOutcomeUnknown)
@@ -48,7 +49,7 @@
 	f := settled(t)
 	request := f.filing()
 	answered := f.scatterer.result
-	f.scatterer.result = scatter.Result{Finish: dispatch.Finish{Outcome: dispatch.OutcomeNotRun, Reason: dispatch.ReasonOverload}}
+	f.scatterer.result = scatter.Result[rows.Table]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeNotRun, Reason: dispatch.ReasonOverload}}
 	_, err := f.executor.Query(context.Background(), "rate-desk", request)
 	requireProblem(t, "overload", err, api.ProblemNotRunOverload)
 	f.scatterer.result = answered
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -190,11 +190,11 @@
 	return nil
 }
 
-func (p *plan) scatterRequest() scatter.Request {
-	request := scatter.Request{
+func (p *plan) scatterRequest() scatter.Request[string] {
+	request := scatter.Request[string]{
 		RequestID:       p.request.RequestID,
 		Class:           p.class,
-		Statement:       p.shardStatement,
+		Payload:         p.shardStatement,
 		HasKey:          p.hasKey,
 		Timeout:         p.timeout,
 		MinimumCoverage: p.minimumCoverage,
@@ -206,22 +206,22 @@
 }
 
 // merge builds the table of the answer. An insert's answer is its shard's.
-func (p *plan) merge(tables []scatter.ShardTable) (rows.Table, error) {
+func (p *plan) merge(tables []scatter.ShardPart[rows.Table]) (rows.Table, error) {
 	if p.selection == nil {
 		return firstTable(tables), nil
 	}
 	merger := p.selection.NewMerger()
 	for _, table := range tables {
-		if err := merger.Add(table.Shard, table.Table); err != nil {
+		if err := merger.Add(table.Shard, table.Part); err != nil {
 			return rows.Table{}, err
 		}
 	}
 	return merger.Result()
 }
 
-func firstTable(tables []scatter.ShardTable) rows.Table {
+func firstTable(tables []scatter.ShardPart[rows.Table]) rows.Table {
 	if len(tables) == 0 {
 		return rows.Table{}
 	}
-	return tables[0].Table
+	return tables[0].Part
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"github.com/micaplank/micaplank/internal/rows"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -198,9 +199,9 @@
 	n.leaves = leaf.New(leaves, n.registry)
 	dispatchConfig := dispatch.DefaultConfig()
 	dispatchConfig.Zone = n.settings.Zone
-	n.services = newServices(dispatchConfig, scatter.Config{
+	n.services = newServices(dispatchConfig, scatter.Config[string, rows.Table]{
 		AttemptPrefix: fmt.Sprintf("%s/%d", n.settings.Name, n.incarnation),
-		Leaves:        n.leaves,
+		Leaves:        scatter.Statements{Executor: n.leaves},
 		Clock:         n.clock,
 		Guard:         n.admit,
 		OnDraining:    n.leafDraining,
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/micaplank/micaplank/internal/rows"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -19,22 +20,22 @@
 // safe for concurrent use.
 type services struct {
 	dispatch dispatch.Config
-	scatter  scatter.Config
+	scatter  scatter.Config[string, rows.Table]
 	// seed fixes the random choices of the dispatchers.
 	seed uint64
 
 	mutex sync.Mutex
-	conns map[string]*scatter.Conn
+	conns map[string]*scatter.Conn[string, rows.Table]
 	// ending counts connections of dropped services that still finish.
 	ending sync.WaitGroup
 }
 
-func newServices(dispatchConfig dispatch.Config, scatterConfig scatter.Config, seed uint64) *services {
+func newServices(dispatchConfig dispatch.Config, scatterConfig scatter.Config[string, rows.Table], seed uint64) *services {
 	return &services{
 		dispatch: dispatchConfig,
 		scatter:  scatterConfig,
 		seed:     seed,
-		conns:    make(map[string]*scatter.Conn),
+		conns:    make(map[string]*scatter.Conn[string, rows.Table]),
 	}
 }
 
@@ -44,7 +45,7 @@
 	return conn, ok
 }
 
-func (s *services) conn(service string) (*scatter.Conn, bool) {
+func (s *services) conn(service string) (*scatter.Conn[string, rows.Table], bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	conn, ok := s.conns[service]
@@ -64,7 +65,7 @@
 	conn.SetTopology(topology)
 }
 
-func (s *services) newConn(service string) *scatter.Conn {
+func (s *services) newConn(service string) *scatter.Conn[string, rows.Table] {
 	config := s.scatter
 	config.Service = service
 	config.AttemptPrefix = fmt.Sprintf("%s/%s", s.scatter.AttemptPrefix, service)
@@ -108,7 +109,7 @@
 func (s *services) close() {
 	s.mutex.Lock()
 	conns := s.conns
-	s.conns = make(map[string]*scatter.Conn)
+	s.conns = make(map[string]*scatter.Conn[string, rows.Table])
 	s.mutex.Unlock()
 	for _, conn := range conns {
 		conn.Close()
--- a/internal/scatter/benchmark_test.go
+++ b/internal/scatter/benchmark_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/micaplank/micaplank/internal/rows"
 	"log/slog"
 	"math/rand/v2"
 	"testing"
@@ -31,8 +32,8 @@
 	b.Cleanup(server.Close)
 	client := leaf.New(leaf.Config{}, nil)
 	b.Cleanup(client.Close)
-	conn := NewConn(Config{
-		Service: "rate-desk", AttemptPrefix: "benchmark", Leaves: client, Clock: clock.NewMonotonic(),
+	conn := NewConn(Config[string, rows.Table]{
+		Service: "rate-desk", AttemptPrefix: "benchmark", Leaves: Statements{client}, Clock: clock.NewMonotonic(),
 		Guard: always, Metrics: NewMetrics(prometheus.NewRegistry()),
 	}, dispatch.New(dispatch.DefaultConfig(), rand.New(rand.NewPCG(1, 2))))
 	conn.SetTopology(dispatch.Topology{
@@ -42,9 +43,9 @@
 			Holdings: []leaf.Holding{{Snapshot: catalog.Snapshot{Version: 1, Epoch: 1}, Shards: config.Partitions[0].Hold}},
 		}},
 	})
-	request := Request{
+	request := Request[string]{
 		RequestID: "r", Class: repeatable, Timeout: time.Second, MinimumCoverage: 1,
-		Statement: "select lane, carrier, price from rate-desk where lane = 'OTR-SPK' order by price limit 3",
+		Payload: "select lane, carrier, price from rate-desk where lane = 'OTR-SPK' order by price limit 3",
 	}
 	b.ReportAllocs()
 	b.RunParallel(func(p *testing.PB) {
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -12,7 +12,6 @@
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/decide/snapshot"
 	"github.com/micaplank/micaplank/internal/leaf"
-	"github.com/micaplank/micaplank/internal/rows"
 )
 
 // The steps of an attempt before the leaf client takes over.
@@ -26,15 +25,15 @@
 var errNotUsable = errors.New("the leaf takes no new work any more")
 
 // Conn runs the queries of one service. It is safe for concurrent use.
-type Conn struct {
-	config Config
+type Conn[Q, P any] struct {
+	config Config[Q, P]
 
 	mutex      sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	topology   dispatch.Topology
 	usable     map[netip.AddrPort]bool
 	lastQuery  dispatch.QueryID
-	queries    map[dispatch.QueryID]*query
+	queries    map[dispatch.QueryID]*query[Q, P]
 	attempts   map[dispatch.AttemptID]*attempt
 	timer      *time.Timer
 	closed     bool
@@ -42,12 +41,13 @@
 }
 
 // query is one query in progress.
-type query struct {
-	request  Request
+type query[Q, P any] struct {
+	request  Request[Q]
 	deadline dispatch.Time
-	tables   map[dispatch.AttemptID]rows.Table
+	parts    map[dispatch.AttemptID]P
+	failure  *P
 	detail   string
-	done     chan Result
+	done     chan Result[P]
 }
 
 // attempt is one send in progress.
@@ -56,14 +56,16 @@
 	cancel context.CancelFunc
 	// aborted is set before cancel is called, under the Conn's mutex.
 	aborted bool
+	// linger cancels an aborted attempt later; nil without one.
+	linger *time.Timer
 }
 
 // NewConn returns a Conn that owns the dispatcher from now on.
-func NewConn(config Config, dispatcher *dispatch.Dispatcher) *Conn {
-	conn := &Conn{
+func NewConn[Q, P any](config Config[Q, P], dispatcher *dispatch.Dispatcher) *Conn[Q, P] {
+	conn := &Conn[Q, P]{
 		config:     config,
 		dispatcher: dispatcher,
-		queries:    make(map[dispatch.QueryID]*query),
+		queries:    make(map[dispatch.QueryID]*query[Q, P]),
 		attempts:   make(map[dispatch.AttemptID]*attempt),
 	}
 	conn.timer = time.AfterFunc(time.Hour, conn.tick)
@@ -73,7 +75,7 @@
 
 // Execute runs a query and blocks until it ends. When ctx ends, because the
 // caller went away, the attempts in flight are cancelled.
-func (c *Conn) Execute(ctx context.Context, request Request) Result {
+func (c *Conn[Q, P]) Execute(ctx context.Context, request Request[Q]) Result[P] {
 	running := c.submit(request)
 	select {
 	case result := <-running.done:
@@ -91,38 +93,50 @@
 	return <-running.done
 }
 
-func (c *Conn) submit(request Request) *query {
-	running := &query{
+func (c *Conn[Q, P]) submit(request Request[Q]) *query[Q, P] {
+	running := &query[Q, P]{
 		request: request,
-		tables:  make(map[dispatch.AttemptID]rows.Table),
-		done:    make(chan Result, 1),
+		parts:   make(map[dispatch.AttemptID]P),
+		done:    make(chan Result[P], 1),
 	}
 	c.step(func(now dispatch.Time) []dispatch.Action {
 		if c.closed {
-			running.done <- Result{Finish: closedFinish()}
+			running.done <- Result[P]{Finish: closedFinish()}
 			return nil
 		}
 		c.lastQuery++
 		running.deadline = now + request.Timeout
 		c.queries[c.lastQuery] = running
-		return c.dispatcher.Submit(now, dispatch.Query{
-			ID:              c.lastQuery,
-			Class:           request.Class,
-			KeyHash:         request.KeyHash,
-			HasKey:          request.HasKey,
-			Deadline:        running.deadline,
-			MinimumCoverage: request.MinimumCoverage,
-		})
+		return c.dispatcher.Submit(now, request.query(c.lastQuery, now))
 	})
 	return running
 }
 
+// query returns what the Dispatcher is told of a request.
+func (r *Request[Q]) query(id dispatch.QueryID, now dispatch.Time) dispatch.Query {
+	submitted := dispatch.Query{
+		ID:              id,
+		Class:           r.Class,
+		KeyHash:         r.KeyHash,
+		HasKey:          r.HasKey,
+		Shards:          r.Shards,
+		Deadline:        now + r.Timeout,
+		HedgeDelay:      r.HedgeDelay,
+		MaximumSends:    r.MaximumSends,
+		MinimumCoverage: r.MinimumCoverage,
+	}
+	if r.Objective > 0 {
+		submitted.Objective = now + r.Objective
+	}
+	return submitted
+}
+
 func closedFinish() dispatch.Finish {
 	return dispatch.Finish{Outcome: dispatch.OutcomeNotRun, Reason: dispatch.ReasonStopped}
 }
 
 // SetTopology hands the dispatcher a new view of the leaves.
-func (c *Conn) SetTopology(topology dispatch.Topology) {
+func (c *Conn[Q, P]) SetTopology(topology dispatch.Topology) {
 	c.step(func(now dispatch.Time) []dispatch.Action {
 		c.topology = topology
 		c.usable = usableLeaves(topology)
@@ -140,7 +154,7 @@
 
 // mayGetWork reports whether a leaf is usable now: the guard may have brought
 // in a newer topology than the one that a send was decided on.
-func (c *Conn) mayGetWork(address netip.AddrPort) bool {
+func (c *Conn[Q, P]) mayGetWork(address netip.AddrPort) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.usable[address]
@@ -148,7 +162,7 @@
 
 // Snapshot returns the snapshot that a query of every shard would be pinned to
 // now; zero if none is known.
-func (c *Conn) Snapshot() catalog.Snapshot {
+func (c *Conn[Q, P]) Snapshot() catalog.Snapshot {
 	c.mutex.Lock()
 	topology := c.topology
 	c.mutex.Unlock()
@@ -167,28 +181,28 @@
 }
 
 // Observe hands the dispatcher a leaf's own word on its load.
-func (c *Conn) Observe(address netip.AddrPort, load leaf.LoadSummary) {
+func (c *Conn[Q, P]) Observe(address netip.AddrPort, load leaf.LoadSummary) {
 	c.step(func(now dispatch.Time) []dispatch.Action {
 		return c.dispatcher.Observe(now, address, load)
 	})
 }
 
 // LeafStates describes the leaves as the dispatcher sees them.
-func (c *Conn) LeafStates() []dispatch.LeafState {
+func (c *Conn[Q, P]) LeafStates() []dispatch.LeafState {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.dispatcher.LeafStates()
 }
 
 // Counters returns the dispatcher's counts.
-func (c *Conn) Counters() dispatch.Counters {
+func (c *Conn[Q, P]) Counters() dispatch.Counters {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.dispatcher.Counters()
 }
 
 // InFlight returns the number of queries that have not ended.
-func (c *Conn) InFlight() int {
+func (c *Conn[Q, P]) InFlight() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return len(c.queries)
@@ -196,7 +210,7 @@
 
 // Close refuses new queries and blocks until the running ones have ended and
 // every attempt has reported.
-func (c *Conn) Close() {
+func (c *Conn[Q, P]) Close() {
 	c.mutex.Lock()
 	c.closed = true
 	c.mutex.Unlock()
@@ -205,7 +219,7 @@
 }
 
 // step runs one call to the dispatcher and performs what it decided.
-func (c *Conn) step(decide func(now dispatch.Time) []dispatch.Action) {
+func (c *Conn[Q, P]) step(decide func(now dispatch.Time) []dispatch.Action) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	actions := decide(c.config.Clock.Now())
@@ -215,7 +229,7 @@
 	c.schedule()
 }
 
-func (c *Conn) perform(action dispatch.Action) {
+func (c *Conn[Q, P]) perform(action dispatch.Action) {
 	switch action := action.(type) {
 	case dispatch.Send:
 		c.start(action)
@@ -227,7 +241,7 @@
 }
 
 // schedule sets the timer to the dispatcher's next deadline.
-func (c *Conn) schedule() {
+func (c *Conn[Q, P]) schedule() {
 	next, wanted := c.dispatcher.NextTick()
 	if !wanted {
 		c.timer.Stop()
@@ -236,11 +250,11 @@
 	c.timer.Reset(max(next-c.config.Clock.Now(), 0))
 }
 
-func (c *Conn) tick() {
+func (c *Conn[Q, P]) tick() {
 	c.step(c.dispatcher.Tick)
 }
 
-func (c *Conn) start(send dispatch.Send) {
+func (c *Conn[Q, P]) start(send dispatch.Send) {
 	running := c.queries[send.Query]
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &attempt{send: send, cancel: cancel}
@@ -249,35 +263,45 @@
 	go c.run(ctx, started, running)
 }
 
-func (c *Conn) abort(id dispatch.AttemptID) {
+func (c *Conn[Q, P]) abort(id dispatch.AttemptID) {
 	started := c.attempts[id]
 	if started == nil {
 		return
 	}
 	started.aborted = true
-	started.cancel()
+	if c.config.Linger == 0 {
+		started.cancel()
+		return
+	}
+	started.linger = time.AfterFunc(c.config.Linger, started.cancel)
 }
 
-func (c *Conn) finish(finish dispatch.Finish) {
+func (c *Conn[Q, P]) finish(finish dispatch.Finish) {
 	ended := c.queries[finish.Query]
 	if ended == nil {
 		return
 	}
 	delete(c.queries, finish.Query)
-	result := Result{Finish: finish, Detail: ended.detail}
+	result := Result[P]{Finish: finish, Detail: ended.detail}
+	if ended.failure != nil {
+		result.Failure, result.HasFailure = *ended.failure, true
+	}
 	for _, answer := range finish.Answered {
-		result.Tables = append(result.Tables, ShardTable{Shard: answer.Shard, Table: ended.tables[answer.Attempt]})
+		result.Parts = append(result.Parts, ShardPart[P]{Shard: answer.Shard, Part: ended.parts[answer.Attempt]})
 	}
 	ended.done <- result
 }
 
 // run performs one attempt and reports its end, exactly once.
-func (c *Conn) run(ctx context.Context, started *attempt, running *query) {
+func (c *Conn[Q, P]) run(ctx context.Context, started *attempt, running *query[Q, P]) {
 	defer c.running.Done()
 	defer started.cancel()
 	response, err := c.execute(ctx, started.send, running)
 	c.step(func(now dispatch.Time) []dispatch.Action {
 		delete(c.attempts, started.send.Attempt)
+		if started.linger != nil {
+			started.linger.Stop()
+		}
 		return c.report(now, started, running, response, err)
 	})
 	c.noteDraining(started.send.Leaf, response)
@@ -286,7 +310,7 @@
 // execute sends one attempt, unless the guard or the deadline forbids it. The
 // checks come directly before the send: the process may have been frozen since
 // the decision was made.
-func (c *Conn) execute(ctx context.Context, send dispatch.Send, running *query) (*leaf.ExecuteResponse, error) {
+func (c *Conn[Q, P]) execute(ctx context.Context, send dispatch.Send, running *query[Q, P]) (*Response[P], error) {
 	if err := c.config.Guard(); err != nil {
 		return nil, notSent(stepGuard, send.Leaf, err)
 	}
@@ -299,15 +323,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	return c.config.Leaves.Execute(ctx, send.Leaf, leaf.ExecuteRequest{
-		RequestID:             running.request.RequestID,
-		AttemptID:             fmt.Sprintf("%s/%d", c.config.AttemptPrefix, send.Attempt),
-		Service:               c.config.Service,
-		Shard:                 send.Shard,
-		Snapshot:              send.Snapshot,
-		Statement:             running.request.Statement,
-		RemainingMilliseconds: max(remaining.Milliseconds(), 1),
-		Repeatable:            running.request.Class.Repeatable,
+	return c.config.Leaves.Execute(ctx, Attempt[Q]{
+		Send:       send,
+		ID:         fmt.Sprintf("%s/%d", c.config.AttemptPrefix, send.Attempt),
+		RequestID:  running.request.RequestID,
+		Service:    c.config.Service,
+		Repeatable: running.request.Class.Repeatable,
+		Remaining:  remaining,
+		Payload:    running.request.Payload,
 	})
 }
 
@@ -316,7 +339,7 @@
 }
 
 // report tells the dispatcher how an attempt ended.
-func (c *Conn) report(now dispatch.Time, started *attempt, running *query, response *leaf.ExecuteResponse, err error) []dispatch.Action {
+func (c *Conn[Q, P]) report(now dispatch.Time, started *attempt, running *query[Q, P], response *Response[P], err error) []dispatch.Action {
 	id := started.send.Attempt
 	if err != nil {
 		failure := dispatch.Failure{Sent: mayHaveBeenSent(err), Aborted: started.aborted}
@@ -329,13 +352,20 @@
 			running.detail = response.Detail
 		}
 		return c.dispatcher.Refuse(now, id, dispatch.Refusal{
-			Reason: response.Refusal,
-			BootID: response.BootID,
-			Load:   response.Load,
+			Reason:     response.Refusal,
+			RetryAfter: response.RetryAfter,
+			BootID:     response.BootID,
+			Load:       response.Load,
 		})
 	}
+	if response.Failed {
+		running.failure = &response.Part
+		failure := dispatch.Failure{Sent: true, Aborted: started.aborted}
+		c.config.Metrics.countFailure(failure)
+		return c.dispatcher.Fail(now, id, failure)
+	}
 	if _, active := c.queries[started.send.Query]; active {
-		running.tables[id] = response.Table
+		running.parts[id] = response.Part
 	}
 	return c.dispatcher.Reply(now, id, dispatch.Reply{
 		Shard:    response.Shard,
@@ -355,7 +385,7 @@
 	return true
 }
 
-func (c *Conn) noteDraining(address netip.AddrPort, response *leaf.ExecuteResponse) {
+func (c *Conn[Q, P]) noteDraining(address netip.AddrPort, response *Response[P]) {
 	if response == nil || c.config.OnDraining == nil {
 		return
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -16,13 +16,46 @@
 	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/leaf"
-	"github.com/micaplank/micaplank/internal/rows"
 )
 
 // LeafClient runs one attempt on one leaf. An error that proves that the
 // attempt did not reach the leaf is a *leaf.TransportError with Sent false.
-type LeafClient interface {
-	Execute(ctx context.Context, address netip.AddrPort, request leaf.ExecuteRequest) (*leaf.ExecuteResponse, error)
+// Execute does not keep the attempt.
+type LeafClient[Q, P any] interface {
+	Execute(ctx context.Context, attempt Attempt[Q]) (*Response[P], error)
+}
+
+// Attempt is one send, with all that a leaf needs to run it.
+type Attempt[Q any] struct {
+	dispatch.Send
+	// ID is unique among the nodes and their restarts.
+	ID         string
+	RequestID  string
+	Service    string
+	Repeatable bool
+	// Remaining is the time left at the moment of the send.
+	Remaining time.Duration
+	Payload   Q
+}
+
+// Response is what a leaf said of an attempt. The zero value of each field
+// means that the leaf did not say.
+type Response[P any] struct {
+	// Executed is false if the leaf proved that it did not run the attempt;
+	// Refusal, RetryAfter and Detail say why.
+	Executed   bool
+	Refusal    leaf.Refusal
+	RetryAfter time.Duration
+	Detail     string
+	// Failed is set if the leaf ran the attempt and answered with a failure of
+	// its own, which is the Part.
+	Failed bool
+	// Shard and Snapshot are those that the part comes from.
+	Shard    int
+	Snapshot catalog.Snapshot
+	BootID   string
+	Load     leaf.LoadSummary
+	Part     P
 }
 
 // Guard says directly before a send whether the node may still act. A node
@@ -33,39 +66,56 @@
 type DrainingFunc func(address netip.AddrPort, bootID string)
 
 // Config is what a Conn needs besides its Dispatcher.
-type Config struct {
+type Config[Q, P any] struct {
 	Service string
 	// AttemptPrefix makes attempt ids unique among nodes and their restarts.
 	AttemptPrefix string
-	Leaves        LeafClient
+	Leaves        LeafClient[Q, P]
 	Clock         clock.Clock
 	Guard         Guard
 	OnDraining    DrainingFunc
 	Metrics       *Metrics
+	// Linger is how long an attempt that is not wanted any more may go on, so
+	// that its connection can be used again. Zero cancels it at once.
+	Linger time.Duration
 }
 
 // Request is one query as the executor planned it.
-type Request struct {
+type Request[Q any] struct {
 	RequestID string
 	Class     catalog.Class
-	// Statement is the canonical text that each shard runs.
-	Statement       string
-	KeyHash         uint64
-	HasKey          bool
-	Timeout         time.Duration
+	// Payload is what each shard runs.
+	Payload Q
+	KeyHash uint64
+	HasKey  bool
+	// Shards, if not empty, lists the shards needed, in place of all.
+	Shards  []int
+	Timeout time.Duration
+	// Objective is the time within which an answer is worth most; zero for
+	// none.
+	Objective time.Duration
+	// HedgeDelay bounds the age at which an attempt counts as late; zero for
+	// no bound.
+	HedgeDelay time.Duration
+	// MaximumSends is how many attempts each shard may cause; zero for the
+	// Dispatcher's own bound.
+	MaximumSends    int
 	MinimumCoverage float64
 }
 
-// ShardTable is the table of one shard that counts for the answer.
-type ShardTable struct {
+// ShardPart is the part of one shard that counts for the answer.
+type ShardPart[P any] struct {
 	Shard int
-	Table rows.Table
+	Part  P
 }
 
-// Result is the fate of a query, with the tables that count.
-type Result struct {
+// Result is the fate of a query, with the parts that count.
+type Result[P any] struct {
 	dispatch.Finish
-	Tables []ShardTable
+	Parts []ShardPart[P]
+	// Failure is the last answer with which a leaf itself failed, if HasFailure.
+	Failure    P
+	HasFailure bool
 	// Detail is a leaf's word on why a statement cannot run, if one said so.
 	Detail string
 }
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -100,9 +100,9 @@
 	return topology
 }
 
-func newTestConn(leaves LeafClient, guard Guard) *Conn {
-	conn := NewConn(Config{
-		Service: "rate-desk", AttemptPrefix: "test", Leaves: leaves, Clock: clock.NewMonotonic(),
+func newTestConn(leaves StatementExecutor, guard Guard) *Conn[string, rows.Table] {
+	conn := NewConn(Config[string, rows.Table]{
+		Service: "rate-desk", AttemptPrefix: "test", Leaves: Statements{leaves}, Clock: clock.NewMonotonic(),
 		Guard: guard, Metrics: NewMetrics(prometheus.NewRegistry()),
 	}, dispatch.New(dispatch.DefaultConfig(), rand.New(rand.NewPCG(1, 2))))
 	conn.SetTopology(testTopology())
@@ -117,7 +117,7 @@
 	leaves := newFaultyLeaves(7)
 	conn := newTestConn(leaves, always)
 	const queries = 2000
-	results := make([]Result, queries)
+	results := make([]Result[rows.Table], queries)
 	var running sync.WaitGroup
 	limiter := make(chan struct{}, 64)
 	for i := range queries {
@@ -139,9 +139,9 @@
 	}
 }
 
-func testRequest(i int) Request {
-	request := Request{
-		RequestID: fmt.Sprintf("request-%d", i), Class: repeatable, Statement: "select 1",
+func testRequest(i int) Request[string] {
+	request := Request[string]{
+		RequestID: fmt.Sprintf("request-%d", i), Class: repeatable, Payload: "select 1",
 		Timeout: 200 * time.Millisecond, MinimumCoverage: 1,
 	}
 	if i%3 == 0 {
@@ -150,7 +150,7 @@
 	return request
 }
 
-func checkResult(t *testing.T, request Request, result Result, executions []int) {
+func checkResult(t *testing.T, request Request[string], result Result[rows.Table], executions []int) {
 	t.Helper()
 	if result.Outcome == dispatch.OutcomeNotRun && len(executions) > 0 {
 		t.Errorf("%s: not run, but executed on shards %v", request.RequestID, executions)
@@ -161,8 +161,8 @@
 	if len(result.Answered)+len(result.Missing) != result.Total {
 		t.Errorf("%s: %d answered and %d missing of %d", request.RequestID, len(result.Answered), len(result.Missing), result.Total)
 	}
-	for _, table := range result.Tables {
-		row := table.Table.Rows[0]
+	for _, table := range result.Parts {
+		row := table.Part.Rows[0]
 		if row[0].Text != request.RequestID || int(row[1].Number) != table.Shard {
 			t.Errorf("%s shard %d: got the row of %s shard %v", request.RequestID, table.Shard, row[0].Text, row[1].Number)
 		}
@@ -173,7 +173,7 @@
 // and the send, while the leaves were retired: none gets work.
 func TestGuardMayBringANewerTopology(t *testing.T) {
 	leaves := newFaultyLeaves(1)
-	var conn *Conn
+	var conn *Conn[string, rows.Table]
 	conn = newTestConn(leaves, func() error {
 		retired := testTopology()
 		for i := range retired.Leaves {
@@ -183,7 +183,7 @@
 		return nil
 	})
 	defer conn.Close()
-	result := conn.Execute(context.Background(), Request{RequestID: "r", Class: repeatable, Timeout: time.Second, MinimumCoverage: 1})
+	result := conn.Execute(context.Background(), Request[string]{RequestID: "r", Class: repeatable, Timeout: time.Second, MinimumCoverage: 1})
 	if result.Outcome != dispatch.OutcomeNotRun || len(leaves.executed) > 0 {
 		t.Errorf("%s, executed %v", result.Outcome, leaves.executed)
 	}
