--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 # check is what continuous integration runs besides the tests.
 check:
-	@unformatted=$$(gofmt -l cmd internal); \
+	@unformatted=$$(gofmt -l cmd internal platform); \
 	if [ -n "$$unformatted" ]; then echo "gofmt would change:"; echo "$$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
@@ -31,7 +31,7 @@
 	$(BIN)/micarehearse demo --binaries $(BIN)
 
 bench:
-	go test -run '^$$' -bench . -benchmem ./internal/...
+	go test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
 
 clean:
 	rm -rf $(BIN) out
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -44,8 +44,8 @@
 	// HedgeDelay bounds the age at which an attempt counts as late; zero for
 	// no bound but the quantile of the class.
 	HedgeDelay time.Duration
-	// MaximumSends is how many attempts each shard may cause; zero for that
-	// of the Config.
+	// MaximumSends is how many attempts of each shard may execute; zero for no
+	// bound but that of the Config on all sends.
 	MaximumSends int
 	// MinimumCoverage is the share of needed shards, from 0 to 1, below which
 	// the query waits until its deadline instead of settling.
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -144,6 +144,7 @@
 		q.retryAfter = max(q.retryAfter, d.config.Admission.RetryAfter(refusal.RetryAfter))
 	}
 	shard.resend = true
+	shard.proved++
 	shard.charged = d.config.ChargeRefusals
 	shard.fallDue()
 }
@@ -185,6 +186,7 @@
 	shard := &q.shards[ended.position]
 	q.lastReason = ReasonLost
 	shard.resend = true
+	shard.proved++
 	shard.fallDue()
 }
 
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -103,7 +103,7 @@
 // to answer before the first.
 func (d *Dispatcher) hedgeShard(q *query, position int32, first *attempt) bool {
 	shard := &q.shards[position]
-	if shard.group == nil || shard.group.waiting.live > 0 || int(shard.sends) >= q.maximumSends(&d.config) {
+	if shard.group == nil || shard.group.waiting.live > 0 || !q.maySend(shard, &d.config) {
 		return false
 	}
 	if d.collect(shard, q.priority(d.now), shard.tried) != choiceSend {
@@ -153,7 +153,7 @@
 // leaf of the group that had none for long, to learn whether it is still slow.
 func (d *Dispatcher) probe(q *query, position int32, chosen *leafState) {
 	shard := &q.shards[position]
-	if d.config.Probation.Disabled || !q.Class.Repeatable || len(shard.group.leaves) < 2 || int(shard.sends) >= q.maximumSends(&d.config) {
+	if d.config.Probation.Disabled || !q.Class.Repeatable || len(shard.group.leaves) < 2 || !q.maySend(shard, &d.config) {
 		return
 	}
 	for _, l := range shard.group.leaves {
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -42,7 +42,7 @@
 		d.park(q, position, waiting)
 		return true
 	}
-	if int(shard.sends) >= q.maximumSends(&d.config) || int(shard.lost) >= d.config.MaximumLost {
+	if !q.maySend(shard, &d.config) || int(shard.lost) >= d.config.MaximumLost {
 		d.lose(q, position, waiting)
 		return true
 	}
--- a/internal/decide/dispatch/query.go
+++ b/internal/decide/dispatch/query.go
@@ -23,6 +23,7 @@
 	status  shardStatus
 	sends   uint8
 	lost    uint8
+	proved  uint8  // sends that provably did not execute
 	resend  bool   // the former attempt provably did not execute
 	spent   bool   // an attempt that may have executed has ended without use
 	charged bool   // the next attempt is extra load, though the former did not execute
@@ -105,12 +106,13 @@
 	return q.firstShard + position
 }
 
-// maximumSends returns how many attempts each shard may cause.
-func (q *query) maximumSends(config *Config) int {
-	if q.MaximumSends > 0 {
-		return q.MaximumSends
+// maySend reports whether the shard may cause another attempt. Attempts that
+// provably did not execute do not count against the query's own bound.
+func (q *query) maySend(shard *shardState, config *Config) bool {
+	if int(shard.sends) >= config.MaximumSends {
+		return false
 	}
-	return config.MaximumSends
+	return q.MaximumSends == 0 || int(shard.sends-shard.proved) < q.MaximumSends
 }
 
 // outstanding returns the number of shards without an answer.
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,207 @@
+// Package forward runs requests whose payload the product does not read: it
+// finds their route in the declared configuration, sends them to one leaf of
+// each shard that the route names, and makes the answer from the parts.
+//
+// It decides nothing about leaves, waiting or repeats; the Dispatcher of
+// package dispatch does, through a scatter.Conn.
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/registry"
+	"github.com/micaplank/micaplank/internal/route"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// Request is a client's request. Leaves get it unchanged.
+type Request struct {
+	// ID is the client's id of this attempt of its own.
+	ID     string
+	Method string
+	Host   string
+	// Target is the path with the query.
+	Target string
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Patience is how long the client waits; zero if it did not say.
+	Patience time.Duration
+}
+
+// Part is a leaf's whole answer.
+type Part struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Signature is the leaf's mark of the answer.
+	Signature string
+}
+
+// Fate says what became of a request.
+type Fate string
+
+// The fates of a request.
+const (
+	// FateAnswered means that Answer.Part is a leaf's answer, to be returned
+	// unchanged. It may be the answer of a leaf that failed.
+	FateAnswered Fate = "answered"
+	// FateMerged means that Answer.Body is made from several parts.
+	FateMerged Fate = "merged"
+	// FateNoRoute means that the configuration has no route for it.
+	FateNoRoute Fate = "no_route"
+	// FateNotRun means that it ran nowhere and never will.
+	FateNotRun Fate = "not_run"
+	// FateLate means that the time was used up and it may have run.
+	FateLate Fate = "late"
+	// FateFailed means that there is no answer and it may have run.
+	FateFailed Fate = "failed"
+)
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Fate   Fate
+	Reason dispatch.Reason
+	// Part is the leaf's answer of FateAnswered.
+	Part Part
+	// Body, Signatures and Missing make up FateMerged: the merged records, the
+	// signatures of the parts, and the number of shards left out.
+	Body       []byte
+	Signatures []string
+	Missing    int
+	// RetryAfter is when the client may come again, with FateNotRun.
+	RetryAfter time.Duration
+	// Route is the name of the route, and Version that of the configuration;
+	// both are empty if there is none.
+	Route   string
+	Version uint64
+	// Answered and Total count the shards.
+	Answered, Total int
+}
+
+// Scatterer runs a request on its shards.
+type Scatterer interface {
+	Execute(ctx context.Context, request scatter.Request[*Request]) scatter.Result[Part]
+}
+
+// Config is the policy of a Forwarder. All fields must be set.
+type Config struct {
+	// HedgeShare is the share of a route's objective after which an attempt
+	// counts as late.
+	HedgeShare float64
+	// HedgePercentile is the quantile of latency after which one does.
+	HedgePercentile float64
+	// ExtraLoad is the share of extra attempts that requests earn.
+	ExtraLoad float64
+	// UnknownRetryAfter is when a client may come again that met a node
+	// without the configuration.
+	UnknownRetryAfter time.Duration
+}
+
+// Forwarder runs requests. It is safe for concurrent use.
+type Forwarder struct {
+	config    Config
+	scatterer Scatterer
+	index     *registry.Index
+	splitter  *route.Splitter
+	table     atomic.Pointer[route.Table]
+	fresh     atomic.Bool
+}
+
+// New returns a Forwarder without a configuration: it answers every request
+// with FateNotRun until Install is called.
+func New(config Config, scatterer Scatterer, index *registry.Index) *Forwarder {
+	return &Forwarder{config: config, scatterer: scatterer, index: index, splitter: route.NewSplitter()}
+}
+
+// Install puts a configuration into force, unless it is not newer than the one
+// in force; it reports whether it did. Calls must not overlap.
+func (f *Forwarder) Install(table *route.Table) bool {
+	if current := f.table.Load(); current != nil && table.Config.Version <= current.Config.Version {
+		return false
+	}
+	f.splitter.Retain(table.Config)
+	f.table.Store(table)
+	return true
+}
+
+// Table returns the configuration in force; nil without one.
+func (f *Forwarder) Table() *route.Table { return f.table.Load() }
+
+// SetFresh says whether the configuration in force is known to be the newest.
+// Only then is a request refused for lack of a route.
+func (f *Forwarder) SetFresh(fresh bool) { f.fresh.Store(fresh) }
+
+// Execute runs a request and blocks until its fate is known. When ctx ends,
+// because the client went away, its attempts are cancelled.
+func (f *Forwarder) Execute(ctx context.Context, request *Request) Answer {
+	table := f.table.Load()
+	if table == nil {
+		return f.notRun(dispatch.ReasonNoSnapshot)
+	}
+	matched, found := table.Match(request.Host, request.Path)
+	if !found {
+		if f.fresh.Load() {
+			return Answer{Fate: FateNoRoute, Version: table.Config.Version}
+		}
+		return f.notRun(dispatch.ReasonNoSnapshot)
+	}
+	result := f.scatterer.Execute(ctx, f.plan(matched, request))
+	answer := answerOf(matched, result)
+	answer.Route = matched.Name
+	answer.Version = table.Config.Version
+	return answer
+}
+
+func (f *Forwarder) notRun(reason dispatch.Reason) Answer {
+	return Answer{Fate: FateNotRun, Reason: reason, RetryAfter: f.config.UnknownRetryAfter}
+}
+
+// plan makes the query of a request.
+func (f *Forwarder) plan(matched *route.Route, request *Request) scatter.Request[*Request] {
+	timeout := matched.Timeout
+	if request.Patience > 0 {
+		timeout = min(timeout, request.Patience)
+	}
+	return scatter.Request[*Request]{
+		RequestID:       request.ID,
+		Class:           f.class(matched),
+		Payload:         request,
+		Shards:          f.shards(matched),
+		Timeout:         timeout,
+		Objective:       matched.Objective,
+		HedgeDelay:      time.Duration(f.config.HedgeShare * float64(matched.Objective)),
+		MaximumSends:    matched.MaxAttempts,
+		MinimumCoverage: matched.MinCoverage,
+	}
+}
+
+func (f *Forwarder) shards(matched *route.Route) []int {
+	if len(matched.Shards) == 0 {
+		return []int{f.index.Of(f.splitter.Pick(matched))}
+	}
+	shards := make([]int, len(matched.Shards))
+	for position, service := range matched.Shards {
+		shards[position] = f.index.Of(service)
+	}
+	return shards
+}
+
+// class returns the class by which the Dispatcher learns latencies. Routes of
+// the same kind share one, however many routes there are.
+func (f *Forwarder) class(matched *route.Route) catalog.Class {
+	return catalog.Class{
+		Name:            fmt.Sprintf("%d/%s/%s/%d", matched.Priority, matched.Objective, matched.Timeout, matched.TopK),
+		Priority:        matched.Priority + 1,
+		Deadline:        matched.Timeout,
+		HedgePercentile: f.config.HedgePercentile,
+		ExtraLoad:       f.config.ExtraLoad,
+		Repeatable:      matched.Repeatable,
+	}
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,179 @@
+// Package frontend wires a node that forwards opaque requests by a declared
+// configuration: it follows the configuration and the leaves in a store, runs
+// requests through one Dispatcher, and serves callers, questions for readiness
+// and metrics.
+//
+// It knows no names of a platform. Those come in through Ports.
+package frontend
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/mirror"
+	"github.com/micaplank/micaplank/internal/registry"
+	"github.com/micaplank/micaplank/internal/route"
+	"github.com/micaplank/micaplank/internal/scatter"
+	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+// Decoder reads what lies in the store. Its methods keep nothing of the items.
+type Decoder interface {
+	// ConfigPrefix and LeafPrefix are what the keys begin with.
+	ConfigPrefix() string
+	LeafPrefix() string
+	// Config reads the declared configuration; false if the item is another.
+	Config(item mirror.Item) (*route.Config, bool, error)
+	// Leaf reads the announcement of a leaf. Of a removed one, only the key is
+	// given, and only the id is wanted.
+	Leaf(item mirror.Item) (registry.Leaf, error)
+}
+
+// Ports are the ways to the outside that a Frontend uses.
+type Ports struct {
+	Store   mirror.Source
+	Decoder Decoder
+	Leaves  scatter.LeafClient[*forward.Request, forward.Part]
+	// Handler makes the handler of callers' requests.
+	Handler func(Service) http.Handler
+	// ReadyPath is where the handler of readiness is asked.
+	ReadyPath string
+	// OnLeaves is told of the topology before work goes by it; nil for nobody.
+	OnLeaves func(dispatch.Topology)
+}
+
+// Service is what the handler of callers' requests uses.
+type Service interface {
+	// Execute runs a request; see forward.Forwarder.
+	Execute(ctx context.Context, request *forward.Request) forward.Answer
+	// Limits returns what the configuration in force allows clients to send.
+	Limits() route.Limits
+	// Draining reports whether callers should move to other nodes.
+	Draining() bool
+}
+
+// Frontend is one node. Make it with New and start it with Run.
+type Frontend struct {
+	settings settings.Settings
+	ports    Ports
+	logger   *slog.Logger
+	clock    clock.Clock
+	metrics  *metrics
+	registry *telemetry.Registry
+
+	conn      *scatter.Conn[*forward.Request, forward.Part]
+	forwarder *forward.Forwarder
+	draining  atomic.Bool
+
+	mutex       sync.Mutex
+	index       *registry.Index
+	leaves      *registry.Table
+	expiry      *time.Timer
+	leavesKnown bool
+}
+
+// New returns a Frontend that has not started anything.
+func New(configured settings.Settings, ports Ports, registry *telemetry.Registry, logger *slog.Logger) *Frontend {
+	f := &Frontend{
+		settings: configured,
+		ports:    ports,
+		logger:   logger,
+		clock:    clock.NewMonotonic(),
+		metrics:  newMetrics(registry),
+		registry: registry,
+	}
+	f.build(registry)
+	return f
+}
+
+func (f *Frontend) build(registerer prometheus.Registerer) {
+	f.index = registry.NewIndex()
+	f.leaves = registry.NewTable(registry.Config{
+		Doubt:    f.settings.Forward.LeafDoubt.Duration(),
+		Settling: f.settings.Forward.LeafSettling.Duration(),
+	}, f.index)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	f.conn = scatter.NewConn(scatter.Config[*forward.Request, forward.Part]{
+		AttemptPrefix: f.settings.Name,
+		Leaves:        f.ports.Leaves,
+		Clock:         f.clock,
+		Guard:         func() error { return nil },
+		Metrics:       scatter.NewMetrics(registerer),
+		Linger:        f.settings.Forward.Linger.Duration(),
+	}, dispatch.New(dispatchConfig(f.settings), random))
+	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
+	f.expiry = time.AfterFunc(time.Hour, f.expire)
+	f.expiry.Stop()
+}
+
+// unknownRetryAfter is when a client may come again that met a node without
+// the configuration.
+const unknownRetryAfter = 300 * time.Millisecond
+
+func forwardConfig(from settings.Forward) forward.Config {
+	return forward.Config{
+		HedgeShare:        from.HedgeShare,
+		HedgePercentile:   from.HedgePercentile,
+		ExtraLoad:         from.ExtraRatio,
+		UnknownRetryAfter: unknownRetryAfter,
+	}
+}
+
+// earnedShare is the part of the allowed extra load that is spent, so that
+// attempts which are counted differently by the back ends stay within it.
+const earnedShare = 0.9
+
+func dispatchConfig(from settings.Settings) dispatch.Config {
+	config := dispatch.DefaultConfig()
+	config.Zone = from.Zone
+	config.BudgetByShard = true
+	config.ChargeRefusals = true
+	config.WorkByLeaf = true
+	config.Settle.ObjectiveShare = from.Forward.SettleShare
+	share := from.Forward.ExtraSlack / float64(from.Forward.ExtraNodes)
+	config.Budget.Earned = earnedShare
+	config.Budget.Capacity = share
+	config.Budget.Initial = share / 2
+	config.Budget.Reserve = min(1, share/4)
+	config.Budget.Debt = 0
+	return config
+}
+
+// Execute implements Service.
+func (f *Frontend) Execute(ctx context.Context, request *forward.Request) forward.Answer {
+	started := f.clock.Now()
+	answer := f.forwarder.Execute(ctx, request)
+	f.metrics.observe(answer, f.clock.Now()-started)
+	f.logAnswer(request, answer, f.clock.Now()-started)
+	return answer
+}
+
+// Limits implements Service.
+func (f *Frontend) Limits() route.Limits {
+	table := f.forwarder.Table()
+	if table == nil {
+		return route.Limits{}
+	}
+	return table.Config.Limits
+}
+
+// Draining implements Service.
+func (f *Frontend) Draining() bool { return f.draining.Load() }
+
+// ready reports whether the node takes work.
+func (f *Frontend) ready() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.draining.Load() && f.leavesKnown && f.forwarder.Table() != nil
+}
--- /dev/null
+++ b/internal/frontend/run.go
@@ -0,0 +1,147 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/samber/oops"
+
+	"github.com/micaplank/micaplank/internal/mirror"
+	"github.com/micaplank/micaplank/internal/settings"
+)
+
+const (
+	// headerTimeout bounds the time that a caller may take for its headers.
+	headerTimeout = 10 * time.Second
+	// shutdownTimeout bounds the end of what is in flight once the drain delay
+	// is over.
+	shutdownTimeout = 10 * time.Second
+	// minBackoff and maxBackoff bound the pause between two calls to a store
+	// that does not answer.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+)
+
+// server is one address that is served.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// Run serves until ctx ends, and then stops as planned: it is not ready at
+// once, goes on to serve for the drain delay, and finishes what is in flight.
+func (f *Frontend) Run(ctx context.Context) error {
+	servers, err := f.listen()
+	if err != nil {
+		return err
+	}
+	following, stop := context.WithCancel(context.Background())
+	defer stop()
+	var background sync.WaitGroup
+	background.Go(func() { f.mirror(configSink{f}, f.ports.Decoder.ConfigPrefix()).Run(following) })
+	background.Go(func() { f.mirror(leafSink{f}, f.ports.Decoder.LeafPrefix()).Run(following) })
+	failed := make(chan error, len(servers))
+	for _, one := range servers {
+		background.Go(func() { failed <- ignoreClosed(one.http.Serve(one.listener)) })
+	}
+	f.logger.Info("started", "http", f.settings.Listen.HTTP.String(), "zone", f.settings.Zone)
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	err = errors.Join(err, f.drain(servers))
+	stop()
+	background.Wait()
+	f.expiry.Stop()
+	f.logger.Info("stopped")
+	return err
+}
+
+func (f *Frontend) mirror(sink mirror.Sink, prefix string) *mirror.Mirror {
+	config := mirror.Config{Prefix: prefix, MinBackoff: minBackoff, MaxBackoff: maxBackoff}
+	return mirror.New(config, f.ports.Store, sink)
+}
+
+// listen opens all addresses, or none.
+func (f *Frontend) listen() ([]server, error) {
+	handlers := []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"http", f.settings.Listen.HTTP, f.ports.Handler(f)},
+		{"ready", f.settings.Listen.Ready, f.readyHandler()},
+		{"metrics", f.settings.Listen.Metrics, f.metricsHandler()},
+	}
+	var servers []server
+	for _, one := range handlers {
+		if !one.address.IsValid() {
+			continue
+		}
+		listener, err := net.Listen("tcp", one.address.String())
+		if err != nil {
+			for _, opened := range servers {
+				_ = opened.listener.Close() // it has served nothing
+			}
+			return nil, oops.In("frontend").With("step", "frontend.listen", "peer", one.address.String()).Wrap(err)
+		}
+		servers = append(servers, server{name: one.name, listener: listener, http: &http.Server{
+			Handler:           one.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       f.settings.Forward.IdleTimeout.Duration(),
+		}})
+	}
+	return servers, nil
+}
+
+func (f *Frontend) readyHandler() http.Handler {
+	router := echo.New()
+	router.GET(f.ports.ReadyPath, func(c echo.Context) error {
+		if f.ready() {
+			return c.String(http.StatusOK, "ready\n")
+		}
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	})
+	return router
+}
+
+func (f *Frontend) metricsHandler() http.Handler {
+	router := echo.New()
+	router.GET("/metrics", echo.WrapHandler(f.registry.Handler()))
+	return router
+}
+
+// drain ends what callers use, and last the question for readiness.
+func (f *Frontend) drain(servers []server) error {
+	f.draining.Store(true)
+	f.logger.Info("draining", "in_flight", f.conn.InFlight())
+	time.Sleep(f.settings.Forward.DrainDelay.Duration())
+	finishing, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var errs []error
+	for _, one := range servers {
+		errs = append(errs, one.http.Shutdown(finishing))
+	}
+	return errors.Join(errs...)
+}
+
+// Reload is told of the settings as they are now. All of them take a restart
+// to change; the log says whether one is due.
+func (f *Frontend) Reload(current settings.Settings) {
+	f.logger.Info("settings read again", "changed", !reflect.DeepEqual(current, f.settings))
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/http1/client.go
@@ -0,0 +1,175 @@
+// Package http1 is an HTTP/1.1 client for back ends that take few connections
+// and where each request must be counted.
+//
+// It sends every request exactly once: unlike http.Transport it never repeats
+// one by itself. It bounds the connections to each target and reuses them, and
+// it does not use a connection again after any doubt: surplus bytes, a body cut
+// short, a body without a length, or a request given up. Errors say whether a
+// byte can have left.
+package http1
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// The steps of an exchange, as errors name them.
+const (
+	StepConnect leaf.Step = "http1_connect"
+	StepSend    leaf.Step = "http1_send"
+	StepReceive leaf.Step = "http1_receive"
+)
+
+// Errors of exchanges.
+var (
+	errClosed   = errors.New("client is closed")
+	errTooLarge = errors.New("answer is larger than the limit")
+	errStrange  = errors.New("answer belongs to another request")
+)
+
+// Target is one incarnation of a back end. A connection to one incarnation is
+// never used for another.
+type Target struct {
+	Address  netip.AddrPort
+	Instance string
+}
+
+// Config bounds what a Client does. All fields must be set.
+type Config struct {
+	// ConnectionsPerTarget is the most connections to one target.
+	ConnectionsPerTarget int
+	// DialTimeout is the longest time to open a connection.
+	DialTimeout time.Duration
+	// IdleTimeout is when an unused connection is closed, unless the back end
+	// names a shorter time.
+	IdleTimeout time.Duration
+	// BodyBytes is the largest body of an answer.
+	BodyBytes int64
+	// StrangeAnswers is how many answers to other requests are passed over on
+	// a connection before the awaited one.
+	StrangeAnswers int
+}
+
+// Response is a whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Matcher reports whether an answer belongs to the request that was sent.
+type Matcher func(*Response) bool
+
+// Client keeps the connections. It is safe for concurrent use.
+type Client struct {
+	config  Config
+	metrics *metrics
+
+	mutex  sync.Mutex
+	pools  map[Target]*pool
+	closed bool
+}
+
+// New returns a Client and registers its metrics.
+func New(config Config, registerer prometheus.Registerer) *Client {
+	return &Client{config: config, metrics: newMetrics(registerer), pools: make(map[Target]*pool)}
+}
+
+// Do sends a request once and blocks until its whole answer is here or ctx
+// ends; then the connection is closed. An error is a *leaf.TransportError.
+// The request must have a host and a body that can be read once, or none.
+func (c *Client) Do(ctx context.Context, target Target, request *http.Request, match Matcher) (*Response, error) {
+	var buffer bytes.Buffer
+	if err := request.Write(&buffer); err != nil {
+		return nil, unsent(StepSend, target, err)
+	}
+	connection, err := c.acquire(ctx, target)
+	if err != nil {
+		return nil, unsent(StepConnect, target, err)
+	}
+	if err := ctx.Err(); err != nil {
+		connection.release()
+		return nil, unsent(StepSend, target, err)
+	}
+	exchange := &exchange{request: request, match: match, done: make(chan result, 1)}
+	if sent, err := connection.start(ctx, exchange, buffer.Bytes()); err != nil {
+		return nil, &leaf.TransportError{Step: StepSend, Peer: target.Address, Sent: sent, Err: err}
+	}
+	select {
+	case ended := <-exchange.done:
+		if ended.err != nil {
+			c.metrics.broken.Inc()
+			return nil, &leaf.TransportError{Step: StepReceive, Peer: target.Address, Sent: true, Err: ended.err}
+		}
+		return ended.response, nil
+	case <-ctx.Done():
+		connection.close()
+		return nil, &leaf.TransportError{Step: StepReceive, Peer: target.Address, Sent: true, Err: ctx.Err()}
+	}
+}
+
+func unsent(step leaf.Step, target Target, err error) error {
+	return &leaf.TransportError{Step: step, Peer: target.Address, Sent: false, Err: err}
+}
+
+func (c *Client) acquire(ctx context.Context, target Target) (*connection, error) {
+	c.mutex.Lock()
+	if c.closed {
+		c.mutex.Unlock()
+		return nil, errClosed
+	}
+	from, known := c.pools[target]
+	if !known {
+		from = newPool(c, target)
+		c.pools[target] = from
+	}
+	c.mutex.Unlock()
+	return from.acquire(ctx)
+}
+
+// Retain closes the idle connections of all targets but those given, and
+// forgets these targets.
+func (c *Client) Retain(targets map[Target]bool) {
+	var dropped []*pool
+	c.mutex.Lock()
+	for target, candidate := range c.pools {
+		if !targets[target] {
+			delete(c.pools, target)
+			dropped = append(dropped, candidate)
+		}
+	}
+	c.mutex.Unlock()
+	for _, candidate := range dropped {
+		candidate.close()
+	}
+}
+
+// Close closes the idle connections. Exchanges in progress go on, and close
+// theirs at their end.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	c.closed = true
+	c.mutex.Unlock()
+	c.Retain(nil)
+}
+
+func (c *Client) dial(ctx context.Context, target Target) (net.Conn, error) {
+	c.metrics.dials.Inc()
+	dialer := net.Dialer{Timeout: c.config.DialTimeout, KeepAlive: -1}
+	dialed, err := dialer.DialContext(ctx, "tcp", target.Address.String())
+	if err != nil {
+		c.metrics.dialFailures.Inc()
+		return nil, err
+	}
+	return dialed, nil
+}
--- /dev/null
+++ b/internal/http1/connection.go
@@ -0,0 +1,227 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// exchange is one request on a connection, until its answer.
+type exchange struct {
+	request *http.Request
+	match   Matcher
+	done    chan result
+}
+
+type result struct {
+	response *Response
+	err      error
+}
+
+// connection is one connection to a target. A goroutine reads it all the time,
+// also while it is idle, so that its end and surplus bytes are seen before it
+// is used again.
+type connection struct {
+	pool   *pool
+	socket net.Conn
+	reader *bufio.Reader
+
+	mutex   sync.Mutex
+	current *exchange
+	busy    bool // in use, or about to be
+	closed  bool
+}
+
+// newConnection returns a connection that is in use by the caller.
+func newConnection(owner *pool, socket net.Conn) *connection {
+	c := &connection{pool: owner, socket: socket, reader: bufio.NewReader(socket), busy: true}
+	go c.read()
+	return c
+}
+
+// claim takes an idle connection into use, unless it has ended.
+func (c *connection) claim() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return false
+	}
+	c.busy = true
+	return true
+}
+
+// release gives back a connection on which nothing was sent.
+func (c *connection) release() {
+	if !c.rest(c.pool.client.config.IdleTimeout) {
+		c.close()
+	}
+}
+
+// start sends the bytes of a request. If it fails, it reports whether a byte
+// can have left, and the connection is closed.
+func (c *connection) start(ctx context.Context, started *exchange, content []byte) (sent bool, err error) {
+	c.mutex.Lock()
+	closed := c.closed
+	if !closed {
+		c.current = started
+	}
+	c.mutex.Unlock()
+	if closed {
+		return false, net.ErrClosed
+	}
+	_ = c.socket.SetReadDeadline(time.Time{}) // a closed socket shows in Write
+	deadline, _ := ctx.Deadline()
+	_ = c.socket.SetWriteDeadline(deadline)
+	written, err := c.socket.Write(content)
+	if err != nil {
+		c.close()
+		return written > 0, err
+	}
+	return true, nil
+}
+
+// read delivers answers until the connection is not to be used any more.
+func (c *connection) read() {
+	defer c.close()
+	for {
+		_, err := c.reader.Peek(1)
+		current, busy := c.state()
+		if errors.Is(err, os.ErrDeadlineExceeded) && busy {
+			continue // it was idle for long, and is in use again
+		}
+		if current == nil {
+			return
+		}
+		if err != nil {
+			current.done <- result{err: err}
+			return
+		}
+		if !c.answer(current) {
+			return
+		}
+	}
+}
+
+func (c *connection) state() (*exchange, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.current, c.busy
+}
+
+// answer reads the answer to an exchange and delivers it. It reports whether
+// the connection may be used again.
+func (c *connection) answer(current *exchange) bool {
+	response, idle, err := c.receive(current)
+	if err != nil {
+		current.done <- result{err: err}
+		return false
+	}
+	kept := idle > 0 && c.reader.Buffered() == 0 && c.rest(idle)
+	current.done <- result{response: response}
+	return kept
+}
+
+// receive reads the awaited answer. The duration is how long the connection
+// may rest then; zero if it must not be used again.
+func (c *connection) receive(current *exchange) (*Response, time.Duration, error) {
+	for strange := 0; ; strange++ {
+		response, idle, err := c.receiveOne(current.request)
+		if err != nil {
+			return nil, 0, err
+		}
+		if current.match(response) {
+			if strange > 0 {
+				idle = 0
+			}
+			return response, idle, nil
+		}
+		if idle == 0 || strange >= c.pool.client.config.StrangeAnswers {
+			return nil, 0, errStrange
+		}
+	}
+}
+
+func (c *connection) receiveOne(request *http.Request) (*Response, time.Duration, error) {
+	for {
+		received, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, 0, err
+		}
+		if received.StatusCode >= 100 && received.StatusCode < 200 {
+			continue // an interim answer
+		}
+		limit := c.pool.client.config.BodyBytes
+		body, err := io.ReadAll(io.LimitReader(received.Body, limit+1))
+		if err != nil {
+			return nil, 0, err
+		}
+		if int64(len(body)) > limit {
+			return nil, 0, errTooLarge
+		}
+		answer := &Response{Status: received.StatusCode, Header: received.Header, Body: body}
+		return answer, c.idleTime(received), nil
+	}
+}
+
+// idleTime returns how long the connection may rest after an answer; zero if
+// it must not be used again.
+func (c *connection) idleTime(received *http.Response) time.Duration {
+	framed := received.ContentLength >= 0 || len(received.TransferEncoding) > 0
+	if received.Close || !framed {
+		return 0
+	}
+	idle := c.pool.client.config.IdleTimeout
+	if named, ok := keepAlive(received.Header.Get("Keep-Alive")); ok {
+		idle = min(idle, named-keepAliveMargin)
+	}
+	return max(idle, 0)
+}
+
+// keepAliveMargin is how long before the back end a connection is closed here.
+const keepAliveMargin = 500 * time.Millisecond
+
+// keepAlive returns the time of a Keep-Alive header.
+func keepAlive(value string) (time.Duration, bool) {
+	for _, parameter := range strings.Split(value, ",") {
+		name, number, found := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(number)
+		if err != nil || seconds < 0 {
+			return 0, false
+		}
+		return time.Duration(seconds) * time.Second, true
+	}
+	return 0, false
+}
+
+// rest makes the connection idle and reports whether the pool keeps it.
+func (c *connection) rest(idle time.Duration) bool {
+	_ = c.socket.SetReadDeadline(time.Now().Add(idle)) // a closed socket shows in Read
+	c.mutex.Lock()
+	c.current = nil
+	c.busy = false
+	c.mutex.Unlock()
+	return c.pool.put(c)
+}
+
+// close ends the connection; its end is counted once.
+func (c *connection) close() {
+	c.mutex.Lock()
+	first := !c.closed
+	c.closed = true
+	c.mutex.Unlock()
+	if first {
+		_ = c.socket.Close() // nothing is left to be said on it
+		c.pool.ended(c)
+	}
+}
--- /dev/null
+++ b/internal/http1/pool.go
@@ -0,0 +1,125 @@
+package http1
+
+import (
+	"context"
+	"slices"
+	"sync"
+)
+
+// pool holds the connections to one target.
+type pool struct {
+	client *Client
+	target Target
+
+	mutex   sync.Mutex
+	idle    []*connection
+	open    int             // idle, in use, or being opened
+	waiters []chan struct{} // each is told once that it may try again
+	closed  bool
+}
+
+func newPool(client *Client, target Target) *pool {
+	return &pool{client: client, target: target}
+}
+
+// acquire returns a connection that nobody else uses. It opens one if none is
+// idle and there may be more, and otherwise waits.
+func (p *pool) acquire(ctx context.Context) (*connection, error) {
+	for {
+		found, wait, mayOpen := p.take()
+		switch {
+		case found != nil:
+			return found, nil
+		case mayOpen:
+			return p.connect(ctx)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			p.leave(wait)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (p *pool) take() (found *connection, wait chan struct{}, mayOpen bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		candidate := p.idle[last]
+		p.idle = p.idle[:last]
+		if candidate.claim() {
+			return candidate, nil, false
+		}
+	}
+	if p.open < p.client.config.ConnectionsPerTarget {
+		p.open++
+		return nil, nil, true
+	}
+	wait = make(chan struct{}, 1)
+	p.waiters = append(p.waiters, wait)
+	return nil, wait, false
+}
+
+// leave takes back a waiter; if it was told already, the next one is.
+func (p *pool) leave(wait chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if at := slices.Index(p.waiters, wait); at >= 0 {
+		p.waiters = slices.Delete(p.waiters, at, at+1)
+		return
+	}
+	p.wake()
+}
+
+// wake tells the first waiter that it may try again.
+func (p *pool) wake() {
+	if len(p.waiters) > 0 {
+		p.waiters[0] <- struct{}{}
+		p.waiters = p.waiters[1:]
+	}
+}
+
+func (p *pool) connect(ctx context.Context) (*connection, error) {
+	dialed, err := p.client.dial(ctx, p.target)
+	if err != nil {
+		p.ended(nil)
+		return nil, err
+	}
+	return newConnection(p, dialed), nil
+}
+
+// put takes back a connection, and reports whether it is kept.
+func (p *pool) put(c *connection) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return false
+	}
+	p.idle = append(p.idle, c)
+	p.wake()
+	return true
+}
+
+// ended counts a connection out; nil is one that was never open.
+func (p *pool) ended(c *connection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.open--
+	if at := slices.Index(p.idle, c); at >= 0 {
+		p.idle = slices.Delete(p.idle, at, at+1)
+	}
+	p.wake()
+}
+
+func (p *pool) close() {
+	p.mutex.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.mutex.Unlock()
+	for _, candidate := range idle {
+		candidate.close()
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,154 @@
+// Package mirror keeps a process's copy of the items under a prefix of a
+// key-value store: it reads the range once and then follows a watch.
+//
+// While the store is away the copy stays as it is. After a gap in the history
+// the range is read again, and what is gone from it is taken out.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+// ErrCompacted means that the history after the revision asked for is gone.
+var ErrCompacted = errors.New("history is gone")
+
+// Item is one key with its value.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64 // of the last change
+	Created  uint64 // revision of the creation
+}
+
+// Event is a change: an item as it was written, or the removal of its key.
+type Event struct {
+	Item
+	Removed bool
+}
+
+// Source reads a store. Errors other than ErrCompacted are taken to pass.
+type Source interface {
+	// Range returns all items under the prefix, read fresh, and a revision
+	// such that every change they lack has a higher one.
+	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// Watch blocks until there are changes after the revision, or for some
+	// seconds. It returns the changes and the revision to go on from.
+	Watch(ctx context.Context, prefix string, after uint64) ([]Event, uint64, error)
+}
+
+// Sink takes in what is read. Its methods are called one at a time.
+type Sink interface {
+	// Replace hands over all items there are. Gap is set if changes may have
+	// been missed before.
+	Replace(items []Item, gap bool)
+	// Change hands over changes, in their order.
+	Change(events []Event)
+	// Lost tells that the store does not answer, once for each time.
+	Lost(err error)
+	// Regained tells that it answers again, and after how long.
+	Regained(away time.Duration)
+}
+
+// Config is the policy of a Mirror.
+type Config struct {
+	// Prefix is what the keys begin with.
+	Prefix string
+	// MinBackoff and MaxBackoff bound the pause after an error; it doubles
+	// with each error in a row and is spread by chance.
+	MinBackoff, MaxBackoff time.Duration
+}
+
+// Mirror follows one prefix.
+type Mirror struct {
+	config Config
+	source Source
+	sink   Sink
+
+	revision uint64
+	loaded   bool // the range was read at least once
+	stale    bool // the range has to be read again
+	failures int
+	lostAt   time.Time
+}
+
+// New returns a Mirror that has read nothing.
+func New(config Config, source Source, sink Sink) *Mirror {
+	return &Mirror{config: config, source: source, sink: sink, stale: true}
+}
+
+// Run follows the prefix until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := m.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		m.note(err)
+		if err != nil {
+			m.pause(ctx)
+		}
+	}
+}
+
+func (m *Mirror) step(ctx context.Context) error {
+	if m.stale {
+		return m.load(ctx)
+	}
+	return m.follow(ctx)
+}
+
+func (m *Mirror) load(ctx context.Context) error {
+	items, revision, err := m.source.Range(ctx, m.config.Prefix)
+	if err != nil {
+		return err
+	}
+	m.sink.Replace(items, m.loaded)
+	m.revision, m.loaded, m.stale = revision, true, false
+	return nil
+}
+
+func (m *Mirror) follow(ctx context.Context) error {
+	events, revision, err := m.source.Watch(ctx, m.config.Prefix, m.revision)
+	if errors.Is(err, ErrCompacted) {
+		m.stale = true
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if len(events) > 0 {
+		m.sink.Change(events)
+	}
+	m.revision = max(m.revision, revision)
+	return nil
+}
+
+// note tells the sink when the store goes away and comes back.
+func (m *Mirror) note(err error) {
+	switch {
+	case err != nil && m.failures == 0:
+		m.lostAt = time.Now()
+		m.sink.Lost(err)
+	case err == nil && m.failures > 0:
+		m.sink.Regained(time.Since(m.lostAt))
+	}
+	if err == nil {
+		m.failures = 0
+		return
+	}
+	m.failures++
+}
+
+func (m *Mirror) pause(ctx context.Context) {
+	pause := min(m.config.MinBackoff<<min(m.failures-1, 10), m.config.MaxBackoff)
+	pause = pause/2 + rand.N(pause/2+1)
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/registry/index.go
@@ -0,0 +1,49 @@
+package registry
+
+import "sync"
+
+// Index numbers services in the order in which they are first named. A number
+// is never given twice. It is safe for concurrent use.
+type Index struct {
+	mutex   sync.RWMutex
+	numbers map[string]int
+	names   []string
+}
+
+// NewIndex returns an empty Index.
+func NewIndex() *Index {
+	return &Index{numbers: make(map[string]int)}
+}
+
+// Of returns the number of a service, which it gets if it has none.
+func (i *Index) Of(service string) int {
+	i.mutex.RLock()
+	number, known := i.numbers[service]
+	i.mutex.RUnlock()
+	if known {
+		return number
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if number, known = i.numbers[service]; known {
+		return number
+	}
+	number = len(i.names)
+	i.numbers[service] = number
+	i.names = append(i.names, service)
+	return number
+}
+
+// Name returns the service with a number that Of has returned.
+func (i *Index) Name(number int) string {
+	i.mutex.RLock()
+	defer i.mutex.RUnlock()
+	return i.names[number]
+}
+
+// Len returns how many services are numbered.
+func (i *Index) Len() int {
+	i.mutex.RLock()
+	defer i.mutex.RUnlock()
+	return len(i.names)
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,168 @@
+// Package registry holds the leaves as they announce themselves in a store, and
+// makes the topology of the Dispatcher from them. It is pure: time comes in as
+// an argument.
+//
+// Each service is one shard of the topology, numbered in the order in which
+// it was first named; see Index.
+package registry
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// Leaf is one announcement. Each start of a leaf has an id of its own.
+type Leaf struct {
+	ID       string
+	Service  string
+	Address  netip.AddrPort
+	Zone     string
+	Slots    int
+	Draining bool
+	// Cold is how much longer the leaf is slow from its start.
+	Cold time.Duration
+	// Created is the revision at which the id was first announced.
+	Created uint64
+}
+
+// Config is the policy of a Table.
+type Config struct {
+	// Doubt is how long a leaf is still used whose announcement went while the
+	// store was away, or was just back: the store may have dropped it though
+	// the leaf is well. It is shorter than the time in which a leaf that left
+	// must get no more work.
+	Doubt time.Duration
+	// Settling is the time after an outage of the store in which removals are
+	// doubted: the leaves need it to announce themselves again.
+	Settling time.Duration
+}
+
+// entry is what the Table knows of one id.
+type entry struct {
+	Leaf
+	// goneAt is when the leaf stops being used, after its announcement went;
+	// zero while it is announced.
+	goneAt time.Duration
+}
+
+// Table is the set of leaves. It is not safe for concurrent use.
+type Table struct {
+	config       Config
+	index        *Index
+	entries      map[string]*entry
+	settledAfter time.Duration
+	revision     uint64
+}
+
+// NewTable returns an empty Table that numbers services by index.
+func NewTable(config Config, index *Index) *Table {
+	return &Table{config: config, index: index, entries: make(map[string]*entry)}
+}
+
+// Set takes in an announcement. A leaf that drains stays draining.
+func (t *Table) Set(announced Leaf) {
+	if known, found := t.entries[announced.ID]; found {
+		announced.Draining = announced.Draining || known.Draining
+	}
+	t.entries[announced.ID] = &entry{Leaf: announced}
+	t.index.Of(announced.Service)
+}
+
+// Remove takes in that the announcement of an id is gone.
+func (t *Table) Remove(now time.Duration, id string) {
+	known, found := t.entries[id]
+	if !found || known.goneAt > 0 {
+		return
+	}
+	if now >= t.settledAfter || known.Draining {
+		delete(t.entries, id)
+		return
+	}
+	known.goneAt = now + t.config.Doubt
+}
+
+// Replace takes in all announcements there are.
+func (t *Table) Replace(now time.Duration, announced []Leaf) {
+	present := make(map[string]bool, len(announced))
+	for _, one := range announced {
+		present[one.ID] = true
+		t.Set(one)
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
+		if !present[id] {
+			t.Remove(now, id)
+		}
+	}
+}
+
+// Outage tells that the store was away until now.
+func (t *Table) Outage(now time.Duration) {
+	t.settledAfter = now + t.config.Settling
+}
+
+// Expire drops the leaves whose doubt has ended, and reports whether there were
+// any, and when it has to be called next; zero for never.
+func (t *Table) Expire(now time.Duration) (changed bool, next time.Duration) {
+	for id, known := range t.entries {
+		switch {
+		case known.goneAt == 0:
+		case known.goneAt <= now:
+			delete(t.entries, id)
+			changed = true
+		case next == 0 || known.goneAt < next:
+			next = known.goneAt
+		}
+	}
+	return changed, next
+}
+
+// Len returns the number of leaves.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Topology returns what the Dispatcher may use. Of two leaves that announce
+// the same address, the one created last has it.
+func (t *Table) Topology() dispatch.Topology {
+	t.revision++
+	owners := make(map[netip.AddrPort]*entry, len(t.entries))
+	for _, known := range t.entries {
+		owner, taken := owners[known.Address]
+		if !taken || cmp.Or(cmp.Compare(known.Created, owner.Created), cmp.Compare(known.ID, owner.ID)) > 0 {
+			owners[known.Address] = known
+		}
+	}
+	topology := dispatch.Topology{
+		Revision:   t.revision,
+		Partitions: []catalog.Partition{{Epoch: Snapshot.Epoch, Shards: t.index.Len()}},
+	}
+	for _, known := range owners {
+		topology.Leaves = append(topology.Leaves, t.listed(known))
+	}
+	slices.SortFunc(topology.Leaves, func(a, b dispatch.Leaf) int { return a.Address.Compare(b.Address) })
+	return topology
+}
+
+func (t *Table) listed(known *entry) dispatch.Leaf {
+	return dispatch.Leaf{
+		Address: known.Address,
+		Zone:    known.Zone,
+		BootID:  known.ID,
+		Usable:  !known.Draining,
+		Cold:    known.Cold > 0,
+		Slots:   known.Slots,
+		Holdings: []leaf.Holding{{
+			Snapshot: Snapshot,
+			Shards:   []int{t.index.Of(known.Service)},
+		}},
+	}
+}
+
+// Snapshot is the only snapshot of the topology: a request names its shards
+// itself, all from one version of the configuration.
+var Snapshot = catalog.Snapshot{Epoch: 1, Version: 1}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,128 @@
+// Package route holds the declared configuration of a deployment: which routes
+// exist, which back ends serve them, and how long each may take.
+//
+// A Config is one document with a rising version. It is installed whole, and a
+// process never goes back to a lower version; see Store.
+package route
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Config is one version of the declared configuration. It is not modified
+// after it was handed over.
+type Config struct {
+	// Version rises with each change, in uneven steps.
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Route says how the requests of one host and path prefix are served.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Repeatable says whether a request may run more than once.
+	Repeatable bool
+	// Timeout is the longest time that a request may be held.
+	Timeout time.Duration
+	// Objective is the time within which an answer is worth most; zero for none.
+	Objective time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// MaxAttempts is how many leaves one try may be sent to, for each shard.
+	MaxAttempts int
+	// Targets lists the services that share the requests by weight. Exactly
+	// one of Targets and Shards is set.
+	Targets []Target
+	// Shards lists the services that each answer a part of every request.
+	Shards []string
+	// TopK is how many of the greatest records of all parts make the answer.
+	TopK int
+	// MinCoverage is the least share of the shards, from 0 to 1, of a success.
+	MinCoverage float64
+}
+
+// Target is a service that gets requests of a route in proportion to Weight.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a set of leaves that answer alike.
+type Service struct {
+	Name string
+	// MaxConns is how many connections each leaf takes from all callers
+	// together; zero if unknown.
+	MaxConns int
+}
+
+// Limits bounds what a client may send, and how long it may take or rest.
+// A zero field means the default of the server.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Validate reports the first reason why the configuration cannot be used.
+func (c *Config) Validate() error {
+	if c.Version == 0 {
+		return fmt.Errorf("version: expected a number above 0")
+	}
+	for index := range c.Routes {
+		if err := c.Routes[index].validate(); err != nil {
+			return fmt.Errorf("route %d (%q): %w", index, c.Routes[index].Name, err)
+		}
+	}
+	return nil
+}
+
+func (r *Route) validate() error {
+	switch {
+	case r.Host == "":
+		return fmt.Errorf("host: expected a name")
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Errorf("prefix %q: expected a slash at both ends", r.Prefix)
+	case r.Timeout <= 0:
+		return fmt.Errorf("timeout: expected a time above 0")
+	case r.MaxAttempts < 1:
+		return fmt.Errorf("most attempts: expected 1 or more")
+	case (len(r.Targets) > 0) == (len(r.Shards) > 0):
+		return fmt.Errorf("expected either targets or shards")
+	case len(r.Shards) > 0 && r.TopK < 1:
+		return fmt.Errorf("records of an answer: expected 1 or more")
+	case len(r.Shards) > 0 && !r.Repeatable:
+		return fmt.Errorf("a request to many shards must be repeatable")
+	case r.MinCoverage < 0 || r.MinCoverage > 1:
+		return fmt.Errorf("least coverage: expected a share from 0 to 1")
+	}
+	return r.validateNames()
+}
+
+func (r *Route) validateNames() error {
+	seen := make(map[string]bool, len(r.Shards))
+	for _, shard := range r.Shards {
+		if shard == "" || seen[shard] {
+			return fmt.Errorf("shard %q: expected each name once", shard)
+		}
+		seen[shard] = true
+	}
+	total := 0.0
+	for _, target := range r.Targets {
+		if target.Service == "" || target.Weight < 0 {
+			return fmt.Errorf("target %q: expected a name and a weight of 0 or more", target.Service)
+		}
+		total += target.Weight
+	}
+	if len(r.Targets) > 0 && total <= 0 {
+		return fmt.Errorf("targets: expected a weight above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,111 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Table finds the route of a request in one version of the configuration. It
+// is not modified after NewTable.
+type Table struct {
+	Config *Config
+	byHost map[string][]*Route // longest prefix first
+}
+
+// NewTable returns the table of a configuration, which it keeps.
+func NewTable(config *Config) *Table {
+	table := &Table{Config: config, byHost: make(map[string][]*Route)}
+	for index := range config.Routes {
+		route := &config.Routes[index]
+		host := strings.ToLower(route.Host)
+		table.byHost[host] = append(table.byHost[host], route)
+	}
+	for _, routes := range table.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	return table
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path. The host may carry a port.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, route := range t.byHost[hostname(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+func hostname(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Splitter shares the requests of routes among their targets by smooth
+// weighted round robin, so that any run of requests is close to the weights.
+// It is safe for concurrent use.
+type Splitter struct {
+	mutex  sync.Mutex
+	routes map[string]*split
+}
+
+// split is the state of one route.
+type split struct {
+	targets []Target
+	credit  []float64
+}
+
+// NewSplitter returns a Splitter.
+func NewSplitter() *Splitter {
+	return &Splitter{routes: make(map[string]*split)}
+}
+
+// Pick returns the service of the next request of a route with targets.
+func (s *Splitter) Pick(route *Route) string {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	state, known := s.routes[route.Name]
+	if !known || !slices.Equal(state.targets, route.Targets) {
+		state = &split{targets: route.Targets, credit: make([]float64, len(route.Targets))}
+		s.routes[route.Name] = state
+	}
+	return state.next()
+}
+
+// Retain forgets the routes that a configuration does not have.
+func (s *Splitter) Retain(config *Config) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	names := make(map[string]bool, len(config.Routes))
+	for _, route := range config.Routes {
+		names[route.Name] = true
+	}
+	for name := range s.routes {
+		if !names[name] {
+			delete(s.routes, name)
+		}
+	}
+}
+
+func (s *split) next() string {
+	total, best := 0.0, 0
+	for index, target := range s.targets {
+		total += target.Weight
+		s.credit[index] += target.Weight
+		if s.credit[index] > s.credit[best] {
+			best = index
+		}
+	}
+	s.credit[best] -= total
+	return s.targets[best].Service
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,13 +25,38 @@
 	Once       Once       `toml:"once"`
 	Freshness  Freshness  `toml:"freshness"`
 	Membership Membership `toml:"membership"`
+	Process    Process    `toml:"process"`
+	Forward    Forward    `toml:"forward"`
 	Log        Log        `toml:"log"`
 }
 
+// Process bounds what the process uses of its machine.
+type Process struct {
+	MemoryBytes int64 `toml:"memory_bytes" comment:"Memory that the process may use; the garbage collector keeps below nine tenths of it. 0: no limit." validate:"gte=0" expect:"a whole number of bytes, 0 or above"`
+}
+
+// Forward says how a node serves opaque requests by a declared configuration.
+type Forward struct {
+	SettleShare     float64  `toml:"settle_share" comment:"Share of a route's objective after which an answer with enough coverage is given." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
+	HedgeShare      float64  `toml:"hedge_share" comment:"Share of a route's objective after which an attempt counts as late, at the latest." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
+	HedgePercentile float64  `toml:"hedge_percentile" comment:"Quantile of recent latency after which an attempt counts as late." validate:"gt=0,lt=1" expect:"a number between 0 and 1"`
+	Linger          Duration `toml:"linger" comment:"How long an attempt that is not wanted any more may go on, so that its connection can be used again." validate:"gte=0" expect:"a duration, 0 or above, such as \"300ms\""`
+	ExtraRatio      float64  `toml:"extra_ratio" comment:"Extra attempts that all nodes together may cause at a service: this share of its requests, and extra_slack more, in any window." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
+	ExtraSlack      float64  `toml:"extra_slack" validate:"gte=0" expect:"a number, 0 or above"`
+	ExtraNodes      int      `toml:"extra_nodes" comment:"Nodes that share extra_slack." validate:"gte=1" expect:"a whole number, 1 or above"`
+	WatchWait       Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
+	LeafDoubt       Duration `toml:"leaf_doubt" comment:"How long a leaf is still used whose entry went around an outage of the store." validate:"gte=0" expect:"a duration, 0 or above, such as \"2s\""`
+	LeafSettling    Duration `toml:"leaf_settling" comment:"Time after an outage of the store in which leaves announce themselves again." validate:"gte=0" expect:"a duration, 0 or above, such as \"3s\""`
+	DrainDelay      Duration `toml:"drain_delay" comment:"Time of a planned stop in which connections are still taken, until callers have moved." validate:"gte=0" expect:"a duration, 0 or above, such as \"3500ms\""`
+	IdleTimeout     Duration `toml:"idle_timeout" comment:"How long a caller's connection may rest." validate:"gt=0" expect:"a duration above 0, such as \"1m\""`
+}
+
 // Listen says where the node listens.
 type Listen struct {
-	HTTP netip.AddrPort `toml:"http" comment:"Callers and operators." validate:"required" expect:"an IP address with a port, such as \"127.0.0.1:7201\""`
-	Peer netip.AddrPort `toml:"peer" comment:"Other nodes, over TCP and UDP on the same port." validate:"required" expect:"an IP address with a port, such as \"127.0.0.1:7301\""`
+	HTTP    netip.AddrPort `toml:"http" comment:"Callers and operators." validate:"required" expect:"an IP address with a port, such as \"127.0.0.1:7201\""`
+	Ready   netip.AddrPort `toml:"ready" comment:"Questions whether the node takes work. Empty: none are served apart." validate:"remote_or_empty" expect:"an IP address with a port, or \"\""`
+	Metrics netip.AddrPort `toml:"metrics" comment:"Metrics. Empty: none are served apart." validate:"remote_or_empty" expect:"an IP address with a port, or \"\""`
+	Peer    netip.AddrPort `toml:"peer" comment:"Other nodes, over TCP and UDP on the same port." validate:"required" expect:"an IP address with a port, such as \"127.0.0.1:7301\""`
 }
 
 // Peers says where other nodes are.
@@ -123,6 +148,7 @@
 		Once:       Once{Window: Duration(5 * time.Minute), Skew: Duration(5 * time.Second), Capacity: 1 << 20},
 		Freshness:  Freshness{Window: Duration(5 * time.Second), ExchangeInterval: Duration(500 * time.Millisecond)},
 		Membership: defaultMembership(),
+		Forward:    defaultForward(),
 		Log:        Log{Format: "text", Level: "info"},
 	}
 }
@@ -135,6 +161,23 @@
 	return s.Listen.Peer.Addr()
 }
 
+func defaultForward() Forward {
+	return Forward{
+		SettleShare:     0.9,
+		HedgeShare:      0.35,
+		HedgePercentile: 0.9,
+		Linger:          Duration(300 * time.Millisecond),
+		ExtraRatio:      0.2,
+		ExtraSlack:      56,
+		ExtraNodes:      12,
+		WatchWait:       Duration(2500 * time.Millisecond),
+		LeafDoubt:       Duration(2 * time.Second),
+		LeafSettling:    Duration(3 * time.Second),
+		DrainDelay:      Duration(3500 * time.Millisecond),
+		IdleTimeout:     Duration(time.Minute),
+	}
+}
+
 func defaultMembership() Membership {
 	return Membership{
 		ProbeInterval:          Duration(time.Second),
