dispatch: wait for the last attempt allowed; end at once what no budget or leaf can complete

Cause: requests on a route of 700 ms ended after 350 ms as failed. replace gave up the only attempt of a shard at half of its time though its bound on attempts allowed no other. A shard that needed a retry without budget waited for it until the deadline.

--- a/internal/decide/coverage/coverage.go
+++ b/internal/decide/coverage/coverage.go
@@ -58,6 +58,13 @@
 	return p.Answered > 0 && float64(p.Answered) >= minimum*float64(p.Total)-tolerance
 }
 
+// Attainable reports whether the share of answered shards can still reach the
+// minimum.
+func (p Progress) Attainable(minimum float64) bool {
+	reachable := Progress{Total: p.Total, Answered: p.Total - p.Unavailable}
+	return reachable.Enough(minimum)
+}
+
 // Exhausted reports whether no awaited shard is left.
 func (p Progress) Exhausted() bool {
 	return p.Answered+p.Unavailable == p.Total
--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -39,6 +39,12 @@
 	// ChargeRefusals books an attempt that follows a refusal as a retry, where
 	// the back ends count what they refused as load.
 	ChargeRefusals bool
+	// EndWithoutBudget gives a shard up that needs a retry which the budget
+	// forbids, in place of letting it wait for the budget.
+	EndWithoutBudget bool
+	// RequireCoverage ends a query as soon as its minimum coverage cannot be
+	// reached, where less than that is no answer.
+	RequireCoverage bool
 	// WorkByLeaf keeps the mean work for each leaf, where the leaves of one
 	// Dispatcher do work of different size.
 	WorkByLeaf bool
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -108,6 +108,7 @@
 	ReasonLost       Reason = "connection_lost" // bytes left, no reply came
 	ReasonRefused    Reason = "refused"         // the leaves refused
 	ReasonInvalid    Reason = "invalid"         // the leaves cannot run the statement
+	ReasonBudget     Reason = "extra_load"      // another attempt would exceed the budget of extra load
 )
 
 // Action is what the driver has to do: one of Send, Abort and Finish.
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -85,7 +85,7 @@
 	shard := &q.shards[position]
 	only := &d.attempts.slots[shard.first]
 	age := (d.now - only.sentAt).Seconds()
-	if !q.rescuing(d.now) || age < lostAge*only.expected || !d.budgetOf(q, position).CanRetry() {
+	if !q.rescuing(d.now) || !q.maySend(shard, &d.config) || age < lostAge*only.expected || !d.budgetOf(q, position).CanRetry() {
 		return
 	}
 	d.abort(only)
--- a/internal/decide/dispatch/mechanism_test.go
+++ b/internal/decide/dispatch/mechanism_test.go
@@ -28,7 +28,8 @@
 	aborted  []AttemptID
 	finishes map[QueryID]Finish
 	nextID   QueryID
-	hedge    float64 // percentile
+	hedge    float64      // percentile
+	shape    func(*Query) // changes each query; nil for nothing
 }
 
 func newRig(t *testing.T, replicas int, change func(*Config)) *rig {
@@ -74,7 +75,11 @@
 func (r *rig) submit(priority int) QueryID {
 	r.nextID++
 	class := catalog.Class{Name: string(rune('0' + priority)), Priority: priority, HedgePercentile: r.hedge, ExtraLoad: extraShare, Repeatable: true}
-	r.perform(r.d.Submit(r.now, Query{ID: r.nextID, Class: class, Deadline: r.now + 200*time.Millisecond, MinimumCoverage: 1}))
+	query := Query{ID: r.nextID, Class: class, Deadline: r.now + 200*time.Millisecond, MinimumCoverage: 1}
+	if r.shape != nil {
+		r.shape(&query)
+	}
+	r.perform(r.d.Submit(r.now, query))
 	return r.nextID
 }
 
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -39,6 +39,11 @@
 		return false
 	}
 	if (shard.spent || shard.charged) && !d.budgetOf(q, position).CanRetry() {
+		if d.config.EndWithoutBudget {
+			q.lastReason = ReasonBudget
+			d.lose(q, position, waiting)
+			return true
+		}
 		d.park(q, position, waiting)
 		return true
 	}
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -107,6 +107,10 @@
 		return q.failure(), ReasonInvalid, true
 	case progress.Hopeless():
 		return q.failure(), q.lastReason, true
+	case d.config.RequireCoverage && !progress.Attainable(q.MinimumCoverage):
+		return q.failure(), q.lastReason, true
+	case d.now >= q.Deadline && d.config.RequireCoverage && !progress.Enough(q.MinimumCoverage):
+		return q.failure(), ReasonDeadline, true
 	case d.now >= q.Deadline && progress.Answered > 0:
 		return OutcomePartial, ReasonDeadline, true
 	case d.now >= q.Deadline:
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -140,6 +140,8 @@
 	config.BudgetByShard = true
 	config.ChargeRefusals = true
 	config.WorkByLeaf = true
+	config.EndWithoutBudget = true
+	config.RequireCoverage = true
 	config.Settle.ObjectiveShare = from.Forward.SettleShare
 	share := from.Forward.ExtraSlack / float64(from.Forward.ExtraNodes)
 	config.Budget.Earned = earnedShare
