--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -99,6 +99,9 @@
 	HedgePercentile float64
 	// ExtraLoad is the share of extra attempts that requests earn.
 	ExtraLoad float64
+	// ClientAllowance is the time on the way between a client and the node
+	// that counts for the objective and is not seen here.
+	ClientAllowance time.Duration
 	// UnknownRetryAfter is when a client may come again that met a node
 	// without the configuration.
 	UnknownRetryAfter time.Duration
@@ -110,6 +113,7 @@
 	scatterer Scatterer
 	index     *registry.Index
 	splitter  *route.Splitter
+	patience  *patience
 	table     atomic.Pointer[route.Table]
 	fresh     atomic.Bool
 }
@@ -117,7 +121,7 @@
 // New returns a Forwarder without a configuration: it answers every request
 // with FateNotRun until Install is called.
 func New(config Config, scatterer Scatterer, index *registry.Index) *Forwarder {
-	return &Forwarder{config: config, scatterer: scatterer, index: index, splitter: route.NewSplitter()}
+	return &Forwarder{config: config, scatterer: scatterer, index: index, splitter: route.NewSplitter(), patience: newPatience()}
 }
 
 // Install puts a configuration into force, unless it is not newer than the one
@@ -169,19 +173,28 @@
 	if request.Patience > 0 {
 		timeout = min(timeout, request.Patience)
 	}
+	class := f.class(matched)
+	objective := f.objective(matched, class.Name, request.Patience)
 	return scatter.Request[*Request]{
 		RequestID:       request.ID,
-		Class:           f.class(matched),
+		Class:           class,
 		Payload:         request,
 		Shards:          f.shards(matched),
 		Timeout:         timeout,
-		Objective:       matched.Objective,
+		Objective:       objective,
 		HedgeDelay:      time.Duration(f.config.HedgeShare * float64(matched.Objective)),
 		MaximumSends:    matched.MaxAttempts,
 		MinimumCoverage: matched.MinCoverage,
 	}
 }
 
+// objective returns the time from now within which an answer is worth most;
+// zero if it has passed, or there is none.
+func (f *Forwarder) objective(matched *route.Route, kind string, left time.Duration) time.Duration {
+	elapsed := f.patience.elapsed(kind, left)
+	return max(matched.Objective-elapsed-f.config.ClientAllowance, 0)
+}
+
 func (f *Forwarder) shards(matched *route.Route) []int {
 	if len(matched.Shards) == 0 {
 		return []int{f.index.Of(f.splitter.Pick(matched))}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -126,6 +126,7 @@
 		HedgeShare:        from.HedgeShare,
 		HedgePercentile:   from.HedgePercentile,
 		ExtraLoad:         from.ExtraRatio,
+		ClientAllowance:   from.ClientAllowance.Duration(),
 		UnknownRetryAfter: unknownRetryAfter,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 // Forward says how a node serves opaque requests by a declared configuration.
 type Forward struct {
 	SettleShare     float64  `toml:"settle_share" comment:"Share of a route's objective after which an answer with enough coverage is given." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
+	ClientAllowance Duration `toml:"client_allowance" comment:"Time on the way between a caller and the node that counts for the objective and is not seen here." validate:"gte=0" expect:"a duration, 0 or above, such as \"6ms\""`
 	HedgeShare      float64  `toml:"hedge_share" comment:"Share of a route's objective after which an attempt counts as late, at the latest." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
 	HedgePercentile float64  `toml:"hedge_percentile" comment:"Quantile of recent latency after which an attempt counts as late." validate:"gt=0,lt=1" expect:"a number between 0 and 1"`
 	Linger          Duration `toml:"linger" comment:"How long an attempt that is not wanted any more may go on, so that its connection can be used again." validate:"gte=0" expect:"a duration, 0 or above, such as \"300ms\""`
@@ -164,9 +165,10 @@
 func defaultForward() Forward {
 	return Forward{
 		SettleShare:     0.9,
+		ClientAllowance: Duration(6 * time.Millisecond),
 		HedgeShare:      0.35,
 		HedgePercentile: 0.9,
-		Linger:          Duration(300 * time.Millisecond),
+		Linger:          Duration(100 * time.Millisecond),
 		ExtraRatio:      0.2,
 		ExtraSlack:      56,
 		ExtraNodes:      12,
