--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -28,6 +28,7 @@
 			s.install(event.Item)
 		}
 	}
+	s.forwarder.SetFresh(true)
 }
 
 // Lost implements mirror.Sink.
@@ -38,7 +39,6 @@
 
 // Regained implements mirror.Sink.
 func (s configSink) Regained(away time.Duration) {
-	s.forwarder.SetFresh(s.forwarder.Table() != nil)
 	s.dependencyRegained("config", away)
 }
 
@@ -89,6 +89,9 @@
 
 // Change implements mirror.Sink.
 func (s leafSink) Change(events []mirror.Event) {
+	if len(events) == 0 {
+		return
+	}
 	for _, event := range events {
 		read, ok := s.read(event.Item)
 		if !ok {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -44,11 +44,13 @@
 	// Replace hands over all items there are. Gap is set if changes may have
 	// been missed before.
 	Replace(items []Item, gap bool)
-	// Change hands over changes, in their order.
+	// Change hands over changes, in their order. After an outage there may be
+	// none: then the items are still those known.
 	Change(events []Event)
 	// Lost tells that the store does not answer, once for each time.
 	Lost(err error)
-	// Regained tells that it answers again, and after how long.
+	// Regained tells that it answers again, and after how long. It comes
+	// before the first answer is handed over.
 	Regained(away time.Duration)
 }
 
@@ -86,8 +88,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		m.note(err)
 		if err != nil {
+			m.failed(err)
 			m.pause(ctx)
 		}
 	}
@@ -105,6 +107,7 @@
 	if err != nil {
 		return err
 	}
+	m.answered()
 	m.sink.Replace(items, m.loaded)
 	m.revision, m.loaded, m.stale = revision, true, false
 	return nil
@@ -113,35 +116,41 @@
 func (m *Mirror) follow(ctx context.Context) error {
 	events, revision, err := m.source.Watch(ctx, m.config.Prefix, m.revision)
 	if errors.Is(err, ErrCompacted) {
+		m.answered()
 		m.stale = true
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if len(events) > 0 {
+	if back := m.answered(); back || len(events) > 0 {
 		m.sink.Change(events)
 	}
 	m.revision = max(m.revision, revision)
 	return nil
 }
 
-// note tells the sink when the store goes away and comes back.
-func (m *Mirror) note(err error) {
-	switch {
-	case err != nil && m.failures == 0:
+// failed tells the sink that the store has gone away.
+func (m *Mirror) failed(err error) {
+	if m.failures == 0 {
 		m.lostAt = time.Now()
 		m.sink.Lost(err)
-	case err == nil && m.failures > 0:
-		m.sink.Regained(time.Since(m.lostAt))
-	}
-	if err == nil {
-		m.failures = 0
-		return
 	}
 	m.failures++
 }
 
+// answered tells the sink that the store is back. It comes before what the
+// store has answered, which the sink may judge by it. It reports whether it was
+// away.
+func (m *Mirror) answered() bool {
+	if m.failures == 0 {
+		return false
+	}
+	m.failures = 0
+	m.sink.Regained(time.Since(m.lostAt))
+	return true
+}
+
 func (m *Mirror) pause(ctx context.Context) {
 	pause := min(m.config.MinBackoff<<min(m.failures-1, 10), m.config.MaxBackoff)
 	pause = pause/2 + rand.N(pause/2+1)
