--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/registry"
+	"github.com/micaplank/micaplank/internal/route"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// fakeScatterer returns a result and keeps the request.
+type fakeScatterer struct {
+	last   scatter.Request[*Request]
+	result scatter.Result[Part]
+}
+
+func (f *fakeScatterer) Execute(_ context.Context, request scatter.Request[*Request]) scatter.Result[Part] {
+	f.last = request
+	return f.result
+}
+
+func newForwarder(result scatter.Result[Part]) (*Forwarder, *fakeScatterer) {
+	scatterer := &fakeScatterer{result: result}
+	forwarder := New(Config{
+		HedgeShare: 0.5, HedgePercentile: 0.9, ExtraLoad: 0.2,
+		ClientAllowance: 10 * time.Millisecond, UnknownRetryAfter: time.Second,
+	}, scatterer, registry.NewIndex())
+	forwarder.Install(route.NewTable(testConfig(5)))
+	forwarder.SetFresh(true)
+	return forwarder, scatterer
+}
+
+func testConfig(version uint64) *route.Config {
+	return &route.Config{Version: version, Routes: []route.Route{
+		{Name: "sweep", Host: "h", Prefix: "/sweep/", Repeatable: true, Timeout: time.Second, Objective: 200 * time.Millisecond,
+			MaxAttempts: 2, Shards: []string{"a", "b", "c"}, TopK: 1, MinCoverage: 0.6},
+		{Name: "one", Host: "h", Prefix: "/one/", Timeout: time.Second, Objective: 200 * time.Millisecond,
+			MaxAttempts: 1, Targets: []route.Target{{Service: "v", Weight: 1}}},
+	}}
+}
+
+func sweep() *Request {
+	return &Request{ID: "1", Host: "h", Path: "/sweep/x", Patience: 800 * time.Millisecond}
+}
+
+func parts(count int) scatter.Result[Part] {
+	result := scatter.Result[Part]{Finish: dispatch.Finish{Outcome: dispatch.OutcomePartial, Reason: dispatch.ReasonDeadline}}
+	for shard := range count {
+		result.Parts = append(result.Parts, scatter.ShardPart[Part]{Shard: shard, Part: Part{
+			Status: 200, Body: []byte("0123456789abcde" + string(rune('0'+shard))), Signature: string(rune('A' + shard)),
+		}})
+	}
+	return result
+}
+
+func TestPlanOfARequestToManyShards(t *testing.T) {
+	forwarder, scatterer := newForwarder(parts(3))
+	forwarder.Execute(context.Background(), sweep())
+	last := scatterer.last
+	if len(last.Shards) != 3 || last.Timeout != 800*time.Millisecond || last.Objective != 190*time.Millisecond ||
+		last.MaximumSends != 2 || last.MinimumCoverage != 0.6 || !last.Class.Repeatable {
+		t.Errorf("planned %+v", last)
+	}
+	late := sweep()
+	late.Patience = 500 * time.Millisecond
+	forwarder.Execute(context.Background(), late)
+	if scatterer.last.Objective != 0 {
+		t.Errorf("objective %v of a client that has waited too long", scatterer.last.Objective)
+	}
+}
+
+func TestAnswerOfManyShards(t *testing.T) {
+	forwarder, _ := newForwarder(parts(2))
+	answer := forwarder.Execute(context.Background(), sweep())
+	if answer.Fate != FateMerged || string(answer.Body) != "0123456789abcde1" || answer.Missing != 1 ||
+		!slices.Equal(answer.Signatures, []string{"A", "B"}) || answer.Version != 5 {
+		t.Errorf("answer %+v", answer)
+	}
+	forwarder, _ = newForwarder(parts(1))
+	if answer := forwarder.Execute(context.Background(), sweep()); answer.Fate != FateLate {
+		t.Errorf("below the least coverage: %+v", answer)
+	}
+}
+
+func TestFateWithoutAnswer(t *testing.T) {
+	one := &Request{ID: "1", Host: "h", Path: "/one/x"}
+	for _, test := range []struct {
+		result scatter.Result[Part]
+		want   Fate
+	}{
+		{scatter.Result[Part]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeNotRun, Reason: dispatch.ReasonDeadline}}, FateNotRun},
+		{scatter.Result[Part]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeUnknown, Reason: dispatch.ReasonLost}}, FateFailed},
+		{scatter.Result[Part]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeFailed, Reason: dispatch.ReasonDeadline}}, FateLate},
+		{scatter.Result[Part]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeUnknown}, HasFailure: true, Failure: Part{Status: 500}}, FateAnswered},
+		{parts(1), FateAnswered},
+	} {
+		forwarder, _ := newForwarder(test.result)
+		if answer := forwarder.Execute(context.Background(), one); answer.Fate != test.want {
+			t.Errorf("%+v: %s", test.result.Finish, answer.Fate)
+		}
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	forwarder, _ := newForwarder(parts(3))
+	for _, test := range []struct {
+		version uint64
+		taken   bool
+	}{{4, false}, {5, false}, {9, true}, {6, false}} {
+		if taken := forwarder.Install(route.NewTable(testConfig(test.version))); taken != test.taken {
+			t.Errorf("version %d: taken %v", test.version, taken)
+		}
+	}
+	if got := forwarder.Table().Config.Version; got != 9 {
+		t.Errorf("version %d in force", got)
+	}
+}
+
+func TestUnknownRouteNeedsAFreshConfiguration(t *testing.T) {
+	forwarder, _ := newForwarder(parts(3))
+	unknown := &Request{ID: "1", Host: "h", Path: "/nowhere/"}
+	if answer := forwarder.Execute(context.Background(), unknown); answer.Fate != FateNoRoute {
+		t.Errorf("fresh: %s", answer.Fate)
+	}
+	forwarder.SetFresh(false)
+	if answer := forwarder.Execute(context.Background(), unknown); answer.Fate != FateNotRun || answer.RetryAfter <= 0 {
+		t.Errorf("not fresh: %+v", answer)
+	}
+	empty := New(Config{UnknownRetryAfter: time.Second}, nil, registry.NewIndex())
+	empty.SetFresh(true)
+	if answer := empty.Execute(context.Background(), unknown); answer.Fate != FateNotRun || answer.RetryAfter <= 0 {
+		t.Errorf("without a configuration: %+v", answer)
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,117 @@
+package registry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+)
+
+var config = Config{Doubt: 2 * time.Second, Settling: 3 * time.Second}
+
+func leafAt(id, service string, port int, created uint64) Leaf {
+	return Leaf{ID: id, Service: service, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)), Slots: 2, Created: created}
+}
+
+// usable returns the ids that may get work, by service number.
+func usable(topology dispatch.Topology) map[string]int {
+	found := make(map[string]int)
+	for _, listed := range topology.Leaves {
+		if listed.Usable {
+			found[listed.BootID] = listed.Holdings[0].Shards[0]
+		}
+	}
+	return found
+}
+
+func TestTopologyNumbersServices(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	table.Replace(0, []Leaf{leafAt("a", "x", 1, 1), leafAt("b", "y", 2, 2), leafAt("c", "x", 3, 3)})
+	topology := table.Topology()
+	found := usable(topology)
+	if len(found) != 3 || found["a"] != found["c"] || found["a"] == found["b"] || topology.Partitions[0].Shards != 2 {
+		t.Errorf("%v in %+v", found, topology.Partitions)
+	}
+}
+
+func TestDrainingSticksToTheID(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	leaf := leafAt("a", "x", 1, 1)
+	leaf.Draining = true
+	table.Set(leaf)
+	leaf.Draining = false
+	table.Set(leaf)
+	if found := usable(table.Topology()); len(found) != 0 {
+		t.Errorf("usable: %v", found)
+	}
+	table.Set(leafAt("b", "x", 1, 9))
+	if _, ok := usable(table.Topology())["b"]; !ok {
+		t.Error("the next incarnation at the address gets no work")
+	}
+}
+
+func TestNewerLeafOwnsItsAddress(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	table.Replace(0, []Leaf{leafAt("new", "y", 1, 7), leafAt("old", "x", 1, 3)})
+	found := usable(table.Topology())
+	if _, ok := found["new"]; !ok || len(found) != 1 {
+		t.Errorf("usable: %v", found)
+	}
+}
+
+// TestRemovalsAreDoubtedAroundAnOutage covers when a leaf stops being used
+// whose entry went.
+func TestRemovalsAreDoubtedAroundAnOutage(t *testing.T) {
+	const outageEnd = 100 * time.Second
+	for _, test := range []struct {
+		name      string
+		at        time.Duration // of the removal
+		draining  bool
+		back      bool // it is announced again before the doubt ends
+		usedUntil time.Duration
+	}{
+		{"long after an outage", outageEnd + config.Settling, false, false, 0},
+		{"just after an outage", outageEnd + time.Second, false, false, outageEnd + time.Second + config.Doubt},
+		{"announced again", outageEnd + time.Second, false, true, time.Hour},
+		{"it drained before", outageEnd + time.Second, true, false, 0},
+	} {
+		table := NewTable(config, NewIndex())
+		leaf := leafAt("a", "x", 1, 1)
+		table.Set(leaf)
+		if leaf.Draining = test.draining; leaf.Draining {
+			table.Set(leaf)
+		}
+		table.Outage(outageEnd)
+		table.Remove(test.at, "a")
+		table.Remove(test.at+time.Second, "a")
+		if test.back {
+			table.Set(leaf)
+		}
+		for _, now := range []time.Duration{test.at, test.usedUntil - 1, test.usedUntil, 2 * time.Hour} {
+			if now < test.at {
+				continue
+			}
+			changed, next := table.Expire(now)
+			if got, want := table.Len() == 1, now < test.usedUntil || test.back; got != want {
+				t.Errorf("%s: at %v known %v, want %v", test.name, now, got, want)
+			}
+			if table.Len() == 1 && !test.back && next != test.usedUntil {
+				t.Errorf("%s: next look at %v", test.name, next)
+			}
+			if changed && now < test.usedUntil {
+				t.Errorf("%s: dropped at %v", test.name, now)
+			}
+		}
+	}
+}
+
+func TestReplaceTakesOutWhatIsGone(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	table.Replace(0, []Leaf{leafAt("a", "x", 1, 1), leafAt("b", "x", 2, 1)})
+	table.Replace(10*time.Second, []Leaf{leafAt("b", "x", 2, 1)})
+	found := usable(table.Topology())
+	if _, ok := found["b"]; !ok || len(found) != 1 {
+		t.Errorf("usable: %v", found)
+	}
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,108 @@
+package route
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func sound() Route {
+	return Route{
+		Name: "lookup", Host: "a.example", Prefix: "/x/", Timeout: time.Second, MaxAttempts: 1,
+		Targets: []Target{{Service: "vault", Weight: 1}},
+	}
+}
+
+func TestValidate(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*Route)
+		want   string // part of the error; empty for none
+	}{
+		{"sound", func(*Route) {}, ""},
+		{"no host", func(r *Route) { r.Host = "" }, "host"},
+		{"prefix without slash", func(r *Route) { r.Prefix = "/x" }, "prefix"},
+		{"no timeout", func(r *Route) { r.Timeout = 0 }, "timeout"},
+		{"no attempts", func(r *Route) { r.MaxAttempts = 0 }, "attempts"},
+		{"neither targets nor shards", func(r *Route) { r.Targets = nil }, "either"},
+		{"both", func(r *Route) { r.Shards = []string{"a"} }, "either"},
+		{"weights of zero", func(r *Route) { r.Targets[0].Weight = 0 }, "weight"},
+		{"negative weight", func(r *Route) { r.Targets[0].Weight = -1 }, "weight"},
+		{"shards that may not be repeated", func(r *Route) { r.Targets, r.Shards, r.TopK = nil, []string{"a"}, 1 }, "repeatable"},
+		{"no records", func(r *Route) { r.Targets, r.Shards, r.Repeatable = nil, []string{"a"}, true }, "records"},
+		{"a shard twice", func(r *Route) {
+			r.Targets, r.Shards, r.Repeatable, r.TopK = nil, []string{"a", "a"}, true, 1
+		}, "once"},
+		{"coverage above one", func(r *Route) { r.MinCoverage = 1.5 }, "coverage"},
+	} {
+		route := sound()
+		test.change(&route)
+		err := (&Config{Version: 1, Routes: []Route{route}}).Validate()
+		if (err == nil) != (test.want == "") || err != nil && !strings.Contains(err.Error(), test.want) {
+			t.Errorf("%s: %v", test.name, err)
+		}
+	}
+	if err := (&Config{}).Validate(); err == nil {
+		t.Error("version 0 is taken")
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	config := &Config{Version: 1}
+	for _, declared := range [][2]string{{"a.example", "/"}, {"a.example", "/x/"}, {"a.example", "/x/y/"}, {"b.example", "/z/"}} {
+		config.Routes = append(config.Routes, Route{Name: declared[0] + declared[1], Host: declared[0], Prefix: declared[1]})
+	}
+	table := NewTable(config)
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "a.example/x/y/"},
+		{"A.Example:8080", "/x/yy", "a.example/x/"},
+		{"a.example", "/xx", "a.example/"},
+		{"b.example", "/z/", "b.example/z/"},
+		{"b.example", "/z", ""},
+		{"c.example", "/x/", ""},
+	} {
+		found, ok := table.Match(test.host, test.path)
+		if ok != (test.want != "") || ok && found.Name != test.want {
+			t.Errorf("%s%s: %+v", test.host, test.path, found)
+		}
+	}
+}
+
+// TestSplitterFollowsTheWeights counts any run of requests: each target is
+// within one request for each other target of its share.
+func TestSplitterFollowsTheWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 20), 1, 5).Draw(t, "weights")
+		route := &Route{Name: "r"}
+		total := 0
+		for index, weight := range weights {
+			route.Targets = append(route.Targets, Target{Service: string(rune('a' + index)), Weight: float64(weight)})
+			total += weight
+		}
+		splitter := NewSplitter()
+		counts := make(map[string]int)
+		requests := rapid.IntRange(1, 200).Draw(t, "requests")
+		for range requests {
+			counts[splitter.Pick(route)]++
+		}
+		for index, weight := range weights {
+			share := float64(requests*weight) / float64(total)
+			if got := float64(counts[string(rune('a'+index))]); math.Abs(got-share) > float64(len(weights)) {
+				t.Fatalf("target %d got %v of %d, its share is %.1f", index, got, requests, share)
+			}
+		}
+	})
+}
+
+func TestSplitterForgetsDroppedRoutes(t *testing.T) {
+	splitter := NewSplitter()
+	route := Route{Name: "r", Targets: []Target{{"a", 1}, {"b", 1}}}
+	splitter.Pick(&route)
+	splitter.Retain(&Config{})
+	if len(splitter.routes) != 0 {
+		t.Error("a dropped route is kept")
+	}
+}
