frontend: one watch over all keys, changes gathered; nodes counted under leases

The budget of extra load was shared by an assumed number of nodes. Change: one mirror over all keys; after changes it pauses 250 ms, within the 3 s that changes may take. Each node holds a key under a lease (lease); the nodes announced now or in the last 20 s (roster) share three quarters of the slack. A node starts with one attempt to spend, so that restarts add little. Weighed: tokens leased in the store (calls for each refill), counters told between nodes (a protocol for 56 attempts); the share by count costs 0.3 renewals a second and node. Open: more than 56 nodes get a whole attempt each.

--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -226,6 +226,16 @@
 	return d.actions
 }
 
+// ResizeBudget changes how much extra load can be saved up, for each shard if
+// Config.BudgetByShard, and how much of it hedges leave for retries.
+func (d *Dispatcher) ResizeBudget(capacity, reserve float64) {
+	d.config.Budget.Capacity, d.config.Budget.Reserve = capacity, reserve
+	d.budget.Resize(capacity, reserve)
+	for _, budget := range d.budgets {
+		budget.Resize(capacity, reserve)
+	}
+}
+
 // busy reports whether shards wait in the node.
 func (d *Dispatcher) busy() bool {
 	return d.waiters > 0 || len(d.parked) > 0
--- a/internal/decide/hedge/budget.go
+++ b/internal/decide/hedge/budget.go
@@ -37,6 +37,14 @@
 	return Budget{config: config, tokens: min(config.Initial, config.Capacity)}
 }
 
+// Resize changes the most tokens that can be saved up, and how many of them
+// hedges leave for retries.
+func (b *Budget) Resize(capacity, reserve float64) {
+	b.config.Capacity = capacity
+	b.config.Reserve = reserve
+	b.tokens = min(b.tokens, capacity)
+}
+
 // Earn adds the tokens of one needed attempt of a class whose share of extra
 // load is given, from 0 to 1. A class without extra load earns nothing.
 func (b *Budget) Earn(share float64) {
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -9,45 +9,78 @@
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
-// configSink installs the declared configuration.
-type configSink struct{ *Frontend }
+// storeSink takes in what the store holds.
+type storeSink struct{ *Frontend }
 
 // Replace implements mirror.Sink.
-func (s configSink) Replace(items []mirror.Item, _ bool) {
+func (s storeSink) Replace(items []mirror.Item, gap bool) {
+	var leaves []registry.Leaf
+	var nodes []string
 	for _, item := range items {
-		s.install(item)
+		switch s.ports.Decoder.Kind(item.Key) {
+		case KindConfig:
+			s.install(item)
+		case KindLeaf:
+			if read, ok := s.read(item); ok {
+				leaves = append(leaves, read)
+			}
+		case KindNode:
+			nodes = append(nodes, item.Key)
+		}
 	}
+	s.mutex.Lock()
+	s.leaves.Replace(s.clock.Now(), leaves)
+	s.leavesKnown = true
+	s.nodes.Replace(s.clock.Now(), nodes)
+	s.mutex.Unlock()
+	s.logger.Info("store read", "leaves", len(leaves), "nodes", len(nodes), "after_gap", gap)
 	s.forwarder.SetFresh(true)
+	s.publish()
 }
 
 // Change implements mirror.Sink. The removal of the configuration changes
 // nothing: the last one stays in force.
-func (s configSink) Change(events []mirror.Event) {
+func (s storeSink) Change(events []mirror.Event) {
+	changed := false
 	for _, event := range events {
-		if !event.Removed {
-			s.install(event.Item)
+		switch s.ports.Decoder.Kind(event.Key) {
+		case KindConfig:
+			if !event.Removed {
+				s.install(event.Item)
+			}
+		case KindLeaf:
+			s.changeLeaf(event)
+			changed = true
+		case KindNode:
+			s.changeNode(event)
+			changed = true
 		}
 	}
 	s.forwarder.SetFresh(true)
+	if changed {
+		s.publish()
+	}
 }
 
 // Lost implements mirror.Sink.
-func (s configSink) Lost(err error) {
+func (s storeSink) Lost(err error) {
 	s.forwarder.SetFresh(false)
-	s.dependencyLost("config", err)
+	s.metrics.storeUp.Set(0)
+	s.logger.Warn("store lost", telemetry.Error(err))
 }
 
 // Regained implements mirror.Sink.
-func (s configSink) Regained(away time.Duration) {
-	s.dependencyRegained("config", away)
+func (s storeSink) Regained(away time.Duration) {
+	s.mutex.Lock()
+	s.leaves.Outage(s.clock.Now())
+	s.mutex.Unlock()
+	s.metrics.storeUp.Set(1)
+	s.logger.Info("store regained", "away", away.String())
 }
 
 // install puts a configuration into force if it is newer and can be used.
-func (s configSink) install(item mirror.Item) {
-	config, found, err := s.ports.Decoder.Config(item)
-	if !found && err == nil {
-		return
-	}
+func (s storeSink) install(item mirror.Item) {
+	config, err := s.ports.Decoder.Config(item)
 	if err == nil {
 		err = config.Validate()
 	}
@@ -68,60 +101,34 @@
 	s.publish()
 }
 
-// leafSink follows the announcements of leaves.
-type leafSink struct{ *Frontend }
-
-// Replace implements mirror.Sink.
-func (s leafSink) Replace(items []mirror.Item, gap bool) {
-	leaves := make([]registry.Leaf, 0, len(items))
-	for _, item := range items {
-		if read, ok := s.read(item); ok {
-			leaves = append(leaves, read)
-		}
-	}
-	s.mutex.Lock()
-	s.leaves.Replace(s.clock.Now(), leaves)
-	s.leavesKnown = true
-	s.mutex.Unlock()
-	s.logger.Info("leaves read", "leaves", len(leaves), "after_gap", gap)
-	s.publish()
-}
-
-// Change implements mirror.Sink.
-func (s leafSink) Change(events []mirror.Event) {
-	if len(events) == 0 {
+func (s storeSink) changeLeaf(event mirror.Event) {
+	read, ok := s.read(event.Item)
+	if !ok {
 		return
 	}
-	for _, event := range events {
-		read, ok := s.read(event.Item)
-		if !ok {
-			continue
-		}
-		s.mutex.Lock()
-		if event.Removed {
-			s.leaves.Remove(s.clock.Now(), read.ID)
-		} else {
-			s.leaves.Set(read)
-		}
-		s.mutex.Unlock()
-		s.logger.Info("leaf changed", "leaf", read.ID, "service", read.Service, "address", read.Address,
-			"draining", read.Draining, "removed", event.Removed, "revision", event.Revision)
+	s.mutex.Lock()
+	if event.Removed {
+		s.leaves.Remove(s.clock.Now(), read.ID)
+	} else {
+		s.leaves.Set(read)
 	}
-	s.publish()
+	s.mutex.Unlock()
+	s.logger.Info("leaf changed", "leaf", read.ID, "service", read.Service, "address", read.Address,
+		"draining", read.Draining, "removed", event.Removed, "revision", event.Revision)
 }
 
-// Lost implements mirror.Sink.
-func (s leafSink) Lost(err error) { s.dependencyLost("leaves", err) }
-
-// Regained implements mirror.Sink.
-func (s leafSink) Regained(away time.Duration) {
+func (s storeSink) changeNode(event mirror.Event) {
 	s.mutex.Lock()
-	s.leaves.Outage(s.clock.Now())
+	if event.Removed {
+		s.nodes.Remove(s.clock.Now(), event.Key)
+	} else {
+		s.nodes.Add(s.clock.Now(), event.Key)
+	}
 	s.mutex.Unlock()
-	s.dependencyRegained("leaves", away)
+	s.logger.Info("node changed", "peer", s.ports.Decoder.Node(event.Key), "removed", event.Removed, "revision", event.Revision)
 }
 
-func (s leafSink) read(item mirror.Item) (registry.Leaf, bool) {
+func (s storeSink) read(item mirror.Item) (registry.Leaf, bool) {
 	read, err := s.ports.Decoder.Leaf(item)
 	if err != nil {
 		s.metrics.leavesRejected.Inc()
@@ -143,6 +150,7 @@
 	if next > 0 {
 		f.expiry.Reset(max(next-f.clock.Now(), 0))
 	}
+	f.shareBudget()
 	topology := f.leaves.Topology()
 	f.metrics.leaves.Set(float64(len(topology.Leaves)))
 	if f.ports.OnLeaves != nil {
@@ -154,12 +162,9 @@
 // expire drops the leaves whose doubt has ended.
 func (f *Frontend) expire() { f.publish() }
 
-func (f *Frontend) dependencyLost(name string, err error) {
-	f.metrics.dependencies.WithLabelValues(name).Set(0)
-	f.logger.Warn("dependency lost", "dependency", name, telemetry.Error(err))
-}
-
-func (f *Frontend) dependencyRegained(name string, away time.Duration) {
-	f.metrics.dependencies.WithLabelValues(name).Set(1)
-	f.logger.Info("dependency regained", "dependency", name, "away", away.String())
+// shareBudget takes this node's share of the extra load that all may cause.
+func (f *Frontend) shareBudget() {
+	nodes := f.nodes.Count(f.clock.Now(), f.ports.Decoder.Node)
+	f.metrics.nodes.Set(float64(nodes))
+	f.conn.ResizeBudget(budgetShare(f.settings.Forward, nodes))
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -20,29 +20,47 @@
 	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/lease"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/registry"
+	"github.com/micaplank/micaplank/internal/roster"
 	"github.com/micaplank/micaplank/internal/route"
 	"github.com/micaplank/micaplank/internal/scatter"
 	"github.com/micaplank/micaplank/internal/settings"
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
+// Kind is what an item of the store is.
+type Kind int
+
+// The kinds of items.
+const (
+	KindOther  Kind = iota // nothing of ours
+	KindConfig             // the declared configuration
+	KindLeaf               // the announcement of a leaf
+	KindNode               // the announcement of a node like this one
+)
+
 // Decoder reads what lies in the store. Its methods keep nothing of the items.
 type Decoder interface {
-	// ConfigPrefix and LeafPrefix are what the keys begin with.
-	ConfigPrefix() string
-	LeafPrefix() string
-	// Config reads the declared configuration; false if the item is another.
-	Config(item mirror.Item) (*route.Config, bool, error)
+	// Prefix is what all keys of interest begin with.
+	Prefix() string
+	Kind(key string) Kind
+	// Config reads the declared configuration.
+	Config(item mirror.Item) (*route.Config, error)
 	// Leaf reads the announcement of a leaf. Of a removed one, only the key is
 	// given, and only the id is wanted.
 	Leaf(item mirror.Item) (registry.Leaf, error)
+	// Node returns the name of the node that a key announces.
+	Node(key string) string
+	// NodeKey returns the key that announces an incarnation of a node.
+	NodeKey(name, incarnation string) string
 }
 
 // Ports are the ways to the outside that a Frontend uses.
 type Ports struct {
 	Store   mirror.Source
+	Leases  lease.Store
 	Decoder Decoder
 	Leaves  scatter.LeafClient[*forward.Request, forward.Part]
 	// Handler makes the handler of callers' requests.
@@ -81,6 +99,7 @@
 	leaves      *registry.Table
 	expiry      *time.Timer
 	leavesKnown bool
+	nodes       *roster.Roster
 }
 
 // New returns a Frontend that has not started anything.
@@ -113,10 +132,15 @@
 		Linger:        f.settings.Forward.Linger.Duration(),
 	}, dispatch.New(dispatchConfig(f.settings), random))
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
+	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
 	f.expiry = time.AfterFunc(time.Hour, f.expire)
 	f.expiry.Stop()
 }
 
+// nodesMemory is how long a node that is no longer announced still counts: two
+// windows of the budget, so that a lapse of leases frees nothing at once.
+const nodesMemory = 20 * time.Second
+
 // unknownRetryAfter is when a client may come again that met a node without
 // the configuration.
 const unknownRetryAfter = 300 * time.Millisecond
@@ -144,15 +168,30 @@
 	config.EndWithoutBudget = true
 	config.RequireCoverage = true
 	config.Settle.ObjectiveShare = from.Forward.SettleShare
-	share := from.Forward.ExtraSlack / float64(from.Forward.ExtraNodes)
 	config.Budget.Earned = earnedShare
-	config.Budget.Capacity = share
-	config.Budget.Initial = share / 2
-	config.Budget.Reserve = min(1, share/4)
+	config.Budget.Capacity, config.Budget.Reserve = budgetShare(from.Forward, from.Forward.ExtraNodes)
+	config.Budget.Initial = min(initialBudget, config.Budget.Capacity)
 	config.Budget.Debt = 0
 	return config
 }
 
+const (
+	// slackShare is the part of the extra load beyond the ratio that running
+	// nodes share; the rest is for nodes that start.
+	slackShare = 0.75
+	// initialBudget is what a node may spend that has earned nothing yet. It is
+	// small: nodes that are killed come back with it each time.
+	initialBudget = 1
+)
+
+// budgetShare returns what one of the nodes may save up of the extra load that
+// all may cause, and how much of it hedges leave for retries. It is at least
+// one attempt.
+func budgetShare(from settings.Forward, nodes int) (capacity, reserve float64) {
+	capacity = max(slackShare*from.ExtraSlack/float64(max(nodes, 1)), 1)
+	return capacity, min(1, capacity/4)
+}
+
 // Execute implements Service.
 func (f *Frontend) Execute(ctx context.Context, request *forward.Request) forward.Answer {
 	started := f.clock.Now()
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/oklog/ulid/v2"
 	"github.com/samber/oops"
 
+	"github.com/micaplank/micaplank/internal/lease"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/settings"
 )
@@ -27,6 +29,10 @@
 	// that does not answer.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// leaseTTL is how long a node that is gone still counts, and leaseBackoff
+	// bounds the pause between two tries to announce this one.
+	leaseTTL     = 10 * time.Second
+	leaseBackoff = 3 * time.Second
 )
 
 // server is one address that is served.
@@ -46,8 +52,8 @@
 	following, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	background.Go(func() { f.mirror(configSink{f}, f.ports.Decoder.ConfigPrefix()).Run(following) })
-	background.Go(func() { f.mirror(leafSink{f}, f.ports.Decoder.LeafPrefix()).Run(following) })
+	background.Go(func() { f.mirror().Run(following) })
+	background.Go(func() { f.announcement().Run(following) })
 	failed := make(chan error, len(servers))
 	for _, one := range servers {
 		background.Go(func() { failed <- ignoreClosed(one.http.Serve(one.listener)) })
@@ -65,9 +71,21 @@
 	return err
 }
 
-func (f *Frontend) mirror(sink mirror.Sink, prefix string) *mirror.Mirror {
-	config := mirror.Config{Prefix: prefix, MinBackoff: minBackoff, MaxBackoff: maxBackoff}
-	return mirror.New(config, f.ports.Store, sink)
+func (f *Frontend) mirror() *mirror.Mirror {
+	return mirror.New(mirror.Config{
+		Prefix:     f.ports.Decoder.Prefix(),
+		MinBackoff: minBackoff, MaxBackoff: maxBackoff,
+		Gather: f.settings.Forward.WatchGather.Duration(),
+	}, f.ports.Store, storeSink{f})
+}
+
+// announcement tells the other nodes that this one shares the extra load.
+func (f *Frontend) announcement() *lease.Holder {
+	incarnation := ulid.Make().String()
+	return lease.NewHolder(lease.Config{
+		Key: f.ports.Decoder.NodeKey(f.settings.Name, incarnation), Value: []byte(f.settings.Zone),
+		TTL: leaseTTL, MinBackoff: minBackoff, MaxBackoff: leaseBackoff,
+	}, f.ports.Leases, f.logger)
 }
 
 // listen opens all addresses, or none.
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -17,7 +17,8 @@
 	leaves          prometheus.Gauge
 	configsRejected prometheus.Counter
 	leavesRejected  prometheus.Counter
-	dependencies    *prometheus.GaugeVec
+	nodes           prometheus.Gauge
+	storeUp         prometheus.Gauge
 }
 
 // latencyBuckets are the bounds in seconds.
@@ -38,11 +39,13 @@
 			Name: "micaplank_frontend_configs_rejected_total", Help: "Configurations that could not be used; the last good one stayed in force."}),
 		leavesRejected: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "micaplank_frontend_leaves_rejected_total", Help: "Announcements of leaves that could not be read."}),
-		dependencies: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "micaplank_frontend_dependency_up", Help: "Whether a dependency answers: 1 or 0."}, []string{"dependency"}),
+		nodes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "micaplank_frontend_nodes", Help: "Nodes that share the extra load."}),
+		storeUp: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "micaplank_frontend_store_up", Help: "Whether the store answers: 1 or 0."}),
 	}
 	registerer.MustRegister(created.requests, created.configVersion, created.leaves,
-		created.configsRejected, created.leavesRejected, created.dependencies)
+		created.configsRejected, created.leavesRejected, created.nodes, created.storeUp)
 	return created
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -61,6 +61,9 @@
 	// MinBackoff and MaxBackoff bound the pause after an error; it doubles
 	// with each error in a row and is spread by chance.
 	MinBackoff, MaxBackoff time.Duration
+	// Gather is the pause after changes before the next call, so that changes
+	// in quick succession come with one call.
+	Gather time.Duration
 }
 
 // Mirror follows one prefix.
@@ -127,6 +130,9 @@
 		m.sink.Change(events)
 	}
 	m.revision = max(m.revision, revision)
+	if len(events) > 0 {
+		sleep(ctx, m.config.Gather)
+	}
 	return nil
 }
 
@@ -153,7 +159,10 @@
 
 func (m *Mirror) pause(ctx context.Context) {
 	pause := min(m.config.MinBackoff<<min(m.failures-1, 10), m.config.MaxBackoff)
-	pause = pause/2 + rand.N(pause/2+1)
+	sleep(ctx, pause/2+rand.N(pause/2+1))
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -180,6 +180,13 @@
 	return views[newest].Snapshot
 }
 
+// ResizeBudget changes how much extra load the dispatcher can save up.
+func (c *Conn[Q, P]) ResizeBudget(capacity, reserve float64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.dispatcher.ResizeBudget(capacity, reserve)
+}
+
 // Observe hands the dispatcher a leaf's own word on its load.
 func (c *Conn[Q, P]) Observe(address netip.AddrPort, load leaf.LoadSummary) {
 	c.step(func(now dispatch.Time) []dispatch.Action {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,8 +44,9 @@
 	Linger          Duration `toml:"linger" comment:"How long an attempt that is not wanted any more may go on, so that its connection can be used again." validate:"gte=0" expect:"a duration, 0 or above, such as \"300ms\""`
 	ExtraRatio      float64  `toml:"extra_ratio" comment:"Extra attempts that all nodes together may cause at a service: this share of its requests, and extra_slack more, in any window." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
 	ExtraSlack      float64  `toml:"extra_slack" validate:"gte=0" expect:"a number, 0 or above"`
-	ExtraNodes      int      `toml:"extra_nodes" comment:"Nodes that share extra_slack." validate:"gte=1" expect:"a whole number, 1 or above"`
+	ExtraNodes      int      `toml:"extra_nodes" comment:"Nodes that are taken to share extra_slack until they are counted." validate:"gte=1" expect:"a whole number, 1 or above"`
 	WatchWait       Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
+	WatchGather     Duration `toml:"watch_gather" comment:"Pause after changes before the next watch, so that changes in quick succession come together." validate:"gte=0" expect:"a duration, 0 or above, such as \"250ms\""`
 	LeafDoubt       Duration `toml:"leaf_doubt" comment:"How long a leaf is still used whose entry went around an outage of the store." validate:"gte=0" expect:"a duration, 0 or above, such as \"2s\""`
 	LeafSettling    Duration `toml:"leaf_settling" comment:"Time after an outage of the store in which leaves announce themselves again." validate:"gte=0" expect:"a duration, 0 or above, such as \"3s\""`
 	DrainDelay      Duration `toml:"drain_delay" comment:"Time of a planned stop in which connections are still taken, until callers have moved." validate:"gte=0" expect:"a duration, 0 or above, such as \"3500ms\""`
@@ -173,6 +174,7 @@
 		ExtraSlack:      56,
 		ExtraNodes:      12,
 		WatchWait:       Duration(2500 * time.Millisecond),
+		WatchGather:     Duration(250 * time.Millisecond),
 		LeafDoubt:       Duration(2 * time.Second),
 		LeafSettling:    Duration(3 * time.Second),
 		DrainDelay:      Duration(3500 * time.Millisecond),
