dispatch: less urgent work may fill a leaf; a silent watch ends within the contact time

Cause: no route of the users has the most urgent priority, so all their work only took slots that were thought free of other nodes' work, and waited in the node.

--- a/experiments/days/play.sh
+++ b/experiments/days/play.sh
@@ -14,7 +14,7 @@
   name=$(basename "$4" .toml)
   "$1" run "$2" "$4" --why "$3: $name" --jobs 1 >"$5/$name.txt" 2>&1
   awk -v name="$name" '$1 == name && /prices/ { day = substr($0, 1, 150) }
-    /rule|RULE|broke[ns]|fault:|GATE/ { said = said "; " substr($0, 1, 160) }
+    /^(rules broken|[A-Z]+ at )/ { said = said "; " substr($0, 1, 160) }
     END { print (day ? day : name " not played"), said }' "$5/$name.txt"
 }
 export -f play
--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -45,6 +45,10 @@
 	// RequireCoverage ends a query as soon as its minimum coverage cannot be
 	// reached, where less than that is no answer.
 	RequireCoverage bool
+	// EqualSlots lets work of any priority fill the limit of a leaf. Without it,
+	// work that is not the most urgent waits for slots that are thought to be
+	// free of the work of other nodes.
+	EqualSlots bool
 	// WorkByLeaf keeps the mean work for each leaf, where the leaves of one
 	// Dispatcher do work of different size.
 	WorkByLeaf bool
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -242,7 +242,7 @@
 // that it makes room for the urgent work of all nodes.
 func (d *Dispatcher) limitFor(l *leafState, priority int, others float64) int {
 	limit := l.limiter.Current()
-	if priority <= highestPriority || d.config.Limit.Disabled {
+	if priority <= highestPriority || d.config.Limit.Disabled || d.config.EqualSlots {
 		return limit
 	}
 	busy := others * fade(d.now-l.othersAt, busyMemory)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -165,6 +165,7 @@
 	config.BudgetByShard = true
 	config.ChargeRefusals = true
 	config.WorkByLeaf = true
+	config.EqualSlots = true
 	config.EndWithoutBudget = true
 	config.RequireCoverage = true
 	config.Settle.ObjectiveShare = from.Forward.SettleShare
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -173,7 +173,7 @@
 		ExtraRatio:      0.2,
 		ExtraSlack:      56,
 		ExtraNodes:      12,
-		WatchWait:       Duration(2500 * time.Millisecond),
+		WatchWait:       Duration(2800 * time.Millisecond),
 		WatchGather:     Duration(250 * time.Millisecond),
 		LeafDoubt:       Duration(2 * time.Second),
 		LeafSettling:    Duration(3 * time.Second),
