--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -84,6 +84,9 @@
 	// may be hedged, on the same terms as retries: with half of the time gone,
 	// an answer is more likely lost than late. Default 0.5.
 	Rescue float64
+	// Queue is how many attempts may wait on a leaf that is to get a hedge, as
+	// far as is known. Default 0.
+	Queue float64
 	// Samples is the number of latencies of the class that must be known.
 	// Default 50.
 	Samples int
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -112,8 +112,8 @@
 	work := replica.Work{Base: q.class.base, Mean: d.workOf(shard.group.leaves[0])}
 	index := d.chooser.Choose(d.candidates, work)
 	chosen := &d.candidates[index]
-	idle := float64(chosen.InFlight)+chosen.Others+1 <= float64(chosen.Slots)
-	if chosen.Full() || !idle {
+	queue := float64(chosen.InFlight) + chosen.Others + 1 - float64(chosen.Slots)
+	if chosen.Full() || queue > d.config.Hedge.Queue {
 		return false
 	}
 	remaining := d.config.Score.Significant(d.slowness(first.leaf)) * q.class.base
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -166,6 +166,8 @@
 	config.ChargeRefusals = true
 	config.WorkByLeaf = true
 	config.EqualSlots = true
+	config.Hedge.Queue = 1
+	config.Score.Crowding = crowdingPrice
 	config.EndWithoutBudget = true
 	config.RequireCoverage = true
 	config.Settle.ObjectiveShare = from.Forward.SettleShare
@@ -177,6 +179,9 @@
 }
 
 const (
+	// crowdingPrice spreads work over two replicas of few slots before queues
+	// form.
+	crowdingPrice = 0.6
 	// slackShare is the part of the extra load beyond the ratio that running
 	// nodes share; the rest is for nodes that start.
 	slackShare = 0.75
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -167,7 +167,7 @@
 	return Forward{
 		SettleShare:     0.9,
 		ClientAllowance: Duration(6 * time.Millisecond),
-		HedgeShare:      0.35,
+		HedgeShare:      0.25,
 		HedgePercentile: 0.9,
 		Linger:          Duration(100 * time.Millisecond),
 		ExtraRatio:      0.2,
