--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -166,6 +166,7 @@
 	config.ChargeRefusals = true
 	config.WorkByLeaf = true
 	config.EqualSlots = true
+	config.Score.Tie = zoneTie
 	config.Hedge.Queue = 1
 	config.Score.Crowding = crowdingPrice
 	config.EndWithoutBudget = true
@@ -182,6 +183,9 @@
 	// crowdingPrice spreads work over two replicas of few slots before queues
 	// form.
 	crowdingPrice = 0.6
+	// zoneTie is the difference of two scores up to which the zone decides: it
+	// keeps bytes within a zone where that costs little time.
+	zoneTie = 0.2
 	// slackShare is the part of the extra load beyond the ratio that running
 	// nodes share; the rest is for nodes that start.
 	slackShare = 0.75
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -31,7 +31,7 @@
 	maxBackoff = 500 * time.Millisecond
 	// leaseTTL is how long a node that is gone still counts, and leaseBackoff
 	// bounds the pause between two tries to announce this one.
-	leaseTTL     = 20 * time.Second
+	leaseTTL     = 30 * time.Second
 	leaseBackoff = 3 * time.Second
 )
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -174,7 +174,7 @@
 		ExtraSlack:      56,
 		ExtraNodes:      12,
 		WatchWait:       Duration(2800 * time.Millisecond),
-		WatchGather:     Duration(250 * time.Millisecond),
+		WatchGather:     Duration(500 * time.Millisecond),
 		LeafDoubt:       Duration(2 * time.Second),
 		LeafSettling:    Duration(3 * time.Second),
 		DrainDelay:      Duration(3500 * time.Millisecond),
