--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LDFLAGS := -X github.com/micaplank/micaplank/internal/version.Version=$(VERSION)
 PROGRAMS := micaplank micactl micarehearse
 
-.PHONY: all build test check fuzz demo bench clean
+.PHONY: all build test check fuzz demo demo-platform bench clean
 
 all: build
 
@@ -30,8 +30,13 @@
 demo: build
 	$(BIN)/micarehearse demo --binaries $(BIN)
 
+# The node behind the adapter, in front of a stand-in of the platform.
+demo-platform:
+	go build -o target/ ./platform/micaplank-edge
+	go run ./platform/platformtest/demo --binary target/micaplank-edge
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
 
 clean:
-	rm -rf $(BIN) out
+	rm -rf $(BIN) out target
