--- a/internal/decide/dispatch/attempt.go
+++ b/internal/decide/dispatch/attempt.go
@@ -14,6 +14,24 @@
 	causeProbe                // beside one, to measure a slow leaf
 )
 
+// public returns the cause as actions carry it.
+func (c cause) public() Cause {
+	switch c {
+	case causeResend:
+		return CauseResend
+	case causeRetry:
+		return CauseRetry
+	case causeRestart:
+		return CauseRestart
+	case causeHedge:
+		return CauseHedge
+	case causeProbe:
+		return CauseProbe
+	default:
+		return CauseNeeded
+	}
+}
+
 func (c cause) extra() bool {
 	return c >= causeRetry
 }
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -130,6 +130,38 @@
 	Remaining time.Duration
 	// Extra is set for hedges and retries: attempts beyond those needed.
 	Extra bool
+	// Cause is why the attempt is sent, and Basis what the choice of the leaf
+	// rested on.
+	Cause Cause
+	Basis Basis
+}
+
+// Cause says why an attempt is sent.
+type Cause string
+
+// The causes of attempts.
+const (
+	CauseNeeded  Cause = "needed"  // the first attempt of a shard
+	CauseResend  Cause = "resend"  // after proof that the former did not execute
+	CauseRetry   Cause = "retry"   // after one that was lost, or that is charged
+	CauseRestart Cause = "restart" // again, at another snapshot
+	CauseHedge   Cause = "hedge"   // beside one that is late
+	CauseProbe   Cause = "probe"   // beside one, to measure a slow leaf
+)
+
+// Basis is what a Dispatcher believes of a leaf when it sends an attempt there.
+type Basis struct {
+	// InFlight is the number of this node's attempts there, and Limit the most
+	// that there may be.
+	InFlight, Limit int
+	// Others is the estimated number of attempts of other nodes, from a report
+	// of the given age.
+	Others float64
+	Age    time.Duration
+	// Slowness is the ratio of its service time to that of an ordinary leaf.
+	Slowness float64
+	// Budget is the extra load that may still be spent on the shard.
+	Budget float64
 }
 
 // Abort cancels an attempt whose reply is not wanted any more.
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -187,6 +187,7 @@
 // send starts an attempt.
 func (d *Dispatcher) send(q *query, position int32, l *leafState, why cause) {
 	shard := &q.shards[position]
+	basis := d.basis(q, position, l)
 	d.count(q, position, why)
 	queue := replica.Queue(float64(len(l.running))+l.estimateOthers(d.now), l.slots)
 	slot, entry := d.attempts.add()
@@ -221,9 +222,24 @@
 		Snapshot:  q.snapshot,
 		Remaining: q.Deadline - d.now,
 		Extra:     why.extra(),
+		Cause:     why.public(),
+		Basis:     basis,
 	})
 }
 
+// basis describes a leaf that gets an attempt of a shard.
+func (d *Dispatcher) basis(q *query, position int32, l *leafState) Basis {
+	budget := d.budgetOf(q, position)
+	return Basis{
+		InFlight: len(l.running),
+		Limit:    l.limiter.Current(),
+		Others:   l.estimateOthers(d.now),
+		Age:      d.now - l.othersAt,
+		Slowness: d.slowness(l),
+		Budget:   budget.Tokens(),
+	}
+}
+
 // meanWorkWeight is the weight of one attempt in the mean work.
 const meanWorkWeight = 0.02
 
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -15,6 +15,7 @@
 		RetryAfter: result.RetryAfter,
 		Answered:   len(result.Answered),
 		Total:      result.Total,
+		Attempts:   result.Attempts,
 	}
 	switch {
 	case len(matched.Shards) > 0:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -83,6 +83,8 @@
 	Version uint64
 	// Answered and Total count the shards.
 	Answered, Total int
+	// Attempts is the story of what was sent.
+	Attempts []scatter.AttemptTrace
 }
 
 // Scatterer runs a request on its shards.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -130,6 +130,7 @@
 		Guard:         func() error { return nil },
 		Metrics:       scatter.NewMetrics(registerer),
 		Linger:        f.settings.Forward.Linger.Duration(),
+		Trace:         true,
 	}, dispatch.New(dispatchConfig(f.settings), random))
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"math"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/scatter"
+	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
 // metrics are those of a Frontend.
@@ -53,17 +57,83 @@
 	m.requests.WithLabelValues(string(answer.Fate)).Observe(took.Seconds())
 }
 
-// logAnswer writes a line on a request that was not served whole.
+// logAnswer writes a line on a request: at level warn if it got no answer, info
+// if its answer is partial or a leaf's failure, and debug otherwise.
 func (f *Frontend) logAnswer(request *forward.Request, answer forward.Answer, took time.Duration) {
-	level := slog.LevelWarn
+	level := levelOf(answer)
+	ctx := context.Background()
+	if !f.logger.Enabled(ctx, level) {
+		return
+	}
+	f.logger.Log(ctx, level, messageRequest,
+		telemetry.AttributeRequestID, request.ID,
+		"route", answer.Route, "version", answer.Version,
+		"fate", string(answer.Fate), "reason", string(answer.Reason),
+		"answered", answer.Answered, "total", answer.Total, "status", answer.Part.Status,
+		"took_ms", took.Milliseconds(), "patience_ms", request.Patience.Milliseconds(),
+		"retry_after_ms", answer.RetryAfter.Milliseconds(),
+		"attempts", attemptLines(answer))
+}
+
+// messageRequest is the message of lines on requests.
+const messageRequest = "request"
+
+func levelOf(answer forward.Answer) slog.Level {
 	switch answer.Fate {
-	case forward.FateAnswered, forward.FateMerged:
-		if answer.Missing == 0 && answer.Part.Status < 500 {
-			return
+	case forward.FateMerged:
+		if answer.Missing > 0 {
+			return slog.LevelInfo
 		}
-		level = slog.LevelInfo
+		return slog.LevelDebug
+	case forward.FateAnswered:
+		if answer.Part.Status >= http.StatusInternalServerError {
+			return slog.LevelInfo
+		}
+		return slog.LevelDebug
+	default:
+		return slog.LevelWarn
 	}
-	f.logger.Log(context.Background(), level, "request", "request_id", request.ID, "route", answer.Route, "version", answer.Version,
-		"fate", string(answer.Fate), "reason", string(answer.Reason), "answered", answer.Answered, "total", answer.Total,
-		"missing", answer.Missing, "status", answer.Part.Status, "took", took.String(), "patience", request.Patience.String())
 }
+
+// maxAttemptLines bounds the attempts on one line.
+const maxAttemptLines = 24
+
+// attemptLine is one attempt as the log tells it.
+type attemptLine struct {
+	Shard    int     `json:"shard"`
+	Leaf     string  `json:"leaf"`
+	Address  string  `json:"address"`
+	Cause    string  `json:"cause"`
+	AtMS     int64   `json:"at_ms"`
+	TookMS   int64   `json:"took_ms"`
+	End      string  `json:"end"`
+	Detail   string  `json:"detail,omitempty"`
+	InFlight int     `json:"in_flight"`
+	Limit    int     `json:"limit"`
+	Others   float64 `json:"others"`
+	AgeMS    int64   `json:"age_ms"`
+	Slowness float64 `json:"slowness"`
+	Budget   float64 `json:"budget"`
+}
+
+// attemptLines tells the attempts that explain an answer: all of a request to
+// one leaf; of many shards those that were extra or did not bring a part.
+func attemptLines(answer forward.Answer) []attemptLine {
+	lines := []attemptLine{}
+	for _, one := range answer.Attempts {
+		plain := one.End == scatter.EndAnswered && !one.Extra
+		if plain && answer.Total > 1 || len(lines) == maxAttemptLines {
+			continue
+		}
+		lines = append(lines, attemptLine{
+			Shard: one.Shard, Leaf: one.BootID, Address: one.Leaf.String(), Cause: string(one.Cause),
+			AtMS: one.At.Milliseconds(), TookMS: one.Took.Milliseconds(), End: string(one.End), Detail: one.Detail,
+			InFlight: one.Basis.InFlight, Limit: one.Basis.Limit, Others: rounded(one.Basis.Others),
+			AgeMS: one.Basis.Age.Milliseconds(), Slowness: rounded(one.Basis.Slowness), Budget: rounded(one.Basis.Budget),
+		})
+	}
+	return lines
+}
+
+// rounded keeps two digits after the point.
+func rounded(value float64) float64 { return math.Round(value*100) / 100 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -88,11 +88,13 @@
 	known.goneAt = now + t.config.Doubt
 }
 
-// Replace takes in all announcements there are.
+// Replace takes in all announcements there are. They may be old: the time for
+// which a leaf was cold is not believed.
 func (t *Table) Replace(now time.Duration, announced []Leaf) {
 	present := make(map[string]bool, len(announced))
 	for _, one := range announced {
 		present[one.ID] = true
+		one.Cold = 0
 		t.Set(one)
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -115,3 +115,18 @@
 		t.Errorf("usable: %v", found)
 	}
 }
+
+// TestColdIsBelievedOnlyOfNews reads an announcement that may be old: the time
+// for which its leaf was slow may be over.
+func TestColdIsBelievedOnlyOfNews(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	old, news := leafAt("a", "x", 1, 1), leafAt("b", "x", 2, 2)
+	old.Cold, news.Cold = time.Second, time.Second
+	table.Replace(0, []Leaf{old})
+	table.Set(news)
+	for _, listed := range table.Topology().Leaves {
+		if want := listed.BootID == "b"; listed.Cold != want {
+			t.Errorf("%s: cold %v", listed.BootID, listed.Cold)
+		}
+	}
+}
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -47,6 +47,8 @@
 	parts    map[dispatch.AttemptID]P
 	failure  *P
 	detail   string
+	begun    dispatch.Time
+	trace    []AttemptTrace
 	done     chan Result[P]
 }
 
@@ -56,6 +58,8 @@
 	cancel context.CancelFunc
 	// aborted is set before cancel is called, under the Conn's mutex.
 	aborted bool
+	// trace is its place in the trace of its query.
+	trace int
 	// linger cancels an aborted attempt later; nil without one.
 	linger *time.Timer
 }
@@ -105,7 +109,7 @@
 			return nil
 		}
 		c.lastQuery++
-		running.deadline = now + request.Timeout
+		running.begun, running.deadline = now, now+request.Timeout
 		c.queries[c.lastQuery] = running
 		return c.dispatcher.Submit(now, request.query(c.lastQuery, now))
 	})
@@ -264,7 +268,10 @@
 func (c *Conn[Q, P]) start(send dispatch.Send) {
 	running := c.queries[send.Query]
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &attempt{send: send, cancel: cancel}
+	started := &attempt{send: send, cancel: cancel, trace: len(running.trace)}
+	if c.config.Trace {
+		running.trace = append(running.trace, AttemptTrace{Send: send, At: c.config.Clock.Now() - running.begun, End: EndOpen})
+	}
 	c.attempts[send.Attempt] = started
 	c.running.Add(1)
 	go c.run(ctx, started, running)
@@ -289,7 +296,7 @@
 		return
 	}
 	delete(c.queries, finish.Query)
-	result := Result[P]{Finish: finish, Detail: ended.detail}
+	result := Result[P]{Finish: finish, Detail: ended.detail, Attempts: ended.trace}
 	if ended.failure != nil {
 		result.Failure, result.HasFailure = *ended.failure, true
 	}
@@ -348,6 +355,11 @@
 // report tells the dispatcher how an attempt ended.
 func (c *Conn[Q, P]) report(now dispatch.Time, started *attempt, running *query[Q, P], response *Response[P], err error) []dispatch.Action {
 	id := started.send.Attempt
+	if _, active := c.queries[started.send.Query]; active && c.config.Trace {
+		entry := &running.trace[started.trace]
+		entry.End, entry.Detail = endOf(response, err)
+		entry.Took = now - running.begun - entry.At
+	}
 	if err != nil {
 		failure := dispatch.Failure{Sent: mayHaveBeenSent(err), Aborted: started.aborted}
 		c.config.Metrics.countFailure(failure)
@@ -382,6 +394,22 @@
 	})
 }
 
+// endOf says how an attempt ended, and why.
+func endOf[P any](response *Response[P], err error) (AttemptEnd, string) {
+	switch {
+	case err != nil && mayHaveBeenSent(err):
+		return EndLost, err.Error()
+	case err != nil:
+		return EndUnsent, err.Error()
+	case !response.Executed:
+		return EndRefused, string(response.Refusal)
+	case response.Failed:
+		return EndFailed, ""
+	default:
+		return EndAnswered, ""
+	}
+}
+
 // mayHaveBeenSent reports whether the leaf may have run the attempt. Only a
 // transport error that proves the opposite counts as not sent.
 func mayHaveBeenSent(err error) bool {
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -75,6 +75,8 @@
 	Guard         Guard
 	OnDraining    DrainingFunc
 	Metrics       *Metrics
+	// Trace collects the attempts of each query for its Result.
+	Trace bool
 	// Linger is how long an attempt that is not wanted any more may go on, so
 	// that its connection can be used again. Zero cancels it at once.
 	Linger time.Duration
@@ -109,10 +111,36 @@
 	Part  P
 }
 
+// AttemptTrace is the story of one attempt, up to the end of its query.
+type AttemptTrace struct {
+	dispatch.Send
+	// At is when it was sent, and Took how long it took, since the query was
+	// submitted and since it was sent. Took is zero if it has not ended.
+	At, Took time.Duration
+	End      AttemptEnd
+	// Detail is the error of an attempt that failed, or the reason of a refusal.
+	Detail string
+}
+
+// AttemptEnd says how an attempt ended.
+type AttemptEnd string
+
+// The ends of attempts.
+const (
+	EndOpen     AttemptEnd = "open"     // not before its query
+	EndAnswered AttemptEnd = "answered" // with a whole answer
+	EndRefused  AttemptEnd = "refused"  // the leaf proved that it did not run it
+	EndFailed   AttemptEnd = "failed"   // the leaf answered with a failure
+	EndUnsent   AttemptEnd = "unsent"   // no byte left
+	EndLost     AttemptEnd = "lost"     // sent, and no whole answer came
+)
+
 // Result is the fate of a query, with the parts that count.
 type Result[P any] struct {
 	dispatch.Finish
 	Parts []ShardPart[P]
+	// Attempts lists the attempts in the order of their sends, if Config.Trace.
+	Attempts []AttemptTrace
 	// Failure is the last answer with which a leaf itself failed, if HasFailure.
 	Failure    P
 	HasFailure bool
