--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -64,6 +64,7 @@
 // New returns a Dispatcher without a topology: it answers every query with
 // OutcomeNotRun until SetTopology is called. It keeps random.
 func New(config Config, random *rand.Rand) *Dispatcher {
+	config.Budget.Chance = random.Float64
 	return &Dispatcher{
 		config:    config,
 		chooser:   replica.NewChooser(config.Policy, config.Score, random),
--- a/internal/decide/hedge/budget.go
+++ b/internal/decide/hedge/budget.go
@@ -18,6 +18,10 @@
 	// Debt is how far retries may overdraw, because a lost shard costs
 	// coverage. Hedges wait until the debt is repaid. Default 50.
 	Debt float64
+	// Chance draws numbers from 0 to 1. With it, what is less than one token
+	// buys an attempt by chance, so that many budgets with less than a token
+	// each spend their sum. Nil: never.
+	Chance func() float64
 }
 
 // DefaultBudgetConfig returns the defaults.
@@ -54,6 +58,10 @@
 // SpendHedge takes one token for a hedge or a probe, if more than the reserve
 // is left.
 func (b *Budget) SpendHedge() bool {
+	b.draw()
+	if b.config.Capacity < 1 {
+		return b.SpendRetry(1)
+	}
 	if b.tokens < 1+b.config.Reserve {
 		return false
 	}
@@ -61,8 +69,23 @@
 	return true
 }
 
-// CanRetry reports whether SpendRetry would succeed.
+// draw turns a part of a token into a whole one or nothing, by chance, if the
+// budget cannot hold a whole one.
+func (b *Budget) draw() {
+	if b.config.Capacity >= 1 || b.config.Chance == nil || b.tokens <= 0 || b.tokens >= 1 {
+		return
+	}
+	if b.config.Chance() < b.tokens {
+		b.tokens = 1
+		return
+	}
+	b.tokens = 0
+}
+
+// CanRetry reports whether SpendRetry would succeed. If the budget holds less
+// than a token, it may lose it by that; see BudgetConfig.Chance.
 func (b *Budget) CanRetry() bool {
+	b.draw()
 	return b.tokens-1 >= -b.config.Debt
 }
 
--- /dev/null
+++ b/internal/decide/hedge/chance_test.go
@@ -0,0 +1,49 @@
+package hedge
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestManySmallBudgetsSpendTheirSum gives many nodes less than a token each,
+// and lets all of them want several attempts at once: together they spend
+// about the sum, and never much more.
+func TestManySmallBudgetsSpendTheirSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		nodes := rapid.IntRange(60, 1000).Draw(t, "nodes")
+		const slack = 42.0
+		config := BudgetConfig{Earned: 0.9, Capacity: slack / float64(nodes), Initial: slack / float64(nodes), Chance: random.Float64}
+		spent := 0
+		for range nodes {
+			budget := NewBudget(config)
+			for range 5 {
+				if budget.CanRetry() && budget.SpendRetry(1) {
+					spent++
+				}
+				if budget.SpendHedge() {
+					spent++
+				}
+			}
+			if budget.Tokens() < 0 || budget.Tokens() > 1 {
+				t.Fatalf("%v tokens are left", budget.Tokens())
+			}
+		}
+		// Six standard deviations of the sum of independent draws.
+		if limit := slack + 6*6.5; float64(spent) > limit {
+			t.Fatalf("%d nodes spent %d, their share is %.0f", nodes, spent, slack)
+		}
+	})
+}
+
+func TestWholeBudgetsAreNotLeftToChance(t *testing.T) {
+	config := DefaultBudgetConfig()
+	config.Initial, config.Debt = 0.9, 0
+	config.Chance = func() float64 { return 0 }
+	budget := NewBudget(config)
+	if budget.CanRetry() || budget.Tokens() != 0.9 {
+		t.Errorf("%v tokens", budget.Tokens())
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -196,10 +196,9 @@
 )
 
 // budgetShare returns what one of the nodes may save up of the extra load that
-// all may cause, and how much of it hedges leave for retries. It is at least
-// one attempt.
+// all may cause, and how much of it hedges leave for retries.
 func budgetShare(from settings.Forward, nodes int) (capacity, reserve float64) {
-	capacity = max(slackShare*from.ExtraSlack/float64(max(nodes, 1)), 1)
+	capacity = slackShare * from.ExtraSlack / float64(max(nodes, 1))
 	return capacity, min(1, capacity/4)
 }
 
