http1, frontend: the connections that a leaf takes are shared by the nodes

Change: a node's share is 0.9 of the leaf's connections over the nodes counted. A share of one or more bounds the connections; with less, the one connection rests only for that share of the time between two requests. Test: TestSharesOfLessThanOneConnection.

--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/registry"
 	"github.com/micaplank/micaplank/internal/route"
@@ -150,21 +151,44 @@
 	if next > 0 {
 		f.expiry.Reset(max(next-f.clock.Now(), 0))
 	}
-	f.shareBudget()
+	nodes := f.nodes.Count(f.clock.Now(), f.ports.Decoder.Node)
+	f.metrics.nodes.Set(float64(nodes))
+	f.conn.ResizeBudget(budgetShare(f.settings.Forward, nodes))
 	topology := f.leaves.Topology()
 	f.metrics.leaves.Set(float64(len(topology.Leaves)))
-	if f.ports.OnLeaves != nil {
-		f.ports.OnLeaves(topology)
-	}
+	f.ports.OnLeaves(f.leafShares(topology, nodes))
 	f.conn.SetTopology(topology)
 }
 
 // expire drops the leaves whose doubt has ended.
 func (f *Frontend) expire() { f.publish() }
 
-// shareBudget takes this node's share of the extra load that all may cause.
-func (f *Frontend) shareBudget() {
-	nodes := f.nodes.Count(f.clock.Now(), f.ports.Decoder.Node)
-	f.metrics.nodes.Set(float64(nodes))
-	f.conn.ResizeBudget(budgetShare(f.settings.Forward, nodes))
+// connectionShare is the part of a leaf's connections that the nodes share; the
+// rest is for nodes that start, and for connections being closed.
+const connectionShare = 0.9
+
+// leafShares divides the connections that each leaf takes by the nodes.
+func (f *Frontend) leafShares(topology dispatch.Topology, nodes int) []LeafShare {
+	taken := f.connectionsTaken()
+	shares := make([]LeafShare, 0, len(topology.Leaves))
+	for _, one := range topology.Leaves {
+		share := float64(f.settings.Leaf.ConnectionsPerLeaf)
+		if most := taken[f.index.Name(one.Holdings[0].Shards[0])]; most > 0 {
+			share = connectionShare * float64(most) / float64(nodes)
+		}
+		shares = append(shares, LeafShare{Address: one.Address, Instance: one.BootID, Connections: share})
+	}
+	return shares
+}
+
+// connectionsTaken returns how many connections a leaf of each service takes,
+// as far as the configuration tells.
+func (f *Frontend) connectionsTaken() map[string]int {
+	taken := make(map[string]int)
+	if table := f.forwarder.Table(); table != nil {
+		for _, declared := range table.Config.Services {
+			taken[declared.Name] = declared.MaxConns
+		}
+	}
+	return taken
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,8 +68,16 @@
 	Handler func(Service) http.Handler
 	// ReadyPath is where the handler of readiness is asked.
 	ReadyPath string
-	// OnLeaves is told of the topology before work goes by it; nil for nobody.
-	OnLeaves func(dispatch.Topology)
+	// OnLeaves is told of the leaves before work goes by them.
+	OnLeaves func([]LeafShare)
+}
+
+// LeafShare says how many connections to a leaf this node may hold. It is less
+// than one if there are more nodes than the leaf takes connections.
+type LeafShare struct {
+	Address     netip.AddrPort
+	Instance    string
+	Connections float64
 }
 
 // Service is what the handler of callers' requests uses.
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -77,6 +77,7 @@
 
 	mutex  sync.Mutex
 	pools  map[Target]*pool
+	shares map[Target]float64
 	closed bool
 }
 
@@ -131,6 +132,9 @@
 	from, known := c.pools[target]
 	if !known {
 		from = newPool(c, target)
+		if share, given := c.shares[target]; given {
+			from.setShare(share)
+		}
 		c.pools[target] = from
 	}
 	c.mutex.Unlock()
@@ -138,15 +142,22 @@
 }
 
 // Retain closes the idle connections of all targets but those given, and
-// forgets these targets.
-func (c *Client) Retain(targets map[Target]bool) {
+// forgets these targets. Each target comes with the share of its connections
+// that this client may hold: where it is less than one, a connection rests only
+// for that share of the time between two requests, so that the connections of
+// all clients together stay within what the target takes.
+func (c *Client) Retain(shares map[Target]float64) {
 	var dropped []*pool
 	c.mutex.Lock()
+	c.shares = shares
 	for target, candidate := range c.pools {
-		if !targets[target] {
-			delete(c.pools, target)
-			dropped = append(dropped, candidate)
+		share, kept := shares[target]
+		if kept {
+			candidate.setShare(share)
+			continue
 		}
+		delete(c.pools, target)
+		dropped = append(dropped, candidate)
 	}
 	c.mutex.Unlock()
 	for _, candidate := range dropped {
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -249,7 +249,7 @@
 		}
 	}
 	target.Instance = "two"
-	client.Retain(map[Target]bool{target: true})
+	client.Retain(map[Target]float64{target: 1})
 	if _, err := get(t, client, target); err != nil {
 		t.Fatal(err)
 	}
@@ -258,6 +258,37 @@
 	}
 }
 
+// TestSharesOfLessThanOneConnection uses a target that takes fewer connections
+// than there are clients: each keeps its one for a share of the time between
+// two requests only.
+func TestSharesOfLessThanOneConnection(t *testing.T) {
+	client := newClient(t, 3)
+	for _, test := range []struct {
+		share float64
+		limit int
+		idle  time.Duration
+	}{
+		{0.25, 1, time.Second},
+		{1, 1, time.Minute},
+		{2.9, 2, time.Minute},
+		{9, 3, time.Minute},
+	} {
+		from := newPool(client, Target{})
+		from.setShare(test.share)
+		now := time.Unix(0, 0)
+		for range 50 {
+			now = now.Add(4 * time.Second)
+			from.usage.add(now)
+		}
+		if got := from.limit(); got != test.limit {
+			t.Errorf("share %v: %d connections", test.share, got)
+		}
+		if got := from.idleTime(); (got - test.idle).Abs() > 10*time.Millisecond {
+			t.Errorf("share %v: rests for %v", test.share, got)
+		}
+	}
+}
+
 // FuzzAnswer feeds the reader of answers any bytes: it must end, and what it
 // accepts must be whole.
 func FuzzAnswer(f *testing.F) {
--- a/internal/http1/connection.go
+++ b/internal/http1/connection.go
@@ -60,7 +60,7 @@
 
 // release gives back a connection on which nothing was sent.
 func (c *connection) release() {
-	if !c.rest(c.pool.client.config.IdleTimeout) {
+	if !c.rest(c.pool.idleTime()) {
 		c.close()
 	}
 }
@@ -178,7 +178,7 @@
 	if received.Close || !framed {
 		return 0
 	}
-	idle := c.pool.client.config.IdleTimeout
+	idle := c.pool.idleTime()
 	if named, ok := keepAlive(received.Header.Get("Keep-Alive")); ok {
 		idle = min(idle, named-keepAliveMargin)
 	}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 )
 
 // pool holds the connections to one target.
@@ -16,15 +17,56 @@
 	open    int             // idle, in use, or being opened
 	waiters []chan struct{} // each is told once that it may try again
 	closed  bool
+	share   float64 // of the connections that the target takes
+	usage   usage
 }
 
 func newPool(client *Client, target Target) *pool {
-	return &pool{client: client, target: target}
+	return &pool{client: client, target: target, share: float64(client.config.ConnectionsPerTarget)}
+}
+
+func (p *pool) setShare(share float64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.share = share
+}
+
+// limit returns how many connections there may be.
+func (p *pool) limit() int {
+	return min(max(int(p.share), 1), p.client.config.ConnectionsPerTarget)
+}
+
+// idleTime returns how long an unused connection may rest.
+func (p *pool) idleTime() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	longest := p.client.config.IdleTimeout
+	if p.share >= 1 {
+		return longest
+	}
+	return min(time.Duration(p.share*float64(p.usage.interval)), longest)
+}
+
+// usage measures the time between two requests, as a running mean.
+type usage struct {
+	last     time.Time
+	interval time.Duration
+}
+
+// usageWeight is the weight of one request in the mean.
+const usageWeight = 0.2
+
+func (u *usage) add(now time.Time) {
+	if !u.last.IsZero() {
+		u.interval += time.Duration(usageWeight * float64(now.Sub(u.last)-u.interval))
+	}
+	u.last = now
 }
 
 // acquire returns a connection that nobody else uses. It opens one if none is
 // idle and there may be more, and otherwise waits.
 func (p *pool) acquire(ctx context.Context) (*connection, error) {
+	p.used()
 	for {
 		found, wait, mayOpen := p.take()
 		switch {
@@ -42,6 +84,12 @@
 	}
 }
 
+func (p *pool) used() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.usage.add(time.Now())
+}
+
 func (p *pool) take() (found *connection, wait chan struct{}, mayOpen bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -53,7 +101,7 @@
 			return candidate, nil, false
 		}
 	}
-	if p.open < p.client.config.ConnectionsPerTarget {
+	if p.open < p.limit() {
 		p.open++
 		return nil, nil, true
 	}
