frontend, http1, platform: dead code out, bounds of leaf calls in the product, imports grouped

No behaviour changes: the same values, the same calls. Left as they are: the pairs of settings fields and of metrics, which are alike in shape only; a configuration and leaves in one batch publish the topology twice.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -8,12 +8,12 @@
 
 import (
 	"context"
-	"github.com/micaplank/micaplank/internal/rows"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/api"
 	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/rows"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
--- a/internal/executor/once_test.go
+++ b/internal/executor/once_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"github.com/micaplank/micaplank/internal/rows"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/micaplank/micaplank/internal/api"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/decide/once"
+	"github.com/micaplank/micaplank/internal/rows"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -139,14 +139,11 @@
 	return read, true
 }
 
-// publish hands the leaves to the Dispatcher.
+// publish drops the leaves whose doubt has ended, and hands the others to the
+// Dispatcher.
 func (f *Frontend) publish() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.publishLocked()
-}
-
-func (f *Frontend) publishLocked() {
 	_, next := f.leaves.Expire(f.clock.Now())
 	if next > 0 {
 		f.expiry.Reset(max(next-f.clock.Now(), 0))
@@ -160,9 +157,6 @@
 	f.conn.SetTopology(topology)
 }
 
-// expire drops the leaves whose doubt has ended.
-func (f *Frontend) expire() { f.publish() }
-
 // connectionShare is the part of a leaf's connections that the nodes share; the
 // rest is for nodes that start, and for connections being closed.
 const connectionShare = 0.9
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -143,7 +143,7 @@
 	}, dispatch.New(dispatchConfig(f.settings), random))
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
-	f.expiry = time.AfterFunc(time.Hour, f.expire)
+	f.expiry = time.AfterFunc(time.Hour, f.publish)
 	f.expiry.Stop()
 }
 
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -37,7 +37,6 @@
 
 // server is one address that is served.
 type server struct {
-	name     string
 	listener net.Listener
 	http     *http.Server
 }
@@ -91,13 +90,12 @@
 // listen opens all addresses, or none.
 func (f *Frontend) listen() ([]server, error) {
 	handlers := []struct {
-		name    string
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{"http", f.settings.Listen.HTTP, f.ports.Handler(f)},
-		{"ready", f.settings.Listen.Ready, f.readyHandler()},
-		{"metrics", f.settings.Listen.Metrics, f.metricsHandler()},
+		{f.settings.Listen.HTTP, f.ports.Handler(f)},
+		{f.settings.Listen.Ready, f.readyHandler()},
+		{f.settings.Listen.Metrics, f.metricsHandler()},
 	}
 	var servers []server
 	for _, one := range handlers {
@@ -111,7 +109,7 @@
 			}
 			return nil, oops.In("frontend").With("step", "frontend.listen", "peer", one.address.String()).Wrap(err)
 		}
-		servers = append(servers, server{name: one.name, listener: listener, http: &http.Server{
+		servers = append(servers, server{listener: listener, http: &http.Server{
 			Handler:           one.handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       f.settings.Forward.IdleTimeout.Duration(),
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -60,6 +60,12 @@
 	StrangeAnswers int
 }
 
+// DefaultConfig returns the bounds that seldom need to be changed; those that
+// depend on the deployment are zero.
+func DefaultConfig() Config {
+	return Config{IdleTimeout: 20 * time.Second, BodyBytes: 16 << 20, StrangeAnswers: 2}
+}
+
 // Response is a whole answer.
 type Response struct {
 	Status int
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"github.com/micaplank/micaplank/internal/rows"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/executor"
 	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
--- a/internal/scatter/benchmark_test.go
+++ b/internal/scatter/benchmark_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"github.com/micaplank/micaplank/internal/rows"
 	"log/slog"
 	"math/rand/v2"
 	"testing"
@@ -15,6 +14,7 @@
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/leaf"
 	standin "github.com/micaplank/micaplank/internal/rehearsal/leaf"
+	"github.com/micaplank/micaplank/internal/rows"
 )
 
 // BenchmarkExecute runs queries of eight shards on one leaf without service
