frontend, platform: callers' time limits follow the configuration; slow bodies are refused

Cause: header and idle timeouts of callers were fixed at 10 s and 60 s, whatever header_timeout_ms and idle_timeout_ms said, and a body that stopped half way held a goroutine for ever. An http.Server's times are fixed, so each set of times has a Server of its own and a connection keeps those of the moment at which it was accepted. Ruled out: deadlines set from a connection wrapper, which cannot tell a rest from a header.

--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -20,7 +21,8 @@
 )
 
 const (
-	// headerTimeout bounds the time that a caller may take for its headers.
+	// headerTimeout bounds the time that a caller may take for its headers if
+	// the configuration in force does not say.
 	headerTimeout = 10 * time.Second
 	// shutdownTimeout bounds the end of what is in flight once the drain delay
 	// is over.
@@ -35,12 +37,6 @@
 	leaseBackoff = 3 * time.Second
 )
 
-// server is one address that is served.
-type server struct {
-	listener net.Listener
-	http     *http.Server
-}
-
 // Run serves until ctx ends, and then stops as planned: it is not ready at
 // once, goes on to serve for the drain delay, and finishes what is in flight.
 func (f *Frontend) Run(ctx context.Context) error {
@@ -55,7 +51,7 @@
 	background.Go(func() { f.announcement().Run(following) })
 	failed := make(chan error, len(servers))
 	for _, one := range servers {
-		background.Go(func() { failed <- ignoreClosed(one.http.Serve(one.listener)) })
+		background.Go(func() { failed <- ignoreClosed(one.Serve()) })
 	}
 	f.logger.Info("started", "http", f.settings.Listen.HTTP.String(), "zone", f.settings.Zone)
 	select {
@@ -88,7 +84,7 @@
 }
 
 // listen opens all addresses, or none.
-func (f *Frontend) listen() ([]server, error) {
+func (f *Frontend) listen() ([]*callerServer, error) {
 	handlers := []struct {
 		address netip.AddrPort
 		handler http.Handler
@@ -97,7 +93,7 @@
 		{f.settings.Listen.Ready, f.readyHandler()},
 		{f.settings.Listen.Metrics, f.metricsHandler()},
 	}
-	var servers []server
+	var servers []*callerServer
 	for _, one := range handlers {
 		if !one.address.IsValid() {
 			continue
@@ -109,15 +105,21 @@
 			}
 			return nil, oops.In("frontend").With("step", "frontend.listen", "peer", one.address.String()).Wrap(err)
 		}
-		servers = append(servers, server{listener: listener, http: &http.Server{
-			Handler:           one.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       f.settings.Forward.IdleTimeout.Duration(),
-		}})
+		servers = append(servers, newCallerServer(listener, one.handler, f.callerTimes))
 	}
 	return servers, nil
 }
 
+// callerTimes returns the times that the configuration in force allows to
+// callers, or those of the settings where it names none.
+func (f *Frontend) callerTimes() callerTimes {
+	limits := f.Limits()
+	return callerTimes{
+		header: cmp.Or(limits.HeaderTimeout, headerTimeout),
+		idle:   cmp.Or(limits.IdleTimeout, f.settings.Forward.IdleTimeout.Duration()),
+	}
+}
+
 func (f *Frontend) readyHandler() http.Handler {
 	router := echo.New()
 	router.GET(f.ports.ReadyPath, func(c echo.Context) error {
@@ -136,7 +138,7 @@
 }
 
 // drain ends what callers use, and last the question for readiness.
-func (f *Frontend) drain(servers []server) error {
+func (f *Frontend) drain(servers []*callerServer) error {
 	f.draining.Store(true)
 	f.logger.Info("draining", "in_flight", f.conn.InFlight())
 	time.Sleep(f.settings.Forward.DrainDelay.Duration())
@@ -144,7 +146,7 @@
 	defer cancel()
 	var errs []error
 	for _, one := range servers {
-		errs = append(errs, one.http.Shutdown(finishing))
+		errs = append(errs, one.Shutdown(finishing))
 	}
 	return errors.Join(errs...)
 }
