mirror, roster: a few nodes watch the store for the others

From 16 nodes on, one node of each zone (three at least) watches the store, with short waits; the others ask it over the product's own calls, and turn to the store themselves whenever it does not answer well. A watcher that lost the store says so, so that its followers judge entries that vanish as if they had met the outage.

Sites of 8 nodes are as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -166,6 +166,14 @@
 	return f.executeBy(ctx, table, request), true
 }
 
+// Version returns that of the configuration in force; zero without one.
+func (f *Forwarder) Version() uint64 {
+	if table := f.table.Load(); table != nil {
+		return table.Config.Version
+	}
+	return 0
+}
+
 // Spread returns the version of the configuration in force, and whether by it a
 // request runs on several shards.
 func (f *Forwarder) Spread(request *Request) (version uint64, spread bool) {
--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -21,10 +21,7 @@
 // Status implements relay.Executor. A node that does not know whether its
 // configuration and leaves are the newest takes no requests of others.
 func (e executor) Status() relay.Status {
-	status := relay.Status{}
-	if table := e.forwarder.Table(); table != nil {
-		status.Version = table.Config.Version
-	}
+	status := relay.Status{Version: e.forwarder.Version()}
 	room := float64(e.conn.InFlight()) < queriesPerCore*e.member.Cores
 	status.Accepting = room && e.forwarder.Fresh() && e.ready()
 	return status
@@ -50,6 +47,7 @@
 		return nil, err
 	}
 	relay.Serve(server, executor{f})
+	f.serveWatches(server)
 	server.Serve()
 	return server, nil
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -103,6 +103,7 @@
 	member   roster.Member
 
 	peers     *peer.Client
+	shared    *mirror.Shared
 	relay     *relay.Relay
 	conn      *scatter.Conn[*forward.Request, forward.Part]
 	forwarder *forward.Forwarder
@@ -150,6 +151,7 @@
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
 	f.peers = peer.NewClient(peer.ClientOptions{}, registerer)
+	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{f.peers})
 	f.relay = relay.New(relay.DefaultConfig(), f.member, f.peers, f.clock, registerer, f.logger)
 	f.expiry = time.AfterFunc(time.Hour, f.publish)
 	f.expiry.Stop()
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -76,8 +76,9 @@
 	return mirror.New(mirror.Config{
 		Prefix:     f.ports.Decoder.Prefix(),
 		MinBackoff: minBackoff, MaxBackoff: maxBackoff,
+		Wait:   f.settings.Forward.WatchWait.Duration(),
 		Gather: f.settings.Forward.WatchGather.Duration(),
-	}, f.ports.Store, storeSink{f})
+	}, f.shared, storeSink{f})
 }
 
 // announcement tells the other nodes that this one shares the extra load.
--- /dev/null
+++ b/internal/mirror/history.go
@@ -0,0 +1,93 @@
+package mirror
+
+import "slices"
+
+// history holds the last changes that the store has told, in their order. It
+// lets a watcher answer other nodes.
+type history struct {
+	most int
+	// open says that the changes after since are known up to revision.
+	open            bool
+	lost            bool // the store does not answer
+	since, revision uint64
+	events          []Event
+	// changed is closed at the next change of any of this.
+	changed chan struct{}
+}
+
+func newHistory(most int) history {
+	return history{most: most, changed: make(chan struct{})}
+}
+
+func (h *history) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// begin forgets all changes and goes on from a revision.
+func (h *history) begin(revision uint64) {
+	h.open, h.lost = true, false
+	h.since, h.revision = revision, revision
+	h.events = nil
+	h.wake()
+}
+
+// end closes the history: what comes next is not told here.
+func (h *history) end() {
+	if h.open {
+		h.open = false
+		h.wake()
+	}
+}
+
+// lose notes that the store does not answer.
+func (h *history) lose() {
+	if !h.lost {
+		h.lost = true
+		h.wake()
+	}
+}
+
+// add takes in the changes between two revisions.
+func (h *history) add(after uint64, events []Event, revision uint64) {
+	if !h.open || after != h.revision {
+		h.begin(after)
+	}
+	returned := h.lost
+	h.lost = false
+	h.revision = revision
+	if len(events) == 0 && !returned {
+		return
+	}
+	h.events = append(h.events, events...)
+	if surplus := len(h.events) - h.most; surplus > 0 {
+		h.since = h.events[surplus-1].Revision
+		h.events = slices.Clone(h.events[surplus:])
+	}
+	h.wake()
+}
+
+// after returns what a node should be told that has the changes up to a
+// revision, and a channel that is closed when that may have changed.
+func (h *history) after(revision uint64) (Watched, <-chan struct{}) {
+	switch {
+	case !h.open || revision < h.since:
+		return Watched{State: WatchRefused}, h.changed
+	case h.lost:
+		return Watched{State: WatchLost}, h.changed
+	}
+	first, _ := slices.BinarySearchFunc(h.events, revision+1, func(event Event, wanted uint64) int {
+		switch {
+		case event.Revision < wanted:
+			return -1
+		case event.Revision > wanted:
+			return 1
+		}
+		return 0
+	})
+	return Watched{
+		State:    WatchCurrent,
+		Events:   slices.Clone(h.events[first:]),
+		Revision: max(h.revision, revision),
+	}, h.changed
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -34,9 +34,9 @@
 	// Range returns all items under the prefix, read fresh, and a revision
 	// such that every change they lack has a higher one.
 	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
-	// Watch blocks until there are changes after the revision, or for some
-	// seconds. It returns the changes and the revision to go on from.
-	Watch(ctx context.Context, prefix string, after uint64) ([]Event, uint64, error)
+	// Watch blocks until there are changes after the revision, or for the wait.
+	// It returns the changes and the revision to go on from.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
 }
 
 // Sink takes in what is read. Its methods are called one at a time.
@@ -61,6 +61,8 @@
 	// MinBackoff and MaxBackoff bound the pause after an error; it doubles
 	// with each error in a row and is spread by chance.
 	MinBackoff, MaxBackoff time.Duration
+	// Wait is the longest wait of one watch.
+	Wait time.Duration
 	// Gather is the pause after changes before the next call, so that changes
 	// in quick succession come with one call.
 	Gather time.Duration
@@ -117,7 +119,7 @@
 }
 
 func (m *Mirror) follow(ctx context.Context) error {
-	events, revision, err := m.source.Watch(ctx, m.config.Prefix, m.revision)
+	events, revision, err := m.source.Watch(ctx, m.config.Prefix, m.revision, m.config.Wait)
 	if errors.Is(err, ErrCompacted) {
 		m.answered()
 		m.stale = true
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -45,7 +45,7 @@
 	return answer.([]Item), 10, nil
 }
 
-func (s *script) Watch(_ context.Context, _ string, after uint64) ([]Event, uint64, error) {
+func (s *script) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]Event, uint64, error) {
 	answer, err := s.next(fmt.Sprintf("watch %d", after))
 	if err != nil {
 		return nil, 0, err
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -103,7 +103,7 @@
 func (b *board) pick(version uint64, tried []*target) *target {
 	var best *target
 	for _, one := range b.targets {
-		if one.touch == nil || !one.status.Accepting || one.status.Version != version || slices.Contains(tried, one) {
+		if !one.usable(version) || slices.Contains(tried, one) {
 			continue
 		}
 		if best == nil || one.before(best) {
@@ -113,6 +113,12 @@
 	return best
 }
 
+// usable reports whether the executor is in touch, and takes requests under a
+// version of the configuration.
+func (t *target) usable(version uint64) bool {
+	return t.touch != nil && t.status.Accepting && t.status.Version == version
+}
+
 // before reports whether a request should go to t rather than to other.
 func (t *target) before(other *target) bool {
 	switch {
--- a/internal/relay/executors.go
+++ b/internal/relay/executors.go
@@ -12,14 +12,7 @@
 // lost with it, the request may have run and has failed.
 package relay
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/micaplank/micaplank/internal/roster"
-)
+import "github.com/micaplank/micaplank/internal/roster"
 
 const (
 	// largeShare is the part of the largest node's cores from which a node is
@@ -84,34 +77,8 @@
 // watchedExecutors is how many executors a node keeps in touch with.
 const watchedExecutors = 3
 
-// watched returns the executors that a node uses: those of its zone first, and
-// then by rendezvous hashing, so that the nodes spread over them.
+// watched returns the executors that a node uses.
 func watched(self roster.Member, executors []roster.Member) []roster.Member {
-	type ranked struct {
-		member roster.Member
-		near   bool
-		weight uint64
-	}
-	order := make([]ranked, 0, len(executors))
-	for _, member := range executors {
-		order = append(order, ranked{
-			member: member,
-			near:   member.Zone == self.Zone,
-			weight: xxhash.Sum64String(self.Name + "\x00" + member.Name),
-		})
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		if a.near != b.near {
-			if a.near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.weight, b.weight)
-	})
-	chosen := make([]roster.Member, 0, watchedExecutors)
-	for _, one := range order[:min(len(order), watchedExecutors)] {
-		chosen = append(chosen, one.member)
-	}
-	return chosen
+	order := roster.Preferred(self, executors)
+	return order[:min(len(order), watchedExecutors)]
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,8 +31,9 @@
 	logger  *slog.Logger
 	metrics *metrics
 
-	mutex sync.Mutex
-	board board
+	mutex   sync.Mutex
+	board   board
+	version uint64
 }
 
 // metrics are those of a Relay.
@@ -48,7 +49,7 @@
 			Help: "Requests handed to executors, by result: answered, refused, not_sent, lost, left.",
 		}, []string{"result"}),
 		up: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "micaplank_relay_executors", Help: "Executors that this node can hand requests to."}),
+			Name: "micaplank_relay_executors", Help: "Executors that would take a request of this node, by their last word."}),
 	}
 	registerer.MustRegister(created.requests, created.up)
 	return created
@@ -62,10 +63,12 @@
 	}
 }
 
-// SetRoles takes in who runs the requests of whom.
-func (r *Relay) SetRoles(roles Roles) {
+// SetRoles takes in who runs the requests of whom, and the version of the
+// configuration in force.
+func (r *Relay) SetRoles(roles Roles, version uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.version = version
 	if roles.Self != RoleRelay {
 		r.board.set(r.self, nil)
 		return
@@ -101,7 +104,7 @@
 	if now := r.up(); now < up {
 		r.logger.Warn("executors lost", "lost", up-now, "left", now)
 	}
-	r.metrics.up.Set(float64(r.up()))
+	r.metrics.up.Set(float64(r.usable()))
 	return append([]*target(nil), r.board.targets...)
 }
 
@@ -116,6 +119,17 @@
 	return count
 }
 
+// usable counts the executors that would take a request.
+func (r *Relay) usable() int {
+	count := 0
+	for _, one := range r.board.targets {
+		if one.usable(r.version) {
+			count++
+		}
+	}
+	return count
+}
+
 // ask asks one executor for its status.
 func (r *Relay) ask(ctx context.Context, of *target) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.Silence)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -128,7 +128,7 @@
 	}
 	self := node("small-1", "a", 0.2)
 	r.relay = New(DefaultConfig(), self, r.peers, r.clock, prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
-	r.relay.SetRoles(Assign(self, []roster.Member{r.near, r.far, self}))
+	r.relay.SetRoles(Assign(self, []roster.Member{r.near, r.far, self}), version)
 	for _, member := range []roster.Member{r.near, r.far} {
 		r.peers.execute[member.Peer] = answered(member.Name)
 	}
@@ -281,9 +281,9 @@
 // TestRolesChangeWhileRequestsRun drops executors that are no members any more.
 func TestRolesChangeWhileRequestsRun(t *testing.T) {
 	r := newRig(t)
-	r.relay.SetRoles(Roles{})
+	r.relay.SetRoles(Roles{}, version)
 	r.wantExecutor("")
-	r.relay.SetRoles(Roles{Self: RoleRelay, Executors: []roster.Member{r.far}})
+	r.relay.SetRoles(Roles{Self: RoleRelay, Executors: []roster.Member{r.far}}, version)
 	r.wantExecutor("")
 	r.beat()
 	r.wantExecutor("large-2")
--- /dev/null
+++ b/internal/roster/watchers.go
@@ -0,0 +1,61 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// fewestForWatchers is the number of nodes from which some watch the store
+	// for the others.
+	fewestForWatchers = 16
+	// leastWatchers is how many there are at least.
+	leastWatchers = 3
+	// membersPerWatcher is how many nodes share a watcher at most.
+	membersPerWatcher = 250
+)
+
+// Watchers returns the members that watch the store for the others: those first
+// by a hash of their names, with one of each zone at least. There are none among
+// few nodes. Every node computes the same from the same members.
+func Watchers(members []Member) []Member {
+	if len(members) < fewestForWatchers {
+		return nil
+	}
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(a, b Member) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	})
+	wanted := max(leastWatchers, (len(members)+membersPerWatcher-1)/membersPerWatcher)
+	zones := make(map[string]bool)
+	var watchers []Member
+	for _, member := range order {
+		if !zones[member.Zone] || len(watchers) < wanted {
+			zones[member.Zone] = true
+			watchers = append(watchers, member)
+		}
+	}
+	return watchers
+}
+
+// Preferred sorts members as a node asks them: those of its zone first, and
+// otherwise in an order of its own, so that the nodes spread over them.
+func Preferred(self Member, members []Member) []Member {
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(a, b Member) int {
+		if (a.Zone == self.Zone) != (b.Zone == self.Zone) {
+			if a.Zone == self.Zone {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(rendezvous(self, a), rendezvous(self, b))
+	})
+	return order
+}
+
+func rendezvous(self, other Member) uint64 {
+	return xxhash.Sum64String(self.Name + "\x00" + other.Name)
+}
