--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -174,15 +174,14 @@
 	return 0
 }
 
-// Spread returns the version of the configuration in force, and whether by it a
-// request runs on several shards.
-func (f *Forwarder) Spread(request *Request) (version uint64, spread bool) {
+// Spread reports whether a request runs on several shards.
+func (f *Forwarder) Spread(request *Request) bool {
 	table := f.table.Load()
 	if table == nil {
-		return 0, false
+		return false
 	}
 	matched, found := table.Match(request.Host, request.Path)
-	return table.Config.Version, found && len(matched.Shards) > 1 && matched.Repeatable
+	return found && len(matched.Shards) > 1 && matched.Repeatable
 }
 
 // Fresh reports whether the configuration in force is known to be the newest.
--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -18,13 +18,19 @@
 // queriesPerCore bounds the queries that run here for others to take more.
 const queriesPerCore = 50
 
-// Status implements relay.Executor. A node that does not know whether its
-// configuration and leaves are the newest takes no requests of others.
+// Status implements relay.Executor.
 func (e executor) Status() relay.Status {
-	status := relay.Status{Version: e.forwarder.Version()}
 	room := float64(e.conn.InFlight()) < queriesPerCore*e.member.Cores
-	status.Accepting = room && e.forwarder.Fresh() && e.ready()
-	return status
+	return relay.Status{
+		Version:   e.forwarder.Version(),
+		Accepting: room && e.ready(),
+		Fresh:     e.forwarder.Fresh(),
+	}
+}
+
+// terms are those of a request that is taken now.
+func (f *Frontend) terms() relay.Terms {
+	return relay.Terms{Version: f.forwarder.Version(), Fresh: f.forwarder.Fresh()}
 }
 
 // Run implements relay.Executor.
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -167,7 +167,7 @@
 	f.metrics.leaves.Set(float64(len(topology.Leaves)))
 	members := f.nodes.Members(f.clock.Now())
 	roles := relay.Assign(f.member, members)
-	f.relay.SetRoles(roles, f.forwarder.Version())
+	f.relay.SetRoles(roles, f.terms())
 	f.setWatchers(members)
 	f.ports.OnLeaves(f.shareLeaves(&topology, shareOf(roles, members, nodes)))
 	f.conn.SetTopology(topology)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -232,9 +232,9 @@
 
 // execute hands a request of many shards to an executor, or runs it here.
 func (f *Frontend) execute(ctx context.Context, request *forward.Request) forward.Answer {
-	if version, spread := f.forwarder.Spread(request); spread {
+	if f.forwarder.Spread(request) {
 		started := f.clock.Now()
-		if answer, done := f.relay.Execute(ctx, version, request); done {
+		if answer, done := f.relay.Execute(ctx, f.terms(), request); done {
 			return answer
 		}
 		if request.Patience > 0 {
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -97,13 +97,12 @@
 	}
 }
 
-// pick returns the executor for a request under a version of the configuration,
-// or nil. Those near come first; among equals, the one with the least in
+// pick returns the executor for a request under the terms, or nil. Those near come first; among equals, the one with the least in
 // flight, unless it is slow.
-func (b *board) pick(version uint64, tried []*target) *target {
+func (b *board) pick(terms Terms, tried []*target) *target {
 	var best *target
 	for _, one := range b.targets {
-		if !one.usable(version) || slices.Contains(tried, one) {
+		if !one.usable(terms) || slices.Contains(tried, one) {
 			continue
 		}
 		if best == nil || one.before(best) {
@@ -113,10 +112,10 @@
 	return best
 }
 
-// usable reports whether the executor is in touch, and takes requests under a
-// version of the configuration.
-func (t *target) usable(version uint64) bool {
-	return t.touch != nil && t.status.Accepting && t.status.Version == version
+// usable reports whether the executor is in touch, and takes requests under the
+// terms.
+func (t *target) usable(terms Terms) bool {
+	return t.touch != nil && t.status.takes(terms)
 }
 
 // before reports whether a request should go to t rather than to other.
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -31,10 +31,10 @@
 
 func execute(ctx context.Context, executor Executor, request *executeRequest) *executeResponse {
 	status := executor.Status()
-	if !status.Accepting {
-		return &executeResponse{Refusal: refusedBusy, Status: status}
+	if !status.takes(request.Terms) {
+		return &executeResponse{Refusal: refusedTerms, Status: status}
 	}
-	answer, ran := executor.Run(ctx, request.From, request.Version, &forward.Request{
+	answer, ran := executor.Run(ctx, request.From, request.Terms.Version, &forward.Request{
 		ID: request.ID, Method: request.Method, Host: request.Host, Path: request.Path,
 		Head: request.Head, Body: request.Body, Patience: request.Patience,
 	})
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -22,14 +22,31 @@
 	Version uint64
 	// Accepting says that it runs requests of others.
 	Accepting bool
+	// Fresh says that it is in touch with the store: its configuration and
+	// leaves are the newest.
+	Fresh bool
+}
+
+// Terms are what a request must be run under.
+type Terms struct {
+	// Version is the configuration: what a client sees of one node must not go
+	// back to an older version.
+	Version uint64
+	// Fresh says that the node that took the request is in touch with the
+	// store. Then the one that runs it must be, too. In an outage that both
+	// meet, neither knows more than the other.
+	Fresh bool
+}
+
+// takes reports whether an executor of a status takes requests under the terms.
+func (s Status) takes(terms Terms) bool {
+	return s.Accepting && s.Version == terms.Version && (s.Fresh || !terms.Fresh)
 }
 
 // executeRequest hands a request on.
 type executeRequest struct {
-	From string
-	// Version is the configuration that the request must run under: what a
-	// client sees of one node must not go back to an older version.
-	Version    uint64
+	From       string
+	Terms      Terms
 	ID         string
 	Method     string
 	Host, Path string
@@ -60,8 +77,10 @@
 
 // The refusals of an executor.
 const (
+	// refusedTerms means that the executor cannot keep the terms now.
+	refusedTerms Refusal = "terms"
+	// refusedVersion means that its configuration changed just then.
 	refusedVersion Refusal = "version"
-	refusedBusy    Refusal = "not_accepting"
 )
 
 func (r *executeResponse) answer(executor string, version uint64) forward.Answer {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,9 +31,9 @@
 	logger  *slog.Logger
 	metrics *metrics
 
-	mutex   sync.Mutex
-	board   board
-	version uint64
+	mutex sync.Mutex
+	board board
+	terms Terms // of a request now
 }
 
 // metrics are those of a Relay.
@@ -63,12 +63,11 @@
 	}
 }
 
-// SetRoles takes in who runs the requests of whom, and the version of the
-// configuration in force.
-func (r *Relay) SetRoles(roles Roles, version uint64) {
+// SetRoles takes in who runs the requests of whom, and the terms of requests now.
+func (r *Relay) SetRoles(roles Roles, terms Terms) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.version = version
+	r.terms = terms
 	if roles.Self != RoleRelay {
 		r.board.set(r.self, nil)
 		return
@@ -123,7 +122,7 @@
 func (r *Relay) usable() int {
 	count := 0
 	for _, one := range r.board.targets {
-		if one.usable(r.version) {
+		if one.usable(r.terms) {
 			count++
 		}
 	}
@@ -151,14 +150,14 @@
 // maxTries is how many executors a request is offered to.
 const maxTries = 2
 
-// Execute hands a request to an executor that has the version of the
-// configuration in force here, and blocks until its answer. It returns false if
+// Execute hands a request to an executor that can keep its terms, and blocks
+// until its answer. It returns false if
 // the request has run nowhere and this node should run it itself.
-func (r *Relay) Execute(ctx context.Context, version uint64, request *forward.Request) (forward.Answer, bool) {
+func (r *Relay) Execute(ctx context.Context, terms Terms, request *forward.Request) (forward.Answer, bool) {
 	started := r.clock.Now()
 	var tried []*target
 	for range maxTries {
-		chosen, touch := r.take(version, tried)
+		chosen, touch := r.take(terms, tried)
 		if chosen == nil {
 			return forward.Answer{}, false
 		}
@@ -167,7 +166,7 @@
 		if handed.Patience > 0 {
 			handed.Patience = max(handed.Patience-(r.clock.Now()-started), time.Millisecond)
 		}
-		answer, done := r.offer(ctx, chosen, touch, version, &handed)
+		answer, done := r.offer(ctx, chosen, touch, terms, &handed)
 		if done {
 			return answer, true
 		}
@@ -175,11 +174,11 @@
 	return forward.Answer{}, false
 }
 
-func (r *Relay) take(version uint64, tried []*target) (*target, context.Context) {
+func (r *Relay) take(terms Terms, tried []*target) (*target, context.Context) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.board.expire(r.clock.Now())
-	chosen := r.board.pick(version, tried)
+	chosen := r.board.pick(terms, tried)
 	if chosen == nil {
 		return nil, nil
 	}
@@ -189,7 +188,7 @@
 
 // offer hands a request to one executor. It returns false if the request did
 // not run there and never will.
-func (r *Relay) offer(ctx context.Context, to *target, touch context.Context, version uint64, request *forward.Request) (forward.Answer, bool) {
+func (r *Relay) offer(ctx context.Context, to *target, touch context.Context, terms Terms, request *forward.Request) (forward.Answer, bool) {
 	calling, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(touch, func() { cancel(errSilent) })
@@ -197,7 +196,7 @@
 	started := r.clock.Now()
 	var response executeResponse
 	err := r.caller.Call(calling, to.Peer, methodExecute, &executeRequest{
-		From: r.self.Name, Version: version, ID: request.ID, Method: request.Method, Host: request.Host,
+		From: r.self.Name, Terms: terms, ID: request.ID, Method: request.Method, Host: request.Host,
 		Path: request.Path, Head: request.Head, Body: request.Body, Patience: request.Patience,
 	}, &response)
 	r.release(to, r.clock.Now()-started, err, &response)
@@ -207,17 +206,17 @@
 		return forward.Answer{}, false
 	case err != nil && ctx.Err() != nil:
 		r.metrics.requests.WithLabelValues("left").Inc()
-		return forward.Answer{Fate: forward.FateLate, Version: version, Executor: to.Name}, true
+		return forward.Answer{Fate: forward.FateLate, Version: terms.Version, Executor: to.Name}, true
 	case err != nil:
 		r.metrics.requests.WithLabelValues("lost").Inc()
 		r.logger.Warn("request lost with its executor", telemetry.AttributeRequestID, request.ID, "peer", to.Name, telemetry.Error(err))
-		return forward.Answer{Fate: forward.FateFailed, Version: version, Executor: to.Name}, true
+		return forward.Answer{Fate: forward.FateFailed, Version: terms.Version, Executor: to.Name}, true
 	case response.Refusal != "":
 		r.metrics.requests.WithLabelValues("refused").Inc()
 		return forward.Answer{}, false
 	}
 	r.metrics.requests.WithLabelValues("answered").Inc()
-	return response.answer(to.Name, version), true
+	return response.answer(to.Name, terms.Version), true
 }
 
 // errSilent is why a call to an executor is given up that is not heard any more.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -107,6 +107,8 @@
 
 const version = 7
 
+var terms = Terms{Version: version, Fresh: true}
+
 // rig is a Relay in touch with two executors.
 type rig struct {
 	*testing.T
@@ -122,13 +124,13 @@
 	r := &rig{
 		T: t, clock: &fakeClock{now: time.Second}, near: node("large-1", "a", 0.8), far: node("large-2", "b", 0.8),
 		peers: &fakePeers{
-			status:  Status{Version: version, Accepting: true},
+			status:  Status{Version: version, Accepting: true, Fresh: true},
 			execute: make(map[netip.AddrPort]func(context.Context, *executeRequest) (executeResponse, error)),
 		},
 	}
 	self := node("small-1", "a", 0.2)
 	r.relay = New(DefaultConfig(), self, r.peers, r.clock, prometheus.NewRegistry(), slog.New(slog.DiscardHandler))
-	r.relay.SetRoles(Assign(self, []roster.Member{r.near, r.far, self}), version)
+	r.relay.SetRoles(Assign(self, []roster.Member{r.near, r.far, self}), terms)
 	for _, member := range []roster.Member{r.near, r.far} {
 		r.peers.execute[member.Peer] = answered(member.Name)
 	}
@@ -150,7 +152,7 @@
 }
 
 func (r *rig) execute() (forward.Answer, bool) {
-	return r.relay.Execute(context.Background(), version, &forward.Request{ID: "x", Patience: time.Second})
+	return r.relay.Execute(context.Background(), terms, &forward.Request{ID: "x", Patience: time.Second})
 }
 
 // wantExecutor expects an answer by a node; empty for none.
@@ -185,11 +187,24 @@
 	}
 }
 
+// TestOutageOfTheStoreForBoth: an executor without the store runs the requests
+// of a node without it, and of no other.
+func TestOutageOfTheStoreForBoth(t *testing.T) {
+	r := newRig(t)
+	r.peers.status.Fresh = false
+	r.beat()
+	r.wantExecutor("")
+	answer, done := r.relay.Execute(context.Background(), Terms{Version: version}, &forward.Request{ID: "x"})
+	if !done || answer.Executor != "large-1" {
+		t.Errorf("%+v, %v", answer, done)
+	}
+}
+
 // TestProofThatNothingRanLeadsToTheNext covers refusals and calls not sent.
 func TestProofThatNothingRanLeadsToTheNext(t *testing.T) {
 	for name, fail := range map[string]func(context.Context, *executeRequest) (executeResponse, error){
 		"refused": func(context.Context, *executeRequest) (executeResponse, error) {
-			return executeResponse{Refusal: refusedBusy}, nil
+			return executeResponse{Refusal: refusedTerms}, nil
 		},
 		"not sent": func(context.Context, *executeRequest) (executeResponse, error) {
 			return executeResponse{}, &peer.Error{NotExecuted: true, Err: peer.ErrLost}
@@ -251,7 +266,7 @@
 		<-ctx.Done()
 		return executeResponse{}, &peer.Error{Sent: true, Err: ctx.Err()}
 	}
-	if _, done := r.relay.Execute(ctx, version, &forward.Request{ID: "x"}); !done || !errors.Is(ctx.Err(), context.Canceled) {
+	if _, done := r.relay.Execute(ctx, terms, &forward.Request{ID: "x"}); !done || !errors.Is(ctx.Err(), context.Canceled) {
 		t.Error("the request of a client that left is run again")
 	}
 	r.peers.execute[r.near.Peer] = answered("large-1")
@@ -281,9 +296,9 @@
 // TestRolesChangeWhileRequestsRun drops executors that are no members any more.
 func TestRolesChangeWhileRequestsRun(t *testing.T) {
 	r := newRig(t)
-	r.relay.SetRoles(Roles{}, version)
+	r.relay.SetRoles(Roles{}, terms)
 	r.wantExecutor("")
-	r.relay.SetRoles(Roles{Self: RoleRelay, Executors: []roster.Member{r.far}}, version)
+	r.relay.SetRoles(Roles{Self: RoleRelay, Executors: []roster.Member{r.far}}, terms)
 	r.wantExecutor("")
 	r.beat()
 	r.wantExecutor("large-2")
