http1: connections to leaves are opened ahead of the first requests

The cause of the late first requests is another: no budget for hedges (log of the first three seconds: nothing extra is sent). Kept, because a node that restarts under load opens hundreds of connections at once.

--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -169,6 +169,6 @@
 	roles := relay.Assign(f.member, members)
 	f.relay.SetRoles(roles, f.terms())
 	f.setWatchers(members)
-	f.ports.OnLeaves(f.shareLeaves(&topology, shareOf(roles, members, nodes)))
+	f.ports.OnLeaves(f.shareLeaves(&topology, shareOf(roles, members, nodes)), roles.Self != relay.RoleRelay)
 	f.conn.SetTopology(topology)
 }
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -84,6 +84,7 @@
 	pools  map[Target]*pool
 	kept   map[Target]int
 	closed bool
+	warm   bool
 }
 
 // New returns a Client and registers its metrics.
@@ -129,6 +130,13 @@
 		c.mutex.Unlock()
 		return nil, errClosed
 	}
+	from := c.poolOf(target)
+	c.mutex.Unlock()
+	return from.acquire(ctx)
+}
+
+// poolOf returns the pool of a target. The caller holds the mutex.
+func (c *Client) poolOf(target Target) *pool {
 	from, known := c.pools[target]
 	if !known {
 		from = newPool(c, target)
@@ -137,8 +145,7 @@
 		}
 		c.pools[target] = from
 	}
-	c.mutex.Unlock()
-	return from.acquire(ctx)
+	return from
 }
 
 // Retain closes the idle connections of all targets but those given, and
