frontend: executors get half of the extra load beyond the ratio, and some of it at their start

So of 90 shards the three or four that pause are left out. Executors divide half of the slack, the rest the other half; a quarter of each is what nodes have at their start, so that all of it stays within the slack (TestExecutorsAndOthersShareTheSlack).

TestClientThatLeavesFreesTheLeavesOfAnotherNode failed once: the gauge of usable executors, which it waits for, was that of the last beat; it is now set with each change of its inputs (12 runs under race).

--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -227,13 +227,13 @@
 	return d.actions
 }
 
-// ResizeBudget changes how much extra load can be saved up, for each shard if
-// Config.BudgetByShard, and how much of it hedges leave for retries.
-func (d *Dispatcher) ResizeBudget(capacity, reserve float64) {
-	d.config.Budget.Capacity, d.config.Budget.Reserve = capacity, reserve
-	d.budget.Resize(capacity, reserve)
+// ResizeBudget changes the bounds of the budget, of that of each shard if
+// Config.BudgetByShard.
+func (d *Dispatcher) ResizeBudget(bounds hedge.Bounds) {
+	d.config.Budget.Resize(bounds)
+	d.budget.Resize(bounds)
 	for _, budget := range d.budgets {
-		budget.Resize(capacity, reserve)
+		budget.Resize(bounds)
 	}
 }
 
--- a/internal/decide/hedge/budget.go
+++ b/internal/decide/hedge/budget.go
@@ -41,12 +41,19 @@
 	return Budget{config: config, tokens: min(config.Initial, config.Capacity)}
 }
 
-// Resize changes the most tokens that can be saved up, and how many of them
-// hedges leave for retries.
-func (b *Budget) Resize(capacity, reserve float64) {
-	b.config.Capacity = capacity
-	b.config.Reserve = reserve
-	b.tokens = min(b.tokens, capacity)
+// Bounds are the parts of a BudgetConfig that change while a Budget is in use.
+type Bounds struct{ Initial, Capacity, Reserve float64 }
+
+// Resize changes the bounds. The tokens at the start are those of budgets that
+// are made later.
+func (c *BudgetConfig) Resize(bounds Bounds) {
+	c.Initial, c.Capacity, c.Reserve = bounds.Initial, bounds.Capacity, bounds.Reserve
+}
+
+// Resize changes the bounds. What is saved up beyond the new capacity is lost.
+func (b *Budget) Resize(bounds Bounds) {
+	b.config.Resize(bounds)
+	b.tokens = min(b.tokens, bounds.Capacity)
 }
 
 // Earn adds the tokens of one needed attempt of a class whose share of extra
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -162,13 +162,14 @@
 	}
 	nodes := f.nodes.Count(f.clock.Now())
 	f.metrics.nodes.Set(float64(nodes))
-	f.conn.ResizeBudget(budgetShare(f.settings.Forward, nodes))
 	topology := f.leaves.Topology()
 	f.metrics.leaves.Set(float64(len(topology.Leaves)))
 	members := f.nodes.Members(f.clock.Now())
 	roles := relay.Assign(f.member, members)
 	f.relay.SetRoles(roles, f.terms())
 	f.setWatchers(members)
-	f.ports.OnLeaves(f.shareLeaves(&topology, shareOf(roles, members, nodes)), roles.Self != relay.RoleRelay)
+	divided := shareOf(roles, members, nodes)
+	f.conn.ResizeBudget(divided.budget(f.settings.Forward))
+	f.ports.OnLeaves(f.shareLeaves(&topology, divided), roles.Self != relay.RoleRelay)
 	f.conn.SetTopology(topology)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -30,6 +30,7 @@
 	"github.com/micaplank/micaplank/internal/route"
 	"github.com/micaplank/micaplank/internal/scatter"
 	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/subset"
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
@@ -196,8 +197,8 @@
 	config.RequireCoverage = true
 	config.Settle.ObjectiveShare = from.Forward.SettleShare
 	config.Budget.Earned = earnedShare
-	config.Budget.Capacity, config.Budget.Reserve = budgetShare(from.Forward, from.Forward.ExtraNodes)
-	config.Budget.Initial = min(initialBudget, config.Budget.Capacity)
+	assumed := share{census: subset.Census{All: from.Forward.ExtraNodes}, part: 1}
+	config.Budget.Resize(assumed.budget(from.Forward))
 	config.Budget.Debt = 0
 	return config
 }
@@ -209,21 +210,8 @@
 	// zoneTie is the difference of two scores up to which the zone decides: it
 	// keeps bytes within a zone where that costs little time.
 	zoneTie = 0.2
-	// slackShare is the part of the extra load beyond the ratio that running
-	// nodes share; the rest is for nodes that start.
-	slackShare = 0.75
-	// initialBudget is what a node may spend that has earned nothing yet. It is
-	// small: nodes that are killed come back with it each time.
-	initialBudget = 1
 )
 
-// budgetShare returns what one of the nodes may save up of the extra load that
-// all may cause, and how much of it hedges leave for retries.
-func budgetShare(from settings.Forward, nodes int) (capacity, reserve float64) {
-	capacity = slackShare * from.ExtraSlack / float64(max(nodes, 1))
-	return capacity, min(1, capacity/4)
-}
-
 // Execute implements Service.
 func (f *Frontend) Execute(ctx context.Context, request *forward.Request) forward.Answer {
 	started := f.clock.Now()
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -8,25 +9,54 @@
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/relay"
+	"github.com/micaplank/micaplank/internal/roster"
 	"github.com/micaplank/micaplank/internal/scatter"
 	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/subset"
 )
 
-// TestBudgetSharesStayWithinTheSlack adds up what all nodes may save, with what
-// some that start have at once.
+// TestBudgetSharesStayWithinTheSlack adds up what all nodes may save.
 func TestBudgetSharesStayWithinTheSlack(t *testing.T) {
 	from := settings.Defaults().Forward
 	for _, nodes := range []int{1, 2, 8, 12, 60, 300, 3900} {
-		capacity, reserve := budgetShare(from, nodes)
-		if all := capacity * float64(nodes); all > from.ExtraSlack || all < from.ExtraSlack/2 {
+		bounds := share{census: subset.Census{All: nodes}, part: 1}.budget(from)
+		if all := bounds.Capacity * float64(nodes); all > from.ExtraSlack || all < from.ExtraSlack/2 {
 			t.Errorf("%d nodes save up to %.1f of %.0f", nodes, all, from.ExtraSlack)
 		}
-		if reserve <= 0 || reserve >= capacity {
-			t.Errorf("%d nodes: reserve %.3f of %.3f", nodes, reserve, capacity)
+		if bounds.Reserve <= 0 || bounds.Reserve >= bounds.Capacity || bounds.Initial > bounds.Capacity {
+			t.Errorf("%d nodes: %+v", nodes, bounds)
 		}
 	}
-	if capacity, _ := budgetShare(from, 0); capacity > from.ExtraSlack {
-		t.Errorf("no node is known: %.1f", capacity)
+	if bounds := (share{part: 1}).budget(from); bounds.Capacity > from.ExtraSlack {
+		t.Errorf("no node is known: %+v", bounds)
+	}
+}
+
+// TestExecutorsAndOthersShareTheSlack adds up what all nodes save, and have when
+// all start at once.
+func TestExecutorsAndOthersShareTheSlack(t *testing.T) {
+	from := settings.Defaults().Forward
+	from.ExtraSlack = 168
+	var members []roster.Member
+	for index := range 64 {
+		member := roster.Member{Name: fmt.Sprint(index), Cores: 0.2}
+		if index < 8 {
+			member.Cores = 0.8
+		}
+		members = append(members, member)
+	}
+	saved := 0.0
+	for _, member := range members {
+		bounds := shareOf(relay.Assign(member, members), members, len(members)).budget(from)
+		saved += bounds.Capacity + bounds.Initial
+	}
+	if saved > from.ExtraSlack+0.001 || saved < 0.9*from.ExtraSlack {
+		t.Errorf("%.1f of %.0f", saved, from.ExtraSlack)
+	}
+	executor := shareOf(relay.Assign(members[0], members), members, len(members)).budget(from)
+	if executor.Initial < 1+executor.Reserve {
+		t.Errorf("an executor that starts has nothing for a hedge: %+v", executor)
 	}
 }
 
--- /dev/null
+++ b/internal/frontend/share.go
@@ -0,0 +1,70 @@
+package frontend
+
+import (
+	"slices"
+
+	"github.com/micaplank/micaplank/internal/decide/hedge"
+	"github.com/micaplank/micaplank/internal/relay"
+	"github.com/micaplank/micaplank/internal/roster"
+	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/subset"
+)
+
+// share is the part of what all nodes have together that this node and others
+// like it divide: connections to leaves, and extra load beyond the ratio.
+type share struct {
+	census subset.Census
+	part   float64
+}
+
+// executorPart is the part that executors divide, who run the requests of the
+// others as a rule. The rest is for the others, who run their own when no
+// executor can.
+const executorPart = 0.5
+
+// shareOf returns what a node with a role divides, and with whom. The number of
+// nodes may be larger than that of the members known.
+func shareOf(roles relay.Roles, members []roster.Member, nodes int) share {
+	if len(roles.Executors) == 0 {
+		return share{census: censusOf(members, nodes), part: 1}
+	}
+	if roles.Self == relay.RoleExecutor {
+		return share{census: censusOf(roles.Executors, len(roles.Executors)), part: executorPart}
+	}
+	others := slices.DeleteFunc(slices.Clone(members), func(member roster.Member) bool {
+		return slices.Contains(roles.Executors, member)
+	})
+	return share{census: censusOf(others, nodes-len(roles.Executors)), part: 1 - executorPart}
+}
+
+func censusOf(members []roster.Member, nodes int) subset.Census {
+	census := subset.Census{All: nodes, ByZone: make(map[string]int)}
+	for _, member := range members {
+		census.ByZone[member.Zone]++
+	}
+	return census
+}
+
+const (
+	// slackShare is the part of the extra load beyond the ratio that running
+	// nodes save up; the rest is for nodes that start.
+	slackShare = 0.75
+	// aloneInitial bounds what a node may spend that has earned nothing yet:
+	// nodes that are killed come back with it each time. Executors get what
+	// slackShare leaves.
+	aloneInitial = 1
+	// maxReserve bounds the tokens that hedges leave for retries.
+	maxReserve = 1
+)
+
+// budget returns the bounds of the extra load that this node may cause at each
+// shard, beyond the ratio that its own requests earn.
+func (s share) budget(from settings.Forward) hedge.Bounds {
+	slack := s.part * from.ExtraSlack / float64(max(s.census.All, 1))
+	capacity := slackShare * slack
+	initial := min((1-slackShare)*slack, capacity)
+	if s.part == 1 {
+		initial = min(aloneInitial, capacity)
+	}
+	return hedge.Bounds{Initial: initial, Capacity: capacity, Reserve: min(maxReserve, capacity/4)}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,11 +68,12 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.terms = terms
+	executors := roles.Executors
 	if roles.Self != RoleRelay {
-		r.board.set(r.self, nil)
-		return
+		executors = nil
 	}
-	r.board.set(r.self, roles.Executors)
+	r.board.set(r.self, executors)
+	r.metrics.up.Set(float64(r.usable()))
 }
 
 // Run keeps in touch with the executors until ctx ends.
@@ -142,6 +143,7 @@
 	defer r.mutex.Unlock()
 	regained := of.touch == nil
 	r.board.heard(r.clock.Now(), of, status)
+	r.metrics.up.Set(float64(r.usable()))
 	if regained {
 		r.logger.Info("executor in touch", "peer", of.Name, "version", status.Version, "accepting", status.Accepting)
 	}
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/decide/hedge"
 	"github.com/micaplank/micaplank/internal/decide/snapshot"
 	"github.com/micaplank/micaplank/internal/leaf"
 )
@@ -187,11 +188,11 @@
 	return views[newest].Snapshot
 }
 
-// ResizeBudget changes how much extra load the dispatcher can save up.
-func (c *Conn[Q, P]) ResizeBudget(capacity, reserve float64) {
+// ResizeBudget changes the bounds of the extra load that the dispatcher causes.
+func (c *Conn[Q, P]) ResizeBudget(bounds hedge.Bounds) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.dispatcher.ResizeBudget(capacity, reserve)
+	c.dispatcher.ResizeBudget(bounds)
 }
 
 // Observe hands the dispatcher a leaf's own word on its load.
