--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,6 +33,9 @@
 	Body []byte
 	// Patience is how long the client waits; zero if it did not say.
 	Patience time.Duration
+	// Away is the time that the request spent on another node, and that its
+	// answer will take back over it. It counts for the objective.
+	Away time.Duration
 }
 
 // Part is a leaf's whole answer.
@@ -213,7 +216,7 @@
 		timeout = min(timeout, request.Patience)
 	}
 	class := f.class(matched)
-	objective := f.objective(matched, class.Name, request.Patience)
+	objective := f.objective(matched, class.Name, request)
 	return scatter.Request[*Request]{
 		RequestID:       request.ID,
 		Class:           class,
@@ -229,9 +232,9 @@
 
 // objective returns the time from now within which an answer is worth most;
 // zero if it has passed, or there is none.
-func (f *Forwarder) objective(matched *route.Route, kind string, left time.Duration) time.Duration {
-	elapsed := f.patience.elapsed(kind, left)
-	return max(matched.Objective-elapsed-f.config.ClientAllowance, 0)
+func (f *Forwarder) objective(matched *route.Route, kind string, request *Request) time.Duration {
+	elapsed := f.patience.elapsed(kind, request.Patience)
+	return max(matched.Objective-elapsed-request.Away-f.config.ClientAllowance, 0)
 }
 
 func (f *Forwarder) shards(matched *route.Route) []int {
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -39,6 +39,8 @@
 	heardAt time.Duration
 	// latency is the mean of its requests, in seconds; zero without one.
 	latency float64
+	// roundTrip is the mean time of the questions to it.
+	roundTrip time.Duration
 	// touch ends when the executor is taken to be lost, and is made anew when it
 	// is heard again; nil while it is lost.
 	touch context.Context
@@ -74,7 +76,11 @@
 }
 
 // heard takes in the answer of an executor.
-func (b *board) heard(now time.Duration, from *target, status Status) {
+func (b *board) heard(now, roundTrip time.Duration, from *target, status Status) {
+	if from.roundTrip == 0 {
+		from.roundTrip = roundTrip
+	}
+	from.roundTrip += time.Duration(latencyWeight * float64(roundTrip-from.roundTrip))
 	from.status, from.heardAt = status, max(now, 1)
 	if from.touch == nil {
 		from.touch, from.end = context.WithCancel(context.Background())
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -52,6 +52,7 @@
 	Host, Path string
 	Head, Body []byte
 	Patience   time.Duration
+	Away       time.Duration
 }
 
 // executeResponse is the answer to a request, or its refusal.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -135,6 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.config.Silence)
 	defer cancel()
 	var status Status
+	started := r.clock.Now()
 	err := r.caller.Call(ctx, of.Peer, methodStatus, &statusRequest{From: r.self.Name}, &status)
 	if err != nil {
 		return // its silence is noticed by expire
@@ -142,13 +143,18 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	regained := of.touch == nil
-	r.board.heard(r.clock.Now(), of, status)
+	now := r.clock.Now()
+	r.board.heard(now, now-started, of, status)
 	r.metrics.up.Set(float64(r.usable()))
 	if regained {
 		r.logger.Info("executor in touch", "peer", of.Name, "version", status.Version, "accepting", status.Accepting)
 	}
 }
 
+// handling is the time that reading a whole answer and writing it again takes
+// beyond what a question takes.
+const handling = 1500 * time.Microsecond
+
 // maxTries is how many executors a request is offered to.
 const maxTries = 2
 
@@ -159,7 +165,7 @@
 	started := r.clock.Now()
 	var tried []*target
 	for range maxTries {
-		chosen, touch := r.take(terms, tried)
+		chosen, touch, away := r.take(terms, tried)
 		if chosen == nil {
 			return forward.Answer{}, false
 		}
@@ -168,6 +174,7 @@
 		if handed.Patience > 0 {
 			handed.Patience = max(handed.Patience-(r.clock.Now()-started), time.Millisecond)
 		}
+		handed.Away = away
 		answer, done := r.offer(ctx, chosen, touch, terms, &handed)
 		if done {
 			return answer, true
@@ -176,16 +183,18 @@
 	return forward.Answer{}, false
 }
 
-func (r *Relay) take(terms Terms, tried []*target) (*target, context.Context) {
+// take chooses an executor. It returns with it the context that ends when it is
+// lost, and the time that the way to it and back takes.
+func (r *Relay) take(terms Terms, tried []*target) (chosen *target, touch context.Context, away time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.board.expire(r.clock.Now())
-	chosen := r.board.pick(terms, tried)
+	chosen = r.board.pick(terms, tried)
 	if chosen == nil {
-		return nil, nil
+		return nil, nil, 0
 	}
 	chosen.inFlight++
-	return chosen, chosen.touch
+	return chosen, chosen.touch, chosen.roundTrip + handling
 }
 
 // offer hands a request to one executor. It returns false if the request did
@@ -199,7 +208,7 @@
 	var response executeResponse
 	err := r.caller.Call(calling, to.Peer, methodExecute, &executeRequest{
 		From: r.self.Name, Terms: terms, ID: request.ID, Method: request.Method, Host: request.Host,
-		Path: request.Path, Head: request.Head, Body: request.Body, Patience: request.Patience,
+		Path: request.Path, Head: request.Head, Body: request.Body, Patience: request.Patience, Away: request.Away,
 	}, &response)
 	r.release(to, r.clock.Now()-started, err, &response)
 	switch {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -273,6 +273,21 @@
 	r.wantExecutor("large-1")
 }
 
+// TestWayToTheExecutorCounts for the objective of a request.
+func TestWayToTheExecutorCounts(t *testing.T) {
+	r := newRig(t)
+	r.relay.board.targets[0].roundTrip = 5 * time.Millisecond
+	var away time.Duration
+	r.peers.execute[r.near.Peer] = func(_ context.Context, request *executeRequest) (executeResponse, error) {
+		away = request.Away
+		return executeResponse{Fate: forward.FateMerged, Body: []byte("large-1")}, nil
+	}
+	r.wantExecutor("large-1")
+	if away != 5*time.Millisecond+handling {
+		t.Errorf("away for %v", away)
+	}
+}
+
 // TestSlowExecutorIsPassedOver by its mean latency.
 func TestSlowExecutorIsPassedOver(t *testing.T) {
 	r := newRig(t)
