event, telemetry: typed events, their page, a line for each request; urgent lines keep their own rate

The lines of a node's log are types in one package, each field documented; docs/EVENTS.md is made from them by a test, so that it cannot drift. Ordinary successes are logged too, at info and within the rate, with the attempts that were extra. Cause of the change of the cap: lines of one message shared a rate whatever their level, so many successes would have displaced the failures (test failed first: 0 urgent lines).

--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,108 @@
+// Package event has a type for each line of a node's log that tells a decision
+// or a change of what the node believes. The types are the description of the
+// log: docs/EVENTS.md is made from them.
+//
+// A field is logged under the name in its tag "event"; its tag "doc" says what
+// it means, with its unit.
+package event
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"strings"
+	"sync"
+
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+// Event is one line of the log. It is a struct whose fields have tags.
+type Event interface {
+	// Message is the text of the line, the same for all events of a type.
+	Message() string
+	// Level says how urgent the line is.
+	Level() slog.Level
+	// Describe says what the line means, in a sentence.
+	Describe() string
+}
+
+// Log writes an event, if its level is logged.
+func Log(logger *slog.Logger, event Event) {
+	ctx := context.Background()
+	if !logger.Enabled(ctx, event.Level()) {
+		return
+	}
+	value := reflect.ValueOf(event)
+	attributes := make([]slog.Attr, 0, value.NumField())
+	for _, field := range fieldsOf(value.Type()) {
+		attributes = append(attributes, attribute(field.Name, value.Field(field.index)))
+	}
+	logger.LogAttrs(ctx, event.Level(), event.Message(), attributes...)
+}
+
+// attribute returns a field as it is logged. An error brings its step and peer
+// with it.
+func attribute(name string, value reflect.Value) slog.Attr {
+	switch content := value.Interface().(type) {
+	case nil:
+		return slog.Attr{}
+	case error:
+		return telemetry.Error(content)
+	case fmt.Stringer:
+		return slog.String(name, content.String())
+	default:
+		return slog.Any(name, content)
+	}
+}
+
+// Field describes one field of an event.
+type Field struct {
+	Name  string
+	Doc   string
+	index int
+}
+
+// Fields returns the fields of an event in the order in which they are logged.
+func Fields(event any) []Field { return fieldsOf(reflect.TypeOf(event)) }
+
+// known holds the fields of each type that was logged.
+var known sync.Map
+
+func fieldsOf(of reflect.Type) []Field {
+	if found, ok := known.Load(of); ok {
+		return found.([]Field)
+	}
+	var fields []Field
+	for index := range of.NumField() {
+		tag := of.Field(index).Tag
+		if name := tag.Get("event"); name != "" {
+			fields = append(fields, Field{Name: name, Doc: tag.Get("doc"), index: index})
+		}
+	}
+	known.Store(of, fields)
+	return fields
+}
+
+// WritePage returns the page that describes events, below its head.
+func WritePage(head string, events []Event) string {
+	var page strings.Builder
+	page.WriteString(head)
+	for _, one := range events {
+		fmt.Fprintf(&page, "\n## %s\n\n%s Level: %s.\n", one.Message(), one.Describe(), strings.ToLower(one.Level().String()))
+		writeFields(&page, Fields(one))
+	}
+	page.WriteString("\n## An attempt, in the field `attempts`\n")
+	writeFields(&page, Fields(Attempt{}))
+	return page.String()
+}
+
+func writeFields(page *strings.Builder, fields []Field) {
+	if len(fields) == 0 {
+		return
+	}
+	page.WriteString("\n| Field | Meaning |\n| --- | --- |\n")
+	for _, field := range fields {
+		fmt.Fprintf(page, "| `%s` | %s |\n", field.Name, field.Doc)
+	}
+}
--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -5,11 +5,11 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/micaplank/micaplank/internal/event"
 	"github.com/micaplank/micaplank/internal/forward"
 	"github.com/micaplank/micaplank/internal/peer"
 	"github.com/micaplank/micaplank/internal/relay"
 	"github.com/micaplank/micaplank/internal/roster"
-	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
 // executor runs requests of other nodes.
@@ -70,7 +70,7 @@
 func (f *Frontend) announced() (key string, value []byte) {
 	value, err := f.member.Encode()
 	if err != nil {
-		f.logger.Error("node not announced", telemetry.Error(err))
+		event.Log(f.logger, event.NodeNotAnnounced{Error: err})
 	}
 	return f.ports.Decoder.NodeKey(f.settings.Name, ulid.Make().String()), value
 }
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
+	"github.com/micaplank/micaplank/internal/event"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/registry"
 	"github.com/micaplank/micaplank/internal/relay"
 	"github.com/micaplank/micaplank/internal/roster"
 	"github.com/micaplank/micaplank/internal/route"
-	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
 // storeSink takes in what the store holds.
@@ -35,7 +35,7 @@
 	s.leavesKnown = true
 	s.nodes.Replace(s.clock.Now(), nodes)
 	s.mutex.Unlock()
-	s.logger.Info("store read", "leaves", len(leaves), "nodes", len(nodes), "after_gap", gap)
+	event.Log(s.logger, event.StoreRead{Leaves: len(leaves), Nodes: len(nodes), AfterGap: gap})
 	s.forwarder.SetFresh(true)
 	s.publish()
 }
@@ -44,17 +44,17 @@
 // nothing: the last one stays in force.
 func (s storeSink) Change(events []mirror.Event) {
 	changed := false
-	for _, event := range events {
-		switch s.ports.Decoder.Kind(event.Key) {
+	for _, one := range events {
+		switch s.ports.Decoder.Kind(one.Key) {
 		case KindConfig:
-			if !event.Removed {
-				s.install(event.Item)
+			if !one.Removed {
+				s.install(one.Item)
 			}
 		case KindLeaf:
-			s.changeLeaf(event)
+			s.changeLeaf(one)
 			changed = true
 		case KindNode:
-			s.changeNode(event)
+			s.changeNode(one)
 			changed = true
 		}
 	}
@@ -68,7 +68,7 @@
 func (s storeSink) Lost(err error) {
 	s.forwarder.SetFresh(false)
 	s.metrics.storeUp.Set(0)
-	s.logger.Warn("store lost", telemetry.Error(err))
+	event.Log(s.logger, event.StoreLost{Error: err})
 }
 
 // Regained implements mirror.Sink.
@@ -77,7 +77,7 @@
 	s.leaves.Outage(s.clock.Now())
 	s.mutex.Unlock()
 	s.metrics.storeUp.Set(1)
-	s.logger.Info("store regained", "away", away.String())
+	event.Log(s.logger, event.StoreRegained{Away: away})
 }
 
 // install puts a configuration into force if it is newer and can be used.
@@ -88,7 +88,7 @@
 	}
 	if err != nil {
 		s.metrics.configsRejected.Inc()
-		s.logger.Error("configuration rejected", "key", item.Key, "revision", item.Revision, telemetry.Error(err))
+		event.Log(s.logger, event.ConfigRejected{Key: item.Key, Revision: item.Revision, Error: err})
 		return
 	}
 	for _, declared := range config.Services {
@@ -98,36 +98,41 @@
 		return
 	}
 	s.metrics.configVersion.Set(float64(config.Version))
-	s.logger.Info("configuration installed", "version", config.Version, "revision", item.Revision,
-		"routes", len(config.Routes), "services", len(config.Services))
+	event.Log(s.logger, event.ConfigInstalled{
+		Version: config.Version, Revision: item.Revision, Routes: len(config.Routes), Services: len(config.Services),
+	})
 	s.publish()
 }
 
-func (s storeSink) changeLeaf(event mirror.Event) {
-	read, ok := s.read(event.Item)
+func (s storeSink) changeLeaf(changed mirror.Event) {
+	read, ok := s.read(changed.Item)
 	if !ok {
 		return
 	}
 	s.mutex.Lock()
-	if event.Removed {
+	if changed.Removed {
 		s.leaves.Remove(s.clock.Now(), read.ID)
 	} else {
 		s.leaves.Set(read)
 	}
 	s.mutex.Unlock()
-	s.logger.Info("leaf changed", "leaf", read.ID, "service", read.Service, "address", read.Address,
-		"draining", read.Draining, "removed", event.Removed, "revision", event.Revision)
+	event.Log(s.logger, event.LeafChanged{
+		Leaf: read.ID, Service: read.Service, Address: read.Address,
+		Draining: read.Draining, Removed: changed.Removed, Revision: changed.Revision,
+	})
 }
 
-func (s storeSink) changeNode(event mirror.Event) {
+func (s storeSink) changeNode(changed mirror.Event) {
 	s.mutex.Lock()
-	if event.Removed {
-		s.nodes.Remove(s.clock.Now(), event.Key)
+	if changed.Removed {
+		s.nodes.Remove(s.clock.Now(), changed.Key)
 	} else {
-		s.nodes.Add(s.clock.Now(), event.Key, s.member(event.Item))
+		s.nodes.Add(s.clock.Now(), changed.Key, s.member(changed.Item))
 	}
 	s.mutex.Unlock()
-	s.logger.Info("node changed", "peer", s.ports.Decoder.Node(event.Key), "removed", event.Removed, "revision", event.Revision)
+	event.Log(s.logger, event.NodeChanged{
+		Peer: s.ports.Decoder.Node(changed.Key), Removed: changed.Removed, Revision: changed.Revision,
+	})
 }
 
 // member reads the announcement of a node. One that cannot be read still counts,
@@ -135,7 +140,7 @@
 func (s storeSink) member(item mirror.Item) roster.Member {
 	member, err := roster.Decode(item.Value)
 	if err != nil || member.Name == "" {
-		s.logger.Warn("node not read", "key", item.Key, "revision", item.Revision, telemetry.Error(err))
+		event.Log(s.logger, event.NodeRejected{Key: item.Key, Revision: item.Revision, Error: err})
 		return roster.Member{Name: s.ports.Decoder.Node(item.Key)}
 	}
 	return member
@@ -145,7 +150,7 @@
 	read, err := s.ports.Decoder.Leaf(item)
 	if err != nil {
 		s.metrics.leavesRejected.Inc()
-		s.logger.Error("leaf rejected", "key", item.Key, "revision", item.Revision, telemetry.Error(err))
+		event.Log(s.logger, event.LeafRejected{Key: item.Key, Revision: item.Revision, Error: err})
 		return registry.Leaf{}, false
 	}
 	return read, true
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -155,7 +155,7 @@
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
 	f.peers = peer.NewClient(peer.ClientOptions{}, registerer)
-	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{f.peers})
+	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{f.peers}, f.logger)
 	f.relay = relay.New(relay.DefaultConfig(), f.member, f.peers, f.clock, registerer, f.logger)
 	f.expiry = time.AfterFunc(time.Hour, f.publish)
 	f.expiry.Stop()
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/samber/oops"
 
+	"github.com/micaplank/micaplank/internal/event"
 	"github.com/micaplank/micaplank/internal/lease"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/peer"
@@ -59,7 +60,7 @@
 	for _, one := range servers {
 		background.Go(func() { failed <- ignoreClosed(one.Serve()) })
 	}
-	f.logger.Info("started", "http", f.settings.Listen.HTTP.String(), "zone", f.settings.Zone)
+	event.Log(f.logger, event.Started{HTTP: f.settings.Listen.HTTP.String(), Zone: f.settings.Zone, Cores: f.member.Cores})
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -69,7 +70,7 @@
 	background.Wait()
 	err = errors.Join(err, f.peers.Close())
 	f.expiry.Stop()
-	f.logger.Info("stopped")
+	event.Log(f.logger, event.Stopped{})
 	return err
 }
 
@@ -158,7 +159,7 @@
 // other nodes use.
 func (f *Frontend) drain(servers []*callerServer, peers *peer.Server) error {
 	f.draining.Store(true)
-	f.logger.Info("draining", "in_flight", f.conn.InFlight())
+	event.Log(f.logger, event.Draining{InFlight: f.conn.InFlight()})
 	time.Sleep(f.settings.Forward.DrainDelay.Duration())
 	finishing, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
@@ -175,7 +176,7 @@
 // Reload is told of the settings as they are now. All of them take a restart
 // to change; the log says whether one is due.
 func (f *Frontend) Reload(current settings.Settings) {
-	f.logger.Info("settings read again", "changed", !reflect.DeepEqual(current, f.settings))
+	event.Log(f.logger, event.SettingsRead{Changed: !reflect.DeepEqual(current, f.settings)})
 }
 
 func ignoreClosed(err error) error {
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -1,17 +1,15 @@
 package frontend
 
 import (
-	"context"
 	"log/slog"
 	"math"
-	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/micaplank/micaplank/internal/event"
 	"github.com/micaplank/micaplank/internal/forward"
 	"github.com/micaplank/micaplank/internal/scatter"
-	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
 // metrics are those of a Frontend.
@@ -57,77 +55,51 @@
 	m.requests.WithLabelValues(string(answer.Fate)).Observe(took.Seconds())
 }
 
-// logAnswer writes a line on a request: at level warn if it got no answer, info
-// if its answer is partial or a leaf's failure, and debug otherwise. From is the
-// node that took the request from its client.
+// logAnswer writes the line on a request. From is the node that took it from
+// its client.
 func (f *Frontend) logAnswer(request *forward.Request, answer forward.Answer, took time.Duration, from string) {
-	level := levelOf(answer)
-	ctx := context.Background()
-	if !f.logger.Enabled(ctx, level) {
-		return
-	}
-	f.logger.Log(ctx, level, messageRequest,
-		telemetry.AttributeRequestID, request.ID,
-		"route", answer.Route, "version", answer.Version,
-		"fate", string(answer.Fate), "reason", string(answer.Reason),
-		"answered", answer.Answered, "total", answer.Total, "status", answer.Part.Status,
-		"took_ms", took.Milliseconds(), "patience_ms", request.Patience.Milliseconds(),
-		"retry_after_ms", answer.RetryAfter.Milliseconds(),
-		"from", from, "executor", answer.Executor,
-		"attempts", attemptLines(answer))
+	event.Log(f.logger, event.Request{
+		RequestID: request.ID, Route: answer.Route, Version: answer.Version,
+		Fate: string(answer.Fate), Reason: string(answer.Reason),
+		Answered: answer.Answered, Total: answer.Total, Status: answer.Part.Status,
+		TookMS: took.Milliseconds(), PatienceMS: request.Patience.Milliseconds(),
+		RetryAfterMS: answer.RetryAfter.Milliseconds(),
+		From:         from, Executor: answer.Executor,
+		Attempts: attemptLines(answer),
+	}.WithLevel(levelOf(answer)))
 }
 
-// messageRequest is the message of lines on requests.
-const messageRequest = "request"
-
+// levelOf returns warn if there is no answer.
 func levelOf(answer forward.Answer) slog.Level {
 	switch answer.Fate {
-	case forward.FateMerged:
-		if answer.Missing > 0 {
-			return slog.LevelInfo
-		}
-		return slog.LevelDebug
-	case forward.FateAnswered:
-		if answer.Part.Status >= http.StatusInternalServerError {
-			return slog.LevelInfo
-		}
-		return slog.LevelDebug
+	case forward.FateMerged, forward.FateAnswered:
+		return slog.LevelInfo
 	default:
 		return slog.LevelWarn
 	}
 }
 
-// maxAttemptLines bounds the attempts on one line.
-const maxAttemptLines = 24
-
-// attemptLine is one attempt as the log tells it.
-type attemptLine struct {
-	Shard    int     `json:"shard"`
-	Leaf     string  `json:"leaf"`
-	Address  string  `json:"address"`
-	Cause    string  `json:"cause"`
-	AtMS     int64   `json:"at_ms"`
-	TookMS   int64   `json:"took_ms"`
-	End      string  `json:"end"`
-	Detail   string  `json:"detail,omitempty"`
-	InFlight int     `json:"in_flight"`
-	Limit    int     `json:"limit"`
-	Others   float64 `json:"others"`
-	AgeMS    int64   `json:"age_ms"`
-	Slowness float64 `json:"slowness"`
-	Budget   float64 `json:"budget"`
-}
+const (
+	// maxAttemptLines bounds the attempts on one line.
+	maxAttemptLines = 24
+	// maxPlainAttemptLines bounds them if nothing is missing from the answer.
+	maxPlainAttemptLines = 4
+)
 
 // attemptLines tells the attempts that explain an answer: all of a request to
 // one leaf; of many shards those that were extra or did not bring a part.
-func attemptLines(answer forward.Answer) []attemptLine {
-	lines := []attemptLine{}
+func attemptLines(answer forward.Answer) []event.Attempt {
+	most := maxAttemptLines
+	if answer.Total > 1 && answer.Answered == answer.Total {
+		most = maxPlainAttemptLines
+	}
+	lines := []event.Attempt{}
 	for _, one := range answer.Attempts {
 		plain := one.End == scatter.EndAnswered && !one.Extra
-		if plain && answer.Total > 1 || len(lines) == maxAttemptLines {
+		if plain && answer.Total > 1 || len(lines) == most {
 			continue
 		}
-		lines = append(lines, attemptLine{
+		lines = append(lines, event.Attempt{
 			Shard: one.Shard, Leaf: one.BootID, Address: one.Leaf.String(), Cause: string(one.Cause),
 			AtMS: one.At.Milliseconds(), TookMS: one.Took.Milliseconds(), End: string(one.End), Detail: one.Detail,
 			InFlight: one.Basis.InFlight, Limit: one.Basis.Limit, Others: rounded(one.Basis.Others),
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/micaplank/micaplank/internal/telemetry"
+	"github.com/micaplank/micaplank/internal/event"
 )
 
 // Errors of a Store that a Holder tells apart. Others are taken to pass.
@@ -79,12 +79,12 @@
 	err := h.next(ctx)
 	switch {
 	case errors.Is(err, ErrLapsed):
-		h.logger.Warn("lease lapsed", "key", h.config.Key)
+		event.Log(h.logger, event.LeaseLapsed{Key: h.config.Key})
 		h.id, h.created = 0, false
 		return h.backoff()
 	case err != nil:
 		if h.failures == 0 && ctx.Err() == nil {
-			h.logger.Warn("lease is not renewed", "key", h.config.Key, telemetry.Error(err))
+			event.Log(h.logger, event.LeaseNotRenewed{Key: h.config.Key, Error: err})
 		}
 		return h.backoff()
 	case !h.created:
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/event"
 )
 
 // ErrWatcherLost means that the node that was asked in place of the store has
@@ -67,6 +70,7 @@
 	config SharedConfig
 	store  Source
 	peers  Peers
+	logger *slog.Logger
 
 	mutex    sync.Mutex
 	watching bool // this node is a watcher
@@ -77,9 +81,9 @@
 }
 
 // NewShared returns a Source that asks the store alone, until SetWatchers.
-func NewShared(config SharedConfig, store Source, peers Peers) *Shared {
+func NewShared(config SharedConfig, store Source, peers Peers, logger *slog.Logger) *Shared {
 	return &Shared{
-		config: config, store: store, peers: peers,
+		config: config, store: store, peers: peers, logger: logger,
 		paused:  make(map[netip.AddrPort]time.Time),
 		history: newHistory(config.History),
 	}
@@ -116,6 +120,10 @@
 			s.follow()
 			return answer.Events, max(answer.Revision, after), nil
 		}
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+		event.Log(s.logger, event.WatcherFailed{Peer: watcher, State: string(answer.State), Error: err})
 		s.pause(watcher)
 		if err != nil {
 			break // there is no time to wait for another one
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,10 +11,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/event"
 	"github.com/micaplank/micaplank/internal/forward"
 	"github.com/micaplank/micaplank/internal/peer"
 	"github.com/micaplank/micaplank/internal/roster"
-	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
 // Caller makes calls to other nodes; *peer.Client is one.
@@ -102,7 +102,7 @@
 	up := r.up()
 	r.board.expire(r.clock.Now())
 	if now := r.up(); now < up {
-		r.logger.Warn("executors lost", "lost", up-now, "left", now)
+		event.Log(r.logger, event.ExecutorsLost{Lost: up - now, Left: now})
 	}
 	r.metrics.up.Set(float64(r.usable()))
 	return append([]*target(nil), r.board.targets...)
@@ -147,7 +147,7 @@
 	r.board.heard(now, now-started, of, status)
 	r.metrics.up.Set(float64(r.usable()))
 	if regained {
-		r.logger.Info("executor in touch", "peer", of.Name, "version", status.Version, "accepting", status.Accepting)
+		event.Log(r.logger, event.ExecutorInTouch{Peer: of.Name, Version: status.Version, Accepting: status.Accepting, Fresh: status.Fresh})
 	}
 }
 
@@ -220,7 +220,7 @@
 		return forward.Answer{Fate: forward.FateLate, Version: terms.Version, Executor: to.Name}, true
 	case err != nil:
 		r.metrics.requests.WithLabelValues("lost").Inc()
-		r.logger.Warn("request lost with its executor", telemetry.AttributeRequestID, request.ID, "peer", to.Name, telemetry.Error(err))
+		event.Log(r.logger, event.RequestLost{RequestID: request.ID, Peer: to.Name, Error: err})
 		return forward.Answer{Fate: forward.FateFailed, Version: terms.Version, Executor: to.Name}, true
 	case response.Refusal != "":
 		r.metrics.requests.WithLabelValues("refused").Inc()
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -70,3 +70,20 @@
 		t.Error("the log does not say what it lacks")
 	}
 }
+
+// TestManyLinesDoNotDisplaceUrgentOnes of the same message.
+func TestManyLinesDoNotDisplaceUrgentOnes(t *testing.T) {
+	var text strings.Builder
+	handler := NewCappedHandler(slog.NewTextHandler(&text, nil), CapConfig{Info: 5, Warn: 10}, prometheus.NewRegistry())
+	handler.state.now = func() time.Time { return time.Unix(0, 0) }
+	logger := slog.New(handler)
+	for range 100 {
+		logger.Info("request")
+	}
+	for range 100 {
+		logger.Warn("request")
+	}
+	if got := strings.Count(text.String(), "level=WARN"); got != 10 {
+		t.Errorf("%d urgent lines", got)
+	}
+}
--- a/internal/telemetry/capped.go
+++ b/internal/telemetry/capped.go
@@ -30,8 +30,15 @@
 	now     func() time.Time
 	counter *prometheus.CounterVec
 
-	mutex    sync.Mutex
-	messages map[string]*capBucket
+	mutex   sync.Mutex
+	buckets map[capKey]*capBucket
+}
+
+// capKey names a bucket. Urgent lines of a message have one of their own, so
+// that many others do not displace them.
+type capKey struct {
+	message string
+	urgent  bool
 }
 
 // capBucket is the token bucket of one message.
@@ -48,7 +55,7 @@
 		Name: "micaplank_log_lines_capped_total", Help: "Log lines that were dropped beyond the rate of their message."}, []string{"message"})
 	registerer.MustRegister(counter)
 	return &CappedHandler{next: next, state: &capState{
-		config: config, now: time.Now, counter: counter, messages: make(map[string]*capBucket),
+		config: config, now: time.Now, counter: counter, buckets: make(map[capKey]*capBucket),
 	}}
 }
 
@@ -82,17 +89,18 @@
 // take reports whether a line may be written, and how many of its message were
 // dropped since the last one.
 func (s *capState) take(record slog.Record) (dropped int, taken bool) {
+	key := capKey{message: record.Message, urgent: record.Level >= slog.LevelWarn}
 	rate := s.config.Info
-	if record.Level >= slog.LevelWarn {
+	if key.urgent {
 		rate = s.config.Warn
 	}
 	now := s.now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	bucket, known := s.messages[record.Message]
+	bucket, known := s.buckets[key]
 	if !known {
 		bucket = &capBucket{tokens: rate, at: now}
-		s.messages[record.Message] = bucket
+		s.buckets[key] = bucket
 	}
 	bucket.tokens = min(bucket.tokens+max(now.Sub(bucket.at).Seconds(), 0)*rate, rate)
 	bucket.at = now
