micactl explain, internal/explain: the story of a request from the logs

Reads logs from files or standard input, finds every line that names the request, on whichever node, and prints its decisions in the order of time with the belief each rested on and its age.

--- a/cmd/micactl/main.go
+++ b/cmd/micactl/main.go
@@ -54,6 +54,7 @@
 		&changeCommand{},
 		&drainCommand{},
 		&queryCommand{},
+		&explainCommand{},
 		&completionCommand{},
 	}
 }
--- a/internal/event/belief.go
+++ b/internal/event/belief.go
@@ -59,9 +59,9 @@
 // WatcherFailed tells that a node that watches the store for others did not
 // answer well.
 type WatcherFailed struct {
-	Peer  netip.AddrPort `event:"peer" doc:"the watcher"`
-	State string         `event:"state" doc:"its answer: lost or refused; empty if there was none"`
-	Error error          `event:"error" doc:"why there was no answer"`
+	Watcher netip.AddrPort `event:"watcher" doc:"the node that was asked"`
+	State   string         `event:"state" doc:"its answer: lost or refused; empty if there was none"`
+	Error   error          `event:"error" doc:"why there was no answer"`
 }
 
 // Message implements Event.
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -60,7 +60,7 @@
 // RequestLost tells that a request is lost with the node that ran it.
 type RequestLost struct {
 	RequestID string `event:"request_id" doc:"the client's id of this attempt of its own"`
-	Peer      string `event:"peer" doc:"node that ran it"`
+	Executor  string `event:"executor" doc:"node that ran it"`
 	Error     error  `event:"error" doc:"how it was lost"`
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,124 @@
+package explain
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+func read(t testing.TB) []Line {
+	t.Helper()
+	file, err := os.Open("testdata/day.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }() // it was read
+	lines, err := Read(file)
+	if err != nil || len(lines) == 0 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	return lines
+}
+
+// TestStories tells three requests of a played day: one that met a node which
+// had just started, one that an executor refused, and one that a leaf did not
+// answer in time.
+func TestStories(t *testing.T) {
+	lines := read(t)
+	for name, id := range map[string]string{
+		"started": "18bea8a1172d3c6d", "refused": "6b6ffc4791fe821e", "late": "886af99c970498dc",
+	} {
+		var text bytes.Buffer
+		if err := WriteText(&text, Tell(lines, id, time.Time{})); err != nil {
+			t.Fatal(err)
+		}
+		goldie.New(t).Assert(t, name, text.Bytes())
+	}
+	var document bytes.Buffer
+	if err := WriteJSON(&document, Tell(lines, "886af99c970498dc", time.Time{})); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "late_json", document.Bytes())
+}
+
+func TestUnknownRequestHasNoSteps(t *testing.T) {
+	if story := Tell(read(t), "nobody", time.Time{}); len(story.Steps) != 0 {
+		t.Errorf("%+v", story)
+	}
+}
+
+// TestSinceKeepsBeliefs leaves out older requests, not what was believed.
+func TestSinceKeepsBeliefs(t *testing.T) {
+	lines := read(t)
+	var at time.Time
+	for _, line := range lines {
+		if line.RequestID == "6b6ffc4791fe821e" {
+			at = line.Time
+		}
+	}
+	if story := Tell(lines, "886af99c970498dc", at.Add(-time.Second)); len(story.Steps) != 0 {
+		t.Errorf("older: %+v", story)
+	}
+	story := Tell(lines, "6b6ffc4791fe821e", at.Add(-time.Second))
+	if len(story.Steps) == 0 || story.Steps[0].Kind != KindBelief {
+		t.Errorf("%+v", story)
+	}
+}
+
+// TestOrderOfFilesDoesNotMatter: logs come from many nodes.
+func TestOrderOfFilesDoesNotMatter(t *testing.T) {
+	lines := read(t)
+	var forward, backward bytes.Buffer
+	if err := WriteText(&forward, Tell(lines, "6b6ffc4791fe821e", time.Time{})); err != nil {
+		t.Fatal(err)
+	}
+	byNode := make(map[string][]Line)
+	for _, line := range lines {
+		byNode[line.Node] = append(byNode[line.Node], line)
+	}
+	var turned []Line
+	for _, name := range []string{"edge-ben-thanh-7", "edge-ben-thanh-1", "edge-go-vap-9", "edge-go-vap-12"} {
+		turned = append(turned, byNode[name]...)
+	}
+	if err := WriteText(&backward, Tell(turned, "6b6ffc4791fe821e", time.Time{})); err != nil {
+		t.Fatal(err)
+	}
+	if len(strings.Split(forward.String(), "\n")) != len(strings.Split(backward.String(), "\n")) {
+		t.Errorf("%s\n%s", forward.String(), backward.String())
+	}
+}
+
+// TestDroppedLinesAreTold, since the story may lack them.
+func TestDroppedLinesAreTold(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+text of a collector 1.5 {"time":"2026-01-01T00:00:00Z","msg":"request","node":"a","request_id":"x","fate":"merged"}
+{"time":"2026-01-01T00:00:01Z","msg":"request","node":"a","request_id":"y","fate":"merged","dropped_before":7}
+{"time":"2026-01-01T00:00:01Z","msg":"request","node":"b","request_id":"z","fate":"merged","dropped_before":5}
+not json {"time":
+`))
+	if err != nil || len(lines) != 3 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	if story := Tell(lines, "x", time.Time{}); story.Dropped != 7 {
+		t.Errorf("%+v", story)
+	}
+}
+
+// FuzzRead feeds any bytes: they are lines of a log, or are skipped.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"time":"2026-01-01T00:00:00Z","msg":"request","node":"a","request_id":"x","attempts":[{"leaf":"l"}]}`))
+	f.Add([]byte("a { b\n{}\n{\"msg\":1}\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		lines, err := Read(bytes.NewReader(content))
+		if err != nil {
+			return
+		}
+		if err := WriteText(&bytes.Buffer{}, Tell(lines, "x", time.Time{})); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/explain/write.go
@@ -0,0 +1,31 @@
+package explain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// timeOfDay is how the time of a step is written.
+const timeOfDay = "15:04:05.000"
+
+// WriteText writes a story for people.
+func WriteText(to io.Writer, story Story) error {
+	for _, step := range story.Steps {
+		if _, err := fmt.Fprintf(to, "%s  %-20s %-8s %s\n", step.Time.Format(timeOfDay), step.Node, step.Kind, step.Text); err != nil {
+			return err
+		}
+	}
+	if story.Dropped == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(to, "These nodes dropped %d lines of requests for their rate.\n", story.Dropped)
+	return err
+}
+
+// WriteJSON writes a story as one JSON document.
+func WriteJSON(to io.Writer, story Story) error {
+	encoder := json.NewEncoder(to)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(story)
+}
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return errors.Join(err, f.closeAll(servers))
 	}
+	event.Log(f.logger, event.Started{HTTP: f.settings.Listen.HTTP.String(), Zone: f.settings.Zone, Cores: f.member.Cores})
 	following, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
@@ -60,7 +61,6 @@
 	for _, one := range servers {
 		background.Go(func() { failed <- ignoreClosed(one.Serve()) })
 	}
-	event.Log(f.logger, event.Started{HTTP: f.settings.Listen.HTTP.String(), Zone: f.settings.Zone, Cores: f.member.Cores})
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -123,7 +123,7 @@
 		if ctx.Err() != nil {
 			return nil, 0, ctx.Err()
 		}
-		event.Log(s.logger, event.WatcherFailed{Peer: watcher, State: string(answer.State), Error: err})
+		event.Log(s.logger, event.WatcherFailed{Watcher: watcher, State: string(answer.State), Error: err})
 		s.pause(watcher)
 		if err != nil {
 			break // there is no time to wait for another one
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -220,7 +220,7 @@
 		return forward.Answer{Fate: forward.FateLate, Version: terms.Version, Executor: to.Name}, true
 	case err != nil:
 		r.metrics.requests.WithLabelValues("lost").Inc()
-		event.Log(r.logger, event.RequestLost{RequestID: request.ID, Peer: to.Name, Error: err})
+		event.Log(r.logger, event.RequestLost{RequestID: request.ID, Executor: to.Name, Error: err})
 		return forward.Answer{Fate: forward.FateFailed, Version: terms.Version, Executor: to.Name}, true
 	case response.Refusal != "":
 		r.metrics.requests.WithLabelValues("refused").Inc()
