--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -227,6 +227,26 @@
 	return d.actions
 }
 
+// Load describes what a Dispatcher holds at one moment.
+type Load struct {
+	// Waiting is the number of shards that wait for a leaf.
+	Waiting int
+	// Budget is the extra attempts that all budgets hold together.
+	Budget float64
+}
+
+// Load returns the present load.
+func (d *Dispatcher) Load() Load {
+	load := Load{Waiting: d.waiters, Budget: d.budget.Tokens()}
+	if d.config.BudgetByShard {
+		load.Budget = 0
+		for _, budget := range d.budgets {
+			load.Budget += budget.Tokens()
+		}
+	}
+	return load
+}
+
 // ResizeBudget changes the bounds of the budget, of that of each shard if
 // Config.BudgetByShard.
 func (d *Dispatcher) ResizeBudget(bounds hedge.Bounds) {
--- /dev/null
+++ b/internal/frontend/collector.go
@@ -0,0 +1,106 @@
+package frontend
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+// collector shows, when the metrics are read, what the Dispatcher knows: it is
+// pure and keeps its own counts.
+type collector struct {
+	frontend *Frontend
+	attempts *prometheus.Desc
+	won      *prometheus.Desc
+	queries  *prometheus.Desc
+	waiting  *prometheus.Desc
+	budget   *prometheus.Desc
+	age      *prometheus.Desc
+}
+
+var _ telemetry.TypedCollector = (*collector)(nil)
+
+func newCollector(frontend *Frontend) *collector {
+	return &collector{
+		frontend: frontend,
+		attempts: prometheus.NewDesc("micaplank_frontend_attempts_total",
+			"Attempts sent to leaves, by cause: needed, resent (the former did not execute), or extra, which the budget pays for: hedge, probe, retry or restart.",
+			[]string{"cause"}, nil),
+		won: prometheus.NewDesc("micaplank_frontend_hedges_won_total",
+			"Shards answered by a hedge or a probe.", nil, nil),
+		queries: prometheus.NewDesc("micaplank_frontend_queries",
+			"Queries that run here and have not ended.", nil, nil),
+		waiting: prometheus.NewDesc("micaplank_frontend_shards_waiting",
+			"Shards of queries that wait for a leaf to take them.", nil, nil),
+		budget: prometheus.NewDesc("micaplank_frontend_budget_attempts",
+			"Extra attempts that the budgets of all shards hold together.", nil, nil),
+		age: prometheus.NewDesc("micaplank_frontend_store_age_seconds",
+			"Time since the store, or a watcher of it, last answered: the age of configuration and leaves.", nil, nil),
+	}
+}
+
+// MetricTypes implements telemetry.TypedCollector.
+func (c *collector) MetricTypes() map[string]telemetry.MetricType {
+	return map[string]telemetry.MetricType{
+		"micaplank_frontend_attempts_total":    telemetry.TypeCounter,
+		"micaplank_frontend_hedges_won_total":  telemetry.TypeCounter,
+		"micaplank_frontend_queries":           telemetry.TypeGauge,
+		"micaplank_frontend_shards_waiting":    telemetry.TypeGauge,
+		"micaplank_frontend_budget_attempts":   telemetry.TypeGauge,
+		"micaplank_frontend_store_age_seconds": telemetry.TypeGauge,
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{c.attempts, c.won, c.queries, c.waiting, c.budget, c.age} {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(metrics chan<- prometheus.Metric) {
+	counters := c.frontend.conn.Counters()
+	for _, sent := range []struct {
+		cause string
+		count uint64
+	}{
+		{"needed", counters.Needed},
+		{"resent", counters.Resent},
+		{"hedge", counters.Hedges},
+		{"probe", counters.Probes},
+		{"retry", counters.Retries},
+		{"restart", counters.RestartSends},
+	} {
+		metrics <- prometheus.MustNewConstMetric(c.attempts, prometheus.CounterValue, float64(sent.count), sent.cause)
+	}
+	load := c.frontend.conn.Load()
+	gauge := func(of *prometheus.Desc, value float64) {
+		metrics <- prometheus.MustNewConstMetric(of, prometheus.GaugeValue, value)
+	}
+	metrics <- prometheus.MustNewConstMetric(c.won, prometheus.CounterValue, float64(counters.HedgesWon))
+	gauge(c.queries, float64(c.frontend.conn.InFlight()))
+	gauge(c.waiting, float64(load.Waiting))
+	gauge(c.budget, load.Budget)
+	gauge(c.age, c.frontend.shared.Age().Seconds())
+}
+
+// maxRouteLabels bounds the routes that have a label of their own.
+const maxRouteLabels = 64
+
+// otherRoutes is the label of the routes beyond them.
+const otherRoutes = "other"
+
+// routeLabels bounds the values of a label. It is not safe for concurrent use.
+type routeLabels map[string]bool
+
+func (r routeLabels) of(route string) string {
+	if r[route] {
+		return route
+	}
+	if len(r) >= maxRouteLabels {
+		return otherRoutes
+	}
+	r[route] = true
+	return route
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -157,6 +157,7 @@
 	f.peers = peer.NewClient(peer.ClientOptions{}, registerer)
 	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{f.peers}, f.logger)
 	f.relay = relay.New(relay.DefaultConfig(), f.member, f.peers, f.clock, registerer, f.logger)
+	registerer.MustRegister(newCollector(f))
 	f.expiry = time.AfterFunc(time.Hour, f.publish)
 	f.expiry.Stop()
 }
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,7 @@
 
 // metrics are those of a Frontend.
 type metrics struct {
+	outcomes        *prometheus.CounterVec
 	requests        *prometheus.HistogramVec
 	configVersion   prometheus.Gauge
 	leaves          prometheus.Gauge
@@ -21,6 +23,9 @@
 	leavesRejected  prometheus.Counter
 	nodes           prometheus.Gauge
 	storeUp         prometheus.Gauge
+
+	mutex  sync.Mutex
+	labels routeLabels
 }
 
 // latencyBuckets are the bounds in seconds.
@@ -28,6 +33,11 @@
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	created := &metrics{
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "micaplank_frontend_requests_total",
+			Help: "Requests of callers, by route (64 at most, then other), fate and reason.",
+		}, []string{"route", "fate", "reason"}),
+		labels: make(routeLabels),
 		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "micaplank_frontend_request_seconds",
 			Help:    "Time from reading a request until its final answer, by fate.",
@@ -46,13 +56,17 @@
 		storeUp: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "micaplank_frontend_store_up", Help: "Whether the store answers: 1 or 0."}),
 	}
-	registerer.MustRegister(created.requests, created.configVersion, created.leaves,
+	registerer.MustRegister(created.outcomes, created.requests, created.configVersion, created.leaves,
 		created.configsRejected, created.leavesRejected, created.nodes, created.storeUp)
 	return created
 }
 
 func (m *metrics) observe(answer forward.Answer, took time.Duration) {
 	m.requests.WithLabelValues(string(answer.Fate)).Observe(took.Seconds())
+	m.mutex.Lock()
+	route := m.labels.of(answer.Route)
+	m.mutex.Unlock()
+	m.outcomes.WithLabelValues(route, string(answer.Fate), string(answer.Reason)).Inc()
 }
 
 // logAnswer writes the line on a request. From is the node that took it from
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -78,6 +78,8 @@
 	watchers []netip.AddrPort
 	paused   map[netip.AddrPort]time.Time
 	history  history
+	// heardAt is when the store, or a watcher for it, last answered.
+	heardAt time.Time
 }
 
 // NewShared returns a Source that asks the store alone, until SetWatchers.
@@ -86,9 +88,17 @@
 		config: config, store: store, peers: peers, logger: logger,
 		paused:  make(map[netip.AddrPort]time.Time),
 		history: newHistory(config.History),
+		heardAt: time.Now(),
 	}
 }
 
+// Age returns the time since the store, or a watcher for it, last answered.
+func (s *Shared) Age() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Since(s.heardAt)
+}
+
 // SetWatchers says which nodes watch the store, in the order in which this node
 // asks them, and whether it is one of them. Without watchers each node watches
 // the store.
@@ -108,6 +118,7 @@
 		s.history.lose()
 		return nil, 0, err
 	}
+	s.heardAt = time.Now()
 	s.history.begin(revision)
 	return items, revision, nil
 }
@@ -168,6 +179,7 @@
 func (s *Shared) follow() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.heardAt = time.Now()
 	s.history.end()
 }
 
@@ -187,6 +199,7 @@
 	case err != nil:
 		s.history.lose()
 	default:
+		s.heardAt = time.Now()
 		s.history.add(after, events, max(revision, after))
 	}
 	return events, revision, err
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -216,6 +216,13 @@
 	return c.dispatcher.Counters()
 }
 
+// Load returns what the dispatcher holds now.
+func (c *Conn[Q, P]) Load() dispatch.Load {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.dispatcher.Load()
+}
+
 // InFlight returns the number of queries that have not ended.
 func (c *Conn[Q, P]) InFlight() int {
 	c.mutex.Lock()
