platformtest: a randomized fault soak of real nodes, with kept seeds

18 real processes (every fifth an executor) in front of the stand-in; proxies on loopback delay, reset, silence and cut one way the connections to leaves and to the store; leaves answer wrongly, pause, drain and are replaced; the store is down, slow, loses answers or history; nodes are killed, terminated, paused and told to reload; the configuration changes. Checked while it runs: whole answers of their own, at most once, bounds on attempts and budget, configuration in force and never back, drained leaves, answers in time, service after a kill of all.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LDFLAGS := -X github.com/micaplank/micaplank/internal/version.Version=$(VERSION)
 PROGRAMS := micaplank micactl micarehearse
 
-.PHONY: all build test check fuzz demo demo-platform bench clean
+.PHONY: all build test check fuzz demo demo-platform soak bench clean
 
 all: build
 
@@ -35,6 +35,10 @@
 	go build -o target/ ./platform/micaplank-edge
 	go run ./platform/platformtest/demo --binary target/micaplank-edge
 
+# Random faults against real nodes: the kept seeds, and SOAK_FRESH new ones.
+soak:
+	experiments/soak/play.sh $(SOAK_FRESH)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
 
