clock, dispatch: one Sleep for five copies, attempts by cause counted in one place

The label of attempts after proof that the former did not execute is now 'resend' in both metrics, as in the log; it was 'resent' in the product's own.

--- a/internal/decide/dispatch/events.go
+++ b/internal/decide/dispatch/events.go
@@ -84,3 +84,21 @@
 func (c Counters) Extra() uint64 {
 	return c.Hedges + c.Probes + c.Retries + c.RestartSends
 }
+
+// CauseCount is the number of attempts of a cause.
+type CauseCount struct {
+	Cause Cause
+	Count uint64
+}
+
+// ByCause returns the attempts sent, by their cause.
+func (c Counters) ByCause() []CauseCount {
+	return []CauseCount{
+		{CauseNeeded, c.Needed},
+		{CauseResend, c.Resent},
+		{CauseHedge, c.Hedges},
+		{CauseProbe, c.Probes},
+		{CauseRetry, c.Retries},
+		{CauseRestart, c.RestartSends},
+	}
+}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -44,7 +44,7 @@
 	Shard    int     `json:"shard" event:"shard" doc:"number of the service, in the order in which this process met them"`
 	Leaf     string  `json:"leaf" event:"leaf" doc:"id of the leaf's incarnation"`
 	Address  string  `json:"address" event:"address" doc:"where it listens"`
-	Cause    string  `json:"cause" event:"cause" doc:"needed, resent (the former did not execute), hedge, probe, retry or restart"`
+	Cause    string  `json:"cause" event:"cause" doc:"needed, resend (the former did not execute), hedge, probe, retry or restart"`
 	AtMS     int64   `json:"at_ms" event:"at_ms" doc:"when it was sent, in ms from the start of the request"`
 	TookMS   int64   `json:"took_ms" event:"took_ms" doc:"how long it took, in ms; 0 if it was open at the end"`
 	End      string  `json:"end" event:"end" doc:"answered, refused, failed (the leaf's own failure), lost (it may have run), unsent, or open"`
--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -24,7 +24,7 @@
 	return &collector{
 		frontend: frontend,
 		attempts: prometheus.NewDesc("micaplank_frontend_attempts_total",
-			"Attempts sent to leaves, by cause: needed, resent (the former did not execute), or extra, which the budget pays for: hedge, probe, retry or restart.",
+			"Attempts sent to leaves, by cause: needed, resend (the former did not execute), or extra, which the budget pays for: hedge, probe, retry or restart.",
 			[]string{"cause"}, nil),
 		won: prometheus.NewDesc("micaplank_frontend_hedges_won_total",
 			"Shards answered by a hedge or a probe.", nil, nil),
@@ -61,18 +61,8 @@
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(metrics chan<- prometheus.Metric) {
 	counters := c.frontend.conn.Counters()
-	for _, sent := range []struct {
-		cause string
-		count uint64
-	}{
-		{"needed", counters.Needed},
-		{"resent", counters.Resent},
-		{"hedge", counters.Hedges},
-		{"probe", counters.Probes},
-		{"retry", counters.Retries},
-		{"restart", counters.RestartSends},
-	} {
-		metrics <- prometheus.MustNewConstMetric(c.attempts, prometheus.CounterValue, float64(sent.count), sent.cause)
+	for _, sent := range counters.ByCause() {
+		metrics <- prometheus.MustNewConstMetric(c.attempts, prometheus.CounterValue, float64(sent.Count), string(sent.Cause))
 	}
 	load := c.frontend.conn.Load()
 	gauge := func(of *prometheus.Desc, value float64) {
--- a/internal/http1/warm.go
+++ b/internal/http1/warm.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 const (
@@ -36,7 +38,7 @@
 		}
 		for _, cold := range c.cold() {
 			cold.openAhead(ctx)
-			if !sleep(ctx, warmPause) {
+			if !clock.Sleep(ctx, warmPause) {
 				return
 			}
 		}
@@ -82,15 +84,3 @@
 		opened.release()
 	}
 }
-
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -10,6 +10,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 // ErrCompacted means that the history after the revision asked for is gone.
@@ -133,7 +135,7 @@
 	}
 	m.revision = max(m.revision, revision)
 	if len(events) > 0 {
-		sleep(ctx, m.config.Gather)
+		clock.Sleep(ctx, m.config.Gather)
 	}
 	return nil
 }
@@ -161,14 +163,5 @@
 
 func (m *Mirror) pause(ctx context.Context) {
 	pause := min(m.config.MinBackoff<<min(m.failures-1, 10), m.config.MaxBackoff)
-	sleep(ctx, pause/2+rand.N(pause/2+1))
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	clock.Sleep(ctx, pause/2+rand.N(pause/2+1))
 }
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -30,7 +30,7 @@
 	return &collector{
 		node: node,
 		attempts: prometheus.NewDesc("micaplank_dispatch_attempts_total",
-			"Attempts sent to leaves, by service and cause: needed, resent (the former did not execute), or extra: hedge, probe, retry or restart.",
+			"Attempts sent to leaves, by service and cause: needed, resend (the former did not execute), or extra: hedge, probe, retry or restart.",
 			[]string{"service", "cause"}, nil),
 		won: prometheus.NewDesc("micaplank_dispatch_hedges_won_total",
 			"Shards answered by a hedge or a probe, by service.", service, nil),
@@ -74,18 +74,8 @@
 }
 
 func (c *collector) collectCounters(metrics chan<- prometheus.Metric, service string, counters dispatch.Counters) {
-	for _, sent := range []struct {
-		cause string
-		count uint64
-	}{
-		{"needed", counters.Needed},
-		{"resent", counters.Resent},
-		{"hedge", counters.Hedges},
-		{"probe", counters.Probes},
-		{"retry", counters.Retries},
-		{"restart", counters.RestartSends},
-	} {
-		metrics <- prometheus.MustNewConstMetric(c.attempts, prometheus.CounterValue, float64(sent.count), service, sent.cause)
+	for _, sent := range counters.ByCause() {
+		metrics <- prometheus.MustNewConstMetric(c.attempts, prometheus.CounterValue, float64(sent.Count), service, string(sent.Cause))
 	}
 	metrics <- prometheus.MustNewConstMetric(c.won, prometheus.CounterValue, float64(counters.HedgesWon), service)
 }
--- a/internal/operator/drain.go
+++ b/internal/operator/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 // drainPoll is the time between two looks at a node that drains.
@@ -51,7 +52,7 @@
 			return api.NodeGone, true
 		case errors.As(err, &unreachable) && !unreachable.Sent:
 			return api.NodeGone, false
-		case !sleep(ctx, drainPoll):
+		case !clock.Sleep(ctx, drainPoll):
 			return api.NodeLeaving, true
 		}
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 // Status writes what one node knows of the deployment.
@@ -32,7 +33,7 @@
 	}
 	var last error
 	for shown := 0; count == 0 || shown < count; shown++ {
-		if shown > 0 && !sleep(ctx, interval) {
+		if shown > 0 && !clock.Sleep(ctx, interval) {
 			return nil
 		}
 		last = s.watchOnce(ctx)
@@ -64,18 +65,6 @@
 	return nil
 }
 
-// sleep waits and says whether ctx still runs.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Session) writeStatus(status *api.StatusResponse) {
 	freshness := "fresh"
 	if !status.Fresh {
--- a/internal/rehearsal/cluster/demo.go
+++ b/internal/rehearsal/cluster/demo.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/micaplank/micaplank/internal/api"
+	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/rows"
 )
 
@@ -100,8 +101,8 @@
 		var problem *api.Problem
 		if errors.As(err, &problem) && problem.RetryAfterMilliseconds > 0 {
 			fmt.Fprintf(output, "  refused: %s\n  again in %d ms\n", problem.Detail, problem.RetryAfterMilliseconds)
-			if err := sleep(ctx, time.Duration(problem.RetryAfterMilliseconds)*time.Millisecond); err != nil {
-				return err
+			if !clock.Sleep(ctx, time.Duration(problem.RetryAfterMilliseconds)*time.Millisecond) {
+				return ctx.Err()
 			}
 			continue
 		}
@@ -130,15 +131,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, duration time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(duration):
-		return nil
-	}
-}
-
 func (c *Cluster) demoQuery(ctx context.Context, output io.Writer, node *Node, query demoQuery, id ulid.ULID) (*api.QueryResponse, error) {
 	fmt.Fprintf(output, "\n%s (%s, at %s)\n  %s\n", query.title, query.class, node.Name, query.statement)
 	answer, err := c.Query(ctx, node, query.service, api.QueryRequest{
--- a/internal/rehearsal/leaf/execute.go
+++ b/internal/rehearsal/leaf/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/micaplank/micaplank/internal/clock"
 	protocol "github.com/micaplank/micaplank/internal/leaf"
 	"github.com/micaplank/micaplank/internal/rows"
 )
@@ -201,7 +202,7 @@
 	if faults.Truncate && len(response.Table.Rows) > 0 {
 		response.Table.Rows = response.Table.Rows[:len(response.Table.Rows)-1]
 	}
-	if !sleep(c.Request().Context(), time.Duration(faults.DelayMilliseconds)*time.Millisecond) {
+	if !clock.Sleep(c.Request().Context(), time.Duration(faults.DelayMilliseconds)*time.Millisecond) {
 		return c.Request().Context().Err()
 	}
 	response.Load = s.reporter.summary()
@@ -220,20 +221,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	if pause <= 0 {
-		return true
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // crossing exchanges replies between requests.
 type crossing struct {
 	mutex sync.Mutex
