relay: requests on an executor that is no longer preferred are left to finish; a bound on each

Cause, found by reading: when the roster changed, executors that dropped out of the three preferred ones were treated as lost, and the requests they ran failed. The test fails on the former code ('executed by ""'). And a request that an executor holds longer than its route and its client allow is given up 100 ms later, whatever the executor says.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -177,14 +177,26 @@
 	return 0
 }
 
-// Spread reports whether a request runs on several shards.
-func (f *Forwarder) Spread(request *Request) bool {
+// Spread reports whether a request runs on several shards, and how long it may
+// take.
+func (f *Forwarder) Spread(request *Request) (timeout time.Duration, spread bool) {
 	table := f.table.Load()
 	if table == nil {
-		return false
+		return 0, false
 	}
 	matched, found := table.Match(request.Host, request.Path)
-	return found && len(matched.Shards) > 1 && matched.Repeatable
+	if !found || len(matched.Shards) < 2 || !matched.Repeatable {
+		return 0, false
+	}
+	return timeoutOf(matched, request), true
+}
+
+// timeoutOf returns the shorter of what the route and the client allow.
+func timeoutOf(matched *route.Route, request *Request) time.Duration {
+	if request.Patience > 0 {
+		return min(matched.Timeout, request.Patience)
+	}
+	return matched.Timeout
 }
 
 // Fresh reports whether the configuration in force is known to be the newest.
@@ -211,10 +223,6 @@
 
 // plan makes the query of a request.
 func (f *Forwarder) plan(matched *route.Route, request *Request) scatter.Request[*Request] {
-	timeout := matched.Timeout
-	if request.Patience > 0 {
-		timeout = min(timeout, request.Patience)
-	}
 	class := f.class(matched)
 	objective := f.objective(matched, class.Name, request)
 	return scatter.Request[*Request]{
@@ -222,7 +230,7 @@
 		Class:           class,
 		Payload:         request,
 		Shards:          f.shards(matched),
-		Timeout:         timeout,
+		Timeout:         timeoutOf(matched, request),
 		Objective:       objective,
 		HedgeDelay:      time.Duration(f.config.HedgeShare * float64(matched.Objective)),
 		MaximumSends:    matched.MaxAttempts,
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -219,11 +219,18 @@
 	return answer
 }
 
+// relayGrace is how long after a request's time its executor may answer: it ends
+// the request in time, and the answer has a way to come.
+const relayGrace = 100 * time.Millisecond
+
 // execute hands a request of many shards to an executor, or runs it here.
 func (f *Frontend) execute(ctx context.Context, request *forward.Request) forward.Answer {
-	if f.forwarder.Spread(request) {
+	if timeout, spread := f.forwarder.Spread(request); spread {
 		started := f.clock.Now()
-		if answer, done := f.relay.Execute(ctx, f.terms(), request); done {
+		relaying, cancel := context.WithTimeout(ctx, timeout+relayGrace)
+		answer, done := f.relay.Execute(relaying, f.terms(), request)
+		cancel()
+		if done {
 			return answer
 		}
 		if request.Patience > 0 {
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -54,7 +54,8 @@
 	targets []*target
 }
 
-// set replaces the executors; what is known of those that stay is kept.
+// set replaces the executors; what is known of those that stay is kept. Requests
+// that run on one that goes are left to finish.
 func (b *board) set(self roster.Member, executors []roster.Member) {
 	known := make(map[string]*target, len(b.targets))
 	for _, one := range b.targets {
@@ -65,14 +66,9 @@
 		kept := known[member.Name]
 		if kept == nil || kept.Member != member {
 			kept = &target{Member: member, near: member.Zone == self.Zone}
-		} else {
-			delete(known, member.Name)
 		}
 		b.targets = append(b.targets, kept)
 	}
-	for _, dropped := range known {
-		dropped.lose()
-	}
 }
 
 // heard takes in the answer of an executor.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,8 +159,8 @@
 const maxTries = 2
 
 // Execute hands a request to an executor that can keep its terms, and blocks
-// until its answer. It returns false if
-// the request has run nowhere and this node should run it itself.
+// until its answer or the end of ctx. It returns false if the request has run
+// nowhere and this node should run it itself.
 func (r *Relay) Execute(ctx context.Context, terms Terms, request *forward.Request) (forward.Answer, bool) {
 	started := r.clock.Now()
 	var tried []*target
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -308,6 +308,23 @@
 	}
 }
 
+// TestRequestOnADroppedExecutorIsLeftToFinish: the executor may be well, and only
+// others are preferred now.
+func TestRequestOnADroppedExecutorIsLeftToFinish(t *testing.T) {
+	r := newRig(t)
+	r.peers.execute[r.near.Peer] = func(ctx context.Context, _ *executeRequest) (executeResponse, error) {
+		r.relay.SetRoles(Roles{}, terms)
+		r.relay.due()
+		select {
+		case <-ctx.Done():
+			return executeResponse{}, &peer.Error{Sent: true, Err: ctx.Err()}
+		case <-time.After(50 * time.Millisecond): // a cancellation comes at once
+			return executeResponse{Fate: forward.FateMerged, Body: []byte("large-1")}, nil
+		}
+	}
+	r.wantExecutor("large-1")
+}
+
 // TestRolesChangeWhileRequestsRun drops executors that are no members any more.
 func TestRolesChangeWhileRequestsRun(t *testing.T) {
 	r := newRig(t)
