docs: one operators' page

OPERATING is the second part of OPERATIONS; the test that the metrics, problems and sections it names exist reads the whole page, and knows the platform's metrics by their own page, which a test keeps equal to the registry. play.sh makes its output folder.

--- a/experiments/days/play.sh
+++ b/experiments/days/play.sh
@@ -7,6 +7,7 @@
 shift 3
 folder=$(cd "$(dirname "$0")" && pwd)
 out=${OUT:-$(mktemp -d)}
+mkdir -p "$out" || exit 1
 [ $# -gt 0 ] || set -- "$folder"/*.toml
 "$bench" build >/dev/null || exit 1
 play() {
--- a/internal/node/operating_page_test.go
+++ b/internal/node/operating_page_test.go
@@ -16,10 +16,21 @@
 	headingInText = regexp.MustCompile(`(?m)^#+ (.*)$`)
 )
 
+// metricsOfThePlatformsNode returns the metrics on the page that a test of
+// package platform keeps equal to its registry.
+func metricsOfThePlatformsNode(t *testing.T) []string {
+	t.Helper()
+	content, err := os.ReadFile("../../docs/METRICS-EDGE.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return metricInText.FindAllString(string(content), -1)
+}
+
 // TestOperatingPageNamesWhatExists checks the metrics, problem types and
-// sections that docs/OPERATING.md names.
+// sections that docs/OPERATIONS.md names.
 func TestOperatingPageNamesWhatExists(t *testing.T) {
-	content, err := os.ReadFile("../../docs/OPERATING.md")
+	content, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,6 +44,9 @@
 	for _, metric := range metrics {
 		known[metric.Name] = true
 	}
+	for _, name := range metricsOfThePlatformsNode(t) {
+		known[name] = true
+	}
 	for _, description := range api.ProblemDescriptions() {
 		known[string(description.Type)] = true
 	}
