forward: clients that meet a node without a configuration in an outage come again in 2 s

While the store does not answer, it is 2 s now; a client takes at most a third of the time it has. The test fails to build on the former code.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -112,6 +112,10 @@
 	// UnknownRetryAfter is when a client may come again that met a node
 	// without the configuration.
 	UnknownRetryAfter time.Duration
+	// OutageRetryAfter takes its place while the store does not answer: the
+	// configuration will not come sooner, and a client comes again only once or
+	// twice.
+	OutageRetryAfter time.Duration
 }
 
 // Forwarder runs requests. It is safe for concurrent use.
@@ -123,6 +127,7 @@
 	patience  *patience
 	table     atomic.Pointer[route.Table]
 	fresh     atomic.Bool
+	outage    atomic.Bool
 }
 
 // New returns a Forwarder without a configuration: it answers every request
@@ -149,6 +154,9 @@
 // Only then is a request refused for lack of a route.
 func (f *Forwarder) SetFresh(fresh bool) { f.fresh.Store(fresh) }
 
+// SetOutage says whether the store does not answer.
+func (f *Forwarder) SetOutage(outage bool) { f.outage.Store(outage) }
+
 // Execute runs a request and blocks until its fate is known. When ctx ends,
 // because the client went away, its attempts are cancelled.
 func (f *Forwarder) Execute(ctx context.Context, request *Request) Answer {
@@ -218,7 +226,11 @@
 }
 
 func (f *Forwarder) notRun(reason dispatch.Reason) Answer {
-	return Answer{Fate: FateNotRun, Reason: reason, RetryAfter: f.config.UnknownRetryAfter}
+	after := f.config.UnknownRetryAfter
+	if f.outage.Load() {
+		after = f.config.OutageRetryAfter
+	}
+	return Answer{Fate: FateNotRun, Reason: reason, RetryAfter: after}
 }
 
 // plan makes the query of a request.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// TestClientComesAgainLaterInAnOutage: without the store, a configuration does
+// not come soon, and a client does not come often.
+func TestClientComesAgainLaterInAnOutage(t *testing.T) {
+	empty := New(Config{UnknownRetryAfter: time.Millisecond, OutageRetryAfter: time.Second}, nil, registry.NewIndex())
+	for _, test := range []struct {
+		outage bool
+		want   time.Duration
+	}{{false, time.Millisecond}, {true, time.Second}, {false, time.Millisecond}} {
+		empty.SetOutage(test.outage)
+		if answer := empty.Execute(context.Background(), sweep()); answer.Fate != FateNotRun || answer.RetryAfter != test.want {
+			t.Errorf("outage %v: %+v", test.outage, answer)
+		}
+	}
+}
+
 func TestUnknownRouteNeedsAFreshConfiguration(t *testing.T) {
 	forwarder, _ := newForwarder(parts(3))
 	unknown := &Request{ID: "1", Host: "h", Path: "/nowhere/"}
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -67,6 +67,7 @@
 // Lost implements mirror.Sink.
 func (s storeSink) Lost(err error) {
 	s.forwarder.SetFresh(false)
+	s.forwarder.SetOutage(true)
 	s.metrics.storeUp.Set(0)
 	event.Log(s.logger, event.StoreLost{Error: err})
 }
@@ -76,6 +77,7 @@
 	s.mutex.Lock()
 	s.leaves.Outage(s.clock.Now())
 	s.mutex.Unlock()
+	s.forwarder.SetOutage(false)
 	s.metrics.storeUp.Set(1)
 	event.Log(s.logger, event.StoreRegained{Away: away})
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -164,8 +164,11 @@
 const nodesMemory = 20 * time.Second
 
 // unknownRetryAfter is when a client may come again that met a node without
-// the configuration.
-const unknownRetryAfter = 300 * time.Millisecond
+// the configuration, and outageRetryAfter the same while the store is away.
+const (
+	unknownRetryAfter = 300 * time.Millisecond
+	outageRetryAfter  = 2 * time.Second
+)
 
 func forwardConfig(from settings.Forward) forward.Config {
 	return forward.Config{
@@ -174,6 +177,7 @@
 		ExtraLoad:         from.ExtraRatio,
 		ClientAllowance:   from.ClientAllowance.Duration(),
 		UnknownRetryAfter: unknownRetryAfter,
+		OutageRetryAfter:  outageRetryAfter,
 	}
 }
 
