--- a/internal/rehearsal/store/faults.go
+++ b/internal/rehearsal/store/faults.go
@@ -102,10 +102,13 @@
 	}
 	s.logger.Info("control", "request", body)
 	s.change(body)
+	if body.RefuseFor > 0 {
+		s.beginRefusal(body.RefuseFor.Duration())
+	}
 	respond(writer, http.StatusOK, s.Report())
 	if body.RefuseFor > 0 {
 		_ = http.NewResponseController(writer).Flush()
-		s.refuse(body.RefuseFor.Duration())
+		s.closeHTTP()
 	}
 }
 
@@ -117,7 +120,7 @@
 func (s *Server) admit(writer http.ResponseWriter, request *http.Request) bool {
 	s.mutex.Lock()
 	s.counters.Calls++
-	faults := s.faults
+	faults, refusing := s.faults, s.refusing
 	limited := faults.Outage == OutageNone && !s.limiter.Allow()
 	if limited {
 		s.counters.RateLimited++
@@ -125,6 +128,10 @@
 		s.counters.Failed++
 	}
 	s.mutex.Unlock()
+	if refusing {
+		closeConnection(writer)
+		return false
+	}
 	if limited {
 		writer.Header().Set("Retry-After", "1")
 		respondCode(writer, http.StatusTooManyRequests, wire.CodeResourceExhausted, "etcdserver: too many requests")
--- a/internal/rehearsal/store/listen.go
+++ b/internal/rehearsal/store/listen.go
@@ -69,6 +69,7 @@
 		return nil
 	default:
 		s.http = s.newHTTP()
+		s.refusing = false
 		return listener
 	}
 }
@@ -76,10 +77,16 @@
 // refuse breaks every connection and refuses new ones for the given time. What
 // the store holds stays; leases go on running out.
 func (s *Server) refuse(duration time.Duration) {
+	s.beginRefusal(duration)
+	s.closeHTTP()
+}
+
+// beginRefusal lets no call have an effect from now on.
+func (s *Server) beginRefusal(duration time.Duration) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.refuseFor = duration
-	s.mutex.Unlock()
-	s.closeHTTP()
+	s.refusing = true
 }
 
 func (s *Server) closeHTTP() {
--- a/internal/rehearsal/store/server.go
+++ b/internal/rehearsal/store/server.go
@@ -25,7 +25,10 @@
 	http *http.Server
 	// refuseFor is how long connections will be refused once http is closed.
 	refuseFor time.Duration
-	database  *database
+	// refusing is set from the order to refuse connections until http serves
+	// again: calls that still come through an open connection have no effect.
+	refusing bool
+	database *database
 	// changed is closed and replaced whenever the database gets a new revision.
 	changed chan struct{}
 	faults  Faults
--- a/internal/rehearsal/store/server_test.go
+++ b/internal/rehearsal/store/server_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// TestCallBeforeTheConnectionsEndHasNoEffect comes after the order to refuse
+// connections, through one that is still open.
+func TestCallBeforeTheConnectionsEndHasNoEffect(t *testing.T) {
+	server, client := start(t, nil)
+	ctx := context.Background()
+	if _, err := client.CreateIfAbsent(ctx, "/before", nil); err != nil {
+		t.Fatal(err)
+	}
+	revision := server.Report().Revision
+	server.BeginRefusal()
+	if _, err := client.CreateIfAbsent(ctx, "/after", nil); err == nil || server.Report().Revision != revision {
+		t.Errorf("%v, revision %d after %d", err, server.Report().Revision, revision)
+	}
+}
+
 func TestControlRefusesUnknownFields(t *testing.T) {
 	server, _ := start(t, nil)
 	for _, body := range []string{`{"outage": "hang"}`, `{"faults": {"delay": 3}}`, `nonsense`} {
