relay, dispatch, frontend, mirror: what a reading of the whole change found

- Nodes that hand on nothing matched each route twice and armed a timer for it; they now ask the relay first whether it is in use.
- Lines of attempts were built also for lines that are not logged.
- The two loops over replicas, on standby or not, are one function.
- The pauses of watchers that are none any more are forgotten.
- Heartbeat interval and timeout, alive: standard names in relay.
Behaviour, bounds and assertions are as before.

--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -154,29 +154,18 @@
 func (d *Dispatcher) collect(shard *shardState, priority int, excluded uint32) choice {
 	d.candidates = d.candidates[:0]
 	d.candidateLeaves = d.candidateLeaves[:0]
-	verdict := choiceNone
-	for index, l := range shard.group.leaves {
-		if excluded&replicaBit(index) != 0 || !l.takesWork() || l.standby {
-			continue
-		}
-		if l.held(d.now) {
-			verdict = max(verdict, choiceHeld)
-			continue
-		}
-		verdict = choiceSend
-		d.addCandidate(l, priority)
-	}
+	verdict := d.collectFrom(shard, priority, excluded, false)
 	if verdict == choiceSend {
 		return verdict
 	}
-	return max(verdict, d.collectStandby(shard, priority, excluded))
+	return max(verdict, d.collectFrom(shard, priority, excluded, true))
 }
 
-// collectStandby does the same with the replicas on standby.
-func (d *Dispatcher) collectStandby(shard *shardState, priority int, excluded uint32) choice {
+// collectFrom adds the candidates that are on standby, or those that are not.
+func (d *Dispatcher) collectFrom(shard *shardState, priority int, excluded uint32, standby bool) choice {
 	verdict := choiceNone
 	for index, l := range shard.group.leaves {
-		if excluded&replicaBit(index) != 0 || !l.takesWork() || !l.standby {
+		if excluded&replicaBit(index) != 0 || !l.takesWork() || l.standby != standby {
 			continue
 		}
 		if l.held(d.now) {
@@ -184,16 +173,12 @@
 			continue
 		}
 		verdict = choiceSend
-		d.addCandidate(l, priority)
+		d.candidates = append(d.candidates, d.candidate(l, priority))
+		d.candidateLeaves = append(d.candidateLeaves, l)
 	}
 	return verdict
 }
 
-func (d *Dispatcher) addCandidate(l *leafState, priority int) {
-	d.candidates = append(d.candidates, d.candidate(l, priority))
-	d.candidateLeaves = append(d.candidateLeaves, l)
-}
-
 // replicaBit returns the bit of a replica in the masks of a shard. Replicas
 // beyond the width of the mask share its last bit.
 func replicaBit(index int) uint32 {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"errors"
+	"log/slog"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"github.com/micaplank/micaplank/internal/event"
 )
 
 func read(t testing.TB) []Line {
@@ -122,3 +127,37 @@
 		}
 	})
 }
+
+// TestLinesAreReadAsTheyAreWritten logs events and reads them back: the names
+// in the log and here are the same.
+func TestLinesAreReadAsTheyAreWritten(t *testing.T) {
+	var output bytes.Buffer
+	logger := slog.New(slog.NewJSONHandler(&output, nil))
+	attempt := event.Attempt{Shard: 3, Leaf: "i-1", Address: "10.0.0.1:80", Cause: "hedge", AtMS: 5, TookMS: 6, End: "lost",
+		Detail: "reset", InFlight: 1, Limit: 2, Others: 0.5, AgeMS: 7, Slowness: 1.5, Budget: 2.5}
+	event.Log(logger, event.Request{
+		RequestID: "x", Route: "r", Version: 9, Fate: "merged", Reason: "deadline", Answered: 1, Total: 2, Status: 200,
+		TookMS: 10, PatienceMS: 11, RetryAfterMS: 12, From: "a", Executor: "b", Attempts: []event.Attempt{attempt},
+	})
+	event.Log(logger, event.LeafChanged{Leaf: "i-1", Service: "s", Draining: true, Removed: true})
+	event.Log(logger, event.RequestLost{RequestID: "x", Executor: "b", Error: errors.New("gone")})
+	event.Log(logger, event.StoreRegained{Away: time.Second})
+	event.Log(logger, event.ExecutorsLost{Left: 2})
+	event.Log(logger, event.ExecutorInTouch{Peer: "p"})
+	lines, err := Read(&output)
+	if err != nil || len(lines) != 6 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	request := lines[0]
+	want := Line{Time: request.Time, Message: "request", RequestID: "x", Route: "r", Version: 9, Fate: "merged", Reason: "deadline",
+		Answered: 1, Total: 2, Status: 200, TookMS: 10, Patience: 11, Retry: 12, From: "a", Executor: "b", Attempts: []event.Attempt{attempt}}
+	if !reflect.DeepEqual(request, want) {
+		t.Errorf("%+v, want %+v", request, want)
+	}
+	if leaf := lines[1]; leaf.Leaf != "i-1" || leaf.Service != "s" || !leaf.Draining || !leaf.Removed {
+		t.Errorf("%+v", leaf)
+	}
+	if lines[2].Executor != "b" || lines[2].Error != "gone" || lines[3].Away != "1s" || lines[4].Left != 2 || lines[5].Peer != "p" {
+		t.Errorf("%+v", lines[2:])
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -229,6 +229,9 @@
 
 // execute hands a request of many shards to an executor, or runs it here.
 func (f *Frontend) execute(ctx context.Context, request *forward.Request) forward.Answer {
+	if !f.relay.InUse() {
+		return f.forwarder.Execute(ctx, request)
+	}
 	if timeout, spread := f.forwarder.Spread(request); spread {
 		started := f.clock.Now()
 		relaying, cancel := context.WithTimeout(ctx, timeout+relayGrace)
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -81,7 +81,7 @@
 		IdleTimeout:       times.idle,
 	})
 	if s.closed {
-		started.close()
+		_ = started.Close() // it never fails
 		return started
 	}
 	s.inboxes[times] = started
@@ -147,11 +147,9 @@
 
 // Close implements net.Listener.
 func (i *inbox) Close() error {
-	i.close()
+	i.closing.Do(func() { close(i.done) })
 	return nil
 }
 
-func (i *inbox) close() { i.closing.Do(func() { close(i.done) }) }
-
 // Addr implements net.Listener.
 func (i *inbox) Addr() net.Addr { return i.address }
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"log/slog"
 	"math"
 	"sync"
@@ -72,6 +73,10 @@
 // logAnswer writes the line on a request. From is the node that took it from
 // its client.
 func (f *Frontend) logAnswer(request *forward.Request, answer forward.Answer, took time.Duration, from string) {
+	level := levelOf(answer)
+	if !f.logger.Enabled(context.Background(), level) {
+		return
+	}
 	event.Log(f.logger, event.Request{
 		RequestID: request.ID, Route: answer.Route, Version: answer.Version,
 		Fate: string(answer.Fate), Reason: string(answer.Reason),
@@ -80,7 +85,7 @@
 		RetryAfterMS: answer.RetryAfter.Milliseconds(),
 		From:         from, Executor: answer.Executor,
 		Attempts: attemptLines(answer),
-	}.WithLevel(levelOf(answer)))
+	}.WithLevel(level))
 }
 
 // levelOf returns warn if there is no answer.
--- /dev/null
+++ b/internal/http1/pool_test.go
@@ -0,0 +1,78 @@
+package http1
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestNoConnectionIsKept to a target of which this client may keep none: each
+// request opens one, and it is closed once the answer is here.
+func TestNoConnectionIsKept(t *testing.T) {
+	b := newBackend(t, func(int, int) string { return whole })
+	client := newClient(t, 3)
+	target := b.target()
+	client.Retain(map[Target]int{target: 0})
+	const requests = 5
+	for range requests {
+		if _, err := get(t, client, target); err != nil {
+			t.Fatal(err)
+		}
+		waitUntil(t, "the end of the connection", func() bool { return openOf(client, target) == 0 })
+	}
+	if got := b.connections.Load(); got != requests {
+		t.Errorf("%d connections for %d requests", got, requests)
+	}
+}
+
+// TestFewerConnectionsAreKept closes those that rest beyond the new number.
+func TestFewerConnectionsAreKept(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(int, int) string { <-release; return whole })
+	client := newClient(t, 3)
+	target := b.target()
+	client.Retain(map[Target]int{target: 3})
+	var group sync.WaitGroup
+	for range 3 {
+		group.Go(func() {
+			if _, err := get(t, client, target); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	waitUntil(t, "three connections", func() bool { return b.connections.Load() == 3 })
+	close(release)
+	group.Wait()
+	client.Retain(map[Target]int{target: 1})
+	waitUntil(t, "the end of two", func() bool { return openOf(client, target) == 1 })
+	if _, err := get(t, client, target); err != nil || b.connections.Load() != 3 {
+		t.Errorf("%v, %d connections", err, b.connections.Load())
+	}
+	for _, test := range []struct{ kept, limit int }{{0, 1}, {1, 1}, {2, 2}, {9, 3}} {
+		from := newPool(client, Target{})
+		from.setKept(test.kept)
+		if got := from.limit(); got != test.limit {
+			t.Errorf("%d kept: at most %d", test.kept, got)
+		}
+	}
+}
+
+func openOf(client *Client, target Target) int {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	from := client.pools[target]
+	from.mutex.Lock()
+	defer from.mutex.Unlock()
+	return from.open
+}
+
+// waitUntil waits for a condition; it measures no time.
+func waitUntil(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("not seen: %s", what)
+}
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -107,6 +109,9 @@
 	defer s.mutex.Unlock()
 	s.watching = watching
 	s.watchers = others
+	maps.DeleteFunc(s.paused, func(watcher netip.AddrPort, _ time.Time) bool {
+		return !slices.Contains(others, watcher)
+	})
 }
 
 // Range implements Source.
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -10,15 +10,16 @@
 
 // Config is the policy of a Relay.
 type Config struct {
-	// Beat is the time between two questions to an executor.
-	Beat time.Duration
-	// Silence is how long after its last answer an executor counts as lost.
-	Silence time.Duration
+	// HeartbeatInterval is the time between two questions to an executor.
+	HeartbeatInterval time.Duration
+	// HeartbeatTimeout is how long after its last answer an executor counts as
+	// lost.
+	HeartbeatTimeout time.Duration
 }
 
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
-	return Config{Beat: 250 * time.Millisecond, Silence: 800 * time.Millisecond}
+	return Config{HeartbeatInterval: 250 * time.Millisecond, HeartbeatTimeout: 800 * time.Millisecond}
 }
 
 // latencyWeight is the weight of one request in an executor's mean latency.
@@ -41,10 +42,10 @@
 	latency float64
 	// roundTrip is the mean time of the questions to it.
 	roundTrip time.Duration
-	// touch ends when the executor is taken to be lost, and is made anew when it
+	// alive ends when the executor is taken to be lost, and is made anew when it
 	// is heard again; nil while it is lost.
-	touch context.Context
-	end   context.CancelFunc
+	alive    context.Context
+	endAlive context.CancelFunc
 }
 
 // board chooses among executors. It is pure: time comes in as an argument. It
@@ -78,29 +79,29 @@
 	}
 	from.roundTrip += time.Duration(latencyWeight * float64(roundTrip-from.roundTrip))
 	from.status, from.heardAt = status, max(now, 1)
-	if from.touch == nil {
-		from.touch, from.end = context.WithCancel(context.Background())
+	if from.alive == nil {
+		from.alive, from.endAlive = context.WithCancel(context.Background())
 	}
 }
 
 // expire takes those executors to be lost that were not heard for long.
 func (b *board) expire(now time.Duration) {
 	for _, one := range b.targets {
-		if now-one.heardAt > b.config.Silence {
+		if now-one.heardAt > b.config.HeartbeatTimeout {
 			one.lose()
 		}
 	}
 }
 
 func (t *target) lose() {
-	if t.touch != nil {
-		t.end()
-		t.touch = nil
+	if t.alive != nil {
+		t.endAlive()
+		t.alive = nil
 	}
 }
 
-// pick returns the executor for a request under the terms, or nil. Those near come first; among equals, the one with the least in
-// flight, unless it is slow.
+// pick returns the executor for a request under the terms, or nil. Those near
+// come first; among equals, the one with the least in flight, unless it is slow.
 func (b *board) pick(terms Terms, tried []*target) *target {
 	var best *target
 	for _, one := range b.targets {
@@ -114,10 +115,10 @@
 	return best
 }
 
-// usable reports whether the executor is in touch, and takes requests under the
+// usable reports whether the executor is alive, and takes requests under the
 // terms.
 func (t *target) usable(terms Terms) bool {
-	return t.touch != nil && t.status.takes(terms)
+	return t.alive != nil && t.status.takes(terms)
 }
 
 // before reports whether a request should go to t rather than to other.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,9 +76,16 @@
 	r.metrics.up.Set(float64(r.usable()))
 }
 
+// InUse reports whether this node hands requests to executors at all.
+func (r *Relay) InUse() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.board.targets) > 0
+}
+
 // Run keeps in touch with the executors until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	ticker := time.NewTicker(r.config.Beat)
+	ticker := time.NewTicker(r.config.HeartbeatInterval)
 	defer ticker.Stop()
 	var asking sync.WaitGroup
 	defer asking.Wait()
@@ -112,7 +119,7 @@
 func (r *Relay) up() int {
 	count := 0
 	for _, one := range r.board.targets {
-		if one.touch != nil {
+		if one.alive != nil {
 			count++
 		}
 	}
@@ -132,7 +139,7 @@
 
 // ask asks one executor for its status.
 func (r *Relay) ask(ctx context.Context, of *target) {
-	ctx, cancel := context.WithTimeout(ctx, r.config.Silence)
+	ctx, cancel := context.WithTimeout(ctx, r.config.HeartbeatTimeout)
 	defer cancel()
 	var status Status
 	started := r.clock.Now()
@@ -142,7 +149,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	regained := of.touch == nil
+	regained := of.alive == nil
 	now := r.clock.Now()
 	r.board.heard(now, now-started, of, status)
 	r.metrics.up.Set(float64(r.usable()))
@@ -165,7 +172,7 @@
 	started := r.clock.Now()
 	var tried []*target
 	for range maxTries {
-		chosen, touch, away := r.take(terms, tried)
+		chosen, alive, away := r.take(terms, tried)
 		if chosen == nil {
 			return forward.Answer{}, false
 		}
@@ -175,7 +182,7 @@
 			handed.Patience = max(handed.Patience-(r.clock.Now()-started), time.Millisecond)
 		}
 		handed.Away = away
-		answer, done := r.offer(ctx, chosen, touch, terms, &handed)
+		answer, done := r.offer(ctx, chosen, alive, terms, &handed)
 		if done {
 			return answer, true
 		}
@@ -185,7 +192,7 @@
 
 // take chooses an executor. It returns with it the context that ends when it is
 // lost, and the time that the way to it and back takes.
-func (r *Relay) take(terms Terms, tried []*target) (chosen *target, touch context.Context, away time.Duration) {
+func (r *Relay) take(terms Terms, tried []*target) (chosen *target, alive context.Context, away time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.board.expire(r.clock.Now())
@@ -194,15 +201,15 @@
 		return nil, nil, 0
 	}
 	chosen.inFlight++
-	return chosen, chosen.touch, chosen.roundTrip + handling
+	return chosen, chosen.alive, chosen.roundTrip + handling
 }
 
 // offer hands a request to one executor. It returns false if the request did
 // not run there and never will.
-func (r *Relay) offer(ctx context.Context, to *target, touch context.Context, terms Terms, request *forward.Request) (forward.Answer, bool) {
+func (r *Relay) offer(ctx context.Context, to *target, alive context.Context, terms Terms, request *forward.Request) (forward.Answer, bool) {
 	calling, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := context.AfterFunc(touch, func() { cancel(errSilent) })
+	stop := context.AfterFunc(alive, func() { cancel(errSilent) })
 	defer stop()
 	started := r.clock.Now()
 	var response executeResponse
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -171,7 +171,7 @@
 
 func TestNoExecutorInTouch(t *testing.T) {
 	r := newRig(t)
-	r.clock.now += DefaultConfig().Silence + 1
+	r.clock.now += DefaultConfig().HeartbeatTimeout + 1
 	r.wantExecutor("")
 	r.beat()
 	r.wantExecutor("large-1")
@@ -250,7 +250,7 @@
 		ended <- answer
 	}()
 	<-begun
-	r.clock.now += DefaultConfig().Silence + 1
+	r.clock.now += DefaultConfig().HeartbeatTimeout + 1
 	r.relay.due()
 	if answer := <-ended; answer.Fate != forward.FateFailed {
 		t.Errorf("%+v", answer)
