combine, records, forward: parts of another zone are thinned out by a node there

Each part that crosses is whole: a thousand bytes of records, and as much again of headers, of which an answer of many shards keeps the greatest records only.

Change: attempts of requests of many shards at leaves of another zone go through a node there, the combiner. It keeps the greatest records of the query's parts so far, and sends on only those of a new part that are among them, with the greatest of the others. The node that merges sees from that whether a record is missing (records.Covers), and leaves the part out then. Every attempt is still decided, paid for and ended by the node that runs the query. A combiner is used while it is in touch; without one, and on proof that it did nothing, the leaf is asked directly; an attempt lost with it may have run, and does not count against the leaf (Failure.OnTheWay).

TestLossOnTheWaySaysNothingOfTheLeaf fails without OnTheWay: the leaf is held off, its slowness goes from 1 to 4.6.

--- /dev/null
+++ b/internal/combine/client.go
@@ -0,0 +1,232 @@
+package combine
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/event"
+	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/peer"
+	"github.com/micaplank/micaplank/internal/roster"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// stepCombiner is where an attempt is lost that a combiner had in hand.
+const stepCombiner leaf.Step = "combiner"
+
+// errSilent is why a call to a combiner is given up that is not heard any more.
+var errSilent = errors.New("combiner is silent")
+
+// Client sends attempts to leaves, by way of a combiner where one helps. It
+// implements scatter.LeafClient and is safe for concurrent use.
+type Client struct {
+	config  Config
+	self    roster.Member
+	direct  Leaves
+	caller  Caller
+	clock   clock.Clock
+	logger  *slog.Logger
+	metrics *metrics
+
+	mutex    sync.Mutex
+	board    board
+	last     uint64
+	sessions map[sessionOf]*outgoing
+}
+
+var _ Leaves = (*Client)(nil)
+
+// sessionOf names the session of a query with the combiners of a zone.
+type sessionOf struct {
+	query *forward.Request
+	zone  string
+}
+
+// outgoing is a session while it has attempts in flight.
+type outgoing struct {
+	number uint64
+	via    *target
+	open   int
+}
+
+// New returns a Client that knows no combiner yet: it sends all attempts
+// directly.
+func New(config Config, self roster.Member, direct Leaves, caller Caller, time clock.Clock, registerer prometheus.Registerer, logger *slog.Logger) *Client {
+	return &Client{
+		config: config, self: self, direct: direct, caller: caller, clock: time, logger: logger,
+		metrics: newMetrics(registerer), board: board{config: config}, sessions: make(map[sessionOf]*outgoing),
+	}
+}
+
+// SetMembers takes in the nodes that may be combiners.
+func (c *Client) SetMembers(members []roster.Member) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.board.set(c.self, members)
+}
+
+// Execute implements scatter.LeafClient.
+func (c *Client) Execute(ctx context.Context, attempt scatter.Attempt[*forward.Request]) (*scatter.Response[forward.Part], error) {
+	if attempt.Payload.TopK == 0 || attempt.Zone == c.self.Zone {
+		return c.direct.Execute(ctx, attempt)
+	}
+	key := sessionOf{attempt.Payload, attempt.Zone}
+	handed, alive, first := c.enter(key)
+	if handed == nil {
+		c.metrics.attempts.WithLabelValues("direct").Inc()
+		return c.direct.Execute(ctx, attempt)
+	}
+	response, err, done := c.fetch(ctx, alive, handed, first, attempt)
+	c.leave(key, handed, err, ctx.Err() != nil)
+	if !done {
+		c.metrics.attempts.WithLabelValues("not_taken").Inc()
+		return c.direct.Execute(ctx, attempt)
+	}
+	return response, err
+}
+
+// enter counts an attempt in with the session of its query, which it opens if
+// there is none. It returns nil if no combiner of the zone is usable.
+func (c *Client) enter(key sessionOf) (entered *outgoing, alive context.Context, first bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	found, open := c.sessions[key]
+	if !open {
+		via := c.board.pick(key.zone)
+		if via == nil {
+			return nil, nil, false
+		}
+		c.last++
+		found = &outgoing{number: c.last, via: via}
+		c.sessions[key] = found
+	}
+	if found.via.alive == nil {
+		return nil, nil, false
+	}
+	found.open++
+	found.via.inFlight++
+	return found, found.via.alive, !open
+}
+
+// leave counts an attempt out again, which was given up here or has ended there.
+func (c *Client) leave(key sessionOf, from *outgoing, err error, givenUp bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	from.open--
+	from.via.inFlight--
+	if from.open == 0 && c.sessions[key] == from {
+		delete(c.sessions, key)
+	}
+	switch {
+	case givenUp:
+	case errors.Is(err, peer.ErrLost), peer.NotExecuted(err):
+		c.lost(from.via) // its process has ended, most likely
+	case err == nil:
+		from.via.heard(c.clock.Now())
+	}
+}
+
+// lost takes a combiner to be lost. The caller holds the mutex.
+func (c *Client) lost(one *target) {
+	if one.lose() {
+		event.Log(c.logger, event.CombinerLost{Peer: one.Name, InFlight: one.inFlight})
+	}
+}
+
+// fetch hands one attempt to a combiner. It returns false if the combiner did
+// nothing with it.
+func (c *Client) fetch(ctx, alive context.Context, by *outgoing, first bool, attempt scatter.Attempt[*forward.Request]) (*scatter.Response[forward.Part], error, bool) {
+	calling, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(alive, func() { cancel(errSilent) })
+	defer stop()
+	asked := fetchRequest{Session: by.number, Address: attempt.Leaf, Instance: attempt.BootID}
+	if first {
+		asked.Query = headOf(attempt.Payload, attempt.Remaining)
+	}
+	var response fetchResponse
+	err := c.caller.Call(calling, by.via.Peer, methodFetch, &asked, &response)
+	switch {
+	case peer.NotExecuted(err):
+		return nil, err, false
+	case err != nil && ctx.Err() != nil:
+		c.metrics.attempts.WithLabelValues("given_up").Inc()
+		return nil, &leaf.TransportError{Step: stepCombiner, Peer: attempt.Leaf, Sent: true, Err: err}, true
+	case err != nil:
+		c.metrics.attempts.WithLabelValues("lost").Inc()
+		return nil, &leaf.TransportError{Step: stepCombiner, Peer: by.via.Peer, Sent: true, OnTheWay: true, Err: err}, true
+	case response.UnknownSession:
+		return nil, nil, false
+	}
+	c.metrics.attempts.WithLabelValues("combined").Inc()
+	if failed := response.Failure; failed != nil {
+		return nil, &leaf.TransportError{Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Err: errors.New(failed.Text)}, true
+	}
+	return response.scatterResponse(attempt), nil, true
+}
+
+func (r *fetchResponse) scatterResponse(attempt scatter.Attempt[*forward.Request]) *scatter.Response[forward.Part] {
+	return &scatter.Response[forward.Part]{
+		Executed: r.Executed, Failed: r.Failed, Refusal: r.Refusal, RetryAfter: r.RetryAfter, Load: r.Load,
+		Shard: attempt.Shard, Snapshot: attempt.Snapshot,
+		Part: forward.Part{Status: r.Status, Signature: r.Signature, Body: r.Body, Dropped: r.Dropped},
+	}
+}
+
+// Run keeps in touch with the combiners until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.config.HeartbeatInterval / 2)
+	defer ticker.Stop()
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for {
+		for _, one := range c.due() {
+			asking.Go(func() { c.ask(ctx, one) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// due returns the combiners to be asked, and takes those to be lost that were
+// silent.
+func (c *Client) due() []*target {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	asked, lost := c.board.due(c.clock.Now())
+	for _, one := range lost {
+		event.Log(c.logger, event.CombinerLost{Peer: one.Name, InFlight: one.inFlight})
+	}
+	return asked
+}
+
+// ask asks one combiner whether it lives. Its silence is noticed by due.
+func (c *Client) ask(ctx context.Context, of *target) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.HeartbeatTimeout)
+	defer cancel()
+	started := c.clock.Now()
+	var response pingResponse
+	err := c.caller.Call(ctx, of.Peer, methodPing, &pingRequest{From: c.self.Name}, &response)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	of.asking = false
+	if err != nil {
+		return
+	}
+	regained := of.alive == nil
+	now := c.clock.Now()
+	of.answered(now, now-started)
+	if regained {
+		event.Log(c.logger, event.CombinerInTouch{Peer: of.Name, Zone: of.Zone})
+	}
+}
--- /dev/null
+++ b/internal/combine/combine.go
@@ -0,0 +1,60 @@
+// Package combine lets attempts at leaves of another zone go through a node
+// there, the combiner, which thins out their parts before these cross to this
+// zone.
+//
+// An answer of many shards holds only the greatest records of all parts. Each
+// part that comes back from another zone in full is mostly records that do not
+// count. The combiner keeps the greatest records of a query's parts so far and
+// sends on only those of a new part that are among them, with the greatest of
+// the others. From that the node that merges sees whether anything is missing;
+// see records.Covers.
+//
+// A combiner decides nothing: leaves, hedges, repeats and the budget stay with
+// the node that runs the query, which gets the end of every attempt by itself.
+// If no combiner of a zone is in touch, attempts go to the leaves directly. An
+// attempt is handed to one combiner at most. It is sent directly after that
+// only on proof that the combiner did nothing with it.
+package combine
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// Caller makes calls to other nodes; *peer.Client is one.
+type Caller interface {
+	Call(ctx context.Context, to netip.AddrPort, method string, request, response any) error
+}
+
+// Leaves sends attempts to leaves.
+type Leaves = scatter.LeafClient[*forward.Request, forward.Part]
+
+// Config is the policy of a Client. All fields must be set.
+type Config struct {
+	// CombinersPerZone is how many nodes of each other zone are kept in touch
+	// with.
+	CombinersPerZone int
+	// HeartbeatInterval is how long a combiner may be silent before it is asked
+	// whether it lives.
+	HeartbeatInterval time.Duration
+	// HeartbeatTimeout is after how long a silence it is taken to be lost, with
+	// the attempts that it has in hand.
+	HeartbeatTimeout time.Duration
+	// MaxRoundTrip is the mean time of a question and its answer from which a
+	// combiner is too slow to be used.
+	MaxRoundTrip time.Duration
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		CombinersPerZone:  2,
+		HeartbeatInterval: 100 * time.Millisecond,
+		HeartbeatTimeout:  350 * time.Millisecond,
+		MaxRoundTrip:      15 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/combine/server.go
@@ -0,0 +1,160 @@
+package combine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/peer"
+	"github.com/micaplank/micaplank/internal/records"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// headTimeout bounds the wait for the attempt of a session that brings the
+// query: it was sent before the others, on the same connection.
+const headTimeout = 20 * time.Millisecond
+
+// sessionKey names a query of another node, by the connection that it came on.
+type sessionKey struct {
+	from   netip.AddrPort
+	number uint64
+}
+
+// session is a query of another node while its attempts may come.
+type session struct {
+	// known is closed once query is set.
+	known chan struct{}
+	query *forward.Request
+
+	mutex sync.Mutex
+	top   *records.Top
+}
+
+// combiner runs attempts for other nodes.
+type combiner struct {
+	leaves Leaves
+
+	mutex    sync.Mutex
+	sessions map[sessionKey]*session
+}
+
+// Serve runs attempts of other nodes at leaves. It is called before the server
+// serves.
+func Serve(server *peer.Server, leaves Leaves) {
+	c := &combiner{leaves: leaves, sessions: make(map[sessionKey]*session)}
+	peer.Register(server, methodPing, func(context.Context, netip.AddrPort, *pingRequest) (*pingResponse, error) {
+		return &pingResponse{Alive: true}, nil
+	})
+	peer.Register(server, methodFetch, func(ctx context.Context, from netip.AddrPort, request *fetchRequest) (*fetchResponse, error) {
+		return c.fetch(ctx, from, request), nil
+	})
+}
+
+// fetch runs one attempt and thins out its part.
+func (c *combiner) fetch(ctx context.Context, from netip.AddrPort, request *fetchRequest) *fetchResponse {
+	of := c.session(sessionKey{from, request.Session}, request.Query)
+	if !of.await(ctx) {
+		return &fetchResponse{UnknownSession: true}
+	}
+	deadline, _ := ctx.Deadline()
+	response, err := c.leaves.Execute(ctx, scatter.Attempt[*forward.Request]{
+		Send:       dispatch.Send{Leaf: request.Address, BootID: request.Instance},
+		RequestID:  of.query.ID,
+		Repeatable: true,
+		Remaining:  time.Until(deadline),
+		Payload:    of.query,
+	})
+	if err != nil {
+		return &fetchResponse{Failure: failureOf(err)}
+	}
+	return of.responseOf(response)
+}
+
+// session returns the session of an attempt, which may bring its query. One
+// without a query is made for an attempt that overtook the first.
+func (c *combiner) session(key sessionKey, query *queryHead) *session {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	found, known := c.sessions[key]
+	if !known {
+		found = &session{known: make(chan struct{})}
+		c.sessions[key] = found
+	}
+	switch {
+	case query != nil && found.query == nil:
+		found.query = query.request()
+		found.top = records.NewTop(query.TopK)
+		close(found.known)
+		time.AfterFunc(query.SessionLimit, func() { c.forget(key, found) })
+	case !known:
+		time.AfterFunc(headTimeout, func() { c.forgetUnknown(key, found) })
+	}
+	return found
+}
+
+// forget drops a session whose query has ended.
+func (c *combiner) forget(key sessionKey, ended *session) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.sessions[key] == ended {
+		delete(c.sessions, key)
+	}
+}
+
+// forgetUnknown drops a session whose query did not come.
+func (c *combiner) forgetUnknown(key sessionKey, waiting *session) {
+	c.mutex.Lock()
+	unknown := waiting.query == nil
+	c.mutex.Unlock()
+	if unknown {
+		c.forget(key, waiting)
+	}
+}
+
+// await waits for the query of the session.
+func (s *session) await(ctx context.Context) bool {
+	select {
+	case <-s.known:
+		return true
+	default:
+	}
+	waiting := time.NewTimer(headTimeout)
+	defer waiting.Stop()
+	select {
+	case <-s.known:
+		return true
+	case <-waiting.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// responseOf thins out the part of a response.
+func (s *session) responseOf(received *scatter.Response[forward.Part]) *fetchResponse {
+	response := &fetchResponse{
+		Executed: received.Executed, Failed: received.Failed, Refusal: received.Refusal,
+		RetryAfter: received.RetryAfter, Load: received.Load, Status: received.Part.Status,
+	}
+	if !received.Executed || received.Failed || received.Part.Status >= http.StatusMultipleChoices {
+		return response
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	response.Signature = received.Part.Signature
+	response.Body, response.Dropped = s.top.Add(received.Part.Body)
+	return response
+}
+
+func failureOf(err error) *failure {
+	var transport *leaf.TransportError
+	if errors.As(err, &transport) {
+		return &failure{Step: transport.Step, Sent: transport.Sent, Text: transport.Err.Error()}
+	}
+	return &failure{Step: stepCombiner, Sent: true, Text: err.Error()}
+}
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -125,6 +125,8 @@
 	Query   QueryID
 	Shard   int
 	Leaf    netip.AddrPort
+	// Zone is that of the leaf.
+	Zone string
 	// BootID is the incarnation of the leaf that the attempt is meant for, as
 	// the topology lists it.
 	BootID   string
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -161,11 +161,13 @@
 	if failure.Sent {
 		d.counters.FailedSent++
 		q.executed = true
-		l.speed.GaveUp(ratio)
+		if !failure.OnTheWay {
+			l.speed.GaveUp(ratio)
+		}
 	} else {
 		d.counters.FailedUnsent++
 	}
-	if ended.wanted && !failure.Aborted {
+	if ended.wanted && !failure.Aborted && !failure.OnTheWay {
 		l.failed(d.now, d.config.Backoff)
 	}
 	if ended.wanted && q.shards[ended.position].status != shardAnswered {
--- a/internal/decide/dispatch/events.go
+++ b/internal/decide/dispatch/events.go
@@ -32,6 +32,9 @@
 	Sent bool
 	// Aborted is set if the attempt ended because the driver cancelled it.
 	Aborted bool
+	// OnTheWay is set if the attempt was lost with another node that had it in
+	// hand, which says nothing of the leaf.
+	OnTheWay bool
 }
 
 // LeafState describes one leaf for status pages.
--- a/internal/decide/dispatch/mechanism_test.go
+++ b/internal/decide/dispatch/mechanism_test.go
@@ -288,6 +288,29 @@
 	}
 }
 
+// TestLossOnTheWaySaysNothingOfTheLeaf repeats an attempt that was lost with
+// another node, and goes on with its leaf as before.
+func TestLossOnTheWaySaysNothingOfTheLeaf(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.load(10)
+	id := r.submit(1)
+	send := r.open[0]
+	before := r.d.LeafStates()[r.leafOf(send)]
+	r.now += 150 * time.Millisecond
+	r.open = nil
+	r.perform(r.d.Fail(r.now, send.Attempt, Failure{Sent: true, OnTheWay: true}))
+	if len(r.open) != 1 || !r.open[0].Extra {
+		t.Fatalf("not repeated: %+v", r.open)
+	}
+	if state := r.d.LeafStates()[r.leafOf(send)]; state.HeldUntil > r.now || state.Slowness > before.Slowness {
+		t.Errorf("%+v, before %+v", state, before)
+	}
+	r.run(20 * time.Millisecond)
+	if r.finishes[id].Outcome != OutcomeAnswered {
+		t.Errorf("%+v", r.finishes[id])
+	}
+}
+
 func TestRequestThatMayNotBeRepeatedAvoidsDoubtfulLeaves(t *testing.T) {
 	r := newRig(t, 2, nil)
 	r.load(10)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -228,6 +228,7 @@
 		Query:     q.ID,
 		Shard:     entry.shard,
 		Leaf:      l.address,
+		Zone:      l.zone,
 		BootID:    l.listedBoot,
 		Snapshot:  q.snapshot,
 		Remaining: q.Deadline - d.now,
--- a/internal/event/belief.go
+++ b/internal/event/belief.go
@@ -261,3 +261,37 @@
 func (ExecutorInTouch) Describe() string {
 	return "Requests of many shards may be handed to it."
 }
+
+// CombinerLost tells that a node of another zone does not answer any more.
+type CombinerLost struct {
+	Peer     string `event:"peer" doc:"name of the node"`
+	InFlight int    `event:"in_flight" doc:"attempts that it had in hand, which are lost with it"`
+}
+
+// Message implements Event.
+func (CombinerLost) Message() string { return "combiner lost" }
+
+// Level implements Event.
+func (CombinerLost) Level() slog.Level { return slog.LevelWarn }
+
+// Describe implements Event.
+func (CombinerLost) Describe() string {
+	return "Attempts at leaves of its zone go through another node there, or directly."
+}
+
+// CombinerInTouch tells that a node of another zone answers.
+type CombinerInTouch struct {
+	Peer string `event:"peer" doc:"name of the node"`
+	Zone string `event:"zone" doc:"its zone"`
+}
+
+// Message implements Event.
+func (CombinerInTouch) Message() string { return "combiner in touch" }
+
+// Level implements Event.
+func (CombinerInTouch) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (CombinerInTouch) Describe() string {
+	return "Attempts at leaves of its zone may go through it, which thins out their parts."
+}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -83,7 +83,7 @@
 		ConfigInstalled{}, ConfigRejected{},
 		LeafChanged{}, LeafRejected{},
 		NodeChanged{}, NodeRejected{}, NodeNotAnnounced{}, LeaseLapsed{}, LeaseNotRenewed{},
-		ExecutorInTouch{}, ExecutorsLost{},
+		ExecutorInTouch{}, ExecutorsLost{}, CombinerInTouch{}, CombinerLost{},
 		Started{}, Draining{}, Stopped{}, SettingsRead{}, SettingsRejected{}, Failed{},
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,6 +36,9 @@
 	// Away is the time that the request spent on another node, and that its
 	// answer will take back over it. It counts for the objective.
 	Away time.Duration
+	// TopK is how many records of all parts the answer holds; zero if it is the
+	// one part unchanged. The Forwarder sets it.
+	TopK int
 }
 
 // Part is a leaf's whole answer.
@@ -45,6 +48,10 @@
 	Body   []byte
 	// Signature is the leaf's mark of the answer.
 	Signature string
+	// Dropped is the greatest record that another node left out of Body, since
+	// it cannot be among the greatest of the parts that it sent before; empty if
+	// Body is whole.
+	Dropped []byte
 }
 
 // Fate says what became of a request.
@@ -237,6 +244,10 @@
 func (f *Forwarder) plan(matched *route.Route, request *Request) scatter.Request[*Request] {
 	class := f.class(matched)
 	objective := f.objective(matched, class.Name, request)
+	request.TopK = 0
+	if len(matched.Shards) > 0 {
+		request.TopK = matched.TopK
+	}
 	return scatter.Request[*Request]{
 		RequestID:       request.ID,
 		Class:           class,
--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -5,6 +5,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/micaplank/micaplank/internal/combine"
 	"github.com/micaplank/micaplank/internal/event"
 	"github.com/micaplank/micaplank/internal/forward"
 	"github.com/micaplank/micaplank/internal/peer"
@@ -53,11 +54,25 @@
 		return nil, err
 	}
 	relay.Serve(server, executor{f})
+	combine.Serve(server, f.ports.Leaves)
 	f.serveWatches(server)
 	server.Serve()
 	return server, nil
 }
 
+// combiners returns the nodes through which attempts at leaves of other zones
+// may go. A node that hands its requests to executors needs none.
+func combiners(roles relay.Roles, members []roster.Member) []roster.Member {
+	switch {
+	case roles.Self == relay.RoleRelay:
+		return nil
+	case len(roles.Executors) > 0:
+		return roles.Executors
+	default:
+		return members
+	}
+}
+
 // self is what a node tells the others.
 func (f *Frontend) self() roster.Member {
 	return roster.Member{
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -174,6 +174,7 @@
 	members := f.nodes.Members(f.clock.Now())
 	roles := relay.Assign(f.member, members)
 	f.relay.SetRoles(roles, f.terms())
+	f.combine.SetMembers(combiners(roles, members))
 	f.setWatchers(members)
 	divided := shareOf(roles, members, nodes)
 	f.conn.ResizeBudget(divided.budget(f.settings.Forward))
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/combine"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/forward"
 	"github.com/micaplank/micaplank/internal/lease"
@@ -106,6 +107,7 @@
 	peers     *peer.Client
 	shared    *mirror.Shared
 	relay     *relay.Relay
+	combine   *combine.Client
 	conn      *scatter.Conn[*forward.Request, forward.Part]
 	forwarder *forward.Forwarder
 	draining  atomic.Bool
@@ -139,10 +141,12 @@
 		Doubt:    f.settings.Forward.LeafDoubt.Duration(),
 		Settling: f.settings.Forward.LeafSettling.Duration(),
 	}, f.index)
+	f.peers = peer.NewClient(peer.ClientOptions{}, registerer)
+	f.combine = combine.New(combine.DefaultConfig(), f.member, f.ports.Leaves, f.peers, f.clock, registerer, f.logger)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	f.conn = scatter.NewConn(scatter.Config[*forward.Request, forward.Part]{
 		AttemptPrefix: f.settings.Name,
-		Leaves:        f.ports.Leaves,
+		Leaves:        f.combine,
 		Clock:         f.clock,
 		Guard:         func() error { return nil },
 		Metrics:       scatter.NewMetrics(registerer),
@@ -151,7 +155,6 @@
 	}, dispatch.New(dispatchConfig(f.settings), random))
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
-	f.peers = peer.NewClient(peer.ClientOptions{}, registerer)
 	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{f.peers}, f.logger)
 	f.relay = relay.New(relay.DefaultConfig(), f.member, f.peers, f.clock, registerer, f.logger)
 	registerer.MustRegister(newCollector(f))
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -56,6 +56,7 @@
 	background.Go(func() { f.mirror().Run(following) })
 	background.Go(func() { f.announcement().Run(following) })
 	background.Go(func() { f.relay.Run(following) })
+	background.Go(func() { f.combine.Run(following) })
 	failed := make(chan error, len(servers))
 	for _, one := range servers {
 		background.Go(func() { failed <- ignoreClosed(one.Serve()) })
--- a/internal/leaf/errors.go
+++ b/internal/leaf/errors.go
@@ -32,6 +32,9 @@
 	Step Step
 	Peer netip.AddrPort
 	Sent bool
+	// OnTheWay is set if the call was lost with another node that had it in
+	// hand: it says nothing of the leaf.
+	OnTheWay bool
 	// Err is the cause. It carries the attributes step and peer.
 	Err error
 }
--- /dev/null
+++ b/internal/records/top_test.go
@@ -0,0 +1,78 @@
+package records
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// drawParts returns parts with many equal records, and remainders.
+func drawParts(t *rapid.T) [][]byte {
+	part := rapid.SliceOfN(rapid.ByteRange(0, 2), 0, 5*Size+Size/2)
+	return rapid.SliceOfN(part, 0, 6).Draw(t, "parts")
+}
+
+// TestTopLosesNothing thins parts out one by one: the greatest records of what
+// is left are those of the whole parts.
+func TestTopLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := drawParts(t)
+		k := rapid.IntRange(0, 8).Draw(t, "k")
+		top := NewTop(k)
+		var thinned [][]byte
+		for _, part := range parts {
+			kept, _ := top.Add(part)
+			thinned = append(thinned, kept)
+		}
+		if got, want := Greatest(k, thinned), Greatest(k, parts); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
+
+// TestCoversTellsWhatIsMissing leaves some thinned parts out, as a query does
+// that settles: if Covers holds for all that are used, the greatest records are
+// those of the whole parts.
+func TestCoversTellsWhatIsMissing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := drawParts(t)
+		k := rapid.IntRange(0, 8).Draw(t, "k")
+		top := NewTop(k)
+		var whole, thinned, dropped [][]byte
+		for _, part := range parts {
+			kept, greatest := top.Add(part)
+			if rapid.Bool().Draw(t, "used") {
+				whole, thinned, dropped = append(whole, part), append(thinned, kept), append(dropped, greatest)
+			}
+		}
+		got := Greatest(k, thinned)
+		for _, one := range dropped {
+			if !Covers(got, k, one) {
+				return
+			}
+		}
+		if want := Greatest(k, whole); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
+
+func TestTopDropsWhatCannotCount(t *testing.T) {
+	of := func(values ...byte) (part []byte) {
+		for _, value := range values {
+			part = append(part, bytes.Repeat([]byte{value}, Size)...)
+		}
+		return part
+	}
+	top := NewTop(2)
+	if kept, dropped := top.Add(of(1, 5, 3)); !bytes.Equal(kept, of(5, 3)) || !bytes.Equal(dropped, of(1)) {
+		t.Errorf("first part: kept %x, dropped %x", kept, dropped)
+	}
+	if kept, dropped := top.Add(of(4, 2)); !bytes.Equal(kept, of(4)) || !bytes.Equal(dropped, of(2)) {
+		t.Errorf("second part: kept %x, dropped %x", kept, dropped)
+	}
+	if kept, dropped := top.Add(of(9)); !bytes.Equal(kept, of(9)) || dropped != nil {
+		t.Errorf("third part: kept %x, dropped %x", kept, dropped)
+	}
+}
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -74,7 +74,7 @@
 		entry.Took = now - running.begun - entry.At
 	}
 	if err != nil {
-		failure := dispatch.Failure{Sent: mayHaveBeenSent(err), Aborted: started.aborted}
+		failure := dispatch.Failure{Sent: mayHaveBeenSent(err), Aborted: started.aborted, OnTheWay: lostOnTheWay(err)}
 		c.config.Metrics.countFailure(failure)
 		return c.dispatcher.Fail(now, id, failure)
 	}
@@ -133,6 +133,12 @@
 	return true
 }
 
+// lostOnTheWay reports whether the attempt was lost with another node.
+func lostOnTheWay(err error) bool {
+	var transport *leaf.TransportError
+	return errors.As(err, &transport) && transport.OnTheWay
+}
+
 func (c *Conn[Q, P]) noteDraining(address netip.AddrPort, response *Response[P]) {
 	if response == nil || c.config.OnDraining == nil {
 		return
