dispatch, scatter: attempts that are overdue when they lose are given up at once

Cause: an attempt that is not wanted any more goes on for 100 ms, so that its connection can be used again. One that waits behind a leaf's pause is then still in the leaf's queue when the pause ends, and takes a slot for nothing, while the shard's other leaf is slow and the queue is what makes parts late.

Change: an abort says whether the attempt has taken twice the time expected; then its connection is closed at once.

--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -64,6 +64,10 @@
 	// Review is how often waiting attempts are looked at again without an
 	// event on their leaves. Default 2 ms.
 	Review time.Duration
+	// AbortAge is the age from which an attempt that is not wanted any more
+	// counts as overdue, over the time expected of an ordinary leaf with its
+	// queue. Default 2.
+	AbortAge float64
 	// MaximumSends is how many attempts one shard of one query may cause.
 	// Default 8.
 	MaximumSends int
@@ -143,6 +147,7 @@
 		},
 		InitialLatency: 20 * time.Millisecond,
 		Review:         2 * time.Millisecond,
+		AbortAge:       2,
 		MaximumSends:   8,
 		MaximumLost:    3,
 	}
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -172,6 +172,10 @@
 // Abort cancels an attempt whose reply is not wanted any more.
 type Abort struct {
 	Attempt AttemptID
+	// Overdue is set if the attempt has taken much longer than expected: it
+	// waits in a queue, most likely, and its end is not near. The leaf should be
+	// freed of it at once.
+	Overdue bool
 }
 
 // Finish ends a query. It is returned exactly once for each submitted query,
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -255,5 +255,6 @@
 	d.unlink(entry)
 	entry.wanted = false
 	d.counters.Aborts++
-	d.actions = append(d.actions, Abort{Attempt: entry.id})
+	age := (d.now - entry.sentAt).Seconds()
+	d.actions = append(d.actions, Abort{Attempt: entry.id, Overdue: age >= d.config.AbortAge*entry.expected})
 }
--- a/internal/decide/dispatch/mechanism_test.go
+++ b/internal/decide/dispatch/mechanism_test.go
@@ -26,6 +26,7 @@
 	open     []Send
 	sent     []int // by leaf
 	aborted  []AttemptID
+	overdue  []bool // of the aborted
 	finishes map[QueryID]Finish
 	nextID   QueryID
 	hedge    float64      // percentile
@@ -58,6 +59,7 @@
 			r.sent[r.leafOf(action)]++
 		case Abort:
 			r.aborted = append(r.aborted, action.Attempt)
+			r.overdue = append(r.overdue, action.Overdue)
 			index := slices.IndexFunc(r.open, func(s Send) bool { return s.Attempt == action.Attempt })
 			r.open = slices.Delete(r.open, index, index+1)
 			r.perform(r.d.Fail(r.now, action.Attempt, Failure{Sent: true, Aborted: true}))
@@ -157,6 +159,30 @@
 	}
 }
 
+// TestOverdueLosersAreMarked tells an attempt that is stuck from one that only
+// came second.
+func TestOverdueLosersAreMarked(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		first, second time.Duration // that the attempts take
+		overdue       bool
+	}{
+		{"the second is sent just before the first ends", 15 * time.Millisecond, 30 * time.Millisecond, false},
+		{"the first is stuck", time.Second, 15 * time.Millisecond, true},
+	} {
+		r := newRig(t, 2, nil)
+		r.load(200)
+		r.submit(1)
+		first := r.leafOf(r.open[0])
+		r.took[first], r.took[1-first] = test.first, test.second
+		r.overdue = nil
+		r.run(60 * time.Millisecond)
+		if len(r.overdue) != 1 || r.overdue[0] != test.overdue {
+			t.Errorf("%s: aborts, overdue or not: %v", test.name, r.overdue)
+		}
+	}
+}
+
 func TestExtraLoadStaysWithinTheBudget(t *testing.T) {
 	r := newRig(t, 2, nil)
 	r.hedge = 0.5
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -256,7 +256,7 @@
 	case dispatch.Send:
 		c.start(action)
 	case dispatch.Abort:
-		c.abort(action.Attempt)
+		c.abort(action)
 	case dispatch.Finish:
 		c.finish(action)
 	}
@@ -289,13 +289,15 @@
 	go c.run(ctx, started, running)
 }
 
-func (c *Conn[Q, P]) abort(id dispatch.AttemptID) {
-	started := c.attempts[id]
+// abort gives up an attempt. One whose end may be near goes on for a while, so
+// that its connection can be used again.
+func (c *Conn[Q, P]) abort(given dispatch.Abort) {
+	started := c.attempts[given.Attempt]
 	if started == nil {
 		return
 	}
 	started.aborted = true
-	if c.config.Linger == 0 {
+	if c.config.Linger == 0 || given.Overdue {
 		started.cancel()
 		return
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -78,7 +78,8 @@
 	// Trace collects the attempts of each query for its Result.
 	Trace bool
 	// Linger is how long an attempt that is not wanted any more may go on, so
-	// that its connection can be used again. Zero cancels it at once.
+	// that its connection can be used again, unless it is overdue. Zero cancels
+	// it at once.
 	Linger time.Duration
 }
 
