forward, combine, records: combiners leave out records below a floor, and hand them in later if they count

A combiner with five parts of a query cannot know that the other zones hold greater ones.

Change: from the parts that came whole, those of its own zone, a node estimates the record above which half as many again as an answer holds are expected (the least of the last eight answers of a kind), and tells it with the query. A combiner leaves out what is below, and keeps it. When the merge shows that a record may be missing, the rest is fetched from the combiner, and the estimate begins anew. The answer is exact either way.

--- a/internal/combine/client.go
+++ b/internal/combine/client.go
@@ -169,7 +169,27 @@
 	if failed := response.Failure; failed != nil {
 		return nil, &leaf.TransportError{Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Err: errors.New(failed.Text)}, true
 	}
-	return response.scatterResponse(attempt), nil, true
+	result := response.scatterResponse(attempt)
+	if len(response.Dropped) > 0 {
+		result.Part.Rest = c.restOf(by, response.Number)
+	}
+	return result, nil, true
+}
+
+// errForgotten says that a combiner does not hold the rest of a part any more.
+var errForgotten = errors.New("combiner has forgotten the part")
+
+// restOf returns the function that fetches what was left out of a part.
+func (c *Client) restOf(by *outgoing, number int) func(context.Context, []byte) ([]byte, error) {
+	return func(ctx context.Context, floor []byte) ([]byte, error) {
+		var response restResponse
+		err := c.caller.Call(ctx, by.via.Peer, methodRest, &restRequest{Session: by.number, Number: number, Floor: floor}, &response)
+		c.metrics.rests.Inc()
+		if err == nil && !response.Known {
+			err = errForgotten
+		}
+		return response.Records, err
+	}
 }
 
 func (r *fetchResponse) scatterResponse(attempt scatter.Attempt[*forward.Request]) *scatter.Response[forward.Part] {
--- a/internal/combine/combine_test.go
+++ b/internal/combine/combine_test.go
@@ -154,6 +154,14 @@
 	if want := part(3); !bytes.Equal(response.Part.Dropped, want.Part.Body) {
 		t.Errorf("dropped %x", response.Part.Dropped)
 	}
+	for name, test := range map[string]struct{ floor, want []byte }{
+		"all":           {nil, part(3, 1).Part.Body},
+		"not below two": {part(2).Part.Body, part(3).Part.Body},
+	} {
+		if rest, err := response.Part.Rest(t.Context(), test.floor); err != nil || !bytes.Equal(rest, test.want) {
+			t.Errorf("the rest, %s: %x, %v", name, rest, err)
+		}
+	}
 	if response.Shard != 3 || !response.Executed {
 		t.Errorf("response %+v", response)
 	}
@@ -285,6 +293,22 @@
 	r.await("a combiner in touch", func() bool { return r.client.board.pick("b") != nil })
 }
 
+// TestRecordsBelowTheFloorStay leaves out what the asking node takes to be too
+// small, and tells when the rest of a part is not to be had any more.
+func TestRecordsBelowTheFloorStay(t *testing.T) {
+	r := newRig(t, answers(5, 1))
+	asked := query()
+	asked.Floor = part(4).Part.Body
+	response, err := r.execute(attemptAt("b", asked))
+	if err != nil || !bytes.Equal(response.Part.Body, part(5).Part.Body) || !bytes.Equal(response.Part.Dropped, part(1).Part.Body) {
+		t.Fatalf("%+v, %v", response, err)
+	}
+	r.closeServer()
+	if _, err := response.Part.Rest(t.Context(), nil); err == nil {
+		t.Error("a lost combiner gave the rest")
+	}
+}
+
 // TestUnknownSession sends an attempt directly, once, whose query the combiner
 // does not know.
 func TestUnknownSession(t *testing.T) {
--- a/internal/combine/message.go
+++ b/internal/combine/message.go
@@ -11,6 +11,7 @@
 // The methods of the calls between nodes.
 const (
 	methodFetch = "combine.fetch"
+	methodRest  = "combine.rest"
 	methodPing  = "combine.ping"
 )
 
@@ -33,25 +34,25 @@
 
 // queryHead is what all attempts of a query have in common.
 type queryHead struct {
-	ID           string
-	Method       string
-	Host, Path   string
-	Head, Body   []byte
-	TopK         int
-	SessionLimit time.Duration
+	ID         string
+	Method     string
+	Head, Body []byte
+	TopK       int
+	// Floor is a record below which none is likely to count.
+	Floor []byte
+	// Limit is how long attempts of the query may come.
+	Limit time.Duration
 }
 
 func headOf(request *forward.Request, limit time.Duration) *queryHead {
 	return &queryHead{
-		ID: request.ID, Method: request.Method, Host: request.Host, Path: request.Path,
-		Head: request.Head, Body: request.Body, TopK: request.TopK, SessionLimit: limit,
+		ID: request.ID, Method: request.Method, Head: request.Head, Body: request.Body,
+		TopK: request.TopK, Floor: request.Floor, Limit: limit,
 	}
 }
 
 func (q *queryHead) request() *forward.Request {
-	return &forward.Request{
-		ID: q.ID, Method: q.Method, Host: q.Host, Path: q.Path, Head: q.Head, Body: q.Body, TopK: q.TopK,
-	}
+	return &forward.Request{ID: q.ID, Method: q.Method, Head: q.Head, Body: q.Body, TopK: q.TopK, Floor: q.Floor}
 }
 
 // fetchResponse is the end of an attempt.
@@ -71,7 +72,24 @@
 	Status    int
 	Signature string
 	Body      []byte
-	Dropped   []byte
+	// Dropped is the greatest record that was left out, and Number names the
+	// part to a restRequest; both are zero if the part is whole.
+	Dropped []byte
+	Number  int
+}
+
+// restRequest asks for the records that were left out of a part and are not
+// below a floor.
+type restRequest struct {
+	Session uint64
+	Number  int
+	Floor   []byte
+}
+
+// restResponse holds them, if the session is still known.
+type restResponse struct {
+	Known   bool
+	Records []byte
 }
 
 // failure is a leaf.TransportError between the combiner and the leaf.
--- a/internal/combine/metrics.go
+++ b/internal/combine/metrics.go
@@ -5,6 +5,7 @@
 // metrics are those of a Client.
 type metrics struct {
 	attempts *prometheus.CounterVec
+	rests    prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -13,7 +14,11 @@
 			Name: "micaplank_combine_attempts_total",
 			Help: "Attempts of requests of many shards at leaves of other zones, by way: combined, direct (no combiner in touch), not_taken (the combiner did nothing, then direct), given_up (not wanted any more) or lost (with the combiner).",
 		}, []string{"way"}),
+		rests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "micaplank_combine_rests_total",
+			Help: "Parts of which a combiner had left out records that counted after all.",
+		}),
 	}
-	registerer.MustRegister(created.attempts)
+	registerer.MustRegister(created.attempts, created.rests)
 	return created
 }
--- a/internal/combine/server.go
+++ b/internal/combine/server.go
@@ -34,6 +34,8 @@
 
 	mutex sync.Mutex
 	top   *records.Top
+	// left holds what was left out of each part, by its number less one.
+	left [][]byte
 }
 
 // combiner runs attempts for other nodes.
@@ -54,6 +56,9 @@
 	peer.Register(server, methodFetch, func(ctx context.Context, from netip.AddrPort, request *fetchRequest) (*fetchResponse, error) {
 		return c.fetch(ctx, from, request), nil
 	})
+	peer.Register(server, methodRest, func(_ context.Context, from netip.AddrPort, request *restRequest) (*restResponse, error) {
+		return c.rest(from, request), nil
+	})
 }
 
 // fetch runs one attempt and thins out its part.
@@ -89,9 +94,9 @@
 	switch {
 	case query != nil && found.query == nil:
 		found.query = query.request()
-		found.top = records.NewTop(query.TopK)
+		found.top = records.NewTop(query.TopK, query.Floor)
 		close(found.known)
-		time.AfterFunc(query.SessionLimit, func() { c.forget(key, found) })
+		time.AfterFunc(query.Limit, func() { c.forget(key, found) })
 	case !known:
 		time.AfterFunc(headTimeout, func() { c.forgetUnknown(key, found) })
 	}
@@ -146,11 +151,32 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	var left []byte
 	response.Signature = received.Part.Signature
-	response.Body, response.Dropped = s.top.Add(received.Part.Body)
+	response.Body, left = s.top.Add(received.Part.Body)
+	if len(left) > 0 {
+		s.left = append(s.left, left)
+		response.Dropped, response.Number = records.Max(left), len(s.left)
+	}
 	return response
 }
 
+// rest returns what was left out of a part.
+func (c *combiner) rest(from netip.AddrPort, request *restRequest) *restResponse {
+	c.mutex.Lock()
+	of := c.sessions[sessionKey{from, request.Session}]
+	c.mutex.Unlock()
+	if of == nil {
+		return &restResponse{}
+	}
+	of.mutex.Lock()
+	defer of.mutex.Unlock()
+	if request.Number < 1 || request.Number > len(of.left) {
+		return &restResponse{}
+	}
+	return &restResponse{Known: true, Records: records.NotBelow(of.left[request.Number-1], request.Floor)}
+}
+
 func failureOf(err error) *failure {
 	var transport *leaf.TransportError
 	if errors.As(err, &transport) {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"context"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/coverage"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
@@ -11,7 +14,7 @@
 )
 
 // answerOf makes the answer from the fate of the query.
-func answerOf(matched *route.Route, result scatter.Result[Part]) Answer {
+func (f *Forwarder) answerOf(ctx context.Context, matched *route.Route, result scatter.Result[Part]) Answer {
 	answer := Answer{
 		Reason:     result.Reason,
 		RetryAfter: result.RetryAfter,
@@ -21,7 +24,7 @@
 	}
 	switch {
 	case len(matched.Shards) > 0:
-		mergeParts(&answer, matched, result)
+		f.mergeParts(ctx, &answer, matched, result)
 	case len(result.Parts) == 1:
 		answer.Fate = FateAnswered
 		answer.Part = result.Parts[0].Part
@@ -35,8 +38,9 @@
 }
 
 // mergeParts makes the answer of a request to many shards.
-func mergeParts(answer *Answer, matched *route.Route, result scatter.Result[Part]) {
-	parts, body := greatestOf(matched.TopK, result.Parts)
+func (f *Forwarder) mergeParts(ctx context.Context, answer *Answer, matched *route.Route, result scatter.Result[Part]) {
+	parts, body, missed := greatestOf(ctx, matched.TopK, result.Parts)
+	f.floors.learn(kindOf(matched), matched.TopK, parts, missed)
 	progress := coverage.Progress{Total: len(matched.Shards), Answered: len(parts)}
 	if !progress.Enough(matched.MinCoverage) {
 		answer.Fate = failureOf(result)
@@ -51,22 +55,73 @@
 	answer.Missing = len(matched.Shards) - len(parts)
 }
 
+// restTimeout bounds the wait for records that were left out on the way and
+// count after all.
+const restTimeout = 100 * time.Millisecond
+
 // greatestOf returns the greatest records of the parts, and the parts that they
-// stand for. A part is left out if records are missing from it that would count:
-// another node left them out for the sake of a part that is not used here.
-func greatestOf(k int, parts []scatter.ShardPart[Part]) ([]scatter.ShardPart[Part], []byte) {
+// stand for. Records that were left out of a part and may count are fetched; a
+// part of which they cannot be had is left out. Missed is set if there were any.
+func greatestOf(ctx context.Context, k int, parts []scatter.ShardPart[Part]) (used []scatter.ShardPart[Part], greatest []byte, missed bool) {
+	used = parts
 	for {
-		bodies := make([][]byte, 0, len(parts))
-		for _, one := range parts {
-			bodies = append(bodies, one.Part.Body)
-		}
-		greatest := records.Greatest(k, bodies)
+		greatest = records.Greatest(k, bodiesOf(used))
 		lacking := func(one scatter.ShardPart[Part]) bool { return !records.Covers(greatest, k, one.Part.Dropped) }
-		if !slices.ContainsFunc(parts, lacking) {
-			return parts, greatest
+		if !slices.ContainsFunc(used, lacking) {
+			return used, greatest, missed
+		}
+		missed = true
+		used = complete(ctx, floorOf(greatest, k), used, lacking)
+	}
+}
+
+func bodiesOf(parts []scatter.ShardPart[Part]) [][]byte {
+	bodies := make([][]byte, 0, len(parts))
+	for _, one := range parts {
+		bodies = append(bodies, one.Part.Body)
+	}
+	return bodies
+}
+
+// floorOf returns the least of the k greatest records; nil if there are fewer.
+func floorOf(greatest []byte, k int) []byte {
+	if len(greatest) < k*records.Size {
+		return nil
+	}
+	return greatest[(k-1)*records.Size : k*records.Size]
+}
+
+// complete fetches what is left out of the lacking parts, from a floor on, and
+// returns all parts without those of which it cannot be had.
+func complete(ctx context.Context, floor []byte, parts []scatter.ShardPart[Part], lacking func(scatter.ShardPart[Part]) bool) []scatter.ShardPart[Part] {
+	ctx, cancel := context.WithTimeout(ctx, restTimeout)
+	defer cancel()
+	completed := slices.Clone(parts)
+	keep := make([]bool, len(parts))
+	var fetching sync.WaitGroup
+	for index := range completed {
+		if !lacking(completed[index]) {
+			keep[index] = true
+			continue
+		}
+		one := &completed[index].Part
+		if one.Rest == nil {
+			continue
+		}
+		fetching.Go(func() {
+			rest, err := one.Rest(ctx, floor)
+			one.Body, one.Dropped = slices.Concat(one.Body, rest), nil
+			keep[index] = err == nil
+		})
+	}
+	fetching.Wait()
+	kept := completed[:0]
+	for index, one := range completed {
+		if keep[index] {
+			kept = append(kept, one)
 		}
-		parts = slices.DeleteFunc(slices.Clone(parts), lacking)
 	}
+	return kept
 }
 
 // failureOf returns the fate of a request without a usable answer. Only what
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -39,6 +39,9 @@
 	// TopK is how many records of all parts the answer holds; zero if it is the
 	// one part unchanged. The Forwarder sets it.
 	TopK int
+	// Floor is a record below which none is likely to count in the answer; empty
+	// if nothing is known. The Forwarder sets it.
+	Floor []byte
 }
 
 // Part is a leaf's whole answer.
@@ -49,9 +52,11 @@
 	// Signature is the leaf's mark of the answer.
 	Signature string
 	// Dropped is the greatest record that another node left out of Body, since
-	// it cannot be among the greatest of the parts that it sent before; empty if
-	// Body is whole.
+	// it is unlikely to count in the answer; empty if Body is whole.
 	Dropped []byte
+	// Rest fetches the records left out that are not below a floor. It is set if
+	// Dropped is.
+	Rest func(ctx context.Context, floor []byte) ([]byte, error)
 }
 
 // Fate says what became of a request.
@@ -132,6 +137,7 @@
 	index     *registry.Index
 	splitter  *route.Splitter
 	patience  *patience
+	floors    *floors
 	table     atomic.Pointer[route.Table]
 	fresh     atomic.Bool
 	outage    atomic.Bool
@@ -140,7 +146,7 @@
 // New returns a Forwarder without a configuration: it answers every request
 // with FateNotRun until Install is called.
 func New(config Config, scatterer Scatterer, index *registry.Index) *Forwarder {
-	return &Forwarder{config: config, scatterer: scatterer, index: index, splitter: route.NewSplitter(), patience: newPatience()}
+	return &Forwarder{config: config, scatterer: scatterer, index: index, splitter: route.NewSplitter(), patience: newPatience(), floors: newFloors()}
 }
 
 // Install puts a configuration into force, unless it is not newer than the one
@@ -226,7 +232,7 @@
 		return f.notRun(dispatch.ReasonNoSnapshot)
 	}
 	result := f.scatterer.Execute(ctx, f.plan(matched, request))
-	answer := answerOf(matched, result)
+	answer := f.answerOf(ctx, matched, result)
 	answer.Route = matched.Name
 	answer.Version = table.Config.Version
 	return answer
@@ -244,9 +250,9 @@
 func (f *Forwarder) plan(matched *route.Route, request *Request) scatter.Request[*Request] {
 	class := f.class(matched)
 	objective := f.objective(matched, class.Name, request)
-	request.TopK = 0
+	request.TopK, request.Floor = 0, nil
 	if len(matched.Shards) > 0 {
-		request.TopK = matched.TopK
+		request.TopK, request.Floor = matched.TopK, f.floors.of(class.Name)
 	}
 	return scatter.Request[*Request]{
 		RequestID:       request.ID,
@@ -279,11 +285,16 @@
 	return shards
 }
 
+// kindOf names what routes have in common whose requests are alike.
+func kindOf(matched *route.Route) string {
+	return fmt.Sprintf("%d/%s/%s/%d", matched.Priority, matched.Objective, matched.Timeout, matched.TopK)
+}
+
 // class returns the class by which the Dispatcher learns latencies. Routes of
 // the same kind share one, however many routes there are.
 func (f *Forwarder) class(matched *route.Route) catalog.Class {
 	return catalog.Class{
-		Name:            fmt.Sprintf("%d/%s/%s/%d", matched.Priority, matched.Objective, matched.Timeout, matched.TopK),
+		Name:            kindOf(matched),
 		Priority:        matched.Priority + 1,
 		Deadline:        matched.Timeout,
 		HedgePercentile: f.config.HedgePercentile,
--- a/internal/records/top.go
+++ b/internal/records/top.go
@@ -11,20 +11,50 @@
 // Top keeps the greatest records of parts that are added one after the other.
 // It is not safe for concurrent use.
 type Top struct {
-	k    int
-	kept []record // greatest first, k at most
+	k     int
+	floor []byte
+	kept  []record // greatest first, k at most
 }
 
-// NewTop returns a Top of the k greatest records.
-func NewTop(k int) *Top {
-	return &Top{k: max(k, 0)}
+// NewTop returns a Top of the k greatest records that are not below a floor;
+// nil is no floor.
+func NewTop(k int, floor []byte) *Top {
+	return &Top{k: max(k, 0), floor: floor}
 }
 
 // Add takes in a part. It returns the records of the part that are among the
-// greatest so far, and the greatest of the others; that one is nil if there are
-// none. Records that were returned by an earlier call stay returned.
-func (t *Top) Add(part []byte) (kept, dropped []byte) {
-	added := sorted(part)
+// greatest so far, and the others. Records that were returned by an earlier call
+// stay returned.
+func (t *Top) Add(part []byte) (kept, left []byte) {
+	var added []record
+	for ; len(part) >= Size; part = part[Size:] {
+		if t.excludes(part[:Size]) {
+			left = append(left, part[:Size]...)
+			continue
+		}
+		added = append(added, record(part[:Size]))
+	}
+	slices.SortFunc(added, func(a, b record) int { return compare(b, a) })
+	counted := t.merge(added)
+	for _, one := range added[:counted] {
+		kept = append(kept, one[:]...)
+	}
+	for _, one := range added[counted:] {
+		left = append(left, one[:]...)
+	}
+	return kept, left
+}
+
+// excludes reports whether a record cannot be among the greatest any more.
+func (t *Top) excludes(one []byte) bool {
+	if len(t.floor) > 0 && bytes.Compare(one, t.floor) < 0 {
+		return true
+	}
+	return len(t.kept) == t.k && (t.k == 0 || bytes.Compare(one, t.kept[t.k-1][:]) <= 0)
+}
+
+// merge takes sorted records in, and returns how many of them are kept.
+func (t *Top) merge(added []record) int {
 	merged := make([]record, 0, min(t.k, len(t.kept)+len(added)))
 	former, own := 0, 0
 	for len(merged) < t.k && (former < len(t.kept) || own < len(added)) {
@@ -37,13 +67,30 @@
 		own++
 	}
 	t.kept = merged
-	for _, one := range added[:own] {
-		kept = append(kept, one[:]...)
+	return own
+}
+
+// Max returns the greatest record of a part; nil if it has none.
+func Max(part []byte) []byte {
+	var greatest []byte
+	for ; len(part) >= Size; part = part[Size:] {
+		if greatest == nil || bytes.Compare(part[:Size], greatest) > 0 {
+			greatest = part[:Size]
+		}
 	}
-	if own < len(added) {
-		dropped = added[own][:]
+	return greatest
+}
+
+// NotBelow returns the records of a part that are not below a floor; nil is no
+// floor.
+func NotBelow(part, floor []byte) []byte {
+	var above []byte
+	for ; len(part) >= Size; part = part[Size:] {
+		if len(floor) == 0 || bytes.Compare(part[:Size], floor) >= 0 {
+			above = append(above, part[:Size]...)
+		}
 	}
-	return kept, dropped
+	return above
 }
 
 // Covers reports whether greatest, the k greatest records of some parts, stays
@@ -58,14 +105,4 @@
 	return bytes.Compare(greatest[(k-1)*Size:k*Size], dropped) >= 0
 }
 
-// sorted returns the records of a part, greatest first.
-func sorted(part []byte) []record {
-	records := make([]record, 0, len(part)/Size)
-	for ; len(part) >= Size; part = part[Size:] {
-		records = append(records, record(part[:Size]))
-	}
-	slices.SortFunc(records, func(a, b record) int { return compare(b, a) })
-	return records
-}
-
 func compare(a, b record) int { return bytes.Compare(a[:], b[:]) }
--- a/internal/records/top_test.go
+++ b/internal/records/top_test.go
@@ -19,7 +19,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		parts := drawParts(t)
 		k := rapid.IntRange(0, 8).Draw(t, "k")
-		top := NewTop(k)
+		top := NewTop(k, nil)
 		var thinned [][]byte
 		for _, part := range parts {
 			kept, _ := top.Add(part)
@@ -38,10 +38,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		parts := drawParts(t)
 		k := rapid.IntRange(0, 8).Draw(t, "k")
-		top := NewTop(k)
+		floor := rapid.SliceOfN(rapid.ByteRange(0, 2), Size, Size).Draw(t, "floor")
+		top := NewTop(k, floor)
 		var whole, thinned, dropped [][]byte
 		for _, part := range parts {
-			kept, greatest := top.Add(part)
+			kept, left := top.Add(part)
+			greatest := Max(left)
 			if rapid.Bool().Draw(t, "used") {
 				whole, thinned, dropped = append(whole, part), append(thinned, kept), append(dropped, greatest)
 			}
@@ -65,7 +67,7 @@
 		}
 		return part
 	}
-	top := NewTop(2)
+	top := NewTop(2, nil)
 	if kept, dropped := top.Add(of(1, 5, 3)); !bytes.Equal(kept, of(5, 3)) || !bytes.Equal(dropped, of(1)) {
 		t.Errorf("first part: kept %x, dropped %x", kept, dropped)
 	}
@@ -75,4 +77,25 @@
 	if kept, dropped := top.Add(of(9)); !bytes.Equal(kept, of(9)) || dropped != nil {
 		t.Errorf("third part: kept %x, dropped %x", kept, dropped)
 	}
+	top = NewTop(2, of(3))
+	if kept, dropped := top.Add(of(2, 3)); !bytes.Equal(kept, of(3)) || !bytes.Equal(dropped, of(2)) {
+		t.Errorf("with a floor: kept %x, dropped %x", kept, dropped)
+	}
+	if got := NotBelow(of(1, 4, 3), of(3)); !bytes.Equal(got, of(4, 3)) {
+		t.Errorf("not below 3: %x", got)
+	}
+}
+
+// TestNothingIsLost gives every whole record of a part back, kept or left.
+func TestNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		top := NewTop(rapid.IntRange(0, 4).Draw(t, "k"), rapid.SliceOfN(rapid.ByteRange(0, 2), Size, Size).Draw(t, "floor"))
+		for _, part := range drawParts(t) {
+			kept, left := top.Add(part)
+			all := Greatest(len(part), [][]byte{kept, left})
+			if want := Greatest(len(part), [][]byte{part}); !bytes.Equal(all, want) {
+				t.Fatalf("got %x, want %x", all, want)
+			}
+		}
+	})
 }
