--- a/internal/combine/benchmark_test.go
+++ b/internal/combine/benchmark_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	Serve(server, leaves)
+	Serve(server, leaves, func(netip.AddrPort) bool { return true })
 	server.Serve()
 	caller := peer.NewClient(peer.ClientOptions{}, prometheus.NewRegistry())
 	client := New(DefaultConfig(), roster.Member{Name: "here", Zone: "a"}, leaves, caller, clock.NewMonotonic(),
--- a/internal/combine/client.go
+++ b/internal/combine/client.go
@@ -162,7 +162,7 @@
 	case err != nil:
 		c.metrics.attempts.WithLabelValues("lost").Inc()
 		return nil, &leaf.TransportError{Step: stepCombiner, Peer: by.via.Peer, Sent: true, OnTheWay: true, Err: err}, true
-	case response.UnknownSession:
+	case response.NotTaken:
 		return nil, nil, false
 	}
 	c.metrics.attempts.WithLabelValues("combined").Inc()
--- a/internal/combine/combine_test.go
+++ b/internal/combine/combine_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,6 +71,7 @@
 	direct   *fakeLeaves // as the client reaches them
 	combined *fakeLeaves // as the combiner reaches them
 	server   *peer.Server
+	leaving  atomic.Bool // whether the combiner gives the leaf no work
 }
 
 func newRig(t *testing.T, combined *fakeLeaves) *rig {
@@ -80,7 +82,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	Serve(r.server, combined)
+	Serve(r.server, combined, func(netip.AddrPort) bool { return !r.leaving.Load() })
 	r.server.Serve()
 	caller := peer.NewClient(peer.ClientOptions{}, prometheus.NewRegistry())
 	config := DefaultConfig()
@@ -326,6 +328,15 @@
 	}
 }
 
+// TestLeafThatLeaves is not sent an attempt by a combiner that knows of it.
+func TestLeafThatLeaves(t *testing.T) {
+	r := newRig(t, answers(1))
+	r.leaving.Store(true)
+	if _, err := r.execute(attemptAt("b", query())); err != nil || r.direct.count() != 1 || r.combined.count() != 0 {
+		t.Errorf("%v, %d sent directly, %d by the combiner", err, r.direct.count(), r.combined.count())
+	}
+}
+
 // TestSessionsEnd forgets the queries of other nodes.
 func TestSessionsEnd(t *testing.T) {
 	c := &combiner{leaves: answers(1), sessions: make(map[sessionKey]*session)}
--- a/internal/combine/message.go
+++ b/internal/combine/message.go
@@ -57,9 +57,9 @@
 
 // fetchResponse is the end of an attempt.
 type fetchResponse struct {
-	// UnknownSession is set if the combiner does not know the query, and has
-	// sent nothing.
-	UnknownSession bool
+	// NotTaken is set if the combiner has sent nothing: it does not know the
+	// query, or would not give the leaf work itself.
+	NotTaken bool
 	// Failure is set if the attempt ended without an answer of the leaf.
 	Failure *failure
 
--- a/internal/combine/server.go
+++ b/internal/combine/server.go
@@ -41,15 +41,17 @@
 // combiner runs attempts for other nodes.
 type combiner struct {
 	leaves Leaves
+	usable func(leaf netip.AddrPort) bool
 
 	mutex    sync.Mutex
 	sessions map[sessionKey]*session
 }
 
-// Serve runs attempts of other nodes at leaves. It is called before the server
-// serves.
-func Serve(server *peer.Server, leaves Leaves) {
-	c := &combiner{leaves: leaves, sessions: make(map[sessionKey]*session)}
+// Serve runs attempts of other nodes at leaves that may get work, as far as this
+// node knows: it may have heard of a leaf's leaving before they did. It is called
+// before the server serves.
+func Serve(server *peer.Server, leaves Leaves, usable func(leaf netip.AddrPort) bool) {
+	c := &combiner{leaves: leaves, usable: usable, sessions: make(map[sessionKey]*session)}
 	peer.Register(server, methodPing, func(context.Context, netip.AddrPort, *pingRequest) (*pingResponse, error) {
 		return &pingResponse{Alive: true}, nil
 	})
@@ -64,8 +66,8 @@
 // fetch runs one attempt and thins out its part.
 func (c *combiner) fetch(ctx context.Context, from netip.AddrPort, request *fetchRequest) *fetchResponse {
 	of := c.session(sessionKey{from, request.Session}, request.Query)
-	if !of.await(ctx) {
-		return &fetchResponse{UnknownSession: true}
+	if !of.await(ctx) || !c.usable(request.Address) {
+		return &fetchResponse{NotTaken: true}
 	}
 	deadline, _ := ctx.Deadline()
 	response, err := c.leaves.Execute(ctx, scatter.Attempt[*forward.Request]{
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -116,14 +116,21 @@
 	if chosen.Full() || queue > d.config.Hedge.Queue {
 		return false
 	}
-	remaining := d.config.Score.Significant(d.slowness(first.leaf)) * q.class.base
-	if d.config.Score.Expected(chosen, work) > remaining*hedgeTolerance || !d.payHedge(q, position) {
+	if d.config.Score.Expected(chosen, work) > d.remaining(q, first)*hedgeTolerance || !d.payHedge(q, position) {
 		return false
 	}
 	d.send(q, position, d.candidateLeaves[index], causeHedge)
 	return true
 }
 
+// remaining returns how long an attempt is expected to take yet, in seconds: as
+// long as one that starts now at its leaf, and at least as long as it took
+// already, since what makes attempts late (a pause, a queue, a slow leaf) lasts.
+func (d *Dispatcher) remaining(q *query, of *attempt) float64 {
+	anew := d.config.Score.Significant(d.slowness(of.leaf)) * q.class.base
+	return max(anew, (d.now - of.sentAt).Seconds())
+}
+
 // payHedge takes what a hedge costs.
 func (d *Dispatcher) payHedge(q *query, position int32) bool {
 	budget := d.budgetOf(q, position)
--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	relay.Serve(server, executor{f})
-	combine.Serve(server, f.ports.Leaves)
+	combine.Serve(server, f.ports.Leaves, f.conn.MayGetWork)
 	f.serveWatches(server)
 	server.Serve()
 	return server, nil
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -43,7 +43,7 @@
 	if err := c.config.Guard(); err != nil {
 		return nil, notSent(stepGuard, send.Leaf, err)
 	}
-	if !c.mayGetWork(send.Leaf) {
+	if !c.MayGetWork(send.Leaf) {
 		return nil, notSent(stepTopology, send.Leaf, errNotUsable)
 	}
 	remaining := running.deadline - c.config.Clock.Now()
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -160,9 +160,9 @@
 	return usable
 }
 
-// mayGetWork reports whether a leaf is usable now: the guard may have brought
+// MayGetWork reports whether a leaf is usable now: the guard may have brought
 // in a newer topology than the one that a send was decided on.
-func (c *Conn[Q, P]) mayGetWork(address netip.AddrPort) bool {
+func (c *Conn[Q, P]) MayGetWork(address netip.AddrPort) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.usable[address]
