combine: a combiner that refuses or is not preferred finishes what it has in hand

Cause: a refusal (a planned stop) was taken for the loss of the combiner, and so was its going out of the preferred ones: the attempts that it had in hand were cancelled, and cost the budget a repeat each.

Change: it gets no more attempts until it answers a question; only silence and a lost connection end what it has. fetch returns its error last.

TestCombinerThatStopsFinishesWhatItHasInHand fails before.

--- a/internal/combine/client.go
+++ b/internal/combine/client.go
@@ -83,7 +83,7 @@
 		c.metrics.attempts.WithLabelValues("direct").Inc()
 		return c.direct.Execute(ctx, attempt)
 	}
-	response, err, done := c.fetch(ctx, alive, handed, first, attempt)
+	response, done, err := c.fetch(ctx, alive, handed, first, attempt)
 	c.leave(key, handed, err, ctx.Err() != nil)
 	if !done {
 		c.metrics.attempts.WithLabelValues("not_taken").Inc()
@@ -126,7 +126,9 @@
 	}
 	switch {
 	case givenUp:
-	case errors.Is(err, peer.ErrLost), peer.NotExecuted(err):
+	case peer.NotExecuted(err):
+		c.avoid(from.via) // it is stopping, most likely
+	case errors.Is(err, peer.ErrLost):
 		c.lost(from.via) // its process has ended, most likely
 	case err == nil:
 		from.via.heard(c.clock.Now())
@@ -140,9 +142,16 @@
 	}
 }
 
+// avoid gives a combiner no more attempts for now. The caller holds the mutex.
+func (c *Client) avoid(one *target) {
+	if one.avoid() {
+		event.Log(c.logger, event.CombinerLost{Peer: one.Name})
+	}
+}
+
 // fetch hands one attempt to a combiner. It returns false if the combiner did
 // nothing with it.
-func (c *Client) fetch(ctx, alive context.Context, by *outgoing, first bool, attempt scatter.Attempt[*forward.Request]) (*scatter.Response[forward.Part], error, bool) {
+func (c *Client) fetch(ctx, alive context.Context, by *outgoing, first bool, attempt scatter.Attempt[*forward.Request]) (response *scatter.Response[forward.Part], done bool, err error) {
 	calling, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(alive, func() { cancel(errSilent) })
@@ -151,29 +160,29 @@
 	if first {
 		asked.Query = headOf(attempt.Payload, attempt.Remaining)
 	}
-	var response fetchResponse
-	err := c.caller.Call(calling, by.via.Peer, methodFetch, &asked, &response)
+	var answer fetchResponse
+	err = c.caller.Call(calling, by.via.Peer, methodFetch, &asked, &answer)
 	switch {
 	case peer.NotExecuted(err):
-		return nil, err, false
+		return nil, false, err
 	case err != nil && ctx.Err() != nil:
 		c.metrics.attempts.WithLabelValues("given_up").Inc()
-		return nil, &leaf.TransportError{Step: stepCombiner, Peer: attempt.Leaf, Sent: true, Err: err}, true
+		return nil, true, &leaf.TransportError{Step: stepCombiner, Peer: attempt.Leaf, Sent: true, Err: err}
 	case err != nil:
 		c.metrics.attempts.WithLabelValues("lost").Inc()
-		return nil, &leaf.TransportError{Step: stepCombiner, Peer: by.via.Peer, Sent: true, OnTheWay: true, Err: err}, true
-	case response.NotTaken:
-		return nil, nil, false
+		return nil, true, &leaf.TransportError{Step: stepCombiner, Peer: by.via.Peer, Sent: true, OnTheWay: true, Err: err}
+	case answer.NotTaken:
+		return nil, false, nil
 	}
 	c.metrics.attempts.WithLabelValues("combined").Inc()
-	if failed := response.Failure; failed != nil {
-		return nil, &leaf.TransportError{Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Err: errors.New(failed.Text)}, true
+	if failed := answer.Failure; failed != nil {
+		return nil, true, &leaf.TransportError{Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Err: errors.New(failed.Text)}
 	}
-	result := response.scatterResponse(attempt)
-	if len(response.Dropped) > 0 {
-		result.Part.Rest = c.restOf(by, response.Number)
+	response = answer.scatterResponse(attempt)
+	if len(answer.Dropped) > 0 {
+		response.Part.Rest = c.restOf(by, answer.Number)
 	}
-	return result, nil, true
+	return response, true, nil
 }
 
 // errForgotten says that a combiner does not hold the rest of a part any more.
--- a/internal/combine/combine_test.go
+++ b/internal/combine/combine_test.go
@@ -267,6 +267,42 @@
 	}
 }
 
+// TestCombinerThatStopsFinishesWhatItHasInHand refuses a new attempt, which goes
+// directly, while an earlier one is answered.
+func TestCombinerThatStopsFinishesWhatItHasInHand(t *testing.T) {
+	taken, release := make(chan struct{}), make(chan struct{})
+	var held atomic.Bool
+	r := newRig(t, &fakeLeaves{run: func(context.Context, scatter.Attempt[*forward.Request]) (*scatter.Response[forward.Part], error) {
+		if held.CompareAndSwap(false, true) {
+			close(taken)
+			<-release
+		}
+		return part(9), nil
+	}})
+	ended := make(chan error)
+	go func() {
+		_, err := r.execute(attemptAt("b", query()))
+		ended <- err
+	}()
+	<-taken
+	stopped := make(chan struct{})
+	go func() {
+		_ = r.server.Close(context.Background())
+		close(stopped)
+	}()
+	for r.direct.count() == 0 {
+		if _, err := r.execute(attemptAt("b", query())); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	if err := <-ended; err != nil {
+		t.Errorf("the attempt in hand: %v", err)
+	}
+	<-stopped
+}
+
 // TestGivingUpFreesTheLeaf ends the attempt at the leaf with that of the caller,
 // and does not count the combiner as lost.
 func TestGivingUpFreesTheLeaf(t *testing.T) {
--- a/internal/combine/target.go
+++ b/internal/combine/target.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// lose takes the combiner to be lost; it reports whether that is news.
+// lose takes the combiner to be lost, with what it has in hand; it reports
+// whether that is news.
 func (t *target) lose() bool {
 	if t.alive == nil {
 		return false
@@ -54,6 +55,14 @@
 	return true
 }
 
+// avoid takes no more attempts to the combiner until it answers a question. Those
+// that it has in hand go on. It reports whether that is news.
+func (t *target) avoid() bool {
+	known := t.alive != nil
+	t.alive = nil
+	return known
+}
+
 // usable reports whether attempts may be handed to it.
 func (t *target) usable(most time.Duration) bool {
 	return t.alive != nil && t.roundTrip <= most
@@ -67,7 +76,8 @@
 }
 
 // set replaces the combiners by those that a node prefers of each other zone;
-// what is known of those that stay is kept.
+// what is known of those that stay is kept, and what the others have in hand is
+// left to finish.
 func (b *board) set(self roster.Member, members []roster.Member) {
 	known := make(map[string]*target)
 	for _, one := range b.all() {
@@ -86,7 +96,7 @@
 		b.zones[member.Zone] = append(b.zones[member.Zone], kept)
 	}
 	for _, gone := range known {
-		gone.lose()
+		gone.avoid()
 	}
 }
 
