records, forward: one selection of the greatest records; a request's kind is named once

Greatest sorted all records, and Top selected them again in its own way. The kind of a request was formatted twice for each, once for its class and once for the floor.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -13,8 +13,9 @@
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
-// answerOf makes the answer from the fate of the query.
-func (f *Forwarder) answerOf(ctx context.Context, matched *route.Route, result scatter.Result[Part]) Answer {
+// answerOf makes the answer from the fate of the query, whose class names its
+// kind.
+func (f *Forwarder) answerOf(ctx context.Context, matched *route.Route, kind string, result scatter.Result[Part]) Answer {
 	answer := Answer{
 		Reason:     result.Reason,
 		RetryAfter: result.RetryAfter,
@@ -24,7 +25,7 @@
 	}
 	switch {
 	case len(matched.Shards) > 0:
-		f.mergeParts(ctx, &answer, matched, result)
+		f.mergeParts(ctx, &answer, matched, kind, result)
 	case len(result.Parts) == 1:
 		answer.Fate = FateAnswered
 		answer.Part = result.Parts[0].Part
@@ -38,9 +39,9 @@
 }
 
 // mergeParts makes the answer of a request to many shards.
-func (f *Forwarder) mergeParts(ctx context.Context, answer *Answer, matched *route.Route, result scatter.Result[Part]) {
+func (f *Forwarder) mergeParts(ctx context.Context, answer *Answer, matched *route.Route, kind string, result scatter.Result[Part]) {
 	parts, body, missed := greatestOf(ctx, matched.TopK, result.Parts)
-	f.floors.learn(kindOf(matched), matched.TopK, parts, missed)
+	f.floors.learn(kind, matched.TopK, parts, missed)
 	progress := coverage.Progress{Total: len(matched.Shards), Answered: len(parts)}
 	if !progress.Enough(matched.MinCoverage) {
 		answer.Fate = failureOf(result)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -231,8 +231,9 @@
 		}
 		return f.notRun(dispatch.ReasonNoSnapshot)
 	}
-	result := f.scatterer.Execute(ctx, f.plan(matched, request))
-	answer := f.answerOf(ctx, matched, result)
+	planned := f.plan(matched, request)
+	result := f.scatterer.Execute(ctx, planned)
+	answer := f.answerOf(ctx, matched, planned.Class.Name, result)
 	answer.Route = matched.Name
 	answer.Version = table.Config.Version
 	return answer
@@ -285,16 +286,11 @@
 	return shards
 }
 
-// kindOf names what routes have in common whose requests are alike.
-func kindOf(matched *route.Route) string {
-	return fmt.Sprintf("%d/%s/%s/%d", matched.Priority, matched.Objective, matched.Timeout, matched.TopK)
-}
-
 // class returns the class by which the Dispatcher learns latencies. Routes of
 // the same kind share one, however many routes there are.
 func (f *Forwarder) class(matched *route.Route) catalog.Class {
 	return catalog.Class{
-		Name:            kindOf(matched),
+		Name:            fmt.Sprintf("%d/%s/%s/%d", matched.Priority, matched.Objective, matched.Timeout, matched.TopK),
 		Priority:        matched.Priority + 1,
 		Deadline:        matched.Timeout,
 		HedgePercentile: f.config.HedgePercentile,
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -2,11 +2,6 @@
 // parts.
 package records
 
-import (
-	"bytes"
-	"slices"
-)
-
 // Size is the size of a record in bytes.
 const Size = 16
 
@@ -15,21 +10,14 @@
 // shorter than a record is none. The parts are not modified, and the result
 // shares no memory with them.
 func Greatest(k int, parts [][]byte) []byte {
-	count := 0
-	for _, part := range parts {
-		count += len(part) / Size
-	}
-	all := make([][]byte, 0, count)
+	top := NewTop(k, nil)
 	for _, part := range parts {
-		for ; len(part) >= Size; part = part[Size:] {
-			all = append(all, part[:Size])
-		}
+		added, _ := top.split(part)
+		top.merge(added)
 	}
-	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
-	k = min(max(k, 0), len(all))
-	greatest := make([]byte, 0, k*Size)
-	for _, record := range all[:k] {
-		greatest = append(greatest, record...)
+	greatest := make([]byte, 0, len(top.kept)*Size)
+	for _, one := range top.kept {
+		greatest = append(greatest, one[:]...)
 	}
 	return greatest
 }
--- a/internal/records/top.go
+++ b/internal/records/top.go
@@ -26,25 +26,32 @@
 // greatest so far, and the others. Records that were returned by an earlier call
 // stay returned.
 func (t *Top) Add(part []byte) (kept, left []byte) {
-	var added []record
-	for ; len(part) >= Size; part = part[Size:] {
-		if t.excludes(part[:Size]) {
-			left = append(left, part[:Size]...)
-			continue
-		}
-		added = append(added, record(part[:Size]))
-	}
-	slices.SortFunc(added, func(a, b record) int { return compare(b, a) })
+	added, excluded := t.split(part)
 	counted := t.merge(added)
 	for _, one := range added[:counted] {
 		kept = append(kept, one[:]...)
 	}
+	left = excluded
 	for _, one := range added[counted:] {
 		left = append(left, one[:]...)
 	}
 	return kept, left
 }
 
+// split returns the records of a part that may be among the greatest, greatest
+// first, and those that cannot.
+func (t *Top) split(part []byte) (added []record, excluded []byte) {
+	for ; len(part) >= Size; part = part[Size:] {
+		if t.excludes(part[:Size]) {
+			excluded = append(excluded, part[:Size]...)
+			continue
+		}
+		added = append(added, record(part[:Size]))
+	}
+	slices.SortFunc(added, func(a, b record) int { return compare(b, a) })
+	return added, excluded
+}
+
 // excludes reports whether a record cannot be among the greatest any more.
 func (t *Top) excludes(one []byte) bool {
 	if len(t.floor) > 0 && bytes.Compare(one, t.floor) < 0 {
