liveness: whether another node answers, in one place for executors and combiners

relay and combine each kept when a node was heard, the mean time of a question, and a context that ends with its loss. Behaviour, weights and bounds stay; a combiner's mean still begins anew after a loss.

--- a/internal/combine/client.go
+++ b/internal/combine/client.go
@@ -107,12 +107,13 @@
 		found = &outgoing{number: c.last, via: via}
 		c.sessions[key] = found
 	}
-	if found.via.alive == nil {
+	alive = found.via.Alive()
+	if alive == nil {
 		return nil, nil, false
 	}
 	found.open++
 	found.via.inFlight++
-	return found, found.via.alive, !open
+	return found, alive, !open
 }
 
 // leave counts an attempt out again, which was given up here or has ended there.
@@ -131,20 +132,20 @@
 	case errors.Is(err, peer.ErrLost):
 		c.lost(from.via) // its process has ended, most likely
 	case err == nil:
-		from.via.heard(c.clock.Now())
+		from.via.Heard(c.clock.Now())
 	}
 }
 
 // lost takes a combiner to be lost. The caller holds the mutex.
 func (c *Client) lost(one *target) {
-	if one.lose() {
+	if one.Lose() {
 		event.Log(c.logger, event.CombinerLost{Peer: one.Name, InFlight: one.inFlight})
 	}
 }
 
 // avoid gives a combiner no more attempts for now. The caller holds the mutex.
 func (c *Client) avoid(one *target) {
-	if one.avoid() {
+	if one.Avoid() {
 		event.Log(c.logger, event.CombinerLost{Peer: one.Name})
 	}
 }
@@ -252,10 +253,8 @@
 	if err != nil {
 		return
 	}
-	regained := of.alive == nil
 	now := c.clock.Now()
-	of.answered(now, now-started)
-	if regained {
+	if of.answered(now, now-started) {
 		event.Log(c.logger, event.CombinerInTouch{Peer: of.Name, Zone: of.Zone})
 	}
 }
--- a/internal/combine/target.go
+++ b/internal/combine/target.go
@@ -1,9 +1,9 @@
 package combine
 
 import (
-	"context"
 	"time"
 
+	"github.com/micaplank/micaplank/internal/liveness"
 	"github.com/micaplank/micaplank/internal/roster"
 )
 
@@ -13,59 +13,28 @@
 // target is what a node knows of one combiner. Its member never changes.
 type target struct {
 	roster.Member
+	liveness.State
 	inFlight int
-	// heardAt is when it last answered anything.
-	heardAt time.Duration
 	// asking is set while a question to it is open.
 	asking bool
-	// roundTrip is the mean time of a question and its answer.
-	roundTrip time.Duration
-	// alive ends when the combiner is taken to be lost, and is made anew when it
-	// is heard again; nil while it is lost.
-	alive    context.Context
-	endAlive context.CancelFunc
 }
 
-// heard takes in any answer. Only that to a question brings a lost combiner
-// back.
-func (t *target) heard(now time.Duration) {
-	t.heardAt = max(t.heardAt, now)
+func newTarget(member roster.Member) *target {
+	return &target{Member: member, State: liveness.State{Weight: roundTripWeight}}
 }
 
-// answered takes in the answer to a question.
-func (t *target) answered(now, roundTrip time.Duration) {
-	t.heard(now)
-	if t.roundTrip == 0 || t.alive == nil {
-		t.roundTrip = roundTrip
+// answered takes in the answer to a question, and reports whether it brings a
+// lost combiner back. What was known of its speed before the loss is forgotten.
+func (t *target) answered(now, roundTrip time.Duration) (regained bool) {
+	if t.Alive() == nil {
+		t.RoundTrip = 0
 	}
-	t.roundTrip += time.Duration(roundTripWeight * float64(roundTrip-t.roundTrip))
-	if t.alive == nil {
-		t.alive, t.endAlive = context.WithCancel(context.Background())
-	}
-}
-
-// lose takes the combiner to be lost, with what it has in hand; it reports
-// whether that is news.
-func (t *target) lose() bool {
-	if t.alive == nil {
-		return false
-	}
-	t.endAlive()
-	t.alive = nil
-	return true
-}
-
-// avoid takes no more attempts to the combiner until it answers a question. Those
-// that it has in hand go on. It reports whether that is news.
-func (t *target) avoid() bool {
-	known := t.alive != nil
-	t.alive = nil
-	return known
+	return t.Answered(now, roundTrip)
 }
 
 // usable reports whether attempts may be handed to it.
 func (t *target) usable(most time.Duration) bool {
-	return t.alive != nil && t.roundTrip <= most
+	return t.Alive() != nil && t.RoundTrip <= most
 }
 
 // board holds the combiners by zone. It is pure: time comes in as an argument.
@@ -90,13 +59,13 @@
 		}
 		kept := known[member.Name]
 		if kept == nil || kept.Member != member {
-			kept = &target{Member: member}
+			kept = newTarget(member)
 		}
 		delete(known, member.Name)
 		b.zones[member.Zone] = append(b.zones[member.Zone], kept)
 	}
 	for _, gone := range known {
-		gone.avoid()
+		gone.Avoid()
 	}
 }
 
@@ -123,11 +92,10 @@
 // due returns the combiners to be asked, and those that are lost now.
 func (b *board) due(now time.Duration) (asked, lost []*target) {
 	for _, one := range b.all() {
-		silent := now - one.heardAt
-		if silent > b.config.HeartbeatTimeout && one.lose() {
+		if one.Silent(now, b.config.HeartbeatTimeout) && one.Lose() {
 			lost = append(lost, one)
 		}
-		if !one.asking && (silent >= b.config.HeartbeatInterval || one.alive == nil) {
+		if !one.asking && (now-one.HeardAt >= b.config.HeartbeatInterval || one.Alive() == nil) {
 			one.asking = true
 			asked = append(asked, one)
 		}
--- a/internal/combine/target_test.go
+++ b/internal/combine/target_test.go
@@ -44,7 +44,7 @@
 	}
 	now := time.Second
 	one.answered(now, time.Millisecond)
-	alive := one.alive
+	alive := one.Alive()
 	if asked, _ := b.due(now + b.config.HeartbeatInterval/2); len(asked) != 0 || b.pick("b") != one {
 		t.Fatalf("asked %v right after it was heard", asked)
 	}
@@ -57,7 +57,7 @@
 	if b.pick("b") != nil {
 		t.Error("a lost combiner is used")
 	}
-	one.heard(2 * time.Second)
+	one.Heard(2 * time.Second)
 	if b.pick("b") != nil {
 		t.Error("a late answer brought it back")
 	}
@@ -91,7 +91,7 @@
 	b := newBoard("a", "b")
 	one := b.zones["b"][0]
 	one.answered(1, time.Millisecond)
-	alive := one.alive
+	alive := one.Alive()
 	b.set(members("a")[0], members("a"))
 	if alive.Err() != nil {
 		t.Error("its attempts were cut off")
--- /dev/null
+++ b/internal/liveness/state.go
@@ -0,0 +1,69 @@
+// Package liveness keeps what a node knows of whether another one answers. It
+// is pure: time comes in as an argument.
+package liveness
+
+import (
+	"context"
+	"time"
+)
+
+// State is what is known of another node, which is asked from time to time. It
+// counts as lost until it answers. A State is not safe for concurrent use.
+type State struct {
+	// Weight is that of one answer in RoundTrip, from 0 to 1.
+	Weight float64
+	// HeardAt is when it last answered; zero if it never did.
+	HeardAt time.Duration
+	// RoundTrip is the mean time of a question and its answer.
+	RoundTrip time.Duration
+
+	alive context.Context
+	end   context.CancelFunc
+}
+
+// Alive returns a context that ends when the node is taken to be lost; nil while
+// it is lost or avoided.
+func (s *State) Alive() context.Context { return s.alive }
+
+// Heard takes in any sign of life. It does not bring a lost node back.
+func (s *State) Heard(now time.Duration) {
+	s.HeardAt = max(s.HeardAt, now, 1)
+}
+
+// Answered takes in the answer to a question, which brings a lost node back. It
+// reports whether it does.
+func (s *State) Answered(now, roundTrip time.Duration) (regained bool) {
+	s.Heard(now)
+	if s.RoundTrip == 0 {
+		s.RoundTrip = roundTrip
+	}
+	s.RoundTrip += time.Duration(s.Weight * float64(roundTrip-s.RoundTrip))
+	if s.alive != nil {
+		return false
+	}
+	s.alive, s.end = context.WithCancel(context.Background())
+	return true
+}
+
+// Silent reports whether nothing was heard for longer than a time.
+func (s *State) Silent(now, timeout time.Duration) bool {
+	return now-s.HeardAt > timeout
+}
+
+// Lose takes the node to be lost, with what it has in hand. It reports whether
+// that is news.
+func (s *State) Lose() bool {
+	if s.alive == nil {
+		return false
+	}
+	s.end()
+	s.alive = nil
+	return true
+}
+
+// Avoid is like Lose, but what the node has in hand goes on.
+func (s *State) Avoid() bool {
+	known := s.alive != nil
+	s.alive = nil
+	return known
+}
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -1,10 +1,10 @@
 package relay
 
 import (
-	"context"
 	"slices"
 	"time"
 
+	"github.com/micaplank/micaplank/internal/liveness"
 	"github.com/micaplank/micaplank/internal/roster"
 )
 
@@ -33,19 +33,13 @@
 // never change.
 type target struct {
 	roster.Member
+	liveness.State
 	near     bool
 	inFlight int
-	// status is its last word, at heardAt; zero heardAt if it never answered.
-	status  Status
-	heardAt time.Duration
+	// status is its last word.
+	status Status
 	// latency is the mean of its requests, in seconds; zero without one.
 	latency float64
-	// roundTrip is the mean time of the questions to it.
-	roundTrip time.Duration
-	// alive ends when the executor is taken to be lost, and is made anew when it
-	// is heard again; nil while it is lost.
-	alive    context.Context
-	endAlive context.CancelFunc
 }
 
 // board chooses among executors. It is pure: time comes in as an argument. It
@@ -66,40 +60,28 @@
 	for _, member := range watched(self, executors) {
 		kept := known[member.Name]
 		if kept == nil || kept.Member != member {
-			kept = &target{Member: member, near: member.Zone == self.Zone}
+			kept = &target{Member: member, State: liveness.State{Weight: latencyWeight}, near: member.Zone == self.Zone}
 		}
 		b.targets = append(b.targets, kept)
 	}
 }
 
-// heard takes in the answer of an executor.
-func (b *board) heard(now, roundTrip time.Duration, from *target, status Status) {
-	if from.roundTrip == 0 {
-		from.roundTrip = roundTrip
-	}
-	from.roundTrip += time.Duration(latencyWeight * float64(roundTrip-from.roundTrip))
-	from.status, from.heardAt = status, max(now, 1)
-	if from.alive == nil {
-		from.alive, from.endAlive = context.WithCancel(context.Background())
-	}
+// heard takes in the answer of an executor, and reports whether it was lost
+// before.
+func (b *board) heard(now, roundTrip time.Duration, from *target, status Status) (regained bool) {
+	from.status = status
+	return from.Answered(now, roundTrip)
 }
 
 // expire takes those executors to be lost that were not heard for long.
 func (b *board) expire(now time.Duration) {
 	for _, one := range b.targets {
-		if now-one.heardAt > b.config.HeartbeatTimeout {
-			one.lose()
+		if one.Silent(now, b.config.HeartbeatTimeout) {
+			one.Lose()
 		}
 	}
 }
 
-func (t *target) lose() {
-	if t.alive != nil {
-		t.endAlive()
-		t.alive = nil
-	}
-}
-
 // pick returns the executor for a request under the terms, or nil. Those near
 // come first; among equals, the one with the least in flight, unless it is slow.
 func (b *board) pick(terms Terms, tried []*target) *target {
@@ -118,7 +100,7 @@
 // usable reports whether the executor is alive, and takes requests under the
 // terms.
 func (t *target) usable(terms Terms) bool {
-	return t.alive != nil && t.status.takes(terms)
+	return t.Alive() != nil && t.status.takes(terms)
 }
 
 // before reports whether a request should go to t rather than to other.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,7 +119,7 @@
 func (r *Relay) up() int {
 	count := 0
 	for _, one := range r.board.targets {
-		if one.alive != nil {
+		if one.Alive() != nil {
 			count++
 		}
 	}
@@ -149,9 +149,8 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	regained := of.alive == nil
 	now := r.clock.Now()
-	r.board.heard(now, now-started, of, status)
+	regained := r.board.heard(now, now-started, of, status)
 	r.metrics.up.Set(float64(r.usable()))
 	if regained {
 		event.Log(r.logger, event.ExecutorInTouch{Peer: of.Name, Version: status.Version, Accepting: status.Accepting, Fresh: status.Fresh})
@@ -201,7 +200,7 @@
 		return nil, nil, 0
 	}
 	chosen.inFlight++
-	return chosen, chosen.alive, chosen.roundTrip + handling
+	return chosen, chosen.Alive(), chosen.RoundTrip + handling
 }
 
 // offer hands a request to one executor. It returns false if the request did
@@ -247,7 +246,7 @@
 	to.inFlight--
 	switch {
 	case errors.Is(err, peer.ErrLost), peer.NotExecuted(err):
-		to.lose() // its process has ended, most likely; it is asked again at the next beat
+		to.Lose() // its process has ended, most likely; it is asked again at the next beat
 	case err == nil && response.Refusal != "":
 		to.status = response.Status
 	case err == nil:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -276,7 +276,7 @@
 // TestWayToTheExecutorCounts for the objective of a request.
 func TestWayToTheExecutorCounts(t *testing.T) {
 	r := newRig(t)
-	r.relay.board.targets[0].roundTrip = 5 * time.Millisecond
+	r.relay.board.targets[0].RoundTrip = 5 * time.Millisecond
 	var away time.Duration
 	r.peers.execute[r.near.Peer] = func(_ context.Context, request *executeRequest) (executeResponse, error) {
 		away = request.Away
