mirror: nodes that start copy the store from a seed; followers hear what an expired history hid; large changes packed

A node that starts asks the seeds of the settings for their copy and goes on from its revision; seeds read the store themselves. Without a current copy it reads the store, and if that does not answer, it takes the copy of a seed that has lost the store, marked as stale. Seeds are the first watchers, and stand in for watchers while too few nodes are known. Large changes are packed for followers. A watcher whose history expired compares what it reads with what it knew, and tells its followers, who used to read the store each.

The old TestFollowerMissesNothing puts each change under a key of its own now, since a watcher that reads the range again tells only the last change of a key.

--- a/internal/event/belief.go
+++ b/internal/event/belief.go
@@ -11,6 +11,7 @@
 	Leaves   int  `event:"leaves" doc:"leaves announced"`
 	Nodes    int  `event:"nodes" doc:"nodes announced"`
 	AfterGap bool `event:"after_gap" doc:"whether changes may have been missed before"`
+	Stale    bool `event:"stale" doc:"whether they are the copy of a node that has lost the store"`
 }
 
 // Message implements Event.
@@ -24,6 +25,42 @@
 	return "Configuration and announcements were read as a whole: at the start, or because the history after the last revision was gone."
 }
 
+// SourceUsed tells that a node that starts took over the copy of another one.
+type SourceUsed struct {
+	Source   netip.AddrPort `event:"source" doc:"the other node"`
+	Revision uint64         `event:"revision" doc:"revision of the store that the copy is of"`
+	Age      time.Duration  `event:"age" doc:"time since the store last answered the other node"`
+	Stale    bool           `event:"stale" doc:"whether the other node has lost the store"`
+}
+
+// Message implements Event.
+func (SourceUsed) Message() string { return "copied from node" }
+
+// Level implements Event.
+func (SourceUsed) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (SourceUsed) Describe() string {
+	return "The node took configuration and announcements from another node in place of the store, and follows the changes from there on."
+}
+
+// SourceFailed tells that the copy of another node could not be taken over.
+type SourceFailed struct {
+	Source netip.AddrPort `event:"source" doc:"the other node"`
+	Error  error          `event:"error" doc:"why"`
+}
+
+// Message implements Event.
+func (SourceFailed) Message() string { return "copy from node failed" }
+
+// Level implements Event.
+func (SourceFailed) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (SourceFailed) Describe() string {
+	return "The node asks a further source, or reads the store itself."
+}
+
 // StoreLost tells that the store does not answer.
 type StoreLost struct {
 	Error error `event:"error" doc:"how it shows; \"the watcher has lost the store\" if another node told so"`
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -79,7 +79,7 @@
 func All() []Event {
 	return []Event{
 		Request{}, RequestLost{},
-		StoreRead{}, StoreLost{}, StoreRegained{}, WatcherFailed{},
+		StoreRead{}, SourceUsed{}, SourceFailed{}, StoreLost{}, StoreRegained{}, WatcherFailed{},
 		ConfigInstalled{}, ConfigRejected{},
 		LeafChanged{}, LeafRejected{},
 		NodeChanged{}, NodeRejected{}, NodeNotAnnounced{}, LeaseLapsed{}, LeaseNotRenewed{},
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -15,7 +15,7 @@
 type storeSink struct{ *Frontend }
 
 // Replace implements mirror.Sink.
-func (s storeSink) Replace(items []mirror.Item, gap bool) {
+func (s storeSink) Replace(items []mirror.Item, read mirror.Reading) {
 	var leaves []registry.Leaf
 	nodes := make(map[string]roster.Member)
 	for _, item := range items {
@@ -35,8 +35,8 @@
 	s.leavesKnown = true
 	s.nodes.Replace(s.clock.Now(), nodes)
 	s.mutex.Unlock()
-	event.Log(s.logger, event.StoreRead{Leaves: len(leaves), Nodes: len(nodes), AfterGap: gap})
-	s.forwarder.SetFresh(true)
+	event.Log(s.logger, event.StoreRead{Leaves: len(leaves), Nodes: len(nodes), AfterGap: read.Gap, Stale: read.Stale})
+	s.forwarder.SetFresh(!read.Stale)
 	s.publish()
 }
 
--- a/internal/frontend/watch.go
+++ b/internal/frontend/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/mirror"
@@ -10,8 +12,12 @@
 	"github.com/micaplank/micaplank/internal/roster"
 )
 
-// methodWatch is the call by which a node asks a watcher for changes.
-const methodWatch = "mirror.watch"
+// The calls by which nodes ask each other for what the store holds.
+const (
+	methodWatch    = "mirror.watch"    // changes, of a watcher
+	methodOffer    = "mirror.offer"    // what copy a node has
+	methodSnapshot = "mirror.snapshot" // the copy
+)
 
 // watchRequest asks for the changes after a revision.
 type watchRequest struct {
@@ -19,8 +25,17 @@
 	Wait  time.Duration
 }
 
+// offerRequest asks a node for what copy it has.
+type offerRequest struct{ Wait time.Duration }
+
+// snapshotRequest asks a node for its copy.
+type snapshotRequest struct{ From string }
+
 // watchPeers implements mirror.Peers.
-type watchPeers struct{ client *peer.Client }
+type watchPeers struct {
+	client *peer.Client
+	self   string
+}
 
 // Watch implements mirror.Peers.
 func (p watchPeers) Watch(ctx context.Context, watcher netip.AddrPort, after uint64, wait time.Duration) (mirror.Watched, error) {
@@ -29,19 +44,50 @@
 	return answer, err
 }
 
+// Offer implements mirror.Peers.
+func (p watchPeers) Offer(ctx context.Context, source netip.AddrPort, wait time.Duration) (mirror.Offer, error) {
+	var answer mirror.Offer
+	err := p.client.Call(ctx, source, methodOffer, &offerRequest{Wait: wait}, &answer)
+	return answer, err
+}
+
+// Snapshot implements mirror.Peers.
+func (p watchPeers) Snapshot(ctx context.Context, source netip.AddrPort) (mirror.Snapshot, error) {
+	var answer mirror.Snapshot
+	err := p.client.Call(ctx, source, methodSnapshot, &snapshotRequest{From: p.self}, &answer)
+	return answer, err
+}
+
 // serveWatches answers the questions of other nodes.
 func (f *Frontend) serveWatches(server *peer.Server) {
 	peer.Register(server, methodWatch, func(ctx context.Context, _ netip.AddrPort, request *watchRequest) (*mirror.Watched, error) {
-		answer := f.shared.Serve(ctx, request.After, request.Wait)
+		answer, err := f.shared.Serve(ctx, request.After, request.Wait)
+		return &answer, err
+	})
+	peer.Register(server, methodOffer, func(ctx context.Context, _ netip.AddrPort, request *offerRequest) (*mirror.Offer, error) {
+		answer := f.shared.Offer(ctx, request.Wait)
 		return &answer, nil
 	})
+	peer.Register(server, methodSnapshot, func(context.Context, netip.AddrPort, *snapshotRequest) (*mirror.Snapshot, error) {
+		answer, err := f.shared.Snapshot()
+		return &answer, err
+	})
+}
+
+// setSources tells the source of the store which nodes are asked at the start:
+// the seeds of the settings, each node in an order of its own.
+func (f *Frontend) setSources() {
+	source := slices.Contains(f.settings.Peers.Seeds, f.member.Peer)
+	others := slices.DeleteFunc(slices.Clone(f.settings.Peers.Seeds), func(seed netip.AddrPort) bool { return seed == f.member.Peer })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	f.shared.SetSources(source, others)
 }
 
 // setWatchers tells the source who watches the store.
 func (f *Frontend) setWatchers(members []roster.Member) {
 	watching := false
 	var others []netip.AddrPort
-	for _, watcher := range roster.Preferred(f.member, roster.Watchers(members)) {
+	for _, watcher := range roster.Preferred(f.member, roster.Watchers(members, f.settings.Peers.Seeds...)) {
 		if watcher.Name == f.member.Name {
 			watching = true
 			continue
--- /dev/null
+++ b/internal/mirror/contents.go
@@ -0,0 +1,65 @@
+package mirror
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// contents is a copy of the items under a prefix, as of a revision. It is pure.
+type contents struct {
+	items    map[string]Item
+	revision uint64
+}
+
+// replace takes in all items there are at a revision.
+func (c *contents) replace(items []Item, revision uint64) {
+	c.items = make(map[string]Item, len(items))
+	for _, item := range items {
+		c.items[item.Key] = item
+	}
+	c.revision = revision
+}
+
+// apply takes in the changes up to a revision.
+func (c *contents) apply(events []Event, revision uint64) {
+	for _, event := range events {
+		if event.Removed {
+			delete(c.items, event.Key)
+			continue
+		}
+		c.items[event.Key] = event.Item
+	}
+	c.revision = max(c.revision, revision)
+}
+
+// list returns all items by key.
+func (c *contents) list() []Item {
+	return slices.SortedFunc(maps.Values(c.items), func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// changes returns the events that lead from the copy to the items of a later
+// revision. Items that are newer than that revision are left out: whoever reads
+// on from there is told of them.
+func (c *contents) changes(items []Item, revision uint64) []Event {
+	var events []Event
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[item.Key] = true
+		if item.Revision > c.revision && item.Revision <= revision {
+			events = append(events, Event{Item: item})
+		}
+	}
+	slices.SortFunc(events, func(a, b Event) int {
+		if a.Revision < b.Revision {
+			return -1
+		}
+		return 1
+	})
+	for _, known := range c.list() {
+		if !present[known.Key] {
+			events = append(events, Event{Item: Item{Key: known.Key, Revision: revision}, Removed: true})
+		}
+	}
+	return events
+}
--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -32,14 +32,6 @@
 	h.wake()
 }
 
-// end closes the history: what comes next is not told here.
-func (h *history) end() {
-	if h.open {
-		h.open = false
-		h.wake()
-	}
-}
-
 // lose notes that the store does not answer.
 func (h *history) lose() {
 	if !h.lost {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -34,18 +34,27 @@
 // Source reads a store. Errors other than ErrCompacted are taken to pass.
 type Source interface {
 	// Range returns all items under the prefix, read fresh, and a revision
-	// such that every change they lack has a higher one.
+	// such that every change they lack has a higher one. With ErrStale it returns
+	// items, too, which are not fresh.
 	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
 	// Watch blocks until there are changes after the revision, or for the wait.
 	// It returns the changes and the revision to go on from.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
 }
 
+// Reading says how all items were read.
+type Reading struct {
+	// Gap is set if changes may have been missed before.
+	Gap bool
+	// Stale is set if there may be newer items: the store did not answer, and
+	// they are the copy of another node.
+	Stale bool
+}
+
 // Sink takes in what is read. Its methods are called one at a time.
 type Sink interface {
-	// Replace hands over all items there are. Gap is set if changes may have
-	// been missed before.
-	Replace(items []Item, gap bool)
+	// Replace hands over all items there are.
+	Replace(items []Item, read Reading)
 	// Change hands over changes, in their order. After an outage there may be
 	// none: then the items are still those known.
 	Change(events []Event)
@@ -111,13 +120,16 @@
 
 func (m *Mirror) load(ctx context.Context) error {
 	items, revision, err := m.source.Range(ctx, m.config.Prefix)
-	if err != nil {
+	stale := errors.Is(err, ErrStale)
+	if err != nil && !stale {
 		return err
 	}
-	m.answered()
-	m.sink.Replace(items, m.loaded)
+	if !stale {
+		m.answered()
+	}
+	m.sink.Replace(items, Reading{Gap: m.loaded, Stale: stale})
 	m.revision, m.loaded, m.stale = revision, true, false
-	return nil
+	return err
 }
 
 func (m *Mirror) follow(ctx context.Context) error {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -56,8 +56,12 @@
 // recorder is a Sink that writes down what it is told.
 type recorder []string
 
-func (r *recorder) Replace(items []Item, gap bool) {
-	*r = append(*r, fmt.Sprintf("replace %d gap=%v", len(items), gap))
+func (r *recorder) Replace(items []Item, read Reading) {
+	text := fmt.Sprintf("replace %d gap=%v", len(items), read.Gap)
+	if read.Stale {
+		text += " stale"
+	}
+	*r = append(*r, text)
 }
 func (r *recorder) Change(events []Event)  { *r = append(*r, fmt.Sprintf("change %d", len(events))) }
 func (r *recorder) Lost(error)             { *r = append(*r, "lost") }
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -34,13 +34,20 @@
 
 // Watched is the answer of a watcher.
 type Watched struct {
-	State    WatchState
-	Events   []Event
+	State  WatchState
+	Events []Event
+	// Packed holds the events in their place, in the form of pack, if they are
+	// large.
+	Packed   []byte
 	Revision uint64
 }
 
 // Peers asks other nodes. An error means that there was no answer.
 type Peers interface {
+	// Offer asks what copy of the store a node could hand over. One that has none
+	// waits for it, for a time.
+	Offer(ctx context.Context, source netip.AddrPort, wait time.Duration) (Offer, error)
+	Snapshot(ctx context.Context, source netip.AddrPort) (Snapshot, error)
 	Watch(ctx context.Context, watcher netip.AddrPort, after uint64, wait time.Duration) (Watched, error)
 }
 
@@ -56,18 +63,42 @@
 	History int
 	// Pause is how long a watcher is not asked after it failed to answer well.
 	Pause time.Duration
+
+	// Fresh is the age up to which the copy of another node counts as current: a
+	// follower hears of the store once in Wait and Slack.
+	Fresh time.Duration
+	// StartSpread is the time within which the processes of a fleet start that
+	// starts as a whole: for so long a source that does not answer is asked again.
+	StartSpread time.Duration
+	// Stagger is the time after which a further source is asked beside those
+	// that have offered nothing.
+	Stagger time.Duration
+	// OfferWait is the longest wait of a question to a source without a copy, and
+	// Patience bounds the wait for all sources, before the store is asked.
+	OfferWait, Patience time.Duration
+	// SourceTerm is how long after the start changes come from the sources, as
+	// long as too few nodes are known for watchers.
+	SourceTerm time.Duration
 }
 
 // DefaultSharedConfig returns the defaults.
 func DefaultSharedConfig() SharedConfig {
-	return SharedConfig{Wait: time.Second, Slack: 600 * time.Millisecond, History: 8192, Pause: 3 * time.Second}
+	return SharedConfig{
+		Wait: time.Second, Slack: 600 * time.Millisecond, History: 8192, Pause: 3 * time.Second,
+		Fresh: 2 * time.Second, StartSpread: 350 * time.Millisecond, Stagger: 150 * time.Millisecond,
+		OfferWait: 250 * time.Millisecond, Patience: 2 * time.Second, SourceTerm: 2 * time.Second,
+	}
 }
 
 // Shared is a Source for many nodes that follow the same prefix. A few of them,
 // the watchers, watch the store; the others ask a watcher, and turn to the store
 // themselves whenever no watcher answers well. So the calls to the store do not
-// grow with the nodes, and a watcher that fails costs one late answer. It is
-// safe for concurrent use, but for Range and Watch, which must not overlap.
+// grow with the nodes, and a watcher that fails costs one late answer.
+//
+// A node that starts takes over the copy of another one, a source, and goes on
+// from there; it reads the store itself if no source has a current copy.
+//
+// It is safe for concurrent use, but for Range and Watch, which must not overlap.
 type Shared struct {
 	config SharedConfig
 	store  Source
@@ -79,9 +110,18 @@
 	short    bool // the watch of the store in progress, or the last one, is that of a watcher
 	watchers []netip.AddrPort
 	paused   map[netip.AddrPort]time.Time
+	source   bool // other nodes ask this one when they start
+	sources  []netip.AddrPort
+	contents contents
 	history  history
-	// heardAt is when the store, or a watcher for it, last answered.
-	heardAt time.Time
+	// packed is the contents at the revision packedAt, in the form of pack.
+	packed   []byte
+	packedAt uint64
+	// answered is the last answer to a follower that was packed.
+	answered packedEvents
+	// heardAt is when the store, or a watcher for it, last answered, and loadedAt
+	// when the contents were first known.
+	heardAt, loadedAt time.Time
 }
 
 // NewShared returns a Source that asks the store alone, until SetWatchers.
@@ -116,6 +156,18 @@
 
 // Range implements Source.
 func (s *Shared) Range(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	s.mutex.Lock()
+	loaded := s.contents.items != nil
+	s.mutex.Unlock()
+	if !loaded {
+		return s.load(ctx, prefix)
+	}
+	return s.rangeStore(ctx, prefix)
+}
+
+// rangeStore reads all items from the store. Nodes that ask this one are told
+// what has changed since it last knew them.
+func (s *Shared) rangeStore(ctx context.Context, prefix string) ([]Item, uint64, error) {
 	items, revision, err := s.store.Range(ctx, prefix)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -124,17 +176,32 @@
 		return nil, 0, err
 	}
 	s.heardAt = time.Now()
-	s.history.begin(revision)
+	if s.contents.items == nil || revision < s.contents.revision {
+		s.contents.replace(items, revision)
+		s.begin(revision)
+		return items, revision, nil
+	}
+	before, events := s.contents.revision, s.contents.changes(items, revision)
+	s.contents.replace(items, revision)
+	s.history.add(before, events, revision)
 	return items, revision, nil
 }
 
+// begin starts the history anew with the contents.
+func (s *Shared) begin(revision uint64) {
+	s.loadedAt = time.Now()
+	s.short = s.watchesForOthers()
+	s.history.begin(revision)
+}
+
 // Watch implements Source.
 func (s *Shared) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	for _, watcher := range s.asked() {
 		answer, err := s.ask(ctx, watcher, after)
 		if err == nil && answer.State == WatchCurrent {
-			s.follow()
-			return answer.Events, max(answer.Revision, after), nil
+			revision := max(answer.Revision, after)
+			s.follow(after, answer.Events, revision)
+			return answer.Events, revision, nil
 		}
 		if ctx.Err() != nil {
 			return nil, 0, ctx.Err()
@@ -145,21 +212,38 @@
 			break // there is no time to wait for another one
 		}
 		if answer.State == WatchLost {
+			s.lose()
 			return nil, 0, ErrWatcherLost
 		}
 	}
 	return s.direct(ctx, prefix, after, wait)
 }
 
-// asked returns the watchers to ask.
+// watchesForOthers reports whether other nodes may ask this one for changes: it
+// is a watcher, or a source while there are none yet.
+func (s *Shared) watchesForOthers() bool {
+	return s.watching || s.source && s.sourcesWatch()
+}
+
+// sourcesWatch reports whether the sources stand in for watchers: at the start
+// of a fleet, the nodes are not known yet by which watchers are chosen.
+func (s *Shared) sourcesWatch() bool {
+	return len(s.watchers) == 0 && time.Since(s.loadedAt) < s.config.SourceTerm
+}
+
+// asked returns the nodes to ask for changes.
 func (s *Shared) asked() []netip.AddrPort {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.watching {
+	if s.watchesForOthers() {
 		return nil
 	}
+	watchers := s.watchers
+	if s.sourcesWatch() {
+		watchers = s.sources
+	}
 	var asked []netip.AddrPort
-	for _, watcher := range s.watchers {
+	for _, watcher := range watchers {
 		if time.Now().After(s.paused[watcher]) {
 			asked = append(asked, watcher)
 		}
@@ -170,7 +254,11 @@
 func (s *Shared) ask(ctx context.Context, watcher netip.AddrPort, after uint64) (Watched, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.Wait+s.config.Slack)
 	defer cancel()
-	return s.peers.Watch(ctx, watcher, after, s.config.Wait)
+	answer, err := s.peers.Watch(ctx, watcher, after, s.config.Wait)
+	if err != nil {
+		return answer, err
+	}
+	return answer.unpacked()
 }
 
 func (s *Shared) pause(watcher netip.AddrPort) {
@@ -179,19 +267,34 @@
 	s.paused[watcher] = time.Now().Add(s.config.Pause)
 }
 
-// follow notes that changes come from a watcher: this node has no history of
-// its own for others.
-func (s *Shared) follow() {
+// follow takes in what a watcher told. The history goes on, so that this node can
+// become a watcher, but others may not ask it meanwhile: they could ask each
+// other in a circle.
+func (s *Shared) follow(after uint64, events []Event, revision uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.short = false
+	s.take(after, events, revision)
+}
+
+// take books the changes after a revision.
+func (s *Shared) take(after uint64, events []Event, revision uint64) {
 	s.heardAt = time.Now()
-	s.history.end()
+	s.contents.apply(events, revision)
+	s.history.add(after, events, revision)
+}
+
+// lose notes that the store does not answer.
+func (s *Shared) lose() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history.lose()
 }
 
 // direct watches the store.
 func (s *Shared) direct(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	s.mutex.Lock()
-	if s.short = s.watching; s.short {
+	if s.short = s.watchesForOthers(); s.short {
 		wait = min(wait, s.config.Wait)
 	}
 	s.mutex.Unlock()
@@ -200,19 +303,26 @@
 	defer s.mutex.Unlock()
 	switch {
 	case errors.Is(err, ErrCompacted):
-		s.history.end()
+		// The range is read next, and tells the others what was missed.
 	case err != nil:
 		s.history.lose()
 	default:
-		s.heardAt = time.Now()
-		s.history.add(after, events, max(revision, after))
+		s.take(after, events, max(revision, after))
 	}
 	return events, revision, err
 }
 
 // Serve answers the question of another node: it blocks until there are changes
 // after the revision, or for the wait.
-func (s *Shared) Serve(ctx context.Context, after uint64, wait time.Duration) Watched {
+func (s *Shared) Serve(ctx context.Context, after uint64, wait time.Duration) (Watched, error) {
+	answer := s.await(ctx, after, wait)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.answered.of(after, answer)
+}
+
+// await blocks until there are changes after a revision, or for the wait.
+func (s *Shared) await(ctx context.Context, after uint64, wait time.Duration) Watched {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/mirror/shared_test.go
+++ b/internal/mirror/shared_test.go
@@ -13,19 +13,26 @@
 	"pgregory.net/rapid"
 )
 
-// memoryStore is a Source over a list of events; it can be down.
+// memoryStore is a Source over a list of events; it can be down, and forget.
 type memoryStore struct {
 	mutex   sync.Mutex
 	events  []Event
+	forgot  uint64 // the history up to here is gone
 	down    bool
+	ranges  int
 	watches int
 	waits   []time.Duration
 }
 
-func (m *memoryStore) put(key string) {
+func (m *memoryStore) put(key string) { m.add(Event{Item: Item{Key: key}}) }
+
+func (m *memoryStore) remove(key string) { m.add(Event{Item: Item{Key: key}, Removed: true}) }
+
+func (m *memoryStore) add(event Event) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.events = append(m.events, Event{Item: Item{Key: key, Revision: uint64(len(m.events) + 1)}})
+	event.Revision = uint64(len(m.events) + 1)
+	m.events = append(m.events, event)
 }
 
 func (m *memoryStore) setDown(down bool) {
@@ -34,17 +41,29 @@
 	m.down = down
 }
 
+// forget drops the history.
+func (m *memoryStore) forget() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.forgot = uint64(len(m.events))
+}
+
+// items returns what there is, by key.
+func (m *memoryStore) items() []Item {
+	var now contents
+	now.replace(nil, 0)
+	now.apply(m.events, uint64(len(m.events)))
+	return now.list()
+}
+
 func (m *memoryStore) Range(context.Context, string) ([]Item, uint64, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.ranges++
 	if m.down {
 		return nil, 0, errAway
 	}
-	var items []Item
-	for _, event := range m.events {
-		items = append(items, event.Item)
-	}
-	return items, uint64(len(m.events)), nil
+	return m.items(), uint64(len(m.events)), nil
 }
 
 // Watch returns at once, also without changes.
@@ -56,24 +75,52 @@
 	if m.down {
 		return nil, 0, errAway
 	}
+	if after < m.forgot {
+		return nil, 0, ErrCompacted
+	}
 	return m.events[after:], uint64(len(m.events)), nil
 }
 
 // linked asks watchers in the same process; one that is cut off does not answer.
 type linked struct {
 	watchers map[netip.AddrPort]*Shared
+	mutex    sync.Mutex
 	cut      map[netip.AddrPort]bool
-	asked    int
+}
+
+func (l *linked) setCut(address netip.AddrPort, cut bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.cut[address] = cut
+}
+
+func (l *linked) isCut(address netip.AddrPort) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.cut[address]
 }
 
 var errCut = errors.New("cut off")
 
 func (l *linked) Watch(ctx context.Context, to netip.AddrPort, after uint64, _ time.Duration) (Watched, error) {
-	l.asked++
-	if l.cut[to] {
+	if l.isCut(to) {
 		return Watched{}, errCut
 	}
-	return l.watchers[to].Serve(ctx, after, 0), nil
+	return l.watchers[to].Serve(ctx, after, 0)
+}
+
+func (l *linked) Offer(ctx context.Context, source netip.AddrPort, wait time.Duration) (Offer, error) {
+	if l.isCut(source) {
+		return Offer{}, errCut
+	}
+	return l.watchers[source].Offer(ctx, wait), nil
+}
+
+func (l *linked) Snapshot(_ context.Context, source netip.AddrPort) (Snapshot, error) {
+	if l.isCut(source) {
+		return Snapshot{}, errCut
+	}
+	return l.watchers[source].Snapshot()
 }
 
 // pair is a watcher and a node that asks it.
@@ -165,9 +212,9 @@
 func TestFollowerTurnsToTheStore(t *testing.T) {
 	p := newPair(t)
 	p.store.put("a")
-	p.peers.cut[p.address] = true
+	p.peers.setCut(p.address, true)
 	p.wantFollow(1, 1, nil)
-	p.peers.cut[p.address] = false
+	p.peers.setCut(p.address, false)
 	if err := p.watch(); err != nil {
 		t.Fatal(err)
 	}
@@ -179,9 +226,7 @@
 	}
 	p.wantFollow(1, 1, nil)
 	p.watcher.SetWatchers(true, nil)
-	if _, _, err := p.watcher.Range(t.Context(), ""); err != nil {
-		t.Fatal(err)
-	}
+	p.watcher.history.begin(2)
 	if err := p.watch(); err != nil {
 		t.Fatal(err)
 	}
@@ -214,7 +259,7 @@
 	} {
 		p := newPair(t)
 		answers := make(chan Watched)
-		go func() { answers <- p.watcher.Serve(t.Context(), 0, time.Hour) }()
+		go func() { answers <- p.watcher.await(t.Context(), 0, time.Hour) }()
 		happen(p)
 		_ = p.watch()
 		answer := <-answers
@@ -232,9 +277,9 @@
 		p.watcher.history.most = 3
 		var got []uint64
 		rt.Repeat(map[string]func(*rapid.T){
-			"change":  func(*rapid.T) { p.store.put("k") },
+			"change":  func(*rapid.T) { p.store.put(fmt.Sprint("k", len(p.store.events))) },
 			"outage":  func(rt *rapid.T) { p.store.setDown(rapid.Bool().Draw(rt, "down")) },
-			"cut":     func(rt *rapid.T) { p.peers.cut[p.address] = rapid.Bool().Draw(rt, "cut") },
+			"cut":     func(rt *rapid.T) { p.peers.setCut(p.address, rapid.Bool().Draw(rt, "cut")) },
 			"watcher": func(rt *rapid.T) { p.watcher.SetWatchers(rapid.Bool().Draw(rt, "watching"), nil) },
 			"watch":   func(*rapid.T) { _ = p.watch() },
 			"range": func(*rapid.T) {
--- /dev/null
+++ b/internal/mirror/snapshot.go
@@ -0,0 +1,86 @@
+package mirror
+
+import (
+	"context"
+	"time"
+)
+
+// OfferState is what a node says of its copy of the store.
+type OfferState string
+
+// The states of an Offer.
+const (
+	// OfferCurrent means that the node has a copy, and is in touch with the
+	// store.
+	OfferCurrent OfferState = "current"
+	// OfferLost means that it has a copy, and has lost the store.
+	OfferLost OfferState = "lost"
+	// OfferLoading means that it has no copy yet.
+	OfferLoading OfferState = "loading"
+)
+
+// Offer says what copy of the store a node could hand over.
+type Offer struct {
+	State    OfferState
+	Revision uint64
+	// Age is the time since the store, or a watcher for it, last answered.
+	Age time.Duration
+}
+
+// Snapshot is a node's copy of the store.
+type Snapshot struct {
+	Offer
+	// Packed holds all items, in the form of pack.
+	Packed []byte
+}
+
+// Offer answers a node that starts. Without a copy it waits for one, for a time.
+func (s *Shared) Offer(ctx context.Context, wait time.Duration) Offer {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		offer, changed := s.offer(), s.history.changed
+		s.mutex.Unlock()
+		if offer.State != OfferLoading {
+			return offer
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return offer
+		case <-ctx.Done():
+			return offer
+		}
+	}
+}
+
+// offer describes the copy.
+func (s *Shared) offer() Offer {
+	if s.contents.items == nil {
+		return Offer{State: OfferLoading}
+	}
+	offer := Offer{State: OfferCurrent, Revision: s.contents.revision, Age: time.Since(s.heardAt)}
+	if s.history.lost || offer.Age > s.config.Fresh {
+		offer.State = OfferLost
+	}
+	return offer
+}
+
+// Snapshot hands over the copy. It is packed once for each revision.
+func (s *Shared) Snapshot() (Snapshot, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	offer := s.offer()
+	if offer.State == OfferLoading {
+		return Snapshot{Offer: offer}, nil
+	}
+	if s.packed == nil || s.packedAt != s.contents.revision {
+		packed, err := pack(s.contents.list())
+		if err != nil {
+			return Snapshot{}, err
+		}
+		s.packed, s.packedAt = packed, s.contents.revision
+	}
+	return Snapshot{Offer: offer, Packed: s.packed}, nil
+}
--- a/internal/roster/watchers.go
+++ b/internal/roster/watchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,15 +20,22 @@
 	membersPerWatcher = 50
 )
 
-// Watchers returns the members that watch the store for the others: those first
-// by a hash of their names, with one of each zone at least. There are none among
-// few nodes. Every node computes the same from the same members.
-func Watchers(members []Member) []Member {
+// Watchers returns the members that watch the store for the others: those at the
+// preferred addresses, then those first by a hash of their names, with one of each
+// zone at least. There are none among few nodes. Every node computes the same from
+// the same members and preferences.
+func Watchers(members []Member, preferred ...netip.AddrPort) []Member {
 	if len(members) < fewestForWatchers {
 		return nil
 	}
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b Member) int {
+		if first := slices.Contains(preferred, a.Peer); first != slices.Contains(preferred, b.Peer) {
+			if first {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
 	wanted := max(leastWatchers, (len(members)+membersPerWatcher-1)/membersPerWatcher)
