mirror, lease, relay: seeds asked at random moments, former announcements kept alive; executors refuse by their load

One commit for three changes, since they meet in internal/frontend.

Cause: on a return of 295 machines the seeds start last, by 0.4 s; the others asked each of them each 40 ms, overran the queue of new connections, and waited a second for a lost packet: 230 followers gave up on a watcher and turned to the store. Change: questions to seeds that do not listen are spread by chance for 0.7 s, a connection to a node is begun anew after 0.5 s, a follower asks a second watcher if there is time, seeds answer followers from the start. Clients that meet a node without a configuration are told to come back after 0.6 s in place of 0.3 s: nodes had it 0.5 to 0.9 s after the first of them listened.

Announcements. A process that starts again renews the lease of the announcement that its predecessor wrote, in place of a new lease and key: 0.1 call for 2, and no news to the other nodes.

Now each executor says by its own load (attempts a second times their measured cost) whether it takes requests, and a node watches a further executor for each of its three that is lost.

--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -16,15 +16,30 @@
 // executor runs requests of other nodes.
 type executor struct{ *Frontend }
 
-// queriesPerCore bounds the queries that run here for others to take more.
+// queriesPerCore bounds the queries that run here for others to take more: they
+// take memory while they wait for leaves.
 const queriesPerCore = 50
 
+// room reports whether this node can take requests of others.
+func (e executor) room() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	few := float64(e.conn.InFlight()) < queriesPerCore*e.member.Cores
+	return few && e.load.Room(e.clock.Now(), e.member.Cores)
+}
+
+// ran books the attempts of a request.
+func (f *Frontend) ran(answer forward.Answer) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.load.Add(f.clock.Now(), answer.Total)
+}
+
 // Status implements relay.Executor.
 func (e executor) Status() relay.Status {
-	room := float64(e.conn.InFlight()) < queriesPerCore*e.member.Cores
 	return relay.Status{
 		Version:   e.forwarder.Version(),
-		Accepting: room && e.ready(),
+		Accepting: e.room() && e.ready(),
 		Fresh:     e.forwarder.Fresh(),
 	}
 }
@@ -39,6 +54,7 @@
 	started := e.clock.Now()
 	answer, ran := e.forwarder.ExecuteVersion(ctx, version, request)
 	if ran {
+		e.ran(answer)
 		e.logAnswer(request, answer, e.clock.Now()-started, from)
 	}
 	return answer, ran
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/event"
@@ -30,8 +31,13 @@
 			nodes[item.Key] = s.member(item)
 		}
 	}
+	former := s.formerLease(items)
 	s.mutex.Lock()
 	s.leaves.Replace(s.clock.Now(), leaves)
+	if !s.leavesKnown {
+		s.former = former
+		close(s.firstRead)
+	}
 	s.leavesKnown = true
 	s.nodes.Replace(s.clock.Now(), nodes)
 	s.mutex.Unlock()
@@ -40,6 +46,20 @@
 	s.publish()
 }
 
+// formerLease returns the lease of the last announcement that says what this node
+// would say of itself: by a former process on the same machine.
+func (s storeSink) formerLease(items []mirror.Item) uint64 {
+	_, value := s.announced()
+	var last mirror.Item
+	for _, item := range items {
+		own := s.ports.Decoder.Kind(item.Key) == KindNode && bytes.Equal(item.Value, value)
+		if own && item.Revision > last.Revision {
+			last = item
+		}
+	}
+	return last.Lease
+}
+
 // Change implements mirror.Sink. The removal of the configuration changes
 // nothing: the last one stays in force.
 func (s storeSink) Change(events []mirror.Event) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -117,18 +117,25 @@
 	leaves      *registry.Table
 	expiry      *time.Timer
 	leavesKnown bool
-	nodes       *roster.Roster
+	// firstRead is closed once the store, or a copy of it, was read. Then former is
+	// the lease of an announcement of this node by a former process; zero without
+	// one.
+	firstRead chan struct{}
+	former    uint64
+	nodes     *roster.Roster
+	load      relay.Load
 }
 
 // New returns a Frontend that has not started anything.
 func New(configured settings.Settings, ports Ports, registry *telemetry.Registry, logger *slog.Logger) *Frontend {
 	f := &Frontend{
-		settings: configured,
-		ports:    ports,
-		logger:   logger,
-		clock:    clock.NewMonotonic(),
-		metrics:  newMetrics(registry),
-		registry: registry,
+		settings:  configured,
+		ports:     ports,
+		logger:    logger,
+		clock:     clock.NewMonotonic(),
+		metrics:   newMetrics(registry),
+		registry:  registry,
+		firstRead: make(chan struct{}),
 	}
 	f.member = f.self()
 	f.build(registry)
@@ -141,7 +148,7 @@
 		Doubt:    f.settings.Forward.LeafDoubt.Duration(),
 		Settling: f.settings.Forward.LeafSettling.Duration(),
 	}, f.index)
-	f.peers = peer.NewClient(peer.ClientOptions{}, registerer)
+	f.peers = peer.NewClient(peer.ClientOptions{DialTimeout: peerDialTimeout}, registerer)
 	f.combine = combine.New(combine.DefaultConfig(), f.member, f.ports.Leaves, f.peers, f.clock, registerer, f.logger)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	f.conn = scatter.NewConn(scatter.Config[*forward.Request, forward.Part]{
@@ -167,10 +174,17 @@
 // windows of the budget, so that a lapse of leases frees nothing at once.
 const nodesMemory = 20 * time.Second
 
+// peerDialTimeout bounds the time to open a connection to another node. It is
+// shorter than the second after which an opening packet that was lost is sent
+// again: to begin anew is quicker.
+const peerDialTimeout = 500 * time.Millisecond
+
 // unknownRetryAfter is when a client may come again that met a node without
-// the configuration, and outageRetryAfter the same while the store is away.
+// the configuration, and outageRetryAfter the same while the store is away. Nodes
+// of a fleet of 295 that started as a whole had it 0.5 to 0.9 s after the first
+// of them listened, and a client that comes too early is lost, as a rule.
 const (
-	unknownRetryAfter = 300 * time.Millisecond
+	unknownRetryAfter = 600 * time.Millisecond
 	outageRetryAfter  = 2 * time.Second
 )
 
@@ -238,22 +252,27 @@
 
 // execute hands a request of many shards to an executor, or runs it here.
 func (f *Frontend) execute(ctx context.Context, request *forward.Request) forward.Answer {
-	if !f.relay.InUse() {
-		return f.forwarder.Execute(ctx, request)
-	}
-	if timeout, spread := f.forwarder.Spread(request); spread {
-		started := f.clock.Now()
-		relaying, cancel := context.WithTimeout(ctx, timeout+relayGrace)
-		answer, done := f.relay.Execute(relaying, f.terms(), request)
-		cancel()
-		if done {
+	if timeout, spread := f.forwarder.Spread(request); spread && f.relay.InUse() {
+		if answer, done := f.handOn(ctx, timeout, request); done {
 			return answer
 		}
-		if request.Patience > 0 {
-			request.Patience = max(request.Patience-(f.clock.Now()-started), time.Millisecond)
-		}
 	}
-	return f.forwarder.Execute(ctx, request)
+	answer := f.forwarder.Execute(ctx, request)
+	f.ran(answer)
+	return answer
+}
+
+// handOn offers a request to executors. If none takes it, the time that this took
+// is taken off the client's patience.
+func (f *Frontend) handOn(ctx context.Context, timeout time.Duration, request *forward.Request) (forward.Answer, bool) {
+	started := f.clock.Now()
+	relaying, cancel := context.WithTimeout(ctx, timeout+relayGrace)
+	defer cancel()
+	answer, done := f.relay.Execute(relaying, f.terms(), request)
+	if !done && request.Patience > 0 {
+		request.Patience = max(request.Patience-(f.clock.Now()-started), time.Millisecond)
+	}
+	return answer, done
 }
 
 // Limits implements Service.
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -54,7 +54,7 @@
 	defer stop()
 	var background sync.WaitGroup
 	background.Go(func() { f.mirror().Run(following) })
-	background.Go(func() { f.announcement().Run(following) })
+	background.Go(func() { f.announce(following) })
 	background.Go(func() { f.relay.Run(following) })
 	background.Go(func() { f.combine.Run(following) })
 	failed := make(chan error, len(servers))
@@ -83,13 +83,21 @@
 	}, f.shared, storeSink{f})
 }
 
-// announcement tells the other nodes that this one shares the extra load.
-func (f *Frontend) announcement() *lease.Holder {
+// announce tells the other nodes that this one shares the extra load, until ctx
+// ends. It begins once the store was read: an announcement of a former process on
+// this machine is kept alive in place of a new one, which spares calls to the
+// store and news to all nodes when many processes start again.
+func (f *Frontend) announce(ctx context.Context) {
+	select {
+	case <-f.firstRead:
+	case <-ctx.Done():
+		return
+	}
 	key, value := f.announced()
-	return lease.NewHolder(lease.Config{
-		Key: key, Value: value,
+	lease.NewHolder(lease.Config{
+		Key: key, Value: value, Former: f.former,
 		TTL: leaseTTL, MinBackoff: minBackoff, MaxBackoff: leaseBackoff,
-	}, f.ports.Leases, f.logger)
+	}, f.ports.Leases, f.logger).Run(ctx)
 }
 
 // listen opens all addresses, or none.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -37,6 +37,10 @@
 	// answer was lost.
 	Key   string
 	Value []byte
+	// Former is a lease of a former incarnation, whose key says the same as Value;
+	// zero without one. It is renewed in place of a new one, and Key is written
+	// only once it has lapsed.
+	Former uint64
 	// TTL is how long the key stays without a renewal.
 	TTL time.Duration
 	// MinBackoff and MaxBackoff bound the pause after an error.
@@ -56,9 +60,9 @@
 	failures int
 }
 
-// NewHolder returns a Holder that holds nothing yet.
+// NewHolder returns a Holder that has made no call yet.
 func NewHolder(config Config, store Store, logger *slog.Logger) *Holder {
-	return &Holder{config: config, store: store, logger: logger}
+	return &Holder{config: config, store: store, logger: logger, id: config.Former, created: config.Former != 0}
 }
 
 // Run holds the key until ctx ends, and then lets it lapse.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -23,6 +23,7 @@
 	Value    []byte
 	Revision uint64 // of the last change
 	Created  uint64 // revision of the creation
+	Lease    uint64 // that the key goes with; zero without one
 }
 
 // Event is a change: an item as it was written, or the removal of its key.
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -69,15 +69,22 @@
 	Fresh time.Duration
 	// StartSpread is the time within which the processes of a fleet start that
 	// starts as a whole: for so long a source that does not answer is asked again.
+	// Machines that get their power back together start within 0.3 s; with the
+	// time to start a process on a small one, 0.5 s were seen.
 	StartSpread time.Duration
 	// Stagger is the time after which a further source is asked beside those
 	// that have offered nothing.
 	Stagger time.Duration
+	// OfferPause is the mean pause before a source that does not listen yet is
+	// asked again.
+	OfferPause time.Duration
 	// OfferWait is the longest wait of a question to a source without a copy, and
 	// Patience bounds the wait for all sources, before the store is asked.
 	OfferWait, Patience time.Duration
-	// SourceTerm is how long after the start changes come from the sources, as
-	// long as too few nodes are known for watchers.
+	// SourceTerm is how long after its start a node asks the sources for changes
+	// before the watchers, and how long a source answers at least: of a fleet that
+	// starts, few nodes are known at first, and those that come to be watchers by
+	// that do not watch yet.
 	SourceTerm time.Duration
 }
 
@@ -85,7 +92,7 @@
 func DefaultSharedConfig() SharedConfig {
 	return SharedConfig{
 		Wait: time.Second, Slack: 600 * time.Millisecond, History: 8192, Pause: 3 * time.Second,
-		Fresh: 2 * time.Second, StartSpread: 350 * time.Millisecond, Stagger: 150 * time.Millisecond,
+		Fresh: 2 * time.Second, StartSpread: 700 * time.Millisecond, Stagger: 250 * time.Millisecond, OfferPause: 150 * time.Millisecond,
 		OfferWait: 250 * time.Millisecond, Patience: 2 * time.Second, SourceTerm: 2 * time.Second,
 	}
 }
@@ -150,7 +157,7 @@
 	s.watching = watching
 	s.watchers = others
 	maps.DeleteFunc(s.paused, func(watcher netip.AddrPort, _ time.Time) bool {
-		return !slices.Contains(others, watcher)
+		return !slices.Contains(others, watcher) && !slices.Contains(s.sources, watcher)
 	})
 }
 
@@ -194,10 +201,12 @@
 	s.history.begin(revision)
 }
 
-// Watch implements Source.
+// Watch implements Source. All questions to watchers take no longer than one that
+// fails may: then the store is asked.
 func (s *Shared) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+	until := time.Now().Add(s.config.Wait + s.config.Slack)
 	for _, watcher := range s.asked() {
-		answer, err := s.ask(ctx, watcher, after)
+		answer, err := s.ask(ctx, watcher, after, until)
 		if err == nil && answer.State == WatchCurrent {
 			revision := max(answer.Revision, after)
 			s.follow(after, answer.Events, revision)
@@ -208,27 +217,22 @@
 		}
 		event.Log(s.logger, event.WatcherFailed{Watcher: watcher, State: string(answer.State), Error: err})
 		s.pause(watcher)
-		if err != nil {
-			break // there is no time to wait for another one
-		}
 		if answer.State == WatchLost {
 			s.lose()
 			return nil, 0, ErrWatcherLost
 		}
+		if time.Until(until) < s.config.Wait {
+			break // a further watcher could not be awaited
+		}
 	}
 	return s.direct(ctx, prefix, after, wait)
 }
 
 // watchesForOthers reports whether other nodes may ask this one for changes: it
-// is a watcher, or a source while there are none yet.
+// is a watcher, or a source that has started lately.
 func (s *Shared) watchesForOthers() bool {
-	return s.watching || s.source && s.sourcesWatch()
-}
-
-// sourcesWatch reports whether the sources stand in for watchers: at the start
-// of a fleet, the nodes are not known yet by which watchers are chosen.
-func (s *Shared) sourcesWatch() bool {
-	return len(s.watchers) == 0 && time.Since(s.loadedAt) < s.config.SourceTerm
+	const late = 2 // times the term: others start later than the sources
+	return s.watching || s.source && time.Since(s.loadedAt) < late*s.config.SourceTerm
 }
 
 // asked returns the nodes to ask for changes.
@@ -238,21 +242,21 @@
 	if s.watchesForOthers() {
 		return nil
 	}
-	watchers := s.watchers
-	if s.sourcesWatch() {
-		watchers = s.sources
+	candidates := s.watchers
+	if time.Since(s.loadedAt) < s.config.SourceTerm {
+		candidates = slices.Concat(s.sources, s.watchers)
 	}
 	var asked []netip.AddrPort
-	for _, watcher := range watchers {
-		if time.Now().After(s.paused[watcher]) {
-			asked = append(asked, watcher)
+	for _, candidate := range candidates {
+		if time.Now().After(s.paused[candidate]) {
+			asked = append(asked, candidate)
 		}
 	}
 	return asked
 }
 
-func (s *Shared) ask(ctx context.Context, watcher netip.AddrPort, after uint64) (Watched, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.config.Wait+s.config.Slack)
+func (s *Shared) ask(ctx context.Context, watcher netip.AddrPort, after uint64, until time.Time) (Watched, error) {
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	answer, err := s.peers.Watch(ctx, watcher, after, s.config.Wait)
 	if err != nil {
--- a/internal/mirror/shared_test.go
+++ b/internal/mirror/shared_test.go
@@ -234,6 +234,21 @@
 	p.wantFollow(1, 1, nil)
 }
 
+// TestFollowerTurnsToAnotherWatcher first, if there is time.
+func TestFollowerTurnsToAnotherWatcher(t *testing.T) {
+	p := newPair(t)
+	gone := netip.MustParseAddrPort("127.0.0.1:2")
+	p.peers.setCut(gone, true)
+	p.follower.SetWatchers(false, []netip.AddrPort{gone, p.address})
+	p.store.put("a")
+	if err := p.watch(); err != nil {
+		t.Fatal(err)
+	}
+	p.wantFollow(1, 0, nil)
+	p.follower.config.Slack = 0 // there is none once the first one has failed
+	p.wantFollow(0, 1, nil)
+}
+
 // TestOutageIsSeenThroughTheWatcher, so that the follower judges what vanishes
 // around it as it would if it had met it itself.
 func TestOutageIsSeenThroughTheWatcher(t *testing.T) {
--- a/internal/mirror/sources.go
+++ b/internal/mirror/sources.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -136,9 +137,13 @@
 	return offered
 }
 
-// offerRetry is the pause between two questions to a source that did not answer:
-// one that starts at the same time listens a moment later.
-const offerRetry = 40 * time.Millisecond
+// offerPause returns the pause between two questions to a source that does not
+// listen yet. It is spread by chance: hundreds of nodes that connect in the same
+// moment overrun the queue of new connections, and what is dropped there is sent
+// again after a second only.
+func (s *Shared) offerPause() time.Duration {
+	return s.config.OfferPause/2 + rand.N(s.config.OfferPause+1)
+}
 
 // awaitOffer asks one source until it has a copy, and reports whether that is
 // acceptable. It gives up on one that does not answer for the time in which a
@@ -153,7 +158,7 @@
 		case err != nil && time.Now().After(silentUntil):
 			return false
 		case err != nil:
-			clock.Sleep(ctx, offerRetry)
+			clock.Sleep(ctx, s.offerPause())
 		case offer.State == OfferLoading:
 			silentUntil = time.Now().Add(s.config.StartSpread)
 		default:
--- a/internal/mirror/sources_test.go
+++ b/internal/mirror/sources_test.go
@@ -48,6 +48,7 @@
 	config.StartSpread = 100 * time.Microsecond
 	config.Stagger = 100 * time.Microsecond
 	config.OfferWait = 100 * time.Microsecond
+	config.OfferPause = 100 * time.Microsecond
 	config.Patience = f.patience
 	config.Pause = 0
 	return config
@@ -328,3 +329,19 @@
 		}
 	})
 }
+
+// TestHistoryIsBounded by the number of changes and by the size of their values.
+func TestHistoryIsBounded(t *testing.T) {
+	for _, test := range []struct{ size, most, want int }{{0, 3, 3}, {maxHistoryBytes / 2, 10, 2}, {2 * maxHistoryBytes, 10, 1}} {
+		h := newHistory(test.most)
+		h.begin(0)
+		for revision := uint64(1); revision <= 8; revision++ {
+			h.add(revision-1, []Event{{Item: Item{Revision: revision, Value: make([]byte, test.size)}}}, revision)
+		}
+		behind, _ := h.after(uint64(7 - test.want))
+		whole, _ := h.after(uint64(8 - test.want))
+		if behind.State != WatchRefused || whole.State != WatchCurrent || len(whole.Events) != test.want {
+			t.Errorf("%+v: %s, %s with %d changes", test, behind.State, whole.State, len(whole.Events))
+		}
+	}
+}
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -34,6 +34,8 @@
 type target struct {
 	roster.Member
 	liveness.State
+	// knownAt is since when it is asked.
+	knownAt  time.Duration
 	near     bool
 	inFlight int
 	// status is its last word.
@@ -45,27 +47,51 @@
 // board chooses among executors. It is pure: time comes in as an argument. It
 // is not safe for concurrent use.
 type board struct {
-	config  Config
+	config Config
+	self   roster.Member
+	// order holds all executors, those first that this node prefers.
+	order []roster.Member
+	// targets are the first of them, so many that watchedExecutors are not lost.
 	targets []*target
 }
 
 // set replaces the executors; what is known of those that stay is kept. Requests
 // that run on one that goes are left to finish.
-func (b *board) set(self roster.Member, executors []roster.Member) {
+func (b *board) set(now time.Duration, self roster.Member, executors []roster.Member) {
+	b.self, b.order = self, roster.Preferred(self, executors)
+	b.watch(now)
+}
+
+// watch chooses the executors to keep in touch with: the preferred ones, and a
+// further one for each that is lost.
+func (b *board) watch(now time.Duration) {
 	known := make(map[string]*target, len(b.targets))
 	for _, one := range b.targets {
 		known[one.Name] = one
 	}
 	b.targets = b.targets[:0:0]
-	for _, member := range watched(self, executors) {
+	inTouch := 0
+	for _, member := range b.order {
+		if inTouch == watchedExecutors {
+			return
+		}
 		kept := known[member.Name]
 		if kept == nil || kept.Member != member {
-			kept = &target{Member: member, State: liveness.State{Weight: latencyWeight}, near: member.Zone == self.Zone}
+			kept = &target{Member: member, State: liveness.State{Weight: latencyWeight}, knownAt: now, near: member.Zone == b.self.Zone}
+		}
+		if !b.lost(now, kept) {
+			inTouch++
 		}
 		b.targets = append(b.targets, kept)
 	}
 }
 
+// lost reports whether an executor does not answer. One that was not asked for
+// long enough yet may be well.
+func (b *board) lost(now time.Duration, one *target) bool {
+	return one.Alive() == nil && now-max(one.HeardAt, one.knownAt) > b.config.HeartbeatTimeout
+}
+
 // heard takes in the answer of an executor, and reports whether it was lost
 // before.
 func (b *board) heard(now, roundTrip time.Duration, from *target, status Status) (regained bool) {
--- a/internal/relay/executors.go
+++ b/internal/relay/executors.go
@@ -18,13 +18,10 @@
 	// largeShare is the part of the largest node's cores from which a node is
 	// an executor.
 	largeShare = 0.8
-	// smallShare is the part of them up to which a node hands requests on.
+	// smallShare is the part of them up to which a node hands requests on: a
+	// query takes an executor half of the processor time then, which pays for the
+	// way to it.
 	smallShare = 0.5
-	// leastCapacity is the part of all cores that the executors need at least,
-	// or each node runs its own requests.
-	leastCapacity = 0.2
-	// leastExecutors is how many there are at least.
-	leastExecutors = 2
 )
 
 // Role is what a node does with requests of many shards.
@@ -47,21 +44,24 @@
 
 // Assign computes the roles from the nodes there are. Every node computes the
 // same executors from the same members.
+//
+// How much the executors can take together is no matter of the roles: each says
+// for itself whether it takes requests, by its Load, and what they refuse runs
+// where it came in. So a node that comes or goes moves its own share of the work.
 func Assign(self roster.Member, members []roster.Member) Roles {
-	largest, total := 0.0, 0.0
+	largest := 0.0
 	for _, member := range members {
 		largest = max(largest, member.Cores)
-		total += member.Cores
 	}
 	var executors []roster.Member
-	capacity := 0.0
+	relays := false
 	for _, member := range members {
 		if member.Cores >= largeShare*largest && member.Cores > 0 {
 			executors = append(executors, member)
-			capacity += member.Cores
 		}
+		relays = relays || member.Cores <= smallShare*largest
 	}
-	if len(executors) == len(members) || len(executors) < leastExecutors || capacity < leastCapacity*total {
+	if len(executors) == 0 || !relays {
 		return Roles{}
 	}
 	roles := Roles{Executors: executors}
@@ -74,11 +74,6 @@
 	return roles
 }
 
-// watchedExecutors is how many executors a node keeps in touch with.
+// watchedExecutors is how many executors a node keeps in touch with, beside those
+// that are lost.
 const watchedExecutors = 3
-
-// watched returns the executors that a node uses.
-func watched(self roster.Member, executors []roster.Member) []roster.Member {
-	order := roster.Preferred(self, executors)
-	return order[:min(len(order), watchedExecutors)]
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,7 +72,7 @@
 	if roles.Self != RoleRelay {
 		executors = nil
 	}
-	r.board.set(r.self, executors)
+	r.board.set(r.clock.Now(), r.self, executors)
 	r.metrics.up.Set(float64(r.usable()))
 }
 
@@ -111,6 +111,7 @@
 	if now := r.up(); now < up {
 		event.Log(r.logger, event.ExecutorsLost{Lost: up - now, Left: now})
 	}
+	r.board.watch(r.clock.Now())
 	r.metrics.up.Set(float64(r.usable()))
 	return append([]*target(nil), r.board.targets...)
 }
