mirror: followers of a lost store probe it from time to time; a difference is told only to those that knew what it starts from

Cause of the first: in an outage each watcher that said so was left alone for 3 s; once all were, each follower called the store itself, twice a second. Now a watcher that has lost the store is asked on, and the store itself each 3 s on the mean, unless it served this node a moment ago.

The second was found by TestStartsConverge: a watcher that had missed a gap told the difference between what it knew and what there is, also to a follower that had read the store inside the gap and knew keys which came and went there. It refuses now; TestFollowerThatKnowsMoreIsToldNoDifference.

--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -11,10 +11,17 @@
 	lost            bool // the store does not answer
 	since, revision uint64
 	events          []Event
+	// leaps are the revisions between which only the difference is known.
+	leaps []leap
 	// changed is closed at the next change of any of this.
 	changed chan struct{}
 }
 
+// leap is a gap in the history that was closed by comparing what was known at one
+// revision with what there is at a later one. What came and went between them is
+// not in it: it tells a node nothing that knows a revision between the two.
+type leap struct{ from, to uint64 }
+
 func newHistory(most int) history {
 	return history{most: most, changed: make(chan struct{})}
 }
@@ -28,7 +35,7 @@
 func (h *history) begin(revision uint64) {
 	h.open, h.lost = true, false
 	h.since, h.revision = revision, revision
-	h.events = nil
+	h.events, h.leaps = nil, nil
 	h.wake()
 }
 
@@ -56,6 +63,12 @@
 	h.wake()
 }
 
+// addDifference takes in what is different between two revisions.
+func (h *history) addDifference(after uint64, events []Event, revision uint64) {
+	h.add(after, events, revision)
+	h.leaps = append(h.leaps, leap{from: after, to: revision})
+}
+
 // maxHistoryBytes bounds the values that the history keeps: some versions of a
 // configuration of thousands of routes.
 const maxHistoryBytes = 4 << 20
@@ -74,14 +87,20 @@
 	if surplus > 0 {
 		h.since = h.events[surplus-1].Revision
 		h.events = slices.Clone(h.events[surplus:])
+		h.leaps = slices.DeleteFunc(h.leaps, func(one leap) bool { return one.to <= h.since })
 	}
 }
 
+// within reports whether a revision lies inside a leap.
+func (h *history) within(revision uint64) bool {
+	return slices.ContainsFunc(h.leaps, func(one leap) bool { return one.from < revision && revision < one.to })
+}
+
 // after returns what a node should be told that has the changes up to a
 // revision, and a channel that is closed when that may have changed.
 func (h *history) after(revision uint64) (Watched, <-chan struct{}) {
 	switch {
-	case !h.open || revision < h.since:
+	case !h.open, revision < h.since, h.within(revision):
 		return Watched{State: WatchRefused}, h.changed
 	case h.lost:
 		return Watched{State: WatchLost}, h.changed
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -63,6 +64,10 @@
 	History int
 	// Pause is how long a watcher is not asked after it failed to answer well.
 	Pause time.Duration
+	// Probe is the mean time between two calls to the store by a node whose watcher
+	// has lost it. It is below the time after an outage in which nodes have to be
+	// in touch again.
+	Probe time.Duration
 
 	// Fresh is the age up to which the copy of another node counts as current: a
 	// follower hears of the store once in Wait and Slack.
@@ -91,7 +96,7 @@
 // DefaultSharedConfig returns the defaults.
 func DefaultSharedConfig() SharedConfig {
 	return SharedConfig{
-		Wait: time.Second, Slack: 600 * time.Millisecond, History: 8192, Pause: 3 * time.Second,
+		Wait: time.Second, Slack: 600 * time.Millisecond, History: 8192, Pause: 3 * time.Second, Probe: 3 * time.Second,
 		Fresh: 2 * time.Second, StartSpread: 700 * time.Millisecond, Stagger: 250 * time.Millisecond, OfferPause: 150 * time.Millisecond,
 		OfferWait: 250 * time.Millisecond, Patience: 2 * time.Second, SourceTerm: 2 * time.Second,
 	}
@@ -116,7 +121,7 @@
 	watching bool // this node is a watcher
 	short    bool // the watch of the store in progress, or the last one, is that of a watcher
 	watchers []netip.AddrPort
-	paused   map[netip.AddrPort]time.Time
+	paused   map[netip.AddrPort]pause
 	source   bool // other nodes ask this one when they start
 	sources  []netip.AddrPort
 	contents contents
@@ -126,6 +131,10 @@
 	packedAt uint64
 	// answered is the last answer to a follower that was packed.
 	answered packedEvents
+	// byStore says that the last answer came from the store itself.
+	byStore bool
+	// probeAt is when the store is asked next although a watcher has lost it.
+	probeAt time.Time
 	// heardAt is when the store, or a watcher for it, last answered, and loadedAt
 	// when the contents were first known.
 	heardAt, loadedAt time.Time
@@ -135,7 +144,7 @@
 func NewShared(config SharedConfig, store Source, peers Peers, logger *slog.Logger) *Shared {
 	return &Shared{
 		config: config, store: store, peers: peers, logger: logger,
-		paused:  make(map[netip.AddrPort]time.Time),
+		paused:  make(map[netip.AddrPort]pause),
 		history: newHistory(config.History),
 		heardAt: time.Now(),
 	}
@@ -156,7 +165,7 @@
 	defer s.mutex.Unlock()
 	s.watching = watching
 	s.watchers = others
-	maps.DeleteFunc(s.paused, func(watcher netip.AddrPort, _ time.Time) bool {
+	maps.DeleteFunc(s.paused, func(watcher netip.AddrPort, _ pause) bool {
 		return !slices.Contains(others, watcher) && !slices.Contains(s.sources, watcher)
 	})
 }
@@ -190,7 +199,7 @@
 	}
 	before, events := s.contents.revision, s.contents.changes(items, revision)
 	s.contents.replace(items, revision)
-	s.history.add(before, events, revision)
+	s.history.addDifference(before, events, revision)
 	return items, revision, nil
 }
 
@@ -205,6 +214,7 @@
 // fails may: then the store is asked.
 func (s *Shared) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	until := time.Now().Add(s.config.Wait + s.config.Slack)
+	lost := false
 	for _, watcher := range s.asked() {
 		answer, err := s.ask(ctx, watcher, after, until)
 		if err == nil && answer.State == WatchCurrent {
@@ -215,19 +225,45 @@
 		if ctx.Err() != nil {
 			return nil, 0, ctx.Err()
 		}
-		event.Log(s.logger, event.WatcherFailed{Watcher: watcher, State: string(answer.State), Error: err})
-		s.pause(watcher)
-		if answer.State == WatchLost {
-			s.lose()
-			return nil, 0, ErrWatcherLost
+		if s.pause(watcher, answer.State == WatchLost) {
+			event.Log(s.logger, event.WatcherFailed{Watcher: watcher, State: string(answer.State), Error: err})
 		}
+		lost = lost || answer.State == WatchLost
 		if time.Until(until) < s.config.Wait {
 			break // a further watcher could not be awaited
 		}
 	}
+	if lost && !s.probeDue() {
+		return nil, 0, ErrWatcherLost
+	}
 	return s.direct(ctx, prefix, after, wait)
 }
 
+// probeDue reports whether the store is to be asked although a watcher has lost
+// it: it may serve this node, and turn the watchers away. In an outage, that must
+// not be a call of each node at each moment.
+func (s *Shared) probeDue() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case !s.history.lost && s.byStore:
+		return true // it served this node a moment ago
+	case !s.history.lost:
+		s.probeAt = time.Now().Add(s.probePause())
+	}
+	s.history.lose()
+	if time.Now().Before(s.probeAt) {
+		return false
+	}
+	s.probeAt = time.Now().Add(s.probePause())
+	return true
+}
+
+// probePause returns the pause before the next probe, spread by chance.
+func (s *Shared) probePause() time.Duration {
+	return s.config.Probe/2 + rand.N(s.config.Probe+1)
+}
+
 // watchesForOthers reports whether other nodes may ask this one for changes: it
 // is a watcher, or a source that has started lately.
 func (s *Shared) watchesForOthers() bool {
@@ -246,13 +282,16 @@
 	if time.Since(s.loadedAt) < s.config.SourceTerm {
 		candidates = slices.Concat(s.sources, s.watchers)
 	}
-	var asked []netip.AddrPort
+	var well, lost []netip.AddrPort
 	for _, candidate := range candidates {
-		if time.Now().After(s.paused[candidate]) {
-			asked = append(asked, candidate)
+		switch paused := s.paused[candidate]; {
+		case time.Now().After(paused.until):
+			well = append(well, candidate)
+		case paused.lost:
+			lost = append(lost, candidate)
 		}
 	}
-	return asked
+	return append(well, lost...)
 }
 
 func (s *Shared) ask(ctx context.Context, watcher netip.AddrPort, after uint64, until time.Time) (Watched, error) {
@@ -265,10 +304,22 @@
 	return answer.unpacked()
 }
 
-func (s *Shared) pause(watcher netip.AddrPort) {
+// pause is why and until when a watcher is left alone.
+type pause struct {
+	until time.Time
+	// lost says that it has lost the store. It is asked after the others, so that
+	// this node hears when the store is back.
+	lost bool
+}
+
+// pause notes that a watcher did not answer well, and reports whether that is
+// news.
+func (s *Shared) pause(watcher netip.AddrPort, lost bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.paused[watcher] = time.Now().Add(s.config.Pause)
+	before := s.paused[watcher]
+	s.paused[watcher] = pause{until: time.Now().Add(s.config.Pause), lost: lost}
+	return time.Now().After(before.until) || before.lost != lost
 }
 
 // follow takes in what a watcher told. The history goes on, so that this node can
@@ -277,7 +328,7 @@
 func (s *Shared) follow(after uint64, events []Event, revision uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.short = false
+	s.short, s.byStore = false, false
 	s.take(after, events, revision)
 }
 
@@ -288,13 +339,6 @@
 	s.history.add(after, events, revision)
 }
 
-// lose notes that the store does not answer.
-func (s *Shared) lose() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.history.lose()
-}
-
 // direct watches the store.
 func (s *Shared) direct(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	s.mutex.Lock()
@@ -311,6 +355,7 @@
 	case err != nil:
 		s.history.lose()
 	default:
+		s.byStore = true
 		s.take(after, events, max(revision, after))
 	}
 	return events, revision, err
--- a/internal/mirror/shared_test.go
+++ b/internal/mirror/shared_test.go
@@ -266,6 +266,32 @@
 	p.wantFollow(1, 0, nil)
 }
 
+// TestOutageIsNotProbedByEveryNodeAtOnce: a node whose watchers have lost the store
+// asks it from time to time, and goes on with it if it answers.
+func TestOutageIsNotProbedByEveryNodeAtOnce(t *testing.T) {
+	p := newPair(t)
+	p.follower.config.Pause = time.Hour
+	p.store.setDown(true)
+	_ = p.watch()
+	for range 20 {
+		p.wantFollow(0, 0, ErrWatcherLost)
+	}
+	p.follower.probeAt = time.Now()
+	p.wantFollow(0, 1, errAway)
+	p.wantFollow(0, 0, ErrWatcherLost)
+	p.store.setDown(false) // for the follower; the watcher has not noticed
+	p.store.put("a")
+	p.follower.probeAt = time.Now()
+	p.wantFollow(1, 1, nil)
+	p.store.put("b")
+	p.wantFollow(1, 1, nil)
+	p.store.put("c")
+	if err := p.watch(); err != nil {
+		t.Fatal(err)
+	}
+	p.wantFollow(1, 0, nil)
+}
+
 // TestServeWakesUp when there is a change, or the store is lost.
 func TestServeWakesUp(t *testing.T) {
 	for name, happen := range map[string]func(p *pair){
--- a/internal/mirror/sources_test.go
+++ b/internal/mirror/sources_test.go
@@ -203,6 +203,24 @@
 	}
 }
 
+// TestFollowerThatKnowsMoreIsToldNoDifference: what it knows may have come and gone
+// while the watcher knew nothing, who cannot tell it then.
+func TestFollowerThatKnowsMoreIsToldNoDifference(t *testing.T) {
+	p := newPair(t)
+	p.store.put("a")
+	if _, _, err := p.follower.Range(t.Context(), ""); err != nil {
+		t.Fatal(err)
+	}
+	p.revision = 1
+	p.store.remove("a")
+	p.store.forget()
+	_ = p.watch()
+	if _, _, err := p.watcher.Range(t.Context(), ""); err != nil {
+		t.Fatal(err)
+	}
+	p.wantFollow(0, 1, ErrCompacted) // it has to read the store itself
+}
+
 // TestFollowerThatBecomesAWatcherKeepsItsHistory, so that others need not turn to
 // the store when the watchers change.
 func TestFollowerThatBecomesAWatcherKeepsItsHistory(t *testing.T) {
