frontend: the time between two probes of a slow leaf grows with the nodes that probe it

Each of 18 executors probed each slow leaf each 2 s: 9 probes a second for a leaf, of the 11 extra attempts a second that the requests for its shard earn. Ruled out: queries run by small nodes (4 of 500), executors lost (none).

Test: TestProbesOfAllNodesTogetherAreBounded.

--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -257,6 +257,11 @@
 	}
 }
 
+// SetProbeInterval changes the time between two probes of a slow leaf by this node.
+func (d *Dispatcher) SetProbeInterval(interval time.Duration) {
+	d.config.Probation.ProbeInterval = interval
+}
+
 // busy reports whether shards wait in the node.
 func (d *Dispatcher) busy() bool {
 	return d.waiters > 0 || len(d.parked) > 0
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -198,6 +198,7 @@
 	f.setWatchers(members)
 	divided := shareOf(roles, members, nodes)
 	f.conn.ResizeBudget(divided.budget(f.settings.Forward))
+	f.conn.SetProbeInterval(divided.probeInterval())
 	f.ports.OnLeaves(f.shareLeaves(&topology, divided))
 	f.conn.SetTopology(topology)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -212,7 +212,7 @@
 	config.EqualSlots = true
 	config.Score.Tie = zoneTie
 	config.Hedge.Queue = 1
-	config.Probation.ProbeInterval = probeInterval
+	config.Probation.ProbeInterval = minProbeInterval
 	config.Score.Crowding = crowdingPrice
 	config.EndWithoutBudget = true
 	config.RequireCoverage = true
@@ -228,10 +228,6 @@
 	// crowdingPrice spreads work over two replicas of few slots before queues
 	// form.
 	crowdingPrice = 0.6
-	// probeInterval is the time between two probes of a slow leaf. Probes and
-	// hedges share one small budget of each shard, which shards with slow leaves
-	// need for hedges.
-	probeInterval = 2 * time.Second
 	// zoneTie is the difference of two scores up to which the zone decides: it
 	// keeps bytes within a zone where that costs little time.
 	zoneTie = 0.2
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -125,3 +125,16 @@
 		t.Error("a label is not kept")
 	}
 }
+
+// TestProbesOfAllNodesTogetherAreBounded: what many nodes spend on probes of one
+// slow leaf would else eat the budget of its shard.
+func TestProbesOfAllNodesTogetherAreBounded(t *testing.T) {
+	for _, test := range []struct {
+		nodes int
+		want  time.Duration
+	}{{1, minProbeInterval}, {6, minProbeInterval}, {18, 18 * probeSpacing}, {300, maxProbeInterval}} {
+		if got := (share{census: subset.Census{All: test.nodes}}).probeInterval(); got != test.want {
+			t.Errorf("%d nodes probe each %v, want %v", test.nodes, got, test.want)
+		}
+	}
+}
--- a/internal/frontend/share.go
+++ b/internal/frontend/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/hedge"
 	"github.com/micaplank/micaplank/internal/relay"
@@ -68,3 +69,19 @@
 	}
 	return hedge.Bounds{Initial: initial, Capacity: capacity, Reserve: min(maxReserve, capacity/4)}
 }
+
+const (
+	// probeSpacing is the time between two probes of a slow leaf by all nodes
+	// together that run most queries. Probes and hedges share one budget of each
+	// shard, which shards with slow leaves need for hedges.
+	probeSpacing = 330 * time.Millisecond
+	// minProbeInterval and maxProbeInterval bound the time between two probes of a
+	// leaf by one node: the latter is how late it finds a leaf that is well again.
+	minProbeInterval = 2 * time.Second
+	maxProbeInterval = 10 * time.Second
+)
+
+// probeInterval returns the time between two probes of a slow leaf by this node.
+func (s share) probeInterval() time.Duration {
+	return min(max(time.Duration(s.census.All)*probeSpacing, minProbeInterval), maxProbeInterval)
+}
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -195,6 +195,13 @@
 	c.dispatcher.ResizeBudget(bounds)
 }
 
+// SetProbeInterval changes the time between two probes of a slow leaf.
+func (c *Conn[Q, P]) SetProbeInterval(interval time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.dispatcher.SetProbeInterval(interval)
+}
+
 // Observe hands the dispatcher a leaf's own word on its load.
 func (c *Conn[Q, P]) Observe(address netip.AddrPort, load leaf.LoadSummary) {
 	c.step(func(now dispatch.Time) []dispatch.Action {
