hedge, frontend: a part of the slack comes with time, over its window

The users allow 0.2 of a service's requests and a slack more in any window of 10 s. A node spent its share of the slack once, as the capacity of its budget; then only the ratio earned new tokens.

The sum in any window is what it was: TestTokensComeWithTime (rapid), TestBudgetSharesStayWithinTheSlack and TestExecutorsAndOthersShareTheSlack, which now add what comes in a window.

--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -274,6 +274,7 @@
 // budgetOf returns the budget that pays for extra attempts of a shard.
 func (d *Dispatcher) budgetOf(q *query, position int32) *hedge.Budget {
 	if !d.config.BudgetByShard {
+		d.budget.Pass(d.now)
 		return &d.budget
 	}
 	shard := q.shardAt(int(position))
@@ -283,6 +284,7 @@
 		budget = &created
 		d.budgets[shard] = budget
 	}
+	budget.Pass(d.now)
 	return budget
 }
 
--- a/internal/decide/hedge/budget.go
+++ b/internal/decide/hedge/budget.go
@@ -1,7 +1,9 @@
 // Package hedge decides when a second attempt is worth sending and pays for
-// it from one budget of extra load. It is pure: it keeps no clock.
+// it from one budget of extra load. It is pure: time comes in as an argument.
 package hedge
 
+import "time"
+
 // BudgetConfig holds the policy of a Budget.
 type BudgetConfig struct {
 	// Earned is the part of the share that is earned, so that what is saved up
@@ -18,6 +20,8 @@
 	// Debt is how far retries may overdraw, because a lost shard costs
 	// coverage. Hedges wait until the debt is repaid. Default 50.
 	Debt float64
+	// Refill is the number of tokens that come with each second. Default 0.
+	Refill float64
 	// Chance draws numbers from 0 to 1. With it, what is less than one token
 	// buys an attempt by chance, so that many budgets with less than a token
 	// each spend their sum. Nil: never.
@@ -29,25 +33,29 @@
 	return BudgetConfig{Earned: 0.95, Capacity: 20, Initial: 5, Reserve: 2, Debt: 50}
 }
 
-// Budget is a token bucket filled by needed attempts and emptied by extra
-// ones: hedges, probes and retries alike.
+// Budget is a token bucket filled by needed attempts, and by time, and emptied by
+// extra ones: hedges, probes and retries alike.
 type Budget struct {
 	config BudgetConfig
 	tokens float64
+	at     time.Duration // of the last Pass
 }
 
 // NewBudget returns a Budget with its initial tokens.
 func NewBudget(config BudgetConfig) Budget {
-	return Budget{config: config, tokens: min(config.Initial, config.Capacity)}
+	return Budget{config: config, tokens: min(config.Initial, config.Capacity), at: never}
 }
 
+// never is the time of the last Pass before the first.
+const never time.Duration = -1
+
 // Bounds are the parts of a BudgetConfig that change while a Budget is in use.
-type Bounds struct{ Initial, Capacity, Reserve float64 }
+type Bounds struct{ Initial, Capacity, Reserve, Refill float64 }
 
 // Resize changes the bounds. The tokens at the start are those of budgets that
 // are made later.
 func (c *BudgetConfig) Resize(bounds Bounds) {
-	c.Initial, c.Capacity, c.Reserve = bounds.Initial, bounds.Capacity, bounds.Reserve
+	c.Initial, c.Capacity, c.Reserve, c.Refill = bounds.Initial, bounds.Capacity, bounds.Reserve, bounds.Refill
 }
 
 // Resize changes the bounds. What is saved up beyond the new capacity is lost.
@@ -62,6 +70,18 @@
 	b.tokens = min(b.tokens+share*b.config.Earned, b.config.Capacity)
 }
 
+// Pass adds the tokens that come with time, up to now, since it was called last.
+func (b *Budget) Pass(now time.Duration) {
+	if b.at == never {
+		b.at = now
+	}
+	if now <= b.at {
+		return
+	}
+	b.tokens = min(b.tokens+b.config.Refill*(now-b.at).Seconds(), max(b.config.Capacity, b.tokens))
+	b.at = now
+}
+
 // SpendHedge takes one token for a hedge or a probe, if more than the reserve
 // is left.
 func (b *Budget) SpendHedge() bool {
--- a/internal/decide/hedge/hedge_test.go
+++ b/internal/decide/hedge/hedge_test.go
@@ -99,3 +99,31 @@
 		t.Errorf("still %s", got)
 	}
 }
+
+// TestTokensComeWithTime, up to the capacity: in any window, no more is spent than
+// the capacity and what came in the window.
+func TestTokensComeWithTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		config := BudgetConfig{Capacity: 5, Initial: 5, Refill: 0.4}
+		budget := NewBudget(config)
+		now := time.Duration(rapid.IntRange(0, 1000).Draw(t, "start")) * time.Second
+		var spent []time.Duration
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond
+			budget.Pass(now)
+			if budget.SpendHedge() {
+				spent = append(spent, now)
+			}
+		}
+		for last := range spent {
+			first := last
+			for first > 0 && spent[last]-spent[first-1] < window {
+				first--
+			}
+			if count := last - first + 1; float64(count) > config.Capacity+config.Refill*window.Seconds()+0.001 {
+				t.Fatalf("%d spent between %v and %v", count, spent[first], spent[last])
+			}
+		}
+	})
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -21,7 +21,8 @@
 	from := settings.Defaults().Forward
 	for _, nodes := range []int{1, 2, 8, 12, 60, 300, 3900} {
 		bounds := share{census: subset.Census{All: nodes}, part: 1}.budget(from)
-		if all := bounds.Capacity * float64(nodes); all > from.ExtraSlack || all < from.ExtraSlack/2 {
+		spent := bounds.Capacity + bounds.Refill*from.ExtraWindow.Duration().Seconds()
+		if all := spent * float64(nodes); all > from.ExtraSlack || all < from.ExtraSlack/2 {
 			t.Errorf("%d nodes save up to %.1f of %.0f", nodes, all, from.ExtraSlack)
 		}
 		if bounds.Reserve <= 0 || bounds.Reserve >= bounds.Capacity || bounds.Initial > bounds.Capacity {
@@ -49,7 +50,7 @@
 	saved := 0.0
 	for _, member := range members {
 		bounds := shareOf(relay.Assign(member, members), members, len(members)).budget(from)
-		saved += bounds.Capacity + bounds.Initial
+		saved += bounds.Capacity + bounds.Refill*from.ExtraWindow.Duration().Seconds() + bounds.Initial
 	}
 	if saved > from.ExtraSlack+0.001 || saved < 0.9*from.ExtraSlack {
 		t.Errorf("%.1f of %.0f", saved, from.ExtraSlack)
--- a/internal/frontend/share.go
+++ b/internal/frontend/share.go
@@ -48,8 +48,11 @@
 
 const (
 	// slackShare is the part of the extra load beyond the ratio that running
-	// nodes save up; the rest is for nodes that start.
+	// nodes spend in any window; the rest is for nodes that start.
 	slackShare = 0.75
+	// savedShare is the part of that which a node saves up for a burst; the rest
+	// comes with time, over the window.
+	savedShare = 0.6
 	// aloneInitial bounds what a node may spend that has earned nothing yet:
 	// nodes that are killed come back with it each time. Executors get what
 	// slackShare leaves.
@@ -62,12 +65,13 @@
 // shard, beyond the ratio that its own requests earn.
 func (s share) budget(from settings.Forward) hedge.Bounds {
 	slack := s.part * from.ExtraSlack / float64(max(s.census.All, 1))
-	capacity := slackShare * slack
+	capacity := slackShare * savedShare * slack
+	refill := slackShare * (1 - savedShare) * slack / from.ExtraWindow.Duration().Seconds()
 	initial := min((1-slackShare)*slack, capacity)
 	if s.part == 1 {
 		initial = min(aloneInitial, capacity)
 	}
-	return hedge.Bounds{Initial: initial, Capacity: capacity, Reserve: min(maxReserve, capacity/4)}
+	return hedge.Bounds{Initial: initial, Capacity: capacity, Reserve: min(maxReserve, capacity/4), Refill: refill}
 }
 
 const (
