mirror, frontend: small fleets read the store; sources are chosen among the announced nodes; no patience while the store is away

A node that starts first asks the store which nodes are announced, by a read that may be old (a tenth of a call, one page). Below 100 nodes it reads the store. From 100 on the nodes that come first by a hash, one for 25, the seeds among them, read it, and the others copy one of these. The seeds stand in where nobody is announced. Without an answer of the store it takes what copy there is, at once.

--- a/internal/frontend/connections_test.go
+++ b/internal/frontend/connections_test.go
@@ -35,7 +35,7 @@
 	configured.Name, configured.Zone = "node-0", "a"
 	var handed []LeafShare
 	f := New(configured, Ports{
-		Store: mirror.Source(nil), Leases: lease.Store(nil), Leaves: noLeaves{},
+		Store: mirror.Store(nil), Leases: lease.Store(nil), Leaves: noLeaves{},
 		Handler:  func(Service) http.Handler { return nil },
 		OnLeaves: func(shares []LeafShare) { handed = shares },
 	}, telemetry.NewRegistry("test"), slog.New(slog.DiscardHandler))
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -56,6 +56,8 @@
 	// Leaf reads the announcement of a leaf. Of a removed one, only the key is
 	// given, and only the id is wanted.
 	Leaf(item mirror.Item) (registry.Leaf, error)
+	// NodePrefix is what the keys of announcements of nodes begin with.
+	NodePrefix() string
 	// Node returns the name of the node that a key announces.
 	Node(key string) string
 	// NodeKey returns the key that announces an incarnation of a node.
@@ -64,7 +66,7 @@
 
 // Ports are the ways to the outside that a Frontend uses.
 type Ports struct {
-	Store   mirror.Source
+	Store   mirror.Store
 	Leases  lease.Store
 	Decoder Decoder
 	Leaves  scatter.LeafClient[*forward.Request, forward.Part]
@@ -163,7 +165,6 @@
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
 	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{client: f.peers, self: f.member.Name}, f.logger)
-	f.setSources()
 	f.relay = relay.New(relay.DefaultConfig(), f.member, f.peers, f.clock, registerer, f.logger)
 	registerer.MustRegister(newCollector(f))
 	f.expiry = time.AfterFunc(time.Hour, f.publish)
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -75,6 +75,7 @@
 }
 
 func (f *Frontend) mirror() *mirror.Mirror {
+	f.shared.SetPlanner(f.ports.Decoder.NodePrefix(), f.planStart)
 	return mirror.New(mirror.Config{
 		Prefix:     f.ports.Decoder.Prefix(),
 		MinBackoff: minBackoff, MaxBackoff: maxBackoff,
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -52,6 +52,14 @@
 	Watch(ctx context.Context, watcher netip.AddrPort, after uint64, wait time.Duration) (Watched, error)
 }
 
+// Store is a Source that also tells quickly what there was.
+type Store interface {
+	Source
+	// Peek returns some of the items under a prefix, which may be seconds old. It
+	// is cheaper than Range.
+	Peek(ctx context.Context, prefix string) ([]Item, error)
+}
+
 // SharedConfig is the policy of a Shared.
 type SharedConfig struct {
 	// Wait is the longest wait of a question to a watcher, and of a watch of the
@@ -113,7 +121,7 @@
 // It is safe for concurrent use, but for Range and Watch, which must not overlap.
 type Shared struct {
 	config SharedConfig
-	store  Source
+	store  Store
 	peers  Peers
 	logger *slog.Logger
 
@@ -122,6 +130,8 @@
 	short    bool // the watch of the store in progress, or the last one, is that of a watcher
 	watchers []netip.AddrPort
 	paused   map[netip.AddrPort]pause
+	nodes    string // prefix under which nodes are announced
+	plan     Planner
 	source   bool // other nodes ask this one when they start
 	sources  []netip.AddrPort
 	contents contents
@@ -141,7 +151,7 @@
 }
 
 // NewShared returns a Source that asks the store alone, until SetWatchers.
-func NewShared(config SharedConfig, store Source, peers Peers, logger *slog.Logger) *Shared {
+func NewShared(config SharedConfig, store Store, peers Peers, logger *slog.Logger) *Shared {
 	return &Shared{
 		config: config, store: store, peers: peers, logger: logger,
 		paused:  make(map[netip.AddrPort]pause),
--- a/internal/mirror/shared_test.go
+++ b/internal/mirror/shared_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -66,6 +67,22 @@
 	return m.items(), uint64(len(m.events)), nil
 }
 
+// Peek returns items of some time ago.
+func (m *memoryStore) Peek(_ context.Context, prefix string) ([]Item, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return nil, errAway
+	}
+	var found []Item
+	for _, item := range m.items() {
+		if strings.HasPrefix(item.Key, prefix) {
+			found = append(found, item)
+		}
+	}
+	return found, nil
+}
+
 // Watch returns at once, also without changes.
 func (m *memoryStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	m.mutex.Lock()
--- a/internal/mirror/sources.go
+++ b/internal/mirror/sources.go
@@ -19,41 +19,83 @@
 // errNoSource means that no other node has a copy that can be used.
 var errNoSource = errors.New("no other node has a copy")
 
-// acceptance says which copies of other nodes are taken.
-type acceptance bool
+// search says which copies of other nodes are taken, and how long they are waited
+// for.
+type search struct {
+	// lost is set if the copy of a node that has lost the store will do.
+	lost bool
+	// patient is set if nodes that have no copy yet, or do not listen, are waited
+	// for.
+	patient bool
+}
 
-const (
-	onlyCurrent acceptance = false
-	alsoLost    acceptance = true
+// The searches of a start.
+var (
+	// whileStoreAnswers waits for a node that reads the store at this moment.
+	whileStoreAnswers = search{patient: true}
+	// withoutStore takes what there is. Who has nothing waits for the store, too.
+	withoutStore = search{lost: true}
 )
 
-func (a acceptance) takes(offer Offer) bool {
-	return offer.State == OfferCurrent || bool(a) && offer.State == OfferLost
+func (s search) takes(offer Offer) bool {
+	return offer.State == OfferCurrent || s.lost && offer.State == OfferLost
+}
+
+// Plan says how a node starts.
+type Plan struct {
+	// Source is set if other nodes ask this one when they start. Such a node reads
+	// the store itself, or the sources would wait for each other.
+	Source bool
+	// Direct is set if each node reads the store itself, since there are few.
+	Direct bool
+	// Others are the nodes that are asked for their copy, in the order in which they
+	// are asked. A node that reads the store asks them only if it does not answer.
+	Others []netip.AddrPort
 }
 
-// SetSources says which other nodes are asked for their copy of the store at the
-// start, in the order in which they are asked, and whether this node is one that
-// others ask. Such a node reads the store itself. It is called before the first
-// Range.
-func (s *Shared) SetSources(source bool, others []netip.AddrPort) {
+// reads reports whether the node reads the store itself.
+func (p Plan) reads() bool { return p.Source || p.Direct || len(p.Others) == 0 }
+
+// Planner makes the plan of a start from the announcements of nodes in the store.
+// They may be old, and are nil if they could not be read.
+type Planner func(nodes []Item) Plan
+
+// SetPlanner says who plans the start, and under which prefix nodes are announced.
+// It is called before the first Range. Without it the store is read.
+func (s *Shared) SetPlanner(prefix string, plan Planner) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.source = source
-	s.sources = others
+	s.nodes, s.plan = prefix, plan
+}
+
+// planBy makes the plan of this start.
+func (s *Shared) planBy(planner Planner, nodes []Item) Plan {
+	plan := planner(nodes)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.source = plan.Source
+	if !plan.reads() {
+		s.sources = plan.Others
+	}
+	return plan
 }
 
 // load reads all items for the first time: from a source, from the store, or, if
-// the store does not answer, from a source that has lost it. Sources themselves
-// go to the store first, or they would wait for each other.
+// the store does not answer, from a source that has lost it.
 func (s *Shared) load(ctx context.Context, prefix string) ([]Item, uint64, error) {
 	s.mutex.Lock()
-	source, others := s.source, s.sources
+	announced, planner := s.nodes, s.plan
 	s.mutex.Unlock()
-	if len(others) == 0 {
+	if planner == nil {
 		return s.rangeStore(ctx, prefix)
 	}
-	if !source {
-		items, revision, err := s.copyOf(ctx, others, onlyCurrent)
+	nodes, failure := s.store.Peek(ctx, announced)
+	if failure != nil {
+		return s.loadWithoutStore(ctx, s.planBy(planner, nil), failure)
+	}
+	plan := s.planBy(planner, nodes)
+	if !plan.reads() {
+		items, revision, err := s.copyOf(ctx, plan.Others, whileStoreAnswers)
 		if err == nil || ctx.Err() != nil {
 			return items, revision, err
 		}
@@ -62,7 +104,13 @@
 	if failure == nil || ctx.Err() != nil {
 		return items, revision, failure
 	}
-	items, revision, err := s.copyOf(ctx, others, alsoLost)
+	return s.loadWithoutStore(ctx, plan, failure)
+}
+
+// loadWithoutStore takes the copy that another node has, or returns the failure of
+// the store.
+func (s *Shared) loadWithoutStore(ctx context.Context, plan Plan, failure error) ([]Item, uint64, error) {
+	items, revision, err := s.copyOf(ctx, plan.Others, withoutStore)
 	if errors.Is(err, errNoSource) {
 		return nil, 0, failure
 	}
@@ -71,14 +119,14 @@
 
 // copyOf takes over the copy of a source. Its error is ErrStale, beside the items,
 // if the source has lost the store.
-func (s *Shared) copyOf(ctx context.Context, sources []netip.AddrPort, accept acceptance) ([]Item, uint64, error) {
+func (s *Shared) copyOf(ctx context.Context, sources []netip.AddrPort, by search) ([]Item, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.Patience)
 	defer cancel()
-	offered := s.survey(ctx, sources, accept)
+	offered := s.survey(ctx, sources, by)
 	for source := range offered {
 		asked := time.Now()
 		snapshot, err := s.peers.Snapshot(ctx, source)
-		if err == nil && !accept.takes(snapshot.Offer) {
+		if err == nil && !by.takes(snapshot.Offer) {
 			continue
 		}
 		var items []Item
@@ -91,7 +139,7 @@
 		}
 		heardAt := asked.Add(-snapshot.Age)
 		stale := snapshot.State == OfferLost || time.Since(heardAt) > s.config.Fresh
-		if stale && accept == onlyCurrent {
+		if stale && !by.lost {
 			continue
 		}
 		s.adopt(items, snapshot.Revision, heardAt, stale)
@@ -119,13 +167,15 @@
 // survey asks the sources for what they offer, the first one at once and each
 // further one a moment later, and returns those with an acceptable copy as they
 // answer. The channel is closed when none is left that may have one.
-func (s *Shared) survey(ctx context.Context, sources []netip.AddrPort, accept acceptance) <-chan netip.AddrPort {
+func (s *Shared) survey(ctx context.Context, sources []netip.AddrPort, by search) <-chan netip.AddrPort {
 	offered := make(chan netip.AddrPort, len(sources))
 	var asking sync.WaitGroup
 	for position, source := range sources {
 		asking.Go(func() {
-			clock.Sleep(ctx, time.Duration(position)*s.config.Stagger)
-			if s.awaitOffer(ctx, source, accept) {
+			if by.patient {
+				clock.Sleep(ctx, time.Duration(position)*s.config.Stagger)
+			}
+			if s.awaitOffer(ctx, source, by) {
 				offered <- source
 			}
 		})
@@ -148,21 +198,25 @@
 // awaitOffer asks one source until it has a copy, and reports whether that is
 // acceptable. It gives up on one that does not answer for the time in which a
 // process that starts at the same time would listen.
-func (s *Shared) awaitOffer(ctx context.Context, source netip.AddrPort, accept acceptance) bool {
+func (s *Shared) awaitOffer(ctx context.Context, source netip.AddrPort, by search) bool {
 	silentUntil := time.Now().Add(s.config.StartSpread)
+	wait := s.config.OfferWait
+	if !by.patient {
+		wait = 0
+	}
 	for ctx.Err() == nil {
 		asking, cancel := context.WithDeadline(ctx, time.Now().Add(s.config.OfferWait+s.config.StartSpread))
-		offer, err := s.peers.Offer(asking, source, s.config.OfferWait)
+		offer, err := s.peers.Offer(asking, source, wait)
 		cancel()
 		switch {
-		case err != nil && time.Now().After(silentUntil):
+		case err != nil && (!by.patient || time.Now().After(silentUntil)):
 			return false
 		case err != nil:
 			clock.Sleep(ctx, s.offerPause())
-		case offer.State == OfferLoading:
+		case offer.State == OfferLoading && by.patient:
 			silentUntil = time.Now().Add(s.config.StartSpread)
 		default:
-			return accept.takes(offer)
+			return by.takes(offer)
 		}
 	}
 	return false
--- a/internal/mirror/sources_test.go
+++ b/internal/mirror/sources_test.go
@@ -63,7 +63,7 @@
 			others = append(others, seed)
 		}
 	}
-	node.SetSources(true, others)
+	node.SetPlanner("", func([]Item) Plan { return Plan{Source: true, Others: others} })
 	f.peers.watchers[f.seeds[index]] = node
 	f.peers.setCut(f.seeds[index], false)
 	return node
@@ -72,7 +72,7 @@
 // node starts a node that is no seed.
 func (f *fleet) node() *Shared {
 	node := NewShared(f.config(), f.store, f.peers, slog.New(slog.DiscardHandler))
-	node.SetSources(false, f.seeds)
+	node.SetPlanner("", func([]Item) Plan { return Plan{Others: f.seeds} })
 	return node
 }
 
@@ -142,6 +142,29 @@
 	f.wantRanges(3)
 }
 
+// TestPlanIsMadeFromTheNodes that are announced, if the store tells them.
+func TestPlanIsMadeFromTheNodes(t *testing.T) {
+	f := newFleet(t, 1)
+	f.store.put("nodes/a")
+	f.store.put("other")
+	f.load(f.seed(0), nil)
+	node := f.node()
+	var told []Item
+	node.SetPlanner("nodes/", func(nodes []Item) Plan { told = nodes; return Plan{} })
+	f.load(node, nil)
+	if len(told) != 1 || told[0].Key != "nodes/a" {
+		t.Errorf("told of %v", told)
+	}
+	f.wantRanges(2)
+	f.store.setDown(true)
+	other := f.node()
+	other.SetPlanner("nodes/", func(nodes []Item) Plan { told = nodes; return Plan{Others: f.seeds} })
+	f.load(other, nil)
+	if told != nil {
+		t.Errorf("told of %v by a store that is down", told)
+	}
+}
+
 // TestStartInAnOutageOfTheStore takes the copy of a source that has lost the
 // store, and says so.
 func TestStartInAnOutageOfTheStore(t *testing.T) {
--- a/internal/roster/watchers.go
+++ b/internal/roster/watchers.go
@@ -20,14 +20,20 @@
 	membersPerWatcher = 50
 )
 
-// Watchers returns the members that watch the store for the others: those at the
-// preferred addresses, then those first by a hash of their names, with one of each
-// zone at least. There are none among few nodes. Every node computes the same from
-// the same members and preferences.
+// Watchers returns the members that watch the store for the others: see Spread.
+// There are none among few nodes.
 func Watchers(members []Member, preferred ...netip.AddrPort) []Member {
 	if len(members) < fewestForWatchers {
 		return nil
 	}
+	return Spread(members, max(leastWatchers, (len(members)+membersPerWatcher-1)/membersPerWatcher), preferred...)
+}
+
+// Spread returns about the wanted number of members: those at the preferred
+// addresses first, then those first by a hash of their names, with one of each
+// zone at least. Every node computes the same from the same members and
+// preferences.
+func Spread(members []Member, wanted int, preferred ...netip.AddrPort) []Member {
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b Member) int {
 		if first := slices.Contains(preferred, a.Peer); first != slices.Contains(preferred, b.Peer) {
@@ -38,16 +44,15 @@
 		}
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
-	wanted := max(leastWatchers, (len(members)+membersPerWatcher-1)/membersPerWatcher)
 	zones := make(map[string]bool)
-	var watchers []Member
+	var chosen []Member
 	for _, member := range order {
-		if !zones[member.Zone] || len(watchers) < wanted {
+		if !zones[member.Zone] || len(chosen) < wanted {
 			zones[member.Zone] = true
-			watchers = append(watchers, member)
+			chosen = append(chosen, member)
 		}
 	}
-	return watchers
+	return chosen
 }
 
 // Preferred sorts members as a node asks them: those of its zone first, and
