--- a/cmd/micactl/explain.go
+++ b/cmd/micactl/explain.go
@@ -14,25 +14,30 @@
 
 // explainCommand tells the story of a request from logs; it asks no node.
 type explainCommand struct {
-	id    string
+	id string
+	logFlags
+}
+
+// logFlags say which logs a command reads.
+type logFlags struct {
 	files []string
 	since string
 }
 
+func (f *logFlags) attach(subcommand *flaggy.Subcommand) {
+	subcommand.StringSlice(&f.files, "l", "log", "A log in JSON; may be repeated; - is standard input, and the default.")
+	subcommand.String(&f.since, "s", "since", "Leave out what is older: a time such as 2026-12-02T10:00:00Z, or a duration before the newest line, such as 10m.")
+}
+
 func (c *explainCommand) attach() *flaggy.Subcommand {
 	subcommand := newCommand("explain", "Tell the story of a request from the nodes' logs: what was decided, when, and on which belief.")
 	subcommand.AddPositionalValue(&c.id, "ID", 1, true, "The id of the request.")
-	subcommand.StringSlice(&c.files, "l", "log", "A log in JSON; may be repeated; - is standard input, and the default.")
-	subcommand.String(&c.since, "s", "since", "Leave out what is older: a time such as 2026-12-02T10:00:00Z, or a duration before the newest line, such as 10m.")
+	c.logFlags.attach(subcommand)
 	return subcommand
 }
 
 func (c *explainCommand) run(_ context.Context, session *operator.Session) error {
-	lines, err := c.read()
-	if err != nil {
-		return err
-	}
-	since, err := sinceTime(c.since, lines)
+	lines, since, err := c.read()
 	if err != nil {
 		return err
 	}
@@ -46,8 +51,9 @@
 	return explain.WriteText(session.Output, story)
 }
 
-func (c *explainCommand) read() ([]explain.Line, error) {
-	files := c.files
+// read returns the lines of the logs, and the time from which they count.
+func (f *logFlags) read() ([]explain.Line, time.Time, error) {
+	files := f.files
 	if len(files) == 0 {
 		files = []string{standardInput}
 	}
@@ -55,11 +61,12 @@
 	for _, name := range files {
 		read, err := readLog(name)
 		if err != nil {
-			return nil, err
+			return nil, time.Time{}, err
 		}
 		lines = append(lines, read...)
 	}
-	return lines, nil
+	since, err := sinceTime(f.since, lines)
+	return lines, since, err
 }
 
 func readLog(name string) ([]explain.Line, error) {
--- a/cmd/micactl/main.go
+++ b/cmd/micactl/main.go
@@ -55,6 +55,7 @@
 		&drainCommand{},
 		&queryCommand{},
 		&explainCommand{},
+		&lossesCommand{},
 		&completionCommand{},
 	}
 }
