--- /dev/null
+++ b/internal/mirror/fleet_test.go
@@ -0,0 +1,83 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// linkedStore is a store behind a link that carries one range at a time.
+type linkedStore struct {
+	*memoryStore
+	link chan struct{}
+	took time.Duration // by one range
+}
+
+func (l *linkedStore) Range(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	l.link <- struct{}{}
+	time.Sleep(l.took)
+	<-l.link
+	return l.memoryStore.Range(ctx, prefix)
+}
+
+// TestReturnOfAWholeFleet: when all nodes start at once, the sources after the
+// others, the store is read by the sources only, and all have a copy before the
+// store could have served a tenth of them.
+func TestReturnOfAWholeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			nodes, sources = 300, 12
+			took           = 40 * time.Millisecond // 5 MB over 1 Gbit/s
+			late           = 500 * time.Millisecond
+		)
+		store := &linkedStore{memoryStore: &memoryStore{}, link: make(chan struct{}, 1), took: took}
+		store.put("config")
+		peers := &linked{watchers: make(map[netip.AddrPort]*Shared), cut: make(map[netip.AddrPort]bool)}
+		var addresses []netip.AddrPort
+		for index := range sources {
+			addresses = append(addresses, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(index+1)))
+			peers.setCut(addresses[index], true)
+		}
+		fleet := make([]*Shared, nodes)
+		for index := range fleet {
+			fleet[index] = NewShared(DefaultSharedConfig(), store, peers, slog.New(slog.DiscardHandler))
+			plan := Plan{Source: index < sources, Others: addresses}
+			fleet[index].SetPlanner("nodes/", func([]Item) Plan { return plan })
+			if plan.Source {
+				peers.watchers[addresses[index]] = fleet[index]
+			}
+		}
+		begun := time.Now()
+		loaded := make(chan error, nodes)
+		start := func(node *Shared) {
+			items, _, err := node.Range(t.Context(), "")
+			if err == nil && len(items) != 1 {
+				err = fmt.Errorf("%d items", len(items))
+			}
+			loaded <- err
+		}
+		for _, node := range fleet[sources:] {
+			go start(node)
+		}
+		time.Sleep(late)
+		for index, node := range fleet[:sources] {
+			peers.setCut(addresses[index], false)
+			go start(node)
+		}
+		for range nodes {
+			if err := <-loaded; err != nil {
+				t.Fatal(err)
+			}
+		}
+		if store.ranges != sources {
+			t.Errorf("the store was read %d times, there are %d sources", store.ranges, sources)
+		}
+		if took := time.Since(begun); took > late+sources*store.took+time.Second {
+			t.Errorf("the last node had a copy after %v", took)
+		}
+	})
+}
