--- a/internal/mirror/sources.go
+++ b/internal/mirror/sources.go
@@ -122,43 +122,58 @@
 func (s *Shared) copyOf(ctx context.Context, sources []netip.AddrPort, by search) ([]Item, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.Patience)
 	defer cancel()
-	offered := s.survey(ctx, sources, by)
-	for source := range offered {
-		asked := time.Now()
-		snapshot, err := s.peers.Snapshot(ctx, source)
-		if err == nil && !by.takes(snapshot.Offer) {
-			continue
-		}
-		var items []Item
-		if err == nil {
-			items, err = unpack[Item](snapshot.Packed)
-		}
+	for source := range s.survey(ctx, sources, by) {
+		got, err := s.fetch(ctx, source)
 		if err != nil {
 			event.Log(s.logger, event.SourceFailed{Source: source, Error: err})
 			continue
 		}
-		heardAt := asked.Add(-snapshot.Age)
-		stale := snapshot.State == OfferLost || time.Since(heardAt) > s.config.Fresh
-		if stale && !by.lost {
+		if !by.takes(got.Offer) {
 			continue
 		}
-		s.adopt(items, snapshot.Revision, heardAt, stale)
-		event.Log(s.logger, event.SourceUsed{Source: source, Revision: snapshot.Revision, Age: time.Since(heardAt), Stale: stale})
+		stale := got.State == OfferLost
+		s.adopt(got, stale)
+		event.Log(s.logger, event.SourceUsed{Source: source, Revision: got.Revision, Age: time.Since(got.heardAt), Stale: stale})
 		if stale {
-			return items, snapshot.Revision, ErrStale
+			return got.items, got.Revision, ErrStale
 		}
-		return items, snapshot.Revision, nil
+		return got.items, got.Revision, nil
 	}
 	return nil, 0, errNoSource
 }
 
+// fetched is the copy of another node, unpacked.
+type fetched struct {
+	Offer
+	items []Item
+	// heardAt is when the store last answered that node, as this one can tell: the
+	// way of the question and the answer counts as age.
+	heardAt time.Time
+}
+
+// fetch fetches the copy of one source. If it became too old on the way, it is one
+// of a node that has lost the store.
+func (s *Shared) fetch(ctx context.Context, source netip.AddrPort) (fetched, error) {
+	asked := time.Now()
+	snapshot, err := s.peers.Snapshot(ctx, source)
+	if err != nil || snapshot.State == OfferLoading {
+		return fetched{Offer: snapshot.Offer}, err
+	}
+	items, err := unpack[Item](snapshot.Packed)
+	got := fetched{Offer: snapshot.Offer, items: items, heardAt: asked.Add(-snapshot.Age)}
+	if time.Since(got.heardAt) > s.config.Fresh {
+		got.State = OfferLost
+	}
+	return got, err
+}
+
 // adopt books the copy of another node as this node's own.
-func (s *Shared) adopt(items []Item, revision uint64, heardAt time.Time, stale bool) {
+func (s *Shared) adopt(got fetched, stale bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.heardAt = heardAt
-	s.contents.replace(items, revision)
-	s.begin(revision)
+	s.heardAt = got.heardAt
+	s.contents.replace(got.items, got.Revision)
+	s.begin(got.Revision)
 	if stale {
 		s.history.lose()
 	}
