registry, frontend, relay: a zone that operators take out of service gets no new attempts

Cause: nothing read the operators' word on a zone.

The adapter translates the key into a cordon of a zone; the registry marks the leaves of cordoned zones as not usable, those that come later too, so that the Dispatcher, the last check before a send and combiners need nothing new. Attempts in flight end well. A stale copy puts no zone back. An executor gets a request only if it knows of all zones that the node which took it knows of. A shard or service without a leaf elsewhere is left out or refused at once.

--- a/internal/event/belief.go
+++ b/internal/event/belief.go
@@ -166,6 +166,24 @@
 // Describe implements Event.
 func (LeafChanged) Describe() string { return "A leaf came, changed, drains or is gone." }
 
+// ZoneCordoned tells that operators took a zone out of service, or put it back.
+type ZoneCordoned struct {
+	Zone     string `event:"zone" doc:"the zone"`
+	Cordoned bool   `event:"cordoned" doc:"whether its leaves get no new attempts"`
+	Revision uint64 `event:"revision" doc:"revision of the store; 0 if it was found when the whole of the store was read"`
+}
+
+// Message implements Event.
+func (ZoneCordoned) Message() string { return "cordon changed" }
+
+// Level implements Event.
+func (ZoneCordoned) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (ZoneCordoned) Describe() string {
+	return "Operators took a zone out of service, or put it back. Attempts in flight at its leaves are left to finish."
+}
+
 // LeafRejected tells that the announcement of a leaf cannot be read.
 type LeafRejected struct {
 	Key      string `event:"key" doc:"where it lies"`
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -81,7 +81,7 @@
 		Request{}, RequestLost{},
 		StoreRead{}, SourceUsed{}, SourceFailed{}, StoreLost{}, StoreRegained{}, WatcherFailed{},
 		ConfigInstalled{}, ConfigRejected{},
-		LeafChanged{}, LeafRejected{},
+		LeafChanged{}, LeafRejected{}, ZoneCordoned{},
 		NodeChanged{}, NodeRejected{}, NodeNotAnnounced{}, LeaseLapsed{}, LeaseNotRenewed{},
 		ExecutorInTouch{}, ExecutorsLost{}, CombinerInTouch{}, CombinerLost{},
 		Started{}, Draining{}, Stopped{}, SettingsRead{}, SettingsRejected{}, Failed{},
--- a/internal/explain/belief.go
+++ b/internal/explain/belief.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/event"
@@ -15,11 +17,15 @@
 	store     string
 	storeAt   time.Time
 	executors string
+	// cordoned holds since when zones are out of service.
+	cordoned map[string]time.Time
 	// leaves holds the last announcement of each leaf.
 	leaves map[string]string
 }
 
-func newBeliefs() *beliefs { return &beliefs{leaves: make(map[string]string)} }
+func newBeliefs() *beliefs {
+	return &beliefs{leaves: make(map[string]string), cordoned: make(map[string]time.Time)}
+}
 
 // learn takes in a line of the node.
 func (b *beliefs) learn(line *Line) {
@@ -39,6 +45,11 @@
 		b.executors = fmt.Sprintf("in touch with %d executors", line.Left)
 	case event.ExecutorInTouch{}.Message():
 		b.executors = "in touch with " + line.Peer
+	case event.ZoneCordoned{}.Message():
+		delete(b.cordoned, line.Zone)
+		if line.Cordoned {
+			b.cordoned[line.Zone] = line.Time
+		}
 	case event.LeafChanged{}.Message():
 		b.leaves[line.Leaf] = announced(line)
 	}
@@ -71,6 +82,9 @@
 	if b.store != "" {
 		texts = append(texts, fmt.Sprintf("%s, %s before", b.store, age(line.Time, b.storeAt)))
 	}
+	for _, zone := range slices.Sorted(maps.Keys(b.cordoned)) {
+		texts = append(texts, fmt.Sprintf("zone %s out of service for %s", zone, age(line.Time, b.cordoned[zone])))
+	}
 	if b.executors != "" && line.Total > 1 {
 		texts = append(texts, b.executors)
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,6 +38,8 @@
 	Executor  string          `json:"executor"`
 	Attempts  []event.Attempt `json:"attempts"`
 
+	Zone     string `json:"zone"`
+	Cordoned bool   `json:"cordoned"`
 	Leaf     string `json:"leaf"`
 	Service  string `json:"service"`
 	Draining bool   `json:"draining"`
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -128,6 +128,20 @@
 	})
 }
 
+// TestBeliefsTellWhichZonesAreOutOfService at the time of a request.
+func TestBeliefsTellWhichZonesAreOutOfService(t *testing.T) {
+	known := newBeliefs()
+	begin := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	message := event.ZoneCordoned{}.Message()
+	known.learn(&Line{Message: message, Time: begin, Zone: "north", Cordoned: true})
+	known.learn(&Line{Message: message, Time: begin.Add(time.Second), Zone: "south", Cordoned: true})
+	known.learn(&Line{Message: message, Time: begin.Add(2 * time.Second), Zone: "south"})
+	told := known.at(&Line{Time: begin.Add(3 * time.Second)})
+	if want := []string{"zone north out of service for 3s"}; !reflect.DeepEqual(told, want) {
+		t.Errorf("%q, want %q", told, want)
+	}
+}
+
 // TestLinesAreReadAsTheyAreWritten logs events and reads them back: the names
 // in the log and here are the same.
 func TestLinesAreReadAsTheyAreWritten(t *testing.T) {
@@ -144,8 +158,9 @@
 	event.Log(logger, event.StoreRegained{Away: time.Second})
 	event.Log(logger, event.ExecutorsLost{Left: 2})
 	event.Log(logger, event.ExecutorInTouch{Peer: "p"})
+	event.Log(logger, event.ZoneCordoned{Zone: "z", Cordoned: true})
 	lines, err := Read(&output)
-	if err != nil || len(lines) != 6 {
+	if err != nil || len(lines) != 7 {
 		t.Fatalf("%d lines, %v", len(lines), err)
 	}
 	request := lines[0]
@@ -157,7 +172,7 @@
 	if leaf := lines[1]; leaf.Leaf != "i-1" || leaf.Service != "s" || !leaf.Draining || !leaf.Removed {
 		t.Errorf("%+v", leaf)
 	}
-	if lines[2].Executor != "b" || lines[2].Error != "gone" || lines[3].Away != "1s" || lines[4].Left != 2 || lines[5].Peer != "p" {
+	if lines[2].Executor != "b" || lines[2].Error != "gone" || lines[3].Away != "1s" || lines[4].Left != 2 || lines[5].Peer != "p" || lines[6].Zone != "z" || !lines[6].Cordoned {
 		t.Errorf("%+v", lines[2:])
 	}
 }
--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -41,12 +41,21 @@
 		Version:   e.forwarder.Version(),
 		Accepting: e.room() && e.ready(),
 		Fresh:     e.forwarder.Fresh(),
+		Cordoned:  e.cordoned(),
 	}
 }
 
 // terms are those of a request that is taken now.
 func (f *Frontend) terms() relay.Terms {
-	return relay.Terms{Version: f.forwarder.Version(), Fresh: f.forwarder.Fresh()}
+	return relay.Terms{Version: f.forwarder.Version(), Fresh: f.forwarder.Fresh(), Cordoned: f.cordoned()}
+}
+
+// cordoned returns the zones that are out of service, by name.
+func (f *Frontend) cordoned() []string {
+	if known := f.outOfService.Load(); known != nil {
+		return *known
+	}
+	return nil
 }
 
 // Run implements relay.Executor.
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/event"
@@ -18,6 +19,7 @@
 // Replace implements mirror.Sink.
 func (s storeSink) Replace(items []mirror.Item, read mirror.Reading) {
 	var leaves []registry.Leaf
+	var cordons []string
 	nodes := make(map[string]roster.Member)
 	for _, item := range items {
 		switch s.ports.Decoder.Kind(item.Key) {
@@ -29,11 +31,14 @@
 			}
 		case KindNode:
 			nodes[item.Key] = s.member(item)
+		case KindCordon:
+			cordons = append(cordons, s.ports.Decoder.CordonedZone(item.Key))
 		}
 	}
 	former := s.formerLease(items)
 	s.mutex.Lock()
 	s.leaves.Replace(s.clock.Now(), leaves)
+	recordoned := s.leaves.ReplaceCordons(cordons, read.Stale)
 	if !s.leavesKnown {
 		s.former = former
 		close(s.firstRead)
@@ -41,6 +46,9 @@
 	s.leavesKnown = true
 	s.nodes.Replace(s.clock.Now(), nodes)
 	s.mutex.Unlock()
+	for _, zone := range recordoned {
+		event.Log(s.logger, event.ZoneCordoned{Zone: zone, Cordoned: slices.Contains(cordons, zone)})
+	}
 	event.Log(s.logger, event.StoreRead{Leaves: len(leaves), Nodes: len(nodes), AfterGap: read.Gap, Stale: read.Stale})
 	s.forwarder.SetFresh(!read.Stale)
 	s.publish()
@@ -76,6 +84,9 @@
 		case KindNode:
 			s.changeNode(one)
 			changed = true
+		case KindCordon:
+			s.changeCordon(one)
+			changed = true
 		}
 	}
 	s.forwarder.SetFresh(true)
@@ -144,6 +155,17 @@
 	})
 }
 
+// changeCordon takes a zone out of service, or puts it back.
+func (s storeSink) changeCordon(changed mirror.Event) {
+	zone := s.ports.Decoder.CordonedZone(changed.Key)
+	s.mutex.Lock()
+	news := s.leaves.Cordon(zone, !changed.Removed)
+	s.mutex.Unlock()
+	if news {
+		event.Log(s.logger, event.ZoneCordoned{Zone: zone, Cordoned: !changed.Removed, Revision: changed.Revision})
+	}
+}
+
 func (s storeSink) changeNode(changed mirror.Event) {
 	s.mutex.Lock()
 	if changed.Removed {
@@ -191,6 +213,9 @@
 	f.metrics.nodes.Set(float64(nodes))
 	topology := f.leaves.Topology()
 	f.metrics.leaves.Set(float64(len(topology.Leaves)))
+	cordoned := f.leaves.Cordoned()
+	f.outOfService.Store(&cordoned)
+	f.metrics.cordoned.Set(float64(len(cordoned)))
 	members := f.nodes.Members(f.clock.Now())
 	roles := relay.Assign(f.member, members)
 	f.relay.SetRoles(roles, f.terms())
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -44,6 +44,7 @@
 	KindConfig             // the declared configuration
 	KindLeaf               // the announcement of a leaf
 	KindNode               // the announcement of a node like this one
+	KindCordon             // the operators' word that a zone is out of service
 )
 
 // Decoder reads what lies in the store. Its methods keep nothing of the items.
@@ -56,6 +57,9 @@
 	// Leaf reads the announcement of a leaf. Of a removed one, only the key is
 	// given, and only the id is wanted.
 	Leaf(item mirror.Item) (registry.Leaf, error)
+	// CordonedZone returns the zone that a key takes out of service. The key is
+	// there for as long as it is.
+	CordonedZone(key string) string
 	// NodePrefix is what the keys of announcements of nodes begin with.
 	NodePrefix() string
 	// Node returns the name of the node that a key announces.
@@ -113,6 +117,9 @@
 	conn      *scatter.Conn[*forward.Request, forward.Part]
 	forwarder *forward.Forwarder
 	draining  atomic.Bool
+	// outOfService lists the zones that get no new attempts; nil before the first
+	// is published.
+	outOfService atomic.Pointer[[]string]
 
 	mutex       sync.Mutex
 	index       *registry.Index
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -20,6 +20,7 @@
 	requests        *prometheus.HistogramVec
 	configVersion   prometheus.Gauge
 	leaves          prometheus.Gauge
+	cordoned        prometheus.Gauge
 	configsRejected prometheus.Counter
 	leavesRejected  prometheus.Counter
 	nodes           prometheus.Gauge
@@ -48,6 +49,8 @@
 			Name: "micaplank_frontend_config_version", Help: "Version of the declared configuration in force."}),
 		leaves: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "micaplank_frontend_leaves", Help: "Leaves that are known."}),
+		cordoned: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "micaplank_frontend_zones_cordoned", Help: "Zones that operators took out of service: their leaves get no new attempts."}),
 		configsRejected: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "micaplank_frontend_configs_rejected_total", Help: "Configurations that could not be used; the last good one stayed in force."}),
 		leavesRejected: prometheus.NewCounter(prometheus.CounterOpts{
@@ -57,7 +60,7 @@
 		storeUp: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "micaplank_frontend_store_up", Help: "Whether the store answers: 1 or 0."}),
 	}
-	registerer.MustRegister(created.outcomes, created.requests, created.configVersion, created.leaves,
+	registerer.MustRegister(created.outcomes, created.requests, created.configVersion, created.leaves, created.cordoned,
 		created.configsRejected, created.leavesRejected, created.nodes, created.storeUp)
 	return created
 }
--- /dev/null
+++ b/internal/registry/cordon_test.go
@@ -0,0 +1,142 @@
+package registry
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestCordonHoldsForLeavesThatComeLater(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	leaf := leafAt("a", "x", 1, 1)
+	leaf.Zone = "north"
+	table.Set(leaf)
+	if !table.Cordon("north", true) || table.Cordon("north", true) {
+		t.Error("a cordon is news once")
+	}
+	later := leafAt("b", "x", 2, 2)
+	later.Zone = "north"
+	table.Set(later)
+	if found := usable(table.Topology()); len(found) != 0 {
+		t.Errorf("usable: %v", found)
+	}
+	table.Cordon("north", false)
+	if found := usable(table.Topology()); len(found) != 2 {
+		t.Errorf("usable after it was taken back: %v", found)
+	}
+}
+
+func TestStaleListPutsNoZoneBack(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	table.Cordon("north", true)
+	if changed := table.ReplaceCordons([]string{"south"}, true); !slices.Equal(changed, []string{"south"}) {
+		t.Errorf("changed by a stale list: %v", changed)
+	}
+	if got := table.Cordoned(); !slices.Equal(got, []string{"north", "south"}) {
+		t.Errorf("after a stale list: %v", got)
+	}
+	if changed := table.ReplaceCordons([]string{"south"}, false); !slices.Equal(changed, []string{"north"}) {
+		t.Errorf("changed by a fresh list: %v", changed)
+	}
+}
+
+// storeModel is what the store holds: the truth that a Table is told of.
+type storeModel struct {
+	leaves  map[string]Leaf
+	cordons map[string]bool
+}
+
+func (m storeModel) clone() storeModel {
+	return storeModel{leaves: maps.Clone(m.leaves), cordons: maps.Clone(m.cordons)}
+}
+
+// tell replaces what a table knows by the whole of a store, as after a
+// compaction or at a start.
+func (m storeModel) tell(table *Table, now time.Duration, stale bool) {
+	table.Replace(now, slices.Collect(maps.Values(m.leaves)))
+	table.ReplaceCordons(slices.Sorted(maps.Keys(m.cordons)), stale)
+}
+
+// TestCordonUnderRandomOrders cordons zones and takes that back, among leaves
+// that come, drain, lapse in outages and leave, histories that are lost, and
+// tables that start anew from a fresh or an old copy: no leaf of a cordoned zone
+// is usable, and every other one that is announced and does not drain is.
+func TestCordonUnderRandomOrders(t *testing.T) {
+	zones := []string{"north", "south", "west"}
+	rapid.Check(t, func(t *rapid.T) {
+		model := storeModel{leaves: make(map[string]Leaf), cordons: make(map[string]bool)}
+		old := model.clone()
+		table := NewTable(config, NewIndex())
+		now := time.Hour
+		staleStart := false
+		anyID := func() string { return fmt.Sprint("leaf-", rapid.IntRange(0, 5).Draw(t, "leaf")) }
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			case 0, 1: // announced, or announced again
+				id := anyID()
+				announced, known := model.leaves[id]
+				if !known {
+					number := int(id[len(id)-1])
+					announced = leafAt(id, "x", number, uint64(now))
+					announced.Zone = rapid.SampledFrom(zones).Draw(t, "zone")
+				}
+				model.leaves[id] = announced
+				table.Set(announced)
+			case 2: // drains
+				id := anyID()
+				if draining, known := model.leaves[id]; known {
+					draining.Draining = true
+					model.leaves[id] = draining
+					table.Set(draining)
+				}
+			case 3: // leaves, or lapses around an outage
+				id := anyID()
+				if rapid.Bool().Draw(t, "outage") {
+					table.Outage(now)
+				}
+				delete(model.leaves, id)
+				table.Remove(now, id)
+			case 4, 5:
+				zone := rapid.SampledFrom(zones).Draw(t, "cordoned")
+				model.cordons[zone] = true
+				table.Cordon(zone, true)
+				old = model.clone()
+			case 6:
+				zone := rapid.SampledFrom(zones).Draw(t, "put back")
+				delete(model.cordons, zone)
+				table.Cordon(zone, false)
+			case 7: // the history was lost
+				model.tell(table, now, false)
+				staleStart = false
+			case 8: // a process starts
+				table = NewTable(config, NewIndex())
+				if staleStart = rapid.Bool().Draw(t, "from an old copy"); staleStart {
+					old.tell(table, now, true)
+				}
+				model.tell(table, now, staleStart)
+			}
+			table.Expire(now)
+			checkCordons(t, model, table, staleStart)
+		}
+	})
+}
+
+func checkCordons(t *rapid.T, model storeModel, table *Table, staleStart bool) {
+	found := usable(table.Topology())
+	for id := range found {
+		if known := table.entries[id]; model.cordons[known.Zone] {
+			t.Fatalf("%s is usable in %s, which is out of service", id, known.Zone)
+		}
+	}
+	for id, announced := range model.leaves {
+		_, got := found[id]
+		if want := !announced.Draining && !model.cordons[announced.Zone]; want && !got && !staleStart {
+			t.Fatalf("%s is not usable in %s", id, announced.Zone)
+		}
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -57,13 +57,14 @@
 	config       Config
 	index        *Index
 	entries      map[string]*entry
+	cordoned     map[string]bool // zones out of service
 	settledAfter time.Duration
 	revision     uint64
 }
 
 // NewTable returns an empty Table that numbers services by index.
 func NewTable(config Config, index *Index) *Table {
-	return &Table{config: config, index: index, entries: make(map[string]*entry)}
+	return &Table{config: config, index: index, entries: make(map[string]*entry), cordoned: make(map[string]bool)}
 }
 
 // Set takes in an announcement. A leaf that drains stays draining.
@@ -155,7 +156,7 @@
 		Address: known.Address,
 		Zone:    known.Zone,
 		BootID:  known.ID,
-		Usable:  !known.Draining,
+		Usable:  !known.Draining && !t.cordoned[known.Zone],
 		Cold:    known.Cold > 0,
 		Slots:   known.Slots,
 		Holdings: []leaf.Holding{{
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
@@ -25,6 +26,8 @@
 	// Fresh says that it is in touch with the store: its configuration and
 	// leaves are the newest.
 	Fresh bool
+	// Cordoned lists the zones that it knows to be out of service.
+	Cordoned []string
 }
 
 // Terms are what a request must be run under.
@@ -36,11 +39,20 @@
 	// store. Then the one that runs it must be, too. In an outage that both
 	// meet, neither knows more than the other.
 	Fresh bool
+	// Cordoned lists the zones that the node which took the request knows to be
+	// out of service. The one that runs it must know of them, too: it may have
+	// heard of them later.
+	Cordoned []string
 }
 
 // takes reports whether an executor of a status takes requests under the terms.
 func (s Status) takes(terms Terms) bool {
-	return s.Accepting && s.Version == terms.Version && (s.Fresh || !terms.Fresh)
+	return s.Accepting && s.Version == terms.Version && (s.Fresh || !terms.Fresh) && s.knows(terms.Cordoned)
+}
+
+// knows reports whether the executor knows that zones are out of service.
+func (s Status) knows(cordoned []string) bool {
+	return !slices.ContainsFunc(cordoned, func(zone string) bool { return !slices.Contains(s.Cordoned, zone) })
 }
 
 // executeRequest hands a request on.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -190,6 +190,25 @@
 	}
 }
 
+// TestExecutorThatHasNotHeardOfACordonIsNotAsked, and one that knows more is.
+func TestExecutorThatHasNotHeardOfACordonIsNotAsked(t *testing.T) {
+	r := newRig(t)
+	cordoned := terms
+	cordoned.Cordoned = []string{"b"}
+	ask := func() bool {
+		r.beat()
+		_, done := r.relay.Execute(context.Background(), cordoned, &forward.Request{ID: "x"})
+		return done
+	}
+	if ask() {
+		t.Error("handed to an executor that would send work to a zone out of service")
+	}
+	r.peers.status.Cordoned = []string{"a", "b"}
+	if !ask() {
+		t.Error("not handed to an executor that knows more")
+	}
+}
+
 // TestOutageOfTheStoreForBoth: an executor without the store runs the requests
 // of a node without it, and of no other.
 func TestOutageOfTheStoreForBoth(t *testing.T) {
