--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -163,6 +163,9 @@
 	// of the given age.
 	Others float64
 	Age    time.Duration
+	// Pace is how long work takes on its machine, in percent of the usual, by
+	// that report; zero if it told none.
+	Pace int
 	// Slowness is the ratio of its service time to that of an ordinary leaf.
 	Slowness float64
 	// Budget is the extra load that may still be spent on the shard.
--- a/internal/decide/dispatch/events.go
+++ b/internal/decide/dispatch/events.go
@@ -49,6 +49,9 @@
 	InFlight, Limit int
 	// Others is the estimated number of attempts of other nodes.
 	Others float64
+	// Pace is how long work takes on its machine, in percent of the usual, by its
+	// last word; zero if it tells none.
+	Pace int
 	// Latency is the running mean of the latency of its replies.
 	Latency time.Duration
 	// Slowness is the ratio of its service time to that of an ordinary leaf.
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -61,6 +61,8 @@
 	othersAt                       Time
 	estimated                      float64 // estimateOthers at estimatedAt
 	estimatedAt                    Time
+	// pace is that of the last report that told one, in percent of the usual.
+	pace int
 	// overdue is the sum of replica.Overdue over the attempts at overdueAt, or
 	// unknown. Attempts that start do not change it, those that end do.
 	overdue   float64
@@ -150,6 +152,9 @@
 	l.othersLong += (1 - fade(age, longMemory)) * (others - l.othersLong)
 	l.others, l.othersAt = others, now
 	l.estimated, l.estimatedAt = others, now
+	if load.Pace > 0 {
+		l.pace = load.Pace
+	}
 }
 
 // failed holds the leaf off, longer with each failure in a row. Failures of
@@ -277,6 +282,7 @@
 			InFlight:  len(l.running),
 			Limit:     l.limiter.Current(),
 			Others:    l.estimateOthers(d.now),
+			Pace:      l.pace,
 			Latency:   time.Duration(l.latency * float64(time.Second)),
 			Slowness:  slowness,
 			Probation: slowness > d.config.Probation.Slowness*best,
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -246,6 +246,7 @@
 		Limit:    l.limiter.Current(),
 		Others:   l.estimateOthers(d.now),
 		Age:      d.now - l.othersAt,
+		Pace:     l.pace,
 		Slowness: d.slowness(l),
 		Budget:   budget.Tokens(),
 	}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -53,6 +53,7 @@
 	Limit    int     `json:"limit" event:"limit" doc:"most attempts of this node at the leaf"`
 	Others   float64 `json:"others" event:"others" doc:"attempts of other nodes at the leaf, as estimated"`
 	AgeMS    int64   `json:"age_ms" event:"age_ms" doc:"age of the leaf's word behind that estimate, in ms"`
+	Pace     int     `json:"pace,omitempty" event:"pace" doc:"how long work takes on the leaf's machine by that word, in percent of the usual; left out if it tells none"`
 	Slowness float64 `json:"slowness" event:"slowness" doc:"how slow the leaf is, 1 being as expected"`
 	Budget   float64 `json:"budget" event:"budget" doc:"extra attempts that the shard's budget held, before this one"`
 }
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -125,7 +125,7 @@
 			Shard: one.Shard, Leaf: one.BootID, Address: one.Leaf.String(), Cause: string(one.Cause),
 			AtMS: one.At.Milliseconds(), TookMS: one.Took.Milliseconds(), End: string(one.End), Detail: one.Detail,
 			InFlight: one.Basis.InFlight, Limit: one.Basis.Limit, Others: rounded(one.Basis.Others),
-			AgeMS: one.Basis.Age.Milliseconds(), Slowness: rounded(one.Basis.Slowness), Budget: rounded(one.Basis.Budget),
+			AgeMS: one.Basis.Age.Milliseconds(), Pace: one.Basis.Pace, Slowness: rounded(one.Basis.Slowness), Budget: rounded(one.Basis.Budget),
 		})
 	}
 	return lines
--- a/internal/leaf/protocol.go
+++ b/internal/leaf/protocol.go
@@ -69,6 +69,10 @@
 	SlotsBusy int   `json:"slots_busy"`
 	Slots     int   `json:"slots"`
 	Queue     int   `json:"queue"`
+	// Pace is how long work takes on the leaf's machine at present, in percent
+	// of what is usual; zero if the leaf does not tell. The machine is shared,
+	// and the figure changes many times a second.
+	Pace int `json:"pace,omitempty"`
 }
 
 // State is a leaf's own word on whether it takes work.
