dispatch, frontend, registry: nodes share what a cold leaf bears

Cause: what a service declares of its cold leaves was not read, so that all nodes rushed at leaves that came back.

A leaf is cold by its word, or for the time of its service once its zone was put back. Each node has a bucket of one token for a cold leaf, at its share of 0.8 of what the leaf bears; the shares are computed by each node from those that are announced, by hash where there are more nodes than shares, and executors have three quarters of them for shards. A node without a share sends nothing, and ends at once what only such a leaf could take. Ways left: nobody asks another (a share asked for costs a round trip), and a few owners of a leaf that others hand requests to.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -61,10 +61,15 @@
 	Usable  bool // neither leaving nor gone nor unknown
 	// Standby marks a leaf that gets work only while no other replica of the
 	// shard can take it.
-	Standby  bool
-	Cold     bool
-	Slots    int
-	Holdings []leaf.Holding
+	Standby bool
+	// Cold marks a leaf that starts slowly, if it was not known before.
+	Cold bool
+	// ColdUntil is when the leaf is warm. Until then this node may send it
+	// ColdRate attempts in any second; none if that is zero.
+	ColdUntil Time
+	ColdRate  float64
+	Slots     int
+	Holdings  []leaf.Holding
 }
 
 // Topology is the set of leaves and partitions known at one moment. The
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -167,7 +167,7 @@
 		if l == chosen || len(l.running) > 0 || d.now-l.lastSent < d.probeInterval(l) {
 			continue
 		}
-		if !l.takesWork() || l.standby || l.held(d.now) {
+		if !l.takesWork() || l.standby || l.held(d.now) || !l.warmup.allows(d.now) {
 			continue
 		}
 		if d.slowness(l) > d.config.Probation.Slowness*d.slowness(chosen) && d.budgetOf(q, position).SpendHedge() {
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -47,6 +47,7 @@
 	meanWork   float64 // mean base of its attempts, in seconds; zero without one
 	failures   int
 	heldUntil  Time
+	warmup     warmup
 	recovering bool // the last reply was not slow
 	lastSent   Time
 	// waiting is the work that waits for the leaf, as the time that it takes
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -168,7 +168,10 @@
 		if excluded&replicaBit(index) != 0 || !l.takesWork() || l.standby != standby {
 			continue
 		}
-		if l.held(d.now) {
+		if l.warmup.closed(d.now) {
+			continue
+		}
+		if l.held(d.now) || !l.warmup.allows(d.now) {
 			verdict = max(verdict, choiceHeld)
 			continue
 		}
@@ -214,6 +217,7 @@
 	entry.running = int32(len(l.running))
 	l.running = append(l.running, slot)
 	l.lastSent = d.now
+	l.warmup.spend(d.now)
 	l.sent.at(q.class).add(d.now, longMemory, q.class.base)
 	d.throughput.add(d.now, shortMemory, q.class.base)
 	shard.first = slot
--- a/internal/decide/dispatch/topology.go
+++ b/internal/decide/dispatch/topology.go
@@ -84,6 +84,7 @@
 	l.near = listed.Zone == d.config.Zone
 	l.usable = listed.Usable
 	l.standby = listed.Standby
+	l.warmup.set(d.now, listed.ColdUntil, listed.ColdRate)
 	l.listedBoot = listed.BootID
 	if slots := slotsOf(listed); slots != l.slots {
 		l.slots = slots
--- /dev/null
+++ b/internal/decide/dispatch/warmup_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestWarmupBoundsEverySecond sends whenever it is allowed, at random moments and
+// with bounds that change: no second has more attempts than the rate.
+func TestWarmupBoundsEverySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const until = time.Hour
+		rate := rapid.Float64Range(0, 40).Draw(t, "rate")
+		var bounds warmup
+		now := Time(0)
+		bounds.set(now, until, rate)
+		var sent []Time
+		for range rapid.IntRange(1, 300).Draw(t, "moments") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond
+			if rapid.IntRange(0, 9).Draw(t, "told again") == 0 {
+				bounds.set(now, until, rate)
+			}
+			if bounds.allows(now) {
+				bounds.spend(now)
+				sent = append(sent, now)
+			}
+		}
+		first := 0
+		for last := range sent {
+			for sent[last]-sent[first] >= time.Second {
+				first++
+			}
+			if count := last - first + 1; float64(count) > rate+1e-6 {
+				t.Fatalf("%d attempts in the second up to %v at a rate of %v", count, sent[last], rate)
+			}
+		}
+	})
+}
+
+func TestWarmupEnds(t *testing.T) {
+	var bounds warmup
+	bounds.set(0, time.Second, 0)
+	if bounds.allows(time.Second-1) || !bounds.closed(time.Second-1) {
+		t.Error("a leaf of which this node has no share gets work while it is cold")
+	}
+	for range 100 {
+		if !bounds.allows(time.Second) || bounds.closed(time.Second) {
+			t.Fatal("a warm leaf is bounded")
+		}
+		bounds.spend(time.Second)
+	}
+}
+
+// TestColdLeafIsLeftToOthers: where this node has no share of a cold leaf, a warm
+// one gets the work, and without one the query ends at once.
+func TestColdLeafIsLeftToOthers(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.topology.Leaves[0].ColdUntil = r.now + time.Minute
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	r.load(20)
+	if r.sent[0] != 0 || r.sent[1] == 0 {
+		t.Errorf("sent %v", r.sent)
+	}
+	r.topology.Leaves[1].ColdUntil = r.now + time.Minute
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	id := r.submit(1)
+	if finish := r.finishes[id]; finish.Outcome != OutcomeNotRun || finish.Reason != ReasonNoLeaf {
+		t.Errorf("finished %+v", finish)
+	}
+}
+
+// TestColdLeafGetsItsShare and no more, where it is the only one.
+func TestColdLeafGetsItsShare(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.topology.Leaves[0].ColdUntil, r.topology.Leaves[0].ColdRate = r.now+time.Minute, 3
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	for range 21 { // with deadlines of 200 ms
+		r.submit(1)
+		r.run(100 * time.Millisecond)
+	}
+	if want := 1 + 2*2; r.sent[0] != want {
+		t.Errorf("sent %v in 2.1 s, want %d", r.sent, want)
+	}
+}
--- a/internal/event/belief.go
+++ b/internal/event/belief.go
@@ -153,6 +153,7 @@
 	Service  string         `event:"service" doc:"service that it is of; empty with a removal"`
 	Address  netip.AddrPort `event:"address" doc:"where it listens"`
 	Draining bool           `event:"draining" doc:"whether it gets no new work"`
+	Cold     time.Duration  `event:"cold" doc:"how much longer it is cold, by its word"`
 	Removed  bool           `event:"removed" doc:"whether its announcement is gone"`
 	Revision uint64         `event:"revision" doc:"revision of the store"`
 }
--- /dev/null
+++ b/internal/frontend/cold.go
@@ -0,0 +1,107 @@
+package frontend
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/relay"
+	"github.com/micaplank/micaplank/internal/roster"
+	"github.com/micaplank/micaplank/internal/route"
+)
+
+const (
+	// coldUsed is the part of what a cold leaf bears that all nodes plan to send:
+	// attempts sent over more than a second may arrive within one, and nodes that
+	// start again have their first token anew.
+	coldUsed = 0.8
+	// coldExecutors is the part of it that executors divide for services that are
+	// shards, whose requests they run as a rule.
+	coldExecutors = 0.75
+	// coldLeast is the least rate, in attempts a second, of a node that sends to a
+	// cold leaf at all. Where there are more nodes than shares of it, only some
+	// send.
+	coldLeast = 1.5
+)
+
+// shareCold says how many attempts this node may send to each cold leaf whose
+// service bounds them. No node asks another for that: all compute the same shares
+// from the nodes that are announced.
+func (f *Frontend) shareCold(topology *dispatch.Topology, roles relay.Roles, members []roster.Member) {
+	now := f.clock.Now()
+	var declared map[string]route.Service
+	var shards map[string]bool
+	for index := range topology.Leaves {
+		one := &topology.Leaves[index]
+		if one.ColdUntil <= now {
+			one.ColdUntil = 0
+			continue
+		}
+		if declared == nil {
+			declared, shards = f.declaredServices()
+		}
+		name := f.index.Name(one.Holdings[0].Shards[0])
+		if declared[name].ColdRate <= 0 {
+			one.ColdUntil = 0 // nothing is said of what it bears
+			continue
+		}
+		borne := declared[name].ColdRate*f.settings.Forward.ColdOvershoot + f.settings.Forward.ColdSlack
+		sharers, part := coldSharers(f.member, roles, members, shards[name])
+		one.ColdRate = coldRate(f.member.Name, one.BootID, sharers, coldUsed*part*borne)
+	}
+}
+
+// declaredServices returns the services of the configuration in force, and which
+// of them are shards of some route.
+func (f *Frontend) declaredServices() (services map[string]route.Service, shards map[string]bool) {
+	services, shards = make(map[string]route.Service), make(map[string]bool)
+	table := f.forwarder.Table()
+	if table == nil {
+		return services, shards
+	}
+	for _, one := range table.Config.Services {
+		services[one.Name] = one
+	}
+	for index := range table.Config.Routes {
+		for _, name := range table.Config.Routes[index].Shards {
+			shards[name] = true
+		}
+	}
+	return services, shards
+}
+
+// coldSharers returns the nodes with which this one divides a part of what a cold
+// leaf of a service bears.
+func coldSharers(self roster.Member, roles relay.Roles, members []roster.Member, shard bool) ([]roster.Member, float64) {
+	if !shard || len(roles.Executors) == 0 {
+		return members, 1
+	}
+	if roles.Self == relay.RoleExecutor {
+		return roles.Executors, coldExecutors
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(member roster.Member) bool {
+		return slices.Contains(roles.Executors, member)
+	}), 1 - coldExecutors
+}
+
+// coldRate returns the share of one node in a rate that some nodes divide at a
+// leaf; zero if it gets none. Where they are too many, those first by a hash of
+// both names get some, so that the nodes spread over the leaves.
+func coldRate(self, leaf string, sharers []roster.Member, rate float64) float64 {
+	wanted := max(min(len(sharers), int(rate/coldLeast)), 1)
+	own := xxhash.Sum64String(leaf + "/" + self)
+	before, among := 0, false
+	for _, member := range sharers {
+		switch hash := xxhash.Sum64String(leaf + "/" + member.Name); {
+		case member.Name == self:
+			among = true
+		case hash < own:
+			before++
+		}
+	}
+	if !among || before >= wanted {
+		return 0
+	}
+	return rate / float64(wanted)
+}
--- /dev/null
+++ b/internal/frontend/cold_test.go
@@ -0,0 +1,49 @@
+package frontend
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/relay"
+	"github.com/micaplank/micaplank/internal/roster"
+)
+
+// fleet returns nodes of which the first are large.
+func fleet(nodes, large int) []roster.Member {
+	members := make([]roster.Member, nodes)
+	for index := range members {
+		members[index] = roster.Member{Name: fmt.Sprint("node-", index), Cores: 0.2}
+		if index < large {
+			members[index].Cores = 0.8
+		}
+	}
+	return members
+}
+
+// TestSharesOfAColdLeafStayWithinWhatItBears, whatever the size of the fleet, and
+// most of it is shared out.
+func TestSharesOfAColdLeafStayWithinWhatItBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(rapid.IntRange(1, 400).Draw(t, "nodes"), rapid.IntRange(0, 20).Draw(t, "large"))
+		shard := rapid.Bool().Draw(t, "shard")
+		borne := rapid.Float64Range(10, 200).Draw(t, "borne")
+		all := 0.0
+		for _, member := range members {
+			sharers, part := coldSharers(member, relay.Assign(member, members), members, shard)
+			all += coldRate(member.Name, "leaf-7", sharers, coldUsed*part*borne)
+		}
+		if all > coldUsed*borne+1e-6 || all < coldUsed*(1-coldExecutors)*borne-1e-6 {
+			t.Fatalf("%d nodes send %.1f a second to a leaf that bears %.1f", len(members), all, borne)
+		}
+	})
+}
+
+// TestNodeThatIsNotAnnouncedSendsNothingToAColdLeaf: the others do not reckon with
+// it.
+func TestNodeThatIsNotAnnouncedSendsNothingToAColdLeaf(t *testing.T) {
+	if got := coldRate("new", "leaf-7", fleet(8, 0), 30); got != 0 {
+		t.Errorf("%.1f a second", got)
+	}
+}
--- a/internal/frontend/connections_test.go
+++ b/internal/frontend/connections_test.go
@@ -42,7 +42,7 @@
 	t.Cleanup(func() { f.expiry.Stop() })
 	f.forwarder.Install(route.NewTable(&route.Config{Version: 1, Services: services}))
 	for _, one := range leaves {
-		f.leaves.Set(one)
+		f.leaves.Set(0, one)
 	}
 	return f, func() map[string]int {
 		f.publish()
@@ -113,7 +113,7 @@
 	}
 	for index := range leaves {
 		leaves[index].Draining = index > 0
-		f.leaves.Set(leaves[index])
+		f.leaves.Set(0, leaves[index])
 	}
 	kept = publish()
 	if kept["s-1"] != 0 || kept["s-2"] != 0 {
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -38,7 +38,7 @@
 	former := s.formerLease(items)
 	s.mutex.Lock()
 	s.leaves.Replace(s.clock.Now(), leaves)
-	recordoned := s.leaves.ReplaceCordons(cordons, read.Stale)
+	recordoned := s.leaves.ReplaceCordons(s.clock.Now(), cordons, read.Stale)
 	if !s.leavesKnown {
 		s.former = former
 		close(s.firstRead)
@@ -124,12 +124,17 @@
 		event.Log(s.logger, event.ConfigRejected{Key: item.Key, Revision: item.Revision, Error: err})
 		return
 	}
+	coldTimes := make(map[string]time.Duration)
 	for _, declared := range config.Services {
 		s.index.Of(declared.Name)
+		coldTimes[declared.Name] = declared.ColdTime
 	}
 	if !s.forwarder.Install(route.NewTable(config)) {
 		return
 	}
+	s.mutex.Lock()
+	s.leaves.SetColdTimes(coldTimes)
+	s.mutex.Unlock()
 	s.metrics.configVersion.Set(float64(config.Version))
 	event.Log(s.logger, event.ConfigInstalled{
 		Version: config.Version, Revision: item.Revision, Routes: len(config.Routes), Services: len(config.Services),
@@ -146,12 +151,12 @@
 	if changed.Removed {
 		s.leaves.Remove(s.clock.Now(), read.ID)
 	} else {
-		s.leaves.Set(read)
+		s.leaves.Set(s.clock.Now(), read)
 	}
 	s.mutex.Unlock()
 	event.Log(s.logger, event.LeafChanged{
 		Leaf: read.ID, Service: read.Service, Address: read.Address,
-		Draining: read.Draining, Removed: changed.Removed, Revision: changed.Revision,
+		Draining: read.Draining, Cold: read.Cold, Removed: changed.Removed, Revision: changed.Revision,
 	})
 }
 
@@ -159,7 +164,7 @@
 func (s storeSink) changeCordon(changed mirror.Event) {
 	zone := s.ports.Decoder.CordonedZone(changed.Key)
 	s.mutex.Lock()
-	news := s.leaves.Cordon(zone, !changed.Removed)
+	news := s.leaves.Cordon(s.clock.Now(), zone, !changed.Removed)
 	s.mutex.Unlock()
 	if news {
 		event.Log(s.logger, event.ZoneCordoned{Zone: zone, Cordoned: !changed.Removed, Revision: changed.Revision})
@@ -224,6 +229,7 @@
 	divided := shareOf(roles, members, nodes)
 	f.conn.ResizeBudget(divided.budget(f.settings.Forward))
 	f.conn.SetProbeInterval(divided.probeInterval())
+	f.shareCold(&topology, roles, members)
 	f.ports.OnLeaves(f.shareLeaves(&topology, divided))
 	f.conn.SetTopology(topology)
 }
--- a/internal/registry/cordon_test.go
+++ b/internal/registry/cordon_test.go
@@ -14,17 +14,17 @@
 	table := NewTable(config, NewIndex())
 	leaf := leafAt("a", "x", 1, 1)
 	leaf.Zone = "north"
-	table.Set(leaf)
-	if !table.Cordon("north", true) || table.Cordon("north", true) {
+	table.Set(0, leaf)
+	if !table.Cordon(0, "north", true) || table.Cordon(0, "north", true) {
 		t.Error("a cordon is news once")
 	}
 	later := leafAt("b", "x", 2, 2)
 	later.Zone = "north"
-	table.Set(later)
+	table.Set(0, later)
 	if found := usable(table.Topology()); len(found) != 0 {
 		t.Errorf("usable: %v", found)
 	}
-	table.Cordon("north", false)
+	table.Cordon(0, "north", false)
 	if found := usable(table.Topology()); len(found) != 2 {
 		t.Errorf("usable after it was taken back: %v", found)
 	}
@@ -32,14 +32,14 @@
 
 func TestStaleListPutsNoZoneBack(t *testing.T) {
 	table := NewTable(config, NewIndex())
-	table.Cordon("north", true)
-	if changed := table.ReplaceCordons([]string{"south"}, true); !slices.Equal(changed, []string{"south"}) {
+	table.Cordon(0, "north", true)
+	if changed := table.ReplaceCordons(0, []string{"south"}, true); !slices.Equal(changed, []string{"south"}) {
 		t.Errorf("changed by a stale list: %v", changed)
 	}
 	if got := table.Cordoned(); !slices.Equal(got, []string{"north", "south"}) {
 		t.Errorf("after a stale list: %v", got)
 	}
-	if changed := table.ReplaceCordons([]string{"south"}, false); !slices.Equal(changed, []string{"north"}) {
+	if changed := table.ReplaceCordons(0, []string{"south"}, false); !slices.Equal(changed, []string{"north"}) {
 		t.Errorf("changed by a fresh list: %v", changed)
 	}
 }
@@ -58,7 +58,7 @@
 // compaction or at a start.
 func (m storeModel) tell(table *Table, now time.Duration, stale bool) {
 	table.Replace(now, slices.Collect(maps.Values(m.leaves)))
-	table.ReplaceCordons(slices.Sorted(maps.Keys(m.cordons)), stale)
+	table.ReplaceCordons(now, slices.Sorted(maps.Keys(m.cordons)), stale)
 }
 
 // TestCordonUnderRandomOrders cordons zones and takes that back, among leaves
@@ -86,13 +86,13 @@
 					announced.Zone = rapid.SampledFrom(zones).Draw(t, "zone")
 				}
 				model.leaves[id] = announced
-				table.Set(announced)
+				table.Set(now, announced)
 			case 2: // drains
 				id := anyID()
 				if draining, known := model.leaves[id]; known {
 					draining.Draining = true
 					model.leaves[id] = draining
-					table.Set(draining)
+					table.Set(now, draining)
 				}
 			case 3: // leaves, or lapses around an outage
 				id := anyID()
@@ -104,12 +104,12 @@
 			case 4, 5:
 				zone := rapid.SampledFrom(zones).Draw(t, "cordoned")
 				model.cordons[zone] = true
-				table.Cordon(zone, true)
+				table.Cordon(now, zone, true)
 				old = model.clone()
 			case 6:
 				zone := rapid.SampledFrom(zones).Draw(t, "put back")
 				delete(model.cordons, zone)
-				table.Cordon(zone, false)
+				table.Cordon(now, zone, false)
 			case 7: // the history was lost
 				model.tell(table, now, false)
 				staleStart = false
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,6 +30,8 @@
 	Cold time.Duration
 	// Created is the revision at which the id was first announced.
 	Created uint64
+	// Revision is that of this announcement.
+	Revision uint64
 }
 
 // Config is the policy of a Table.
@@ -50,6 +52,8 @@
 	// goneAt is when the leaf stops being used, after its announcement went;
 	// zero while it is announced.
 	goneAt time.Duration
+	// coldUntil is when the leaf is warm, by its word or by what is assumed.
+	coldUntil time.Duration
 }
 
 // Table is the set of leaves. It is not safe for concurrent use.
@@ -57,7 +61,8 @@
 	config       Config
 	index        *Index
 	entries      map[string]*entry
-	cordoned     map[string]bool // zones out of service
+	cordoned     map[string]bool          // zones out of service
+	coldTimes    map[string]time.Duration // by service
 	settledAfter time.Duration
 	revision     uint64
 }
@@ -67,15 +72,26 @@
 	return &Table{config: config, index: index, entries: make(map[string]*entry), cordoned: make(map[string]bool)}
 }
 
-// Set takes in an announcement. A leaf that drains stays draining.
-func (t *Table) Set(announced Leaf) {
-	if known, found := t.entries[announced.ID]; found {
-		announced.Draining = announced.Draining || known.Draining
+// Set takes in an announcement. A leaf that drains stays draining, and one that
+// was taken to be cold until some time stays so: it may have turned cold after it
+// wrote its announcement.
+func (t *Table) Set(now time.Duration, announced Leaf) {
+	taken := &entry{Leaf: announced}
+	known, found := t.entries[announced.ID]
+	if found {
+		taken.Draining = announced.Draining || known.Draining
+		taken.coldUntil = known.coldUntil
 	}
-	t.entries[announced.ID] = &entry{Leaf: announced}
+	if news := !found || known.Revision != announced.Revision; news && announced.Cold > 0 {
+		taken.coldUntil = now + announced.Cold
+	}
+	t.entries[announced.ID] = taken
 	t.index.Of(announced.Service)
 }
 
+// SetColdTimes says how long the leaves of each service are cold after a start.
+func (t *Table) SetColdTimes(times map[string]time.Duration) { t.coldTimes = times }
+
 // Remove takes in that the announcement of an id is gone.
 func (t *Table) Remove(now time.Duration, id string) {
 	known, found := t.entries[id]
@@ -89,14 +105,14 @@
 	known.goneAt = now + t.config.Doubt
 }
 
-// Replace takes in all announcements there are. They may be old: the time for
-// which a leaf was cold is not believed.
+// Replace takes in all announcements there are. They may be old: a leaf that was
+// cold then does not start slowly here, but bounds of cold leaves hold for it.
 func (t *Table) Replace(now time.Duration, announced []Leaf) {
 	present := make(map[string]bool, len(announced))
 	for _, one := range announced {
 		present[one.ID] = true
-		one.Cold = 0
-		t.Set(one)
+		t.Set(now, one)
+		t.entries[one.ID].Cold = 0
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
 		if !present[id] {
@@ -153,12 +169,13 @@
 
 func (t *Table) listed(known *entry) dispatch.Leaf {
 	return dispatch.Leaf{
-		Address: known.Address,
-		Zone:    known.Zone,
-		BootID:  known.ID,
-		Usable:  !known.Draining && !t.cordoned[known.Zone],
-		Cold:    known.Cold > 0,
-		Slots:   known.Slots,
+		Address:   known.Address,
+		Zone:      known.Zone,
+		ColdUntil: known.coldUntil,
+		BootID:    known.ID,
+		Usable:    !known.Draining && !t.cordoned[known.Zone],
+		Cold:      known.Cold > 0,
+		Slots:     known.Slots,
 		Holdings: []leaf.Holding{{
 			Snapshot: Snapshot,
 			Shards:   []int{t.index.Of(known.Service)},
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -39,13 +39,13 @@
 	table := NewTable(config, NewIndex())
 	leaf := leafAt("a", "x", 1, 1)
 	leaf.Draining = true
-	table.Set(leaf)
+	table.Set(0, leaf)
 	leaf.Draining = false
-	table.Set(leaf)
+	table.Set(0, leaf)
 	if found := usable(table.Topology()); len(found) != 0 {
 		t.Errorf("usable: %v", found)
 	}
-	table.Set(leafAt("b", "x", 1, 9))
+	table.Set(0, leafAt("b", "x", 1, 9))
 	if _, ok := usable(table.Topology())["b"]; !ok {
 		t.Error("the next incarnation at the address gets no work")
 	}
@@ -78,15 +78,15 @@
 	} {
 		table := NewTable(config, NewIndex())
 		leaf := leafAt("a", "x", 1, 1)
-		table.Set(leaf)
+		table.Set(0, leaf)
 		if leaf.Draining = test.draining; leaf.Draining {
-			table.Set(leaf)
+			table.Set(0, leaf)
 		}
 		table.Outage(outageEnd)
 		table.Remove(test.at, "a")
 		table.Remove(test.at+time.Second, "a")
 		if test.back {
-			table.Set(leaf)
+			table.Set(0, leaf)
 		}
 		for _, now := range []time.Duration{test.at, test.usedUntil - 1, test.usedUntil, 2 * time.Hour} {
 			if now < test.at {
@@ -123,10 +123,37 @@
 	old, news := leafAt("a", "x", 1, 1), leafAt("b", "x", 2, 2)
 	old.Cold, news.Cold = time.Second, time.Second
 	table.Replace(0, []Leaf{old})
-	table.Set(news)
+	table.Set(0, news)
 	for _, listed := range table.Topology().Leaves {
 		if want := listed.BootID == "b"; listed.Cold != want {
 			t.Errorf("%s: cold %v", listed.BootID, listed.Cold)
 		}
 	}
 }
+
+// TestColdUntil covers until when a leaf is taken to be cold.
+func TestColdUntil(t *testing.T) {
+	table := NewTable(config, NewIndex())
+	table.SetColdTimes(map[string]time.Duration{"x": 3 * time.Second})
+	check := func(what string, want time.Duration) {
+		t.Helper()
+		if got := table.Topology().Leaves[0].ColdUntil; got != want {
+			t.Errorf("%s: until %v, want %v", what, got, want)
+		}
+	}
+	announced := leafAt("a", "x", 1, 1)
+	announced.Zone, announced.Revision, announced.Cold = "north", 1, 2*time.Second
+	table.Set(10*time.Second, announced)
+	check("by its word", 12*time.Second)
+	table.Replace(11*time.Second, []Leaf{announced})
+	check("the same word again", 12*time.Second)
+	announced.Revision, announced.Cold = 2, 0
+	table.Set(11*time.Second, announced)
+	check("warm, by a word that may be older", 12*time.Second)
+	table.Cordon(20*time.Second, "north", true)
+	table.Cordon(30*time.Second, "north", false)
+	check("its zone was out of service", 33*time.Second)
+	announced.Revision, announced.Cold = 3, 5*time.Second
+	table.Set(31*time.Second, announced)
+	check("by a later word", 36*time.Second)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -60,6 +60,11 @@
 	// MaxConns is how many connections each leaf takes from all callers
 	// together; zero if unknown.
 	MaxConns int
+	// ColdRate is how many requests a second a cold leaf bears from all callers
+	// together; zero for no bound. ColdTime is how long a leaf is cold after a
+	// start.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Limits bounds what a client may send, and how long it may take or rest.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,8 @@
 	ExtraRatio      float64  `toml:"extra_ratio" comment:"Extra attempts that all nodes together may cause at a service: this share of its requests, and extra_slack more, in any window." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
 	ExtraSlack      float64  `toml:"extra_slack" validate:"gte=0" expect:"a number, 0 or above"`
 	ExtraWindow     Duration `toml:"extra_window" comment:"Window in which extra_slack counts." validate:"gt=0" expect:"a duration above 0, such as \"10s\""`
+	ColdOvershoot   float64  `toml:"cold_overshoot" comment:"What all nodes together may send to a cold leaf in a second: this many times what its service declares, and cold_slack more." validate:"gt=0" expect:"a number above 0"`
+	ColdSlack       float64  `toml:"cold_slack" validate:"gte=0" expect:"a number, 0 or above"`
 	ExtraNodes      int      `toml:"extra_nodes" comment:"Nodes that are taken to share extra_slack until they are counted." validate:"gte=1" expect:"a whole number, 1 or above"`
 	WatchWait       Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
 	WatchGather     Duration `toml:"watch_gather" comment:"Pause after changes before the next watch, so that changes in quick succession come together." validate:"gte=0" expect:"a duration, 0 or above, such as \"250ms\""`
@@ -177,6 +179,7 @@
 		ExtraRatio:      0.2,
 		ExtraSlack:      56,
 		ExtraWindow:     Duration(10 * time.Second),
+		ColdOvershoot:   1,
 		ExtraNodes:      12,
 		WatchWait:       Duration(2800 * time.Millisecond),
 		WatchGather:     Duration(500 * time.Millisecond),
