--- a/internal/peer/client_link.go
+++ b/internal/peer/client_link.go
@@ -46,6 +46,7 @@
 	leaving bool // the peer is draining, or the link is idle: no new calls
 	used    time.Time
 	idle    *time.Timer
+	silence silence
 }
 
 func newClientLink(client *Client, key slotKey) *clientLink {
@@ -133,6 +134,7 @@
 		return &Error{Step: StepQueue, Err: ErrLost}
 	}
 	defer l.leave(call)
+	begun := time.Now()
 	frame := requestFrame(ctx, call, method, request, waiting)
 	select {
 	case l.link.queue <- frame:
@@ -145,10 +147,26 @@
 	case got := <-waiting.reply:
 		return accept(got, target, frame)
 	case <-ctx.Done():
-		return l.giveUp(ctx, call, frame)
+		failure := l.giveUp(ctx, call, frame)
+		l.closeIfSilent(begun)
+		return failure
 	}
 }
 
+// closeIfSilent ends the connection if it has gone silent, by the wait of a call
+// that has been given up: all that waits on it would wait in vain.
+func (l *clientLink) closeIfSilent(begun time.Time) {
+	l.mutex.Lock()
+	silent := l.silence.waited(begun, time.Now())
+	l.mutex.Unlock()
+	if !silent {
+		return
+	}
+	l.client.metrics.silent.Inc()
+	l.client.forget(l)
+	l.link.close()
+}
+
 func requestFrame(ctx context.Context, call uint64, method string, request any, waiting *waiter) *outgoing {
 	frame := &outgoing{header: frameHeader{Kind: frameRequest, Call: call, Method: method}, body: request}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -207,6 +225,7 @@
 func (l *clientLink) take(call uint64) *waiter {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.silence.heard(time.Now())
 	found := l.waiters[call]
 	delete(l.waiters, call)
 	return found
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -25,6 +25,7 @@
 	calls       *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
 	connections prometheus.Gauge
+	silent      prometheus.Counter
 }
 
 func newCallMetrics(registerer prometheus.Registerer, side string) *callMetrics {
@@ -37,8 +38,12 @@
 			Name: "micaplank_peer_" + side + "_connections",
 			Help: "Open connections on the " + side + " side.",
 		}),
+		silent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "micaplank_peer_" + side + "_silent_connections_total",
+			Help: "Connections that were closed on the " + side + " side since they had gone silent.",
+		}),
 	}
-	register(registerer, m.calls, m.bytes, m.connections)
+	register(registerer, m.calls, m.bytes, m.connections, m.silent)
 	return m
 }
 
