route: each node begins at a random place of a split's round

Cause: smooth weighted round robin begins with the heaviest target, on each node and again with each change of the weights. Where many nodes get a few requests each, the lighter targets got none: of 76 nodes with 1 to 9 requests each, a target of weight 0.05 or 0.1 had a share of 0.000 (TestSplitOfManyNodesFollowsTheWeights, failing before).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -122,7 +123,7 @@
 	// that counts for the objective and is not seen here.
 	ClientAllowance time.Duration
 	// UnknownRetryAfter is when a client may come again that met a node
-	// without the configuration.
+	// without the configuration, or without a leaf for its request.
 	UnknownRetryAfter time.Duration
 	// OutageRetryAfter takes its place while the store does not answer: the
 	// configuration will not come sooner, and a client comes again only once or
@@ -146,7 +147,7 @@
 // New returns a Forwarder without a configuration: it answers every request
 // with FateNotRun until Install is called.
 func New(config Config, scatterer Scatterer, index *registry.Index) *Forwarder {
-	return &Forwarder{config: config, scatterer: scatterer, index: index, splitter: route.NewSplitter(), patience: newPatience(), floors: newFloors()}
+	return &Forwarder{config: config, scatterer: scatterer, index: index, splitter: route.NewSplitter(rand.IntN), patience: newPatience(), floors: newFloors()}
 }
 
 // Install puts a configuration into force, unless it is not newer than the one
@@ -240,11 +241,16 @@
 }
 
 func (f *Forwarder) notRun(reason dispatch.Reason) Answer {
-	after := f.config.UnknownRetryAfter
+	return Answer{Fate: FateNotRun, Reason: reason, RetryAfter: f.unknownAgain()}
+}
+
+// unknownAgain returns when a client may come again that could not be served for
+// want of what the store tells.
+func (f *Forwarder) unknownAgain() time.Duration {
 	if f.outage.Load() {
-		after = f.config.OutageRetryAfter
+		return f.config.OutageRetryAfter
 	}
-	return Answer{Fate: FateNotRun, Reason: reason, RetryAfter: after}
+	return f.config.UnknownRetryAfter
 }
 
 // plan makes the query of a request.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -82,7 +83,7 @@
 			route.Targets = append(route.Targets, Target{Service: string(rune('a' + index)), Weight: float64(weight)})
 			total += weight
 		}
-		splitter := NewSplitter()
+		splitter := NewSplitter(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "begin") })
 		counts := make(map[string]int)
 		requests := rapid.IntRange(1, 200).Draw(t, "requests")
 		for range requests {
@@ -97,8 +98,32 @@
 	})
 }
 
+// TestSplitOfManyNodesFollowsTheWeights: each of them gets a few requests only.
+func TestSplitOfManyNodesFollowsTheWeights(t *testing.T) {
+	const nodes = 76
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, weight := range []float64{0.05, 0.1, 0.2, 0.5} {
+		for _, requests := range []int{1, 2, 4, 9} { // of each node
+			route := &Route{Name: "r", Targets: []Target{{"new", weight}, {"old", 1 - weight}}}
+			count := 0
+			for range nodes {
+				splitter := NewSplitter(random.IntN)
+				for range requests {
+					if splitter.Pick(route) == "new" {
+						count++
+					}
+				}
+			}
+			got := float64(count) / float64(nodes*requests)
+			if allowed := 1.5 / math.Sqrt(nodes); math.Abs(got-weight) > allowed*math.Sqrt(weight) {
+				t.Errorf("%d requests of each node: a share of %.3f, want %.2f", requests, got, weight)
+			}
+		}
+	}
+}
+
 func TestSplitterForgetsDroppedRoutes(t *testing.T) {
-	splitter := NewSplitter()
+	splitter := NewSplitter(rand.IntN)
 	route := Route{Name: "r", Targets: []Target{{"a", 1}, {"b", 1}}}
 	splitter.Pick(&route)
 	splitter.Retain(&Config{})
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -49,22 +49,29 @@
 }
 
 // Splitter shares the requests of routes among their targets by smooth
-// weighted round robin, so that any run of requests is close to the weights.
-// It is safe for concurrent use.
+// weighted round robin, so that any run of requests is close to the weights. Each
+// begins at a random place of the round: many nodes that get a few requests each
+// would else send all of them to the heaviest target. It is safe for concurrent
+// use.
 type Splitter struct {
+	random func(n int) int
 	mutex  sync.Mutex
 	routes map[string]*split
 }
 
+// places is the number of places of a round at which a Splitter may begin. Weights
+// of a hundredth have their part among so many.
+const places = 100
+
 // split is the state of one route.
 type split struct {
 	targets []Target
 	credit  []float64
 }
 
-// NewSplitter returns a Splitter.
-func NewSplitter() *Splitter {
-	return &Splitter{routes: make(map[string]*split)}
+// NewSplitter returns a Splitter. Random returns a number from 0 to below n.
+func NewSplitter(random func(n int) int) *Splitter {
+	return &Splitter{random: random, routes: make(map[string]*split)}
 }
 
 // Pick returns the service of the next request of a route with targets.
@@ -77,6 +84,9 @@
 	state, known := s.routes[route.Name]
 	if !known || !slices.Equal(state.targets, route.Targets) {
 		state = &split{targets: route.Targets, credit: make([]float64, len(route.Targets))}
+		for range s.random(places) {
+			state.next()
+		}
 		s.routes[route.Name] = state
 	}
 	return state.next()
