--- a/internal/frontend/cold.go
+++ b/internal/frontend/cold.go
@@ -25,52 +25,54 @@
 	coldLeast = 1.5
 )
 
+// coldBound is what a configuration says of the cold leaves of a service.
+type coldBound struct {
+	// rate is how many requests a second one of them bears.
+	rate float64
+	// shard is set if the service is a shard of some route.
+	shard bool
+}
+
+// coldBoundsOf returns the services whose cold leaves are bounded.
+func coldBoundsOf(config *route.Config) map[string]coldBound {
+	bounds := make(map[string]coldBound)
+	for _, declared := range config.Services {
+		if declared.ColdRate > 0 {
+			bounds[declared.Name] = coldBound{rate: declared.ColdRate}
+		}
+	}
+	if len(bounds) == 0 {
+		return bounds
+	}
+	for index := range config.Routes {
+		for _, name := range config.Routes[index].Shards {
+			if bound, found := bounds[name]; found {
+				bound.shard = true
+				bounds[name] = bound
+			}
+		}
+	}
+	return bounds
+}
+
 // shareCold says how many attempts this node may send to each cold leaf whose
 // service bounds them. No node asks another for that: all compute the same shares
-// from the nodes that are announced.
+// from the nodes that are announced. The caller holds the mutex.
 func (f *Frontend) shareCold(topology *dispatch.Topology, roles relay.Roles, members []roster.Member) {
 	now := f.clock.Now()
-	var declared map[string]route.Service
-	var shards map[string]bool
 	for index := range topology.Leaves {
 		one := &topology.Leaves[index]
-		if one.ColdUntil <= now {
+		bound, bounded := f.coldBounds[f.index.Name(one.Holdings[0].Shards[0])]
+		if !bounded || one.ColdUntil <= now {
 			one.ColdUntil = 0
 			continue
 		}
-		if declared == nil {
-			declared, shards = f.declaredServices()
-		}
-		name := f.index.Name(one.Holdings[0].Shards[0])
-		if declared[name].ColdRate <= 0 {
-			one.ColdUntil = 0 // nothing is said of what it bears
-			continue
-		}
-		borne := declared[name].ColdRate*f.settings.Forward.ColdOvershoot + f.settings.Forward.ColdSlack
-		sharers, part := coldSharers(f.member, roles, members, shards[name])
+		borne := bound.rate*f.settings.Forward.ColdOvershoot + f.settings.Forward.ColdSlack
+		sharers, part := coldSharers(f.member, roles, members, bound.shard)
 		one.ColdRate = coldRate(f.member.Name, one.BootID, sharers, coldUsed*part*borne)
 	}
 }
 
-// declaredServices returns the services of the configuration in force, and which
-// of them are shards of some route.
-func (f *Frontend) declaredServices() (services map[string]route.Service, shards map[string]bool) {
-	services, shards = make(map[string]route.Service), make(map[string]bool)
-	table := f.forwarder.Table()
-	if table == nil {
-		return services, shards
-	}
-	for _, one := range table.Config.Services {
-		services[one.Name] = one
-	}
-	for index := range table.Config.Routes {
-		for _, name := range table.Config.Routes[index].Shards {
-			shards[name] = true
-		}
-	}
-	return services, shards
-}
-
 // coldSharers returns the nodes with which this one divides a part of what a cold
 // leaf of a service bears.
 func coldSharers(self roster.Member, roles relay.Roles, members []roster.Member, shard bool) ([]roster.Member, float64) {
--- a/internal/frontend/cold_test.go
+++ b/internal/frontend/cold_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/micaplank/micaplank/internal/relay"
 	"github.com/micaplank/micaplank/internal/roster"
+	"github.com/micaplank/micaplank/internal/route"
 )
 
 // fleet returns nodes of which the first are large.
@@ -47,3 +49,14 @@
 		t.Errorf("%.1f a second", got)
 	}
 }
+
+func TestColdBoundsOfAConfiguration(t *testing.T) {
+	config := &route.Config{
+		Services: []route.Service{{Name: "free"}, {Name: "shard", ColdRate: 8}, {Name: "vault", ColdRate: 20}},
+		Routes:   []route.Route{{Shards: []string{"free", "shard"}}, {Targets: []route.Target{{Service: "vault"}}}},
+	}
+	want := map[string]coldBound{"shard": {rate: 8, shard: true}, "vault": {rate: 20}}
+	if got := coldBoundsOf(config); !maps.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -134,6 +134,7 @@
 	}
 	s.mutex.Lock()
 	s.leaves.SetColdTimes(coldTimes)
+	s.coldBounds = coldBoundsOf(config)
 	s.mutex.Unlock()
 	s.metrics.configVersion.Set(float64(config.Version))
 	event.Log(s.logger, event.ConfigInstalled{
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -124,6 +124,7 @@
 	mutex       sync.Mutex
 	index       *registry.Index
 	leaves      *registry.Table
+	coldBounds  map[string]coldBound // by service, as the configuration in force says
 	expiry      *time.Timer
 	leavesKnown bool
 	// firstRead is closed once the store, or a copy of it, was read. Then former is
