--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -178,6 +178,10 @@
 		d.finish(q, OutcomeNotRun, ReasonInvalid)
 		return
 	}
+	if !d.servable(q) {
+		d.finish(q, OutcomeNotRun, ReasonNoLeaf)
+		return
+	}
 	if wait, admitted := d.admit(q); !admitted {
 		d.refuse(q, wait)
 		return
@@ -188,6 +192,22 @@
 	d.review(q)
 }
 
+// servable reports whether enough shards have a leaf for the coverage that the
+// query needs. Without that, its attempts would be work in vain for the leaves that
+// there are.
+func (d *Dispatcher) servable(q *query) bool {
+	if !d.config.RequireCoverage {
+		return true
+	}
+	reachable := q.progress
+	for position := range q.shards {
+		if q.shards[position].group == nil {
+			reachable.Unavailable++
+		}
+	}
+	return reachable.Attainable(q.MinimumCoverage)
+}
+
 // Cancel ends a query whose caller went away, and aborts its attempts.
 func (d *Dispatcher) Cancel(now Time, id QueryID) []Action {
 	d.begin(now)
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -35,6 +35,9 @@
 	default:
 		answer.Fate = failureOf(result)
 	}
+	if answer.Fate == FateNotRun && answer.Reason == dispatch.ReasonNoLeaf && answer.RetryAfter == 0 {
+		answer.RetryAfter = f.unknownAgain() // at once it would meet the same
+	}
 	return answer
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -151,3 +151,12 @@
 		t.Errorf("without a configuration: %+v", answer)
 	}
 }
+
+// TestClientWithoutALeafComesAgainLater: at once it would meet the same.
+func TestClientWithoutALeafComesAgainLater(t *testing.T) {
+	without := scatter.Result[Part]{Finish: dispatch.Finish{Outcome: dispatch.OutcomeNotRun, Reason: dispatch.ReasonNoLeaf, Total: 3}}
+	forwarder, _ := newForwarder(without)
+	if answer := forwarder.Execute(context.Background(), sweep()); answer.Fate != FateNotRun || answer.RetryAfter != time.Second {
+		t.Errorf("%+v", answer)
+	}
+}
