replica, dispatch: a leaf that loses answers counts as slower

Cause: a leaf was left alone for 0.1 s after a failure, and then got its whole share again. The share of lost attempts is estimated for each leaf, with a memory of 3 s, and raises its expected time by up to five times that share.

--- a/internal/decide/dispatch/config.go
+++ b/internal/decide/dispatch/config.go
@@ -21,6 +21,8 @@
 	Score replica.ScoreConfig
 	// Speed is how the slowness of a leaf is estimated.
 	Speed replica.SpeedConfig
+	// Losses is how the share of attempts that a leaf loses is estimated.
+	Losses replica.LossConfig
 	// Limit bounds the attempts in flight on each leaf.
 	Limit limit.Config
 	// Admission decides which queries are taken.
@@ -129,6 +131,7 @@
 		Policy:    replica.ExpectedCompletion,
 		Score:     replica.DefaultScoreConfig(),
 		Speed:     replica.DefaultSpeedConfig(),
+		Losses:    replica.DefaultLossConfig(),
 		Limit:     limit.DefaultConfig(),
 		Admission: admission.DefaultConfig(),
 		Promotion: 0.3,
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -41,6 +41,7 @@
 	l.speed.Completed(d.now, ratio)
 	l.recovering = ratio < d.config.Probation.Slowness
 	l.succeeded(latency)
+	l.losses.Ended(&d.config.Losses, d.now, false)
 	q.class.learn(latency, ended.expected/q.class.base)
 	l.limiter.Succeeded(d.now, len(l.running)+1, reply.Load.Queue)
 	d.observe(l, reply.BootID, reply.Load, len(l.running))
@@ -169,6 +170,7 @@
 	}
 	if ended.wanted && !failure.Aborted && !failure.OnTheWay {
 		l.failed(d.now, d.config.Backoff)
+		l.losses.Ended(&d.config.Losses, d.now, true)
 	}
 	if ended.wanted && q.shards[ended.position].status != shardAnswered {
 		d.failed(&ended, failure)
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -46,6 +46,7 @@
 	latency    float64
 	meanWork   float64 // mean base of its attempts, in seconds; zero without one
 	failures   int
+	losses     replica.Losses
 	heldUntil  Time
 	warmup     warmup
 	recovering bool // the last reply was not slow
@@ -238,6 +239,7 @@
 		Slots:    l.slots,
 		Limit:    d.limitFor(l, priority, others),
 		Slowness: d.slowness(l),
+		Loss:     l.losses.Share(&d.config.Losses, d.now),
 		Latency:  l.latency,
 		Near:     l.near,
 	}
--- a/internal/decide/dispatch/topology.go
+++ b/internal/decide/dispatch/topology.go
@@ -107,6 +107,7 @@
 	l.limiter.Restart(cold)
 	l.speed = replica.NewSpeed(&d.config.Speed)
 	l.failures = 0
+	l.losses = replica.Losses{}
 	l.heldUntil = 0
 	l.gone = nil
 }
--- /dev/null
+++ b/internal/decide/replica/losses_test.go
@@ -0,0 +1,55 @@
+package replica
+
+import (
+	"testing"
+	"time"
+)
+
+func TestLosses(t *testing.T) {
+	config := DefaultLossConfig()
+	var losses Losses
+	if got := losses.Share(&config, time.Hour); got != 0 {
+		t.Errorf("nothing was seen: %.2f", got)
+	}
+	now := time.Duration(0)
+	for number := range 400 {
+		now += 50 * time.Millisecond
+		losses.Ended(&config, now, number%5 < 2)
+	}
+	if got := losses.Share(&config, now); got < 0.3 || got > 0.45 {
+		t.Errorf("two of five were lost: %.2f", got)
+	}
+	if got := losses.Share(&config, now+time.Minute); got > 0.01 {
+		t.Errorf("a minute later: %.2f", got)
+	}
+	for range 60 {
+		now += 50 * time.Millisecond
+		losses.Ended(&config, now, false)
+	}
+	if got := losses.Share(&config, now); got > 0.2 {
+		t.Errorf("well for as long as Forget: %.2f", got)
+	}
+}
+
+// TestLeafThatLosesAnswersIsAvoided, as far as that is worth its price.
+func TestLeafThatLosesAnswersIsAvoided(t *testing.T) {
+	score := DefaultScoreConfig()
+	score.LossPrice = 5
+	ordinary := Candidate{Slots: 2, Limit: 3, Slowness: 1}
+	lossy, seldom, slow := ordinary, ordinary, ordinary
+	lossy.Loss, seldom.Loss, slow.Slowness = 0.3, 0.001, 8
+	for _, test := range []struct {
+		name string
+		a, b Candidate
+		less bool
+	}{
+		{"a sound one first", ordinary, lossy, true},
+		{"a lossy one before one that is much slower", lossy, slow, true},
+		{"one loss of a thousand is no matter", seldom, ordinary, false},
+	} {
+		margin := score.Tie * score.completion(&test.b, Work{Base: 1, Mean: 1})
+		if got := score.completion(&test.a, Work{Base: 1, Mean: 1}) < score.completion(&test.b, Work{Base: 1, Mean: 1})-margin; got != test.less {
+			t.Errorf("%s: %v", test.name, got)
+		}
+	}
+}
--- a/internal/decide/replica/policy.go
+++ b/internal/decide/replica/policy.go
@@ -43,6 +43,8 @@
 	Limit int
 	// Slowness is the ratio of its time to that of an ordinary leaf.
 	Slowness float64
+	// Loss is the share of its attempts that it loses.
+	Loss float64
 	// Latency is the running mean of its latency, in seconds.
 	Latency float64
 	// Near is set if the leaf is in the zone of the node.
--- a/internal/decide/replica/score.go
+++ b/internal/decide/replica/score.go
@@ -14,6 +14,9 @@
 	// Noise is the slowness up to which a leaf counts as ordinary. Default
 	// 1.4.
 	Noise float64
+	// LossPrice is the price of a lost attempt, over the time of one that is
+	// answered: it takes of the budget, and a shard has few. Default 0.
+	LossPrice float64
 	// Tie is the relative difference up to which two scores count as equal,
 	// so that the zone decides. Default 0.03.
 	Tie float64
@@ -38,11 +41,12 @@
 	}
 }
 
-// completion is Expected and the price of crowding.
+// completion is Expected with the prices of crowding and of losses.
 func (s *ScoreConfig) completion(c *Candidate, work Work) float64 {
 	attempts := float64(c.InFlight) + s.OthersWeight*c.Others
 	crowding := s.Crowding * attempts / float64(max(c.Slots, 1))
-	return s.Expected(c, work) + s.Significant(c.Slowness)*work.Mean*crowding
+	expected := s.Expected(c, work) + s.Significant(c.Slowness)*work.Mean*crowding
+	return expected * (1 + s.LossPrice*c.Loss)
 }
 
 // Expected is Completion with the estimates weighted by their worth.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -220,6 +220,7 @@
 	config.WorkByLeaf = true
 	config.EqualSlots = true
 	config.Score.Tie = zoneTie
+	config.Score.LossPrice = lossPrice
 	config.Hedge.Queue = 1
 	config.Probation.ProbeInterval = minProbeInterval
 	config.Score.Crowding = crowdingPrice
@@ -237,6 +238,9 @@
 	// crowdingPrice spreads work over two replicas of few slots before queues
 	// form.
 	crowdingPrice = 0.6
+	// lossPrice makes a leaf that loses a third of its attempts count like one that
+	// takes almost three times as long.
+	lossPrice = 5
 	// zoneTie is the difference of two scores up to which the zone decides: it
 	// keeps bytes within a zone where that costs little time.
 	zoneTie = 0.2
