--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -10,8 +10,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +20,6 @@
 	"github.com/micaplank/micaplank/internal/combine"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/forward"
-	"github.com/micaplank/micaplank/internal/lease"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/peer"
 	"github.com/micaplank/micaplank/internal/registry"
@@ -31,75 +28,9 @@
 	"github.com/micaplank/micaplank/internal/route"
 	"github.com/micaplank/micaplank/internal/scatter"
 	"github.com/micaplank/micaplank/internal/settings"
-	"github.com/micaplank/micaplank/internal/subset"
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
-// Kind is what an item of the store is.
-type Kind int
-
-// The kinds of items.
-const (
-	KindOther  Kind = iota // nothing of ours
-	KindConfig             // the declared configuration
-	KindLeaf               // the announcement of a leaf
-	KindNode               // the announcement of a node like this one
-	KindCordon             // the operators' word that a zone is out of service
-)
-
-// Decoder reads what lies in the store. Its methods keep nothing of the items.
-type Decoder interface {
-	// Prefix is what all keys of interest begin with.
-	Prefix() string
-	Kind(key string) Kind
-	// Config reads the declared configuration.
-	Config(item mirror.Item) (*route.Config, error)
-	// Leaf reads the announcement of a leaf. Of a removed one, only the key is
-	// given, and only the id is wanted.
-	Leaf(item mirror.Item) (registry.Leaf, error)
-	// CordonedZone returns the zone that a key takes out of service. The key is
-	// there for as long as it is.
-	CordonedZone(key string) string
-	// NodePrefix is what the keys of announcements of nodes begin with.
-	NodePrefix() string
-	// Node returns the name of the node that a key announces.
-	Node(key string) string
-	// NodeKey returns the key that announces an incarnation of a node.
-	NodeKey(name, incarnation string) string
-}
-
-// Ports are the ways to the outside that a Frontend uses.
-type Ports struct {
-	Store   mirror.Store
-	Leases  lease.Store
-	Decoder Decoder
-	Leaves  scatter.LeafClient[*forward.Request, forward.Part]
-	// Handler makes the handler of callers' requests.
-	Handler func(Service) http.Handler
-	// ReadyPath is where the handler of readiness is asked.
-	ReadyPath string
-	// OnLeaves is told of the leaves before work goes by them.
-	OnLeaves func([]LeafShare)
-}
-
-// LeafShare says how many connections to a leaf this node may keep. With none,
-// it may open one for a request that no other leaf can take.
-type LeafShare struct {
-	Address     netip.AddrPort
-	Instance    string
-	Connections int
-}
-
-// Service is what the handler of callers' requests uses.
-type Service interface {
-	// Execute runs a request; see forward.Forwarder.
-	Execute(ctx context.Context, request *forward.Request) forward.Answer
-	// Limits returns what the configuration in force allows clients to send.
-	Limits() route.Limits
-	// Draining reports whether callers should move to other nodes.
-	Draining() bool
-}
-
 // Frontend is one node. Make it with New and start it with Run.
 type Frontend struct {
 	settings settings.Settings
@@ -179,73 +110,6 @@
 	f.expiry.Stop()
 }
 
-// nodesMemory is how long a node that is no longer announced still counts: two
-// windows of the budget, so that a lapse of leases frees nothing at once.
-const nodesMemory = 20 * time.Second
-
-// peerDialTimeout bounds the time to open a connection to another node. It is
-// shorter than the second after which an opening packet that was lost is sent
-// again: to begin anew is quicker.
-const peerDialTimeout = 500 * time.Millisecond
-
-// unknownRetryAfter is when a client may come again that met a node without
-// the configuration, and outageRetryAfter the same while the store is away. Nodes
-// of a fleet of 295 that started as a whole had it 0.5 to 0.9 s after the first
-// of them listened, and a client that comes too early is lost, as a rule.
-const (
-	unknownRetryAfter = 600 * time.Millisecond
-	outageRetryAfter  = 2 * time.Second
-)
-
-func forwardConfig(from settings.Forward) forward.Config {
-	return forward.Config{
-		HedgeShare:        from.HedgeShare,
-		HedgePercentile:   from.HedgePercentile,
-		ExtraLoad:         from.ExtraRatio,
-		ClientAllowance:   from.ClientAllowance.Duration(),
-		UnknownRetryAfter: unknownRetryAfter,
-		OutageRetryAfter:  outageRetryAfter,
-	}
-}
-
-// earnedShare is the part of the allowed extra load that is spent, so that
-// attempts which are counted differently by the back ends stay within it.
-const earnedShare = 0.9
-
-func dispatchConfig(from settings.Settings) dispatch.Config {
-	config := dispatch.DefaultConfig()
-	config.Zone = from.Zone
-	config.BudgetByShard = true
-	config.ChargeRefusals = true
-	config.WorkByLeaf = true
-	config.EqualSlots = true
-	config.Score.Tie = zoneTie
-	config.Score.LossPrice = lossPrice
-	config.Hedge.Queue = 1
-	config.Probation.ProbeInterval = minProbeInterval
-	config.Score.Crowding = crowdingPrice
-	config.EndWithoutBudget = true
-	config.RequireCoverage = true
-	config.Settle.ObjectiveShare = from.Forward.SettleShare
-	config.Budget.Earned = earnedShare
-	assumed := share{census: subset.Census{All: from.Forward.ExtraNodes}, part: 1}
-	config.Budget.Resize(assumed.budget(from.Forward))
-	config.Budget.Debt = 0
-	return config
-}
-
-const (
-	// crowdingPrice spreads work over two replicas of few slots before queues
-	// form.
-	crowdingPrice = 0.6
-	// lossPrice makes a leaf that loses a third of its attempts count like one that
-	// takes almost three times as long.
-	lossPrice = 5
-	// zoneTie is the difference of two scores up to which the zone decides: it
-	// keeps bytes within a zone where that costs little time.
-	zoneTie = 0.2
-)
-
 // Execute implements Service.
 func (f *Frontend) Execute(ctx context.Context, request *forward.Request) forward.Answer {
 	started := f.clock.Now()
