--- a/experiments/days/variants.sh
+++ b/experiments/days/variants.sh
@@ -34,7 +34,7 @@
 
 many() { sed -E '/class = "front"/s/count = [0-9]+/count = 20/' "$site"; }
 few() { sed -E '/class = "front"/s/count = [0-9]+/count = 1/' "$site"; }
-once() { sed -E '/name = "(archive-pull|tap-lookup)", aim_ms/s/aim_ms/kind = "unsafe", aim_ms/' "$site"; }
+once() { sed -E '/name = "(archive-pull|tap-lookup)", aim_ms/{/kind = /!s/aim_ms/kind = "unsafe", aim_ms/}' "$site"; }
 # One of the largest machines in each zone, where there are several sizes.
 fewer_large() { local most; most=$(largest); sed -E "/class = \"front\", cpu_share = ${most//./\\.},/s/count = [0-9]+/count = 1/" "$site"; }
 # All machines are of the size of the first ones in the file, or of the last ones.
