dispatch: a late attempt is not given up where no leaf takes another one

Cause: from half of a query's time on, an attempt that is ten times as late as expected is given up for another leaf, also where none takes work any more: its leaf drains, or its zone was taken out of service. The query then failed with 502 though its answer was on the way. Found by TestAttemptAtACordonedZoneEndsWell, once beside a loaded machine; now TestLateAttemptIsWaitedForWhereNoLeafTakesAnother, which fails without it.

--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -88,6 +88,9 @@
 	if !q.rescuing(d.now) || !q.maySend(shard, &d.config) || age < lostAge*only.expected || !d.budgetOf(q, position).CanRetry() {
 		return
 	}
+	if shard.group == nil || d.collect(shard, q.priority(d.now), 0) == choiceNone {
+		return // no leaf takes work any more: this answer is all that may come
+	}
 	d.abort(only)
 	shard.lost++
 	shard.spent = true
