--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -83,7 +83,7 @@
 		taken.coldUntil = known.coldUntil
 	}
 	if news := !found || known.Revision != announced.Revision; news && announced.Cold > 0 {
-		taken.coldUntil = now + announced.Cold
+		taken.coldUntil = max(taken.coldUntil, now+announced.Cold)
 	}
 	t.entries[announced.ID] = taken
 	t.index.Of(announced.Service)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -153,7 +153,10 @@
 	table.Cordon(20*time.Second, "north", true)
 	table.Cordon(30*time.Second, "north", false)
 	check("its zone was out of service", 33*time.Second)
-	announced.Revision, announced.Cold = 3, 5*time.Second
+	announced.Revision, announced.Cold = 3, time.Second
+	table.Set(31*time.Second, announced)
+	check("its word of before that", 33*time.Second)
+	announced.Revision, announced.Cold = 4, 5*time.Second
 	table.Set(31*time.Second, announced)
 	check("by a later word", 36*time.Second)
 }
