mirror: a test that set a time beside a reader takes the lock

TestStartsConverge failed once under the race detector beside load: its freeze wrote heardAt while a question of a start that had ended read it. The race is in the test; the checks are the same.

--- a/internal/mirror/sources_test.go
+++ b/internal/mirror/sources_test.go
@@ -355,7 +355,9 @@
 			},
 			"freeze": func(rt *rapid.T) {
 				if node := f.peers.watchers[f.seeds[rapid.IntRange(0, 2).Draw(rt, "seed")]]; node != nil {
+					node.mutex.Lock() // a question of a start that has ended may still be under way
 					node.heardAt = node.heardAt.Add(-time.Minute)
+					node.mutex.Unlock()
 				}
 			},
 			"step": func(*rapid.T) { all() },
