--- a/internal/mirror/fleet_test.go
+++ b/internal/mirror/fleet_test.go
@@ -48,7 +48,7 @@
 			plan := Plan{Source: index < sources, Others: addresses}
 			fleet[index].SetPlanner("nodes/", func([]Item) Plan { return plan })
 			if plan.Source {
-				peers.watchers[addresses[index]] = fleet[index]
+				peers.set(addresses[index], fleet[index])
 			}
 		}
 		begun := time.Now()
--- a/internal/mirror/shared_test.go
+++ b/internal/mirror/shared_test.go
@@ -100,11 +100,26 @@
 
 // linked asks watchers in the same process; one that is cut off does not answer.
 type linked struct {
-	watchers map[netip.AddrPort]*Shared
 	mutex    sync.Mutex
+	watchers map[netip.AddrPort]*Shared
 	cut      map[netip.AddrPort]bool
 }
 
+// set puts a watcher at an address. A question of a start that has ended may
+// still be under way.
+func (l *linked) set(address netip.AddrPort, watcher *Shared) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.watchers[address] = watcher
+}
+
+// at returns the watcher at an address.
+func (l *linked) at(address netip.AddrPort) *Shared {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.watchers[address]
+}
+
 func (l *linked) setCut(address netip.AddrPort, cut bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -123,21 +138,21 @@
 	if l.isCut(to) {
 		return Watched{}, errCut
 	}
-	return l.watchers[to].Serve(ctx, after, 0)
+	return l.at(to).Serve(ctx, after, 0)
 }
 
 func (l *linked) Offer(ctx context.Context, source netip.AddrPort, wait time.Duration) (Offer, error) {
 	if l.isCut(source) {
 		return Offer{}, errCut
 	}
-	return l.watchers[source].Offer(ctx, wait), nil
+	return l.at(source).Offer(ctx, wait), nil
 }
 
 func (l *linked) Snapshot(_ context.Context, source netip.AddrPort) (Snapshot, error) {
 	if l.isCut(source) {
 		return Snapshot{}, errCut
 	}
-	return l.watchers[source].Snapshot()
+	return l.at(source).Snapshot()
 }
 
 // pair is a watcher and a node that asks it.
@@ -162,7 +177,7 @@
 	config.Pause = 0
 	logger := slog.New(slog.DiscardHandler)
 	p.watcher, p.follower = NewShared(config, p.store, p.peers, logger), NewShared(config, p.store, p.peers, logger)
-	p.peers.watchers[p.address] = p.watcher
+	p.peers.set(p.address, p.watcher)
 	p.watcher.SetWatchers(true, nil)
 	p.follower.SetWatchers(false, []netip.AddrPort{p.address})
 	for _, node := range []*Shared{p.watcher, p.follower} {
--- a/internal/mirror/sources_test.go
+++ b/internal/mirror/sources_test.go
@@ -64,7 +64,7 @@
 		}
 	}
 	node.SetPlanner("", func([]Item) Plan { return Plan{Source: true, Others: others} })
-	f.peers.watchers[f.seeds[index]] = node
+	f.peers.set(f.seeds[index], node)
 	f.peers.setCut(f.seeds[index], false)
 	return node
 }
@@ -137,7 +137,7 @@
 		f.seed(index)
 	}
 	for _, address := range f.seeds {
-		f.load(f.peers.watchers[address], nil)
+		f.load(f.peers.at(address), nil)
 	}
 	f.wantRanges(3)
 }
@@ -331,7 +331,7 @@
 		}
 		all := func() {
 			for _, address := range f.seeds {
-				if node := f.peers.watchers[address]; node != nil {
+				if node := f.peers.at(address); node != nil {
 					step(node)
 				}
 			}
@@ -354,7 +354,7 @@
 				f.peers.setCut(f.seeds[rapid.IntRange(0, 2).Draw(rt, "seed")], true)
 			},
 			"freeze": func(rt *rapid.T) {
-				if node := f.peers.watchers[f.seeds[rapid.IntRange(0, 2).Draw(rt, "seed")]]; node != nil {
+				if node := f.peers.at(f.seeds[rapid.IntRange(0, 2).Draw(rt, "seed")]); node != nil {
 					node.mutex.Lock() // a question of a start that has ended may still be under way
 					node.heardAt = node.heardAt.Add(-time.Minute)
 					node.mutex.Unlock()
