dispatch: a leaf that refuses work for load counts as one that loses it

Cause: a leaf that refuses was left alone for 5 ms, and then got its whole share again. Where requests come 10 ms apart, a leaf of two that refuses all took half of the first attempts and the budget of repeats with them: of 40 plays of TestAnswersAreWholeAndTheirOwn/shed with that pause, 22 served fewer than 15 of 20 requests, and 0 of 40 now.

--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -108,6 +108,7 @@
 	l := ended.leaf
 	switch refusal.Reason {
 	case leaf.RefusedShed:
+		l.losses.Ended(&d.config.Losses, d.now, true)
 		l.limiter.Refused(d.now)
 		l.hold(d.now + d.pause(refusal.RetryAfter, d.config.Backoff.Shed))
 	case leaf.RefusedCold:
