--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -38,7 +38,7 @@
 	former := s.formerLease(items)
 	s.mutex.Lock()
 	s.leaves.Replace(s.clock.Now(), leaves)
-	recordoned := s.leaves.ReplaceCordons(s.clock.Now(), cordons, read.Stale)
+	cordonsChanged := s.leaves.ReplaceCordons(s.clock.Now(), cordons, read.Stale)
 	if !s.leavesKnown {
 		s.former = former
 		close(s.firstRead)
@@ -46,7 +46,7 @@
 	s.leavesKnown = true
 	s.nodes.Replace(s.clock.Now(), nodes)
 	s.mutex.Unlock()
-	for _, zone := range recordoned {
+	for _, zone := range cordonsChanged {
 		event.Log(s.logger, event.ZoneCordoned{Zone: zone, Cordoned: slices.Contains(cordons, zone)})
 	}
 	event.Log(s.logger, event.StoreRead{Leaves: len(leaves), Nodes: len(nodes), AfterGap: read.Gap, Stale: read.Stale})
@@ -124,7 +124,7 @@
 		event.Log(s.logger, event.ConfigRejected{Key: item.Key, Revision: item.Revision, Error: err})
 		return
 	}
-	coldTimes := make(map[string]time.Duration)
+	coldTimes := make(map[string]time.Duration, len(config.Services))
 	for _, declared := range config.Services {
 		s.index.Of(declared.Name)
 		coldTimes[declared.Name] = declared.ColdTime
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -67,7 +67,7 @@
 	dialing, stop := context.WithCancel(context.Background())
 	return &Client{
 		options: options.withDefaults(),
-		metrics: newCallMetrics(registerer, "client"),
+		metrics: newCallMetrics(registerer, clientSide),
 		dialing: dialing,
 		stop:    stop,
 		slots:   map[slotKey]*clientLink{},
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -21,6 +21,9 @@
 	return m
 }
 
+// clientSide names the side of callers in metrics.
+const clientSide = "client"
+
 type callMetrics struct {
 	calls       *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
@@ -39,11 +42,14 @@
 			Help: "Open connections on the " + side + " side.",
 		}),
 		silent: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "micaplank_peer_" + side + "_silent_connections_total",
-			Help: "Connections that were closed on the " + side + " side since they had gone silent.",
+			Name: "micaplank_peer_client_silent_connections_total",
+			Help: "Connections that were closed on the client side since they had gone silent.",
 		}),
 	}
-	register(registerer, m.calls, m.bytes, m.connections, m.silent)
+	register(registerer, m.calls, m.bytes, m.connections)
+	if side == clientSide {
+		register(registerer, m.silent) // only who asks can tell
+	}
 	return m
 }
 
