frontend: a node is ready once the Dispatcher has the leaves, and they come before the configuration that names them

Cause: the first reading of the store set leavesKnown, and released the lock, before the Dispatcher got its topology; after a gap a configuration with new services was in force before their leaves.

--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -16,15 +16,17 @@
 // storeSink takes in what the store holds.
 type storeSink struct{ *Frontend }
 
-// Replace implements mirror.Sink.
+// Replace implements mirror.Sink. The leaves come into use before the configuration
+// that may name them: else its requests would be refused for want of leaves.
 func (s storeSink) Replace(items []mirror.Item, read mirror.Reading) {
 	var leaves []registry.Leaf
 	var cordons []string
+	var configs []mirror.Item
 	nodes := make(map[string]roster.Member)
 	for _, item := range items {
 		switch s.ports.Decoder.Kind(item.Key) {
 		case KindConfig:
-			s.install(item)
+			configs = append(configs, item)
 		case KindLeaf:
 			if read, ok := s.read(item); ok {
 				leaves = append(leaves, read)
@@ -45,13 +47,16 @@
 	}
 	s.leavesKnown = true
 	s.nodes.Replace(s.clock.Now(), nodes)
+	s.publishLocked()
 	s.mutex.Unlock()
+	for _, config := range configs {
+		s.install(config)
+	}
 	for _, zone := range cordonsChanged {
 		event.Log(s.logger, event.ZoneCordoned{Zone: zone, Cordoned: slices.Contains(cordons, zone)})
 	}
 	event.Log(s.logger, event.StoreRead{Leaves: len(leaves), Nodes: len(nodes), AfterGap: read.Gap, Stale: read.Stale})
 	s.forwarder.SetFresh(!read.Stale)
-	s.publish()
 }
 
 // formerLease returns the lease of the last announcement that says what this node
@@ -211,6 +216,11 @@
 func (f *Frontend) publish() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.publishLocked()
+}
+
+// publishLocked is publish under the mutex.
+func (f *Frontend) publishLocked() {
 	_, next := f.leaves.Expire(f.clock.Now())
 	if next > 0 {
 		f.expiry.Reset(max(next-f.clock.Now(), 0))
--- /dev/null
+++ b/internal/frontend/follow_test.go
@@ -0,0 +1,115 @@
+package frontend
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/mirror"
+	"github.com/micaplank/micaplank/internal/registry"
+	"github.com/micaplank/micaplank/internal/route"
+	"github.com/micaplank/micaplank/internal/scatter"
+	"github.com/micaplank/micaplank/internal/settings"
+	"github.com/micaplank/micaplank/internal/telemetry"
+)
+
+// keyDecoder reads items that say everything in their keys: "config", whose value
+// is the service of its one route, and "leaf/SERVICE".
+type keyDecoder struct{}
+
+func (keyDecoder) Prefix() string                { return "" }
+func (keyDecoder) CordonedZone(string) string    { return "" }
+func (keyDecoder) NodePrefix() string            { return "node/" }
+func (keyDecoder) Node(key string) string        { return key }
+func (keyDecoder) NodeKey(name, _ string) string { return "node/" + name }
+
+func (keyDecoder) Kind(key string) Kind {
+	if key == "config" {
+		return KindConfig
+	}
+	return KindLeaf
+}
+
+func (keyDecoder) Config(item mirror.Item) (*route.Config, error) {
+	served := string(item.Value)
+	return &route.Config{
+		Version:  item.Revision,
+		Services: []route.Service{{Name: served}},
+		Routes: []route.Route{{
+			Name: "all", Host: "host", Prefix: "/", Repeatable: true, Timeout: time.Second, MaxAttempts: 1,
+			Targets: []route.Target{{Service: served, Weight: 1}},
+		}},
+	}, nil
+}
+
+func (keyDecoder) Leaf(item mirror.Item) (registry.Leaf, error) {
+	service := strings.TrimPrefix(item.Key, "leaf/")
+	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(len(service)))
+	return registry.Leaf{ID: service, Service: service, Address: address, Slots: 1, Revision: item.Revision}, nil
+}
+
+// servingLeaves answer each attempt.
+type servingLeaves struct{}
+
+func (servingLeaves) Execute(_ context.Context, attempt scatter.Attempt[*forward.Request]) (*scatter.Response[forward.Part], error) {
+	return &scatter.Response[forward.Part]{
+		Executed: true, Shard: attempt.Shard, Snapshot: attempt.Snapshot, BootID: attempt.BootID,
+		Part: forward.Part{Status: http.StatusOK},
+	}, nil
+}
+
+// onLine calls a function at each log line.
+type onLine struct{ call func() }
+
+func (onLine) Enabled(context.Context, slog.Level) bool    { return true }
+func (h onLine) Handle(context.Context, slog.Record) error { h.call(); return nil }
+func (h onLine) WithAttrs([]slog.Attr) slog.Handler        { return h }
+func (h onLine) WithGroup(string) slog.Handler             { return h }
+
+// TestNodeIsReadyOnlyWithLeaves sends a request at each moment of the reading of a
+// store at which a line is logged: a node that says it is ready knows the leaves
+// of the configuration in force, and refuses nothing for want of them.
+func TestNodeIsReadyOnlyWithLeaves(t *testing.T) {
+	var f *Frontend
+	asking, served := false, 0
+	logger := slog.New(onLine{call: func() {
+		if asking || !f.ready() {
+			return
+		}
+		asking = true
+		defer func() { asking = false }()
+		answer := f.Execute(t.Context(), &forward.Request{ID: "r", Host: "host", Path: "/"})
+		if answer.Fate != forward.FateAnswered {
+			t.Errorf("a node that is ready refuses: %+v", answer)
+			return
+		}
+		served++
+	}})
+	f = New(settings.Defaults(), Ports{
+		Decoder:  keyDecoder{},
+		Leaves:   servingLeaves{},
+		OnLeaves: func([]LeafShare) {},
+	}, telemetry.NewRegistry("test"), logger)
+	sink := storeSink{f}
+	sink.Replace([]mirror.Item{
+		{Key: "config", Value: []byte("desk"), Revision: 2},
+		{Key: "leaf/desk", Revision: 1},
+	}, mirror.Reading{})
+	if served == 0 {
+		t.Error("nothing was asked after the first reading")
+	}
+	served = 0
+	sink.Replace([]mirror.Item{
+		{Key: "config", Value: []byte("board"), Revision: 4},
+		{Key: "leaf/board", Revision: 3},
+		{Key: "leaf/desk", Revision: 1},
+	}, mirror.Reading{Gap: true})
+	if served == 0 {
+		t.Error("nothing was asked after the second reading")
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -52,11 +52,12 @@
 	// is published.
 	outOfService atomic.Pointer[[]string]
 
-	mutex       sync.Mutex
-	index       *registry.Index
-	leaves      *registry.Table
-	coldBounds  map[string]coldBound // by service, as the configuration in force says
-	expiry      *time.Timer
+	mutex      sync.Mutex
+	index      *registry.Index
+	leaves     *registry.Table
+	coldBounds map[string]coldBound // by service, as the configuration in force says
+	expiry     *time.Timer
+	// leavesKnown is set once the Dispatcher has the leaves of a first reading.
 	leavesKnown bool
 	// firstRead is closed once the store, or a copy of it, was read. Then former is
 	// the lease of an announcement of this node by a former process; zero without
