dispatch: a query of several shards probes a shard only once that is answered

Where a shard may get two attempts, its probe took the place of a hedge, or of the retry after a lost answer; queries ended with just the least coverage, late.

--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -78,6 +78,9 @@
 			d.abort(entry)
 		}
 	}
+	if !q.progress.Whole() && shard.group != nil {
+		d.probe(q, ended.position, ended.leaf)
+	}
 }
 
 // Refuse takes in the proof that an attempt did not execute.
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -69,7 +69,9 @@
 		d.withdraw(q, shard)
 	}
 	d.send(q, position, chosen, nextCause(q, shard))
-	d.probe(q, position, chosen)
+	if len(q.shards) == 1 {
+		d.probe(q, position, chosen) // its answer ends the query
+	}
 	return true
 }
 
--- a/internal/decide/dispatch/send.go
+++ b/internal/decide/dispatch/send.go
@@ -29,7 +29,9 @@
 	l.sent.at(q.class).add(d.now, longMemory, q.class.base)
 	d.throughput.add(d.now, shortMemory, q.class.base)
 	shard.first = slot
-	shard.status = shardInFlight
+	if shard.status != shardAnswered { // by another attempt: this one is a probe
+		shard.status = shardInFlight
+	}
 	shard.sends++
 	shard.try(l)
 	q.inFlight++
