mirror: the backlog of an outage is taken in at once, and a watcher that is behind is not relied on

Meanwhile the watcher told followers that knew more that nothing had changed.

TestFollowerThatKnowsMoreThanTheWatcherAsksElsewhere: failed before.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -91,8 +91,16 @@
 	stale    bool // the range has to be read again
 	failures int
 	lostAt   time.Time
+	// behind is set after an outage until an answer shows that little is left of
+	// the changes that were missed.
+	behind bool
 }
 
+// backlogAnswer is the number of changes in an answer from which more are taken to
+// be waiting: a store hands a backlog out in portions. With Gather after each, a
+// node took 2.7 s for the 180 changes of an outage of 9 s, which came in six.
+const backlogAnswer = 8
+
 // New returns a Mirror that has read nothing.
 func New(config Config, source Source, sink Sink) *Mirror {
 	return &Mirror{config: config, source: source, sink: sink, stale: true}
@@ -143,11 +151,13 @@
 	if err != nil {
 		return err
 	}
-	if back := m.answered(); back || len(events) > 0 {
+	back := m.answered()
+	if back || len(events) > 0 {
 		m.sink.Change(events)
 	}
 	m.revision = max(m.revision, revision)
-	if len(events) > 0 {
+	m.behind = (m.behind || back) && len(events) >= backlogAnswer
+	if len(events) > 0 && !m.behind {
 		clock.Sleep(ctx, m.config.Gather)
 	}
 	return nil
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -14,6 +14,18 @@
 	return s.answered.of(after, answer)
 }
 
+// current returns the answer to a node that waited in vain for changes after a
+// revision. If that node knows more than this one, who should have heard of it
+// meanwhile, it is told to ask elsewhere.
+func (s *Shared) current(answer Watched, after uint64) Watched {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.history.revision < after {
+		return Watched{State: WatchLost}
+	}
+	return answer
+}
+
 // await blocks until there are changes after a revision, or for the wait.
 func (s *Shared) await(ctx context.Context, after uint64, wait time.Duration) Watched {
 	timer := time.NewTimer(wait)
@@ -31,7 +43,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return answer
+			return s.current(answer, after)
 		case <-ctx.Done():
 			return answer
 		}
--- a/internal/mirror/shared_test.go
+++ b/internal/mirror/shared_test.go
@@ -379,3 +379,19 @@
 		})
 	})
 }
+
+// TestFollowerThatKnowsMoreThanTheWatcherAsksElsewhere: a watcher that comes back
+// from an outage has old changes to take in, and tells of no new ones meanwhile.
+func TestFollowerThatKnowsMoreThanTheWatcherAsksElsewhere(t *testing.T) {
+	p := newPair(t)
+	p.store.put("a")
+	p.follower.SetWatchers(false, nil)
+	p.wantFollow(1, 1, nil) // of the store
+	p.follower.SetWatchers(false, []netip.AddrPort{p.address})
+	p.store.put("b")
+	p.wantFollow(1, 1, nil)
+	if err := p.watch(); err != nil {
+		t.Fatal(err)
+	}
+	p.wantFollow(0, 0, nil)
+}
