--- /dev/null
+++ b/internal/event/announced.go
@@ -0,0 +1,132 @@
+package event
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+)
+
+// ConfigRejected tells that a configuration cannot be used.
+type ConfigRejected struct {
+	Key      string `event:"key" doc:"where it lies"`
+	Revision uint64 `event:"revision" doc:"revision of the store that wrote it"`
+	Error    error  `event:"error" doc:"what is wrong with it"`
+}
+
+// Message implements Event.
+func (ConfigRejected) Message() string { return "configuration rejected" }
+
+// Level implements Event.
+func (ConfigRejected) Level() slog.Level { return slog.LevelError }
+
+// Describe implements Event.
+func (ConfigRejected) Describe() string { return "The last good configuration stays in force." }
+
+// ConfigInstalled tells that a configuration is in force.
+type ConfigInstalled struct {
+	Version  uint64 `event:"version" doc:"its version"`
+	Revision uint64 `event:"revision" doc:"revision of the store that wrote it"`
+	Routes   int    `event:"routes" doc:"routes in it"`
+	Services int    `event:"services" doc:"services in it"`
+}
+
+// Message implements Event.
+func (ConfigInstalled) Message() string { return "configuration installed" }
+
+// Level implements Event.
+func (ConfigInstalled) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (ConfigInstalled) Describe() string {
+	return "Requests are handled by this version from now on; never by an older one again."
+}
+
+// LeafChanged tells that what a leaf announces has changed.
+type LeafChanged struct {
+	Leaf     string         `event:"leaf" doc:"id of the leaf's incarnation"`
+	Service  string         `event:"service" doc:"service that it is of; empty with a removal"`
+	Address  netip.AddrPort `event:"address" doc:"where it listens"`
+	Draining bool           `event:"draining" doc:"whether it gets no new work"`
+	Cold     time.Duration  `event:"cold" doc:"how much longer it is cold, by its word"`
+	Removed  bool           `event:"removed" doc:"whether its announcement is gone"`
+	Revision uint64         `event:"revision" doc:"revision of the store"`
+}
+
+// Message implements Event.
+func (LeafChanged) Message() string { return "leaf changed" }
+
+// Level implements Event.
+func (LeafChanged) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (LeafChanged) Describe() string { return "A leaf came, changed, drains or is gone." }
+
+// ZoneCordoned tells that operators took a zone out of service, or put it back.
+type ZoneCordoned struct {
+	Zone     string `event:"zone" doc:"the zone"`
+	Cordoned bool   `event:"cordoned" doc:"whether its leaves get no new attempts"`
+	Revision uint64 `event:"revision" doc:"revision of the store; 0 if it was found when the whole of the store was read"`
+}
+
+// Message implements Event.
+func (ZoneCordoned) Message() string { return "cordon changed" }
+
+// Level implements Event.
+func (ZoneCordoned) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (ZoneCordoned) Describe() string {
+	return "Operators took a zone out of service, or put it back. Attempts in flight at its leaves are left to finish."
+}
+
+// LeafRejected tells that the announcement of a leaf cannot be read.
+type LeafRejected struct {
+	Key      string `event:"key" doc:"where it lies"`
+	Revision uint64 `event:"revision" doc:"revision of the store that wrote it"`
+	Error    error  `event:"error" doc:"what is wrong with it"`
+}
+
+// Message implements Event.
+func (LeafRejected) Message() string { return "leaf rejected" }
+
+// Level implements Event.
+func (LeafRejected) Level() slog.Level { return slog.LevelError }
+
+// Describe implements Event.
+func (LeafRejected) Describe() string { return "What was known of the leaf stays." }
+
+// NodeChanged tells that another node came or is gone.
+type NodeChanged struct {
+	Peer     string `event:"peer" doc:"name of the node"`
+	Removed  bool   `event:"removed" doc:"whether its announcement is gone; it counts for 20 s more"`
+	Revision uint64 `event:"revision" doc:"revision of the store"`
+}
+
+// Message implements Event.
+func (NodeChanged) Message() string { return "node changed" }
+
+// Level implements Event.
+func (NodeChanged) Level() slog.Level { return slog.LevelInfo }
+
+// Describe implements Event.
+func (NodeChanged) Describe() string {
+	return "The nodes share the extra load and the connections to leaves by their number."
+}
+
+// NodeRejected tells that the announcement of a node cannot be read.
+type NodeRejected struct {
+	Key      string `event:"key" doc:"where it lies"`
+	Revision uint64 `event:"revision" doc:"revision of the store that wrote it"`
+	Error    error  `event:"error" doc:"what is wrong with it"`
+}
+
+// Message implements Event.
+func (NodeRejected) Message() string { return "node rejected" }
+
+// Level implements Event.
+func (NodeRejected) Level() slog.Level { return slog.LevelWarn }
+
+// Describe implements Event.
+func (NodeRejected) Describe() string {
+	return "The node counts, but nothing is known of its zone, processor and address."
+}
