mirror: a watcher that is behind refuses, rather than say that the store is lost

The follower then asks the store itself, once; told of a loss it would have taken the store to be away for all, with only its one watcher's word.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -25,8 +25,8 @@
 	WatchCurrent WatchState = "current"
 	// WatchLost means that the watcher has lost the store.
 	WatchLost WatchState = "lost"
-	// WatchRefused means that the node is no watcher, or keeps no history that
-	// is old enough.
+	// WatchRefused means that the node is no watcher, keeps no history that is old
+	// enough, or knows less than the one that asks.
 	WatchRefused WatchState = "refused"
 )
 
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -16,12 +16,12 @@
 
 // current returns the answer to a node that waited in vain for changes after a
 // revision. If that node knows more than this one, who should have heard of it
-// meanwhile, it is told to ask elsewhere.
+// meanwhile, it is refused, and asks elsewhere.
 func (s *Shared) current(answer Watched, after uint64) Watched {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.history.revision < after {
-		return Watched{State: WatchLost}
+		return Watched{State: WatchRefused}
 	}
 	return answer
 }
