dispatch: a query that ends with an answer probes nothing

The probe would have been given up in the same moment, its token spent; at the end of the time it would have been handed no time. TestQueryThatEndsProbesNothing: failed before.

--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -78,7 +78,7 @@
 			d.abort(entry)
 		}
 	}
-	if !q.progress.Whole() && shard.group != nil {
+	if _, _, settled := d.settle(q); !settled && shard.group != nil {
 		d.probe(q, ended.position, ended.leaf)
 	}
 }
--- a/internal/decide/dispatch/probe_test.go
+++ b/internal/decide/dispatch/probe_test.go
@@ -71,3 +71,21 @@
 		t.Errorf("%+v: the query waited for the probe", got)
 	}
 }
+
+// TestQueryThatEndsProbesNothing: neither one that has all it waits for, nor one
+// whose time is over.
+func TestQueryThatEndsProbesNothing(t *testing.T) {
+	for name, shape := range map[string]func(*Query){
+		"the answer is enough": func(q *Query) { q.MinimumCoverage, q.Objective = 0.5, q.Deadline-198*time.Millisecond },
+		"its time is over":     func(q *Query) { q.Deadline -= 196 * time.Millisecond },
+	} {
+		r := newProbing(t)
+		r.shape = shape
+		id := r.submit(1)
+		r.now += 5 * time.Millisecond
+		r.reply(r.open[0])
+		if _, ended := r.finishes[id]; !ended || r.sent[0] != 0 {
+			t.Errorf("%s: ended %v, sent %v", name, ended, r.sent)
+		}
+	}
+}
