--- a/internal/rehearsal/store/server_test.go
+++ b/internal/rehearsal/store/server_test.go
@@ -160,7 +160,10 @@
 	}
 	for name, expected := range cases {
 		t.Run(name, func(t *testing.T) {
-			server, client := start(t, func(_ *standin.Config, config *store.Config) { config.Timeout = 100 * time.Millisecond })
+			server, client := start(t, func(_ *standin.Config, config *store.Config) { config.Timeout = time.Second })
+			if _, err := client.Range(context.Background(), "/a", "", 0); err != nil { // opens the connection
+				t.Fatal(err)
+			}
 			server.SetFaults(expected.faults)
 			if expected.kind == store.KindRateLimited {
 				_, _ = client.Range(context.Background(), "/a", "", 0)
