frontend: one topology for each reading of the store

The configuration is checked first, its cold times go into the topology, and it comes into force after that: a reading at the start made two topologies of all leaves, now one (TestNodeIsReadyOnlyWithLeaves counts them). The terms of requests are told to the relay once the version is in force.

--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -21,12 +21,13 @@
 func (s storeSink) Replace(items []mirror.Item, read mirror.Reading) {
 	var leaves []registry.Leaf
 	var cordons []string
-	var configs []mirror.Item
+	var config *route.Config
+	var configRevision uint64
 	nodes := make(map[string]roster.Member)
 	for _, item := range items {
 		switch s.ports.Decoder.Kind(item.Key) {
 		case KindConfig:
-			configs = append(configs, item)
+			config, configRevision = s.usable(item), item.Revision
 		case KindLeaf:
 			if read, ok := s.read(item); ok {
 				leaves = append(leaves, read)
@@ -47,10 +48,13 @@
 	}
 	s.leavesKnown = true
 	s.nodes.Replace(s.clock.Now(), nodes)
+	if config != nil {
+		s.heedLocked(config)
+	}
 	s.publishLocked()
 	s.mutex.Unlock()
-	for _, config := range configs {
-		s.install(config)
+	if config != nil {
+		s.install(config, configRevision)
 	}
 	for _, zone := range cordonsChanged {
 		event.Log(s.logger, event.ZoneCordoned{Zone: zone, Cordoned: slices.Contains(cordons, zone)})
@@ -81,7 +85,7 @@
 		switch s.ports.Decoder.Kind(one.Key) {
 		case KindConfig:
 			if !one.Removed {
-				s.install(one.Item)
+				s.changeConfig(one.Item)
 			}
 		case KindLeaf:
 			s.changeLeaf(one)
@@ -118,8 +122,9 @@
 	event.Log(s.logger, event.StoreRegained{Away: away})
 }
 
-// install puts a configuration into force if it is newer and can be used.
-func (s storeSink) install(item mirror.Item) {
+// usable reads a configuration; nil if it is not newer than the one in force, or
+// cannot be used.
+func (s storeSink) usable(item mirror.Item) *route.Config {
 	config, err := s.ports.Decoder.Config(item)
 	if err == nil {
 		err = config.Validate()
@@ -127,25 +132,48 @@
 	if err != nil {
 		s.metrics.configsRejected.Inc()
 		event.Log(s.logger, event.ConfigRejected{Key: item.Key, Revision: item.Revision, Error: err})
-		return
+		return nil
+	}
+	if s.forwarder.Table() != nil && config.Version <= s.forwarder.Version() {
+		return nil
 	}
+	return config
+}
+
+// heedLocked takes in what a configuration says of services and their leaves, which
+// the next topology shows. The caller holds the mutex.
+func (s storeSink) heedLocked(config *route.Config) {
 	coldTimes := make(map[string]time.Duration, len(config.Services))
 	for _, declared := range config.Services {
 		s.index.Of(declared.Name)
 		coldTimes[declared.Name] = declared.ColdTime
 	}
-	if !s.forwarder.Install(route.NewTable(config)) {
-		return
-	}
-	s.mutex.Lock()
 	s.leaves.SetColdTimes(coldTimes)
 	s.coldBounds = coldBoundsOf(config)
-	s.mutex.Unlock()
+}
+
+// install puts a configuration into force. The Dispatcher has the topology by then
+// that goes with it.
+func (s storeSink) install(config *route.Config, revision uint64) {
+	s.forwarder.Install(route.NewTable(config))
+	s.relay.SetTerms(s.terms())
 	s.metrics.configVersion.Set(float64(config.Version))
 	event.Log(s.logger, event.ConfigInstalled{
-		Version: config.Version, Revision: item.Revision, Routes: len(config.Routes), Services: len(config.Services),
+		Version: config.Version, Revision: revision, Routes: len(config.Routes), Services: len(config.Services),
 	})
-	s.publish()
+}
+
+// changeConfig puts a configuration into force, with the topology by it.
+func (s storeSink) changeConfig(item mirror.Item) {
+	config := s.usable(item)
+	if config == nil {
+		return
+	}
+	s.mutex.Lock()
+	s.heedLocked(config)
+	s.publishLocked()
+	s.mutex.Unlock()
+	s.install(config, item.Revision)
 }
 
 func (s storeSink) changeLeaf(changed mirror.Event) {
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -76,7 +76,7 @@
 // of the configuration in force, and refuses nothing for want of them.
 func TestNodeIsReadyOnlyWithLeaves(t *testing.T) {
 	var f *Frontend
-	asking, served := false, 0
+	asking, served, published := false, 0, 0
 	logger := slog.New(onLine{call: func() {
 		if asking || !f.ready() {
 			return
@@ -93,15 +93,15 @@
 	f = New(settings.Defaults(), Ports{
 		Decoder:  keyDecoder{},
 		Leaves:   servingLeaves{},
-		OnLeaves: func([]LeafShare) {},
+		OnLeaves: func([]LeafShare) { published++ },
 	}, telemetry.NewRegistry("test"), logger)
 	sink := storeSink{f}
 	sink.Replace([]mirror.Item{
 		{Key: "config", Value: []byte("desk"), Revision: 2},
 		{Key: "leaf/desk", Revision: 1},
 	}, mirror.Reading{})
-	if served == 0 {
-		t.Error("nothing was asked after the first reading")
+	if served == 0 || published != 1 {
+		t.Errorf("after the first reading %d served, %d topologies", served, published)
 	}
 	served = 0
 	sink.Replace([]mirror.Item{
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,14 @@
 	r.metrics.up.Set(float64(r.usable()))
 }
 
+// SetTerms takes in the terms of requests now.
+func (r *Relay) SetTerms(terms Terms) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.terms = terms
+	r.metrics.up.Set(float64(r.usable()))
+}
+
 // InUse reports whether this node hands requests to executors at all.
 func (r *Relay) InUse() bool {
 	r.mutex.Lock()
