--- a/internal/rehearsal/history/changes.go
+++ b/internal/rehearsal/history/changes.go
@@ -44,8 +44,11 @@
 			operations = append(operations, appendOperation(change, revision))
 		}
 	}
-	if porcupine.CheckOperationsTimeout(logModel(base), operations, checkTimeout) != porcupine.Ok {
+	switch porcupine.CheckOperationsTimeout(logModel(base), operations, checkTimeout) {
+	case porcupine.Illegal:
 		violations = append(violations, Violation{Promise: "log", Subject: "order", Detail: "the log is no order of the commands in which each takes effect between its call and its return"})
+	case porcupine.Unknown:
+		violations = append(violations, Violation{Promise: "log", Subject: "order", Detail: "not known: the check of the order took over " + checkTimeout.String()})
 	}
 	return violations
 }
