--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -21,8 +21,8 @@
 	Own []byte
 	// Body is the whole body.
 	Body []byte
-	// Once is set if the request may run at most once. It costs a system call, and
-	// is not sent on a connection that the back end has closed.
+	// Once is set if the request may run at most once: it is then not sent on a
+	// connection that the back end has closed, which costs a system call to see.
 	Once bool
 }
 
--- a/internal/http1/quiet.go
+++ b/internal/http1/quiet.go
@@ -7,8 +7,8 @@
 
 // quiet reports whether nothing has arrived on an idle connection: neither its end
 // nor bytes that nobody asked for. The goroutine that reads sees it, too, but on a
-// busy machine later: with five busy processes a core, requests sent 5 ms after the
-// close were lost within a minute of trying, and none were with this look.
+// busy machine later: with five busy processes a core, one request sent 5 ms after
+// the close was lost in a minute of trying, and none with this look.
 func (c *connection) quiet() bool {
 	socket, ok := c.socket.(syscall.Conn)
 	if !ok {
