history: a change without a reply may stand in the log

The check of the log left a change out whose caller got no reply, since its id was told to nobody. Such a change is found by its statement now, with an open end. As strict as before: one made after a later revision was told, and an entry that no caller sent, are violations; both are cases of TestLogIsChecked, and the case of a change that is there failed before.

--- a/internal/rehearsal/history/changes.go
+++ b/internal/rehearsal/history/changes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -29,14 +30,11 @@
 // Base is the revision before the first of the changes. No other changes may
 // have been made.
 func CheckLog(changes []Change, base uint64, log []catalog.AppliedChange) []Violation {
-	revisions := make(map[string]uint64)
-	for _, applied := range log {
-		revisions[applied.ID] = applied.Revision
-	}
+	revisions := revisionsOf(changes, log)
 	var violations []Violation
 	var operations []porcupine.Operation
-	for _, change := range changes {
-		revision, applied := revisions[changeID(change)]
+	for index, change := range changes {
+		revision, applied := revisions[index]
 		if detail := falseFate(change, revision, applied); detail != "" {
 			violations = append(violations, Violation{Promise: "log", Subject: change.Statement, Detail: detail})
 		}
@@ -53,11 +51,44 @@
 	return violations
 }
 
-func changeID(change Change) string {
-	if change.Response == nil {
-		return ""
+// revisionsOf returns the revision of each change that is in the log, by its
+// index. A change whose caller got no reply has an id that nobody was told: it
+// is the entry with its statement whose id no reply names.
+func revisionsOf(changes []Change, log []catalog.AppliedChange) map[int]uint64 {
+	entries := make(map[string]catalog.AppliedChange, len(log))
+	for _, applied := range log {
+		entries[applied.ID] = applied
+	}
+	revisions := make(map[int]uint64)
+	for index, change := range changes {
+		if change.Response == nil {
+			continue
+		}
+		if applied, found := entries[change.Response.ChangeID]; found {
+			revisions[index] = applied.Revision
+			delete(entries, applied.ID)
+		}
+	}
+	for index, change := range changes {
+		if change.Err == nil {
+			continue
+		}
+		for _, applied := range entries {
+			if unconditional(change.Statement) == unconditional(applied.Statement) {
+				revisions[index] = applied.Revision
+				delete(entries, applied.ID)
+				break
+			}
+		}
 	}
-	return change.Response.ChangeID
+	return revisions
+}
+
+// unconditional returns a statement without its condition on the revision,
+// which the log does not keep.
+func unconditional(statement string) string {
+	bare, _, _ := strings.Cut(statement, " if revision ")
+	return bare
 }
 
 func falseFate(change Change, revision uint64, applied bool) string {
--- a/internal/rehearsal/history/history_test.go
+++ b/internal/rehearsal/history/history_test.go
@@ -136,8 +136,13 @@
 	}
 }
 
+// unanswered is a change whose caller got no reply.
+func unanswered(statement string, from int) Change {
+	return Change{Statement: statement, Called: at(from), Returned: at(from + 5), Err: errors.New("connection reset")}
+}
+
 func TestLogIsChecked(t *testing.T) {
-	log := []catalog.AppliedChange{{ID: "a", Revision: 5}, {ID: "b", Revision: 6}, {ID: "c", Revision: 7}}
+	log := []catalog.AppliedChange{{ID: "a", Revision: 5}, {ID: "b", Revision: 6, Statement: "limit x concurrency 7"}, {ID: "c", Revision: 7}}
 	b := change("b", api.FateUnknown, 0, 10, 20)
 	cases := map[string]struct {
 		changes []Change
@@ -151,6 +156,12 @@
 		"not accepted, but there": {[]Change{change("a", api.FateInForce, 5, 0, 9), change("b", api.FateNotAccepted, 6, 10, 20),
 			change("c", api.FateInForce, 7, 21, 30)}, false},
 		"against time": {[]Change{change("a", api.FateInForce, 5, 40, 50), b, change("c", api.FateInForce, 7, 21, 30)}, false},
+		"no reply, but there": {[]Change{change("a", api.FateInForce, 5, 0, 9), unanswered("limit x concurrency 7 if revision 5", 10),
+			change("c", api.FateInForce, 7, 21, 30)}, true},
+		"no reply, made too late": {[]Change{change("a", api.FateInForce, 5, 0, 9), unanswered("limit x concurrency 7", 31),
+			change("c", api.FateInForce, 7, 21, 30)}, false},
+		"no reply, another there": {[]Change{change("a", api.FateInForce, 5, 0, 9), unanswered("limit x concurrency 8", 10),
+			change("c", api.FateInForce, 7, 21, 30)}, false},
 	}
 	for name, each := range cases {
 		if violations := CheckLog(each.changes, 4, log); (len(violations) == 0) != each.holds {
