roll-outs: reports leave out what the decider was told; micactl rollouts

It has what has changed since, for the process that was told; another one is told all, and moves no traffic before it has heard the nodes for 1 s (a good version was rolled back for want of evidence without that).

--- a/cmd/micactl/main.go
+++ b/cmd/micactl/main.go
@@ -56,6 +56,7 @@
 		&queryCommand{},
 		&explainCommand{},
 		&lossesCommand{},
+		&rolloutsCommand{},
 		&completionCommand{},
 	}
 }
--- /dev/null
+++ b/cmd/micactl/rollouts.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/micaplank/micaplank/internal/explain"
+	"github.com/micaplank/micaplank/internal/operator"
+)
+
+// rolloutsCommand tells the history of roll-outs from logs; it asks no node.
+type rolloutsCommand struct {
+	service string
+	logFlags
+}
+
+func (c *rolloutsCommand) attach() *flaggy.Subcommand {
+	subcommand := newCommand("rollouts", "Tell the history of roll-outs from the nodes' logs: orders, what was decided and why, and how soon the nodes followed.")
+	subcommand.AddPositionalValue(&c.service, "SERVICE", 1, false, "Only those of one service.")
+	c.logFlags.attach(subcommand)
+	return subcommand
+}
+
+func (c *rolloutsCommand) run(_ context.Context, session *operator.Session) error {
+	lines, since, err := c.read()
+	if err != nil {
+		return err
+	}
+	story := explain.Rollouts(lines, c.service, since)
+	if len(story.Steps) == 0 {
+		return fmt.Errorf("none of the %d lines tells of a roll-out", len(lines))
+	}
+	if session.Format == operator.FormatJSON {
+		return explain.WriteJSON(session.Output, story)
+	}
+	return explain.WriteText(session.Output, story)
+}
--- /dev/null
+++ b/internal/decide/rollout/benchmark_test.go
@@ -0,0 +1,81 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// reported returns the report of a node on some orders: two routes each, and three
+// leaves of the target that have been tried.
+func reported(node string, orders int) Report {
+	tally := NewTally()
+	report := Report{Node: node}
+	for order := range orders {
+		service := fmt.Sprint("shard-", order)
+		report.Orders = append(report.Orders, Progress{Service: service, Order: 7, Phase: PhaseTrial, Age: 3 * time.Second})
+		for _, route := range []string{"sweep", "glance"} {
+			control := Subject{Service: service, Order: 7, Route: route}
+			for attempt := range 200 {
+				tally.Took(control, time.Duration(5+attempt%40)*time.Millisecond)
+			}
+			for leaf := range 3 {
+				target := Subject{Service: service, Order: 7, Route: route, Target: true, Zone: "zone-a", Leaf: fmt.Sprint("i-7f3a91c", leaf)}
+				tally.Took(target, 12*time.Millisecond)
+			}
+		}
+	}
+	report.Rows = tally.Changed(nil)
+	return report
+}
+
+// BenchmarkReport tells the bytes of a report on a connection that has carried one,
+// and of its answer.
+func BenchmarkReport(b *testing.B) {
+	for _, orders := range []int{1, 225} {
+		b.Run(fmt.Sprintf("orders=%d", orders), func(b *testing.B) {
+			report := reported("edge-01/01JE", orders)
+			var stream bytes.Buffer
+			encoder := gob.NewEncoder(&stream)
+			if err := encoder.Encode(report); err != nil {
+				b.Fatal(err)
+			}
+			stream.Reset()
+			for b.Loop() {
+				stream.Reset()
+				if err := encoder.Encode(report); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(stream.Len()), "bytes/report")
+		})
+	}
+}
+
+// BenchmarkTick judges the reports of all nodes once.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []struct{ nodes, orders int }{{66, 1}, {mostNodes, 1}, {66, 225}} {
+		b.Run(fmt.Sprintf("nodes=%d/orders=%d", size.nodes, size.orders), func(b *testing.B) {
+			book := NewBook()
+			for order := range size.orders {
+				service := fmt.Sprint("shard-", order)
+				book.SetOrder(0, Order{Service: service, Version: "v2", Duration: time.Hour, Revision: 7})
+				book.SetRecord(Record{Service: service, Order: 7, Version: "v2", Phase: PhaseTrial, Revision: 8})
+			}
+			decider := NewDecider(book, "d")
+			for node := range size.nodes {
+				decider.Report(0, reported(fmt.Sprint(node), size.orders))
+			}
+			supply := func(string) Supply { return Supply{Target: 6, Control: 6, Mixed: true} }
+			now := time.Duration(0)
+			for b.Loop() {
+				now += 300 * time.Millisecond
+				if steps := decider.Tick(now, time.Time{}, supply); len(steps) > 0 {
+					b.Fatalf("%+v", steps[0])
+				}
+			}
+		})
+	}
+}
--- a/internal/decide/rollout/decider.go
+++ b/internal/decide/rollout/decider.go
@@ -31,6 +31,12 @@
 	// and windowStep the time between two states that are kept for it.
 	window     = 4 * time.Second
 	windowStep = time.Second
+	// gathering is how long a decider hears reports before it moves traffic to a
+	// target: until then the counts of some nodes may be missing.
+	gathering = time.Second
+	// longGone is how long the counts of a node are kept that says nothing any more:
+	// longer than most orders last.
+	longGone = 10 * time.Minute
 	// writePause is the time between two tries of the same transition.
 	writePause = 500 * time.Millisecond
 )
@@ -44,10 +50,11 @@
 	Mixed bool
 }
 
-// heard is the last report of a node.
+// heard is what a node has reported: its newest counts, and how far it was last.
 type heard struct {
-	Report
-	at time.Duration
+	rows   map[Subject]Counts
+	orders []Progress
+	at     time.Duration
 }
 
 // state is a sample at some time.
@@ -72,24 +79,35 @@
 // concurrent use.
 type Decider struct {
 	book    *Book
-	reports map[string]heard
+	reports map[string]*heard
 	trials  map[string]*trial
-	last    time.Duration // of the last report
+	// incarnation names the process that decides.
+	incarnation string
+	last        time.Duration // of the last report
+	// begun is since when reports come without a long pause.
+	begun time.Duration
 }
 
-// NewDecider returns a Decider of the roll-outs in a book.
-func NewDecider(book *Book) *Decider {
-	return &Decider{book: book, reports: make(map[string]heard), trials: make(map[string]*trial)}
+// NewDecider returns a Decider of the roll-outs in a book, with the name of its
+// process.
+func NewDecider(book *Book, incarnation string) *Decider {
+	return &Decider{book: book, incarnation: incarnation, reports: make(map[string]*heard), trials: make(map[string]*trial)}
 }
 
 // Report takes in what a node tells, and answers it.
 func (d *Decider) Report(now time.Duration, report Report) Reply {
+	reply := Reply{Decider: d.incarnation}
+	if report.Decider != "" && report.Decider != d.incarnation {
+		return reply // it lacks what another one was told
+	}
+	if !d.Active(now) {
+		d.begun = now
+	}
 	d.last = now
-	d.reports[report.Node] = heard{Report: report, at: now}
+	d.keep(now, report)
 	for _, one := range report.Orders {
 		d.book.Heard(now, one.Service, one.Order, one.Age, Record{}, one.Bad)
 	}
-	var reply Reply
 	for _, one := range report.Orders {
 		known := d.book.Of(one.Service)
 		if known == nil || known.Order.Revision != one.Order {
@@ -103,6 +121,20 @@
 	return reply
 }
 
+// keep notes a report. Counts only grow, so one that comes twice or late does no harm
+// that the next does not mend.
+func (d *Decider) keep(now time.Duration, report Report) {
+	known, found := d.reports[report.Node]
+	if !found {
+		known = &heard{rows: make(map[Subject]Counts)}
+		d.reports[report.Node] = known
+	}
+	for _, row := range report.Rows {
+		known.rows[row.Subject] = row.Counts
+	}
+	known.orders, known.at = report.Orders, now
+}
+
 // Nodes returns how many nodes' counts are known.
 func (d *Decider) Nodes() int { return len(d.reports) }
 
@@ -120,12 +152,13 @@
 // Tick judges the targets of all open roll-outs, and returns the steps to take. A
 // step that is not taken, or whose fate is not known, is returned again.
 func (d *Decider) Tick(now time.Duration, clock time.Time, supply func(service string) Supply) []Transition {
-	d.forget()
+	d.forget(now)
 	var steps []Transition
+	counted := d.collect()
 	for _, service := range d.book.Open() {
 		known := d.book.Of(service)
 		judged := d.trialOf(now, service, known)
-		routes := d.collect(service, known.Order.Revision)
+		routes := counted[service]
 		if known.Bad == "" {
 			known.Bad = judged.judge(now, routes)
 		}
@@ -135,6 +168,9 @@
 				phase, reason = PhaseRolledBack, known.Bad
 			}
 		}
+		if phase != PhaseTrial && phase != PhaseRolledBack && now-d.begun < gathering {
+			continue
+		}
 		if phase == PhaseNone || judged.triedAt > 0 && now-judged.triedAt < writePause {
 			continue
 		}
@@ -156,17 +192,26 @@
 	return Transition{Record: record, Former: r.Record.Revision, Order: r.Order.Revision}
 }
 
-// forget drops what is known of orders that are closed, and of nodes that said
-// nothing of an order that is open.
-func (d *Decider) forget() {
+// forget drops what is known of orders that are closed or were replaced, and of nodes
+// that are long gone. What is told of an order that is not known here yet stays: it is
+// not told again.
+func (d *Decider) forget(now time.Duration) {
 	open := d.book.Open()
 	for service := range d.trials {
 		if !slices.Contains(open, service) {
 			delete(d.trials, service)
 		}
 	}
-	if len(open) == 0 {
-		clear(d.reports)
+	for node, report := range d.reports {
+		if now-report.at > longGone {
+			delete(d.reports, node)
+			continue
+		}
+		for subject := range report.rows {
+			if known := d.book.Of(subject.Service); known != nil && subject.Order < known.Order.Revision {
+				delete(report.rows, subject)
+			}
+		}
 	}
 }
 
@@ -182,23 +227,30 @@
 	return judged
 }
 
-// collect adds up the counts of all nodes, by route.
-func (d *Decider) collect(service string, order uint64) map[string]*sample {
-	routes := make(map[string]*sample)
+// collect adds up the counts of all nodes under the orders in force, by service and
+// route.
+func (d *Decider) collect() map[string]map[string]*sample {
+	services := make(map[string]map[string]*sample)
 	for _, report := range d.reports {
-		for _, row := range report.Rows {
-			if row.Subject.Service != service || row.Subject.Order != order {
+		for subject, counts := range report.rows {
+			known := d.book.Of(subject.Service)
+			if known == nil || known.Order.Revision != subject.Order {
 				continue
 			}
-			known, found := routes[row.Subject.Route]
+			routes, found := services[subject.Service]
+			if !found {
+				routes = make(map[string]*sample)
+				services[subject.Service] = routes
+			}
+			counted, found := routes[subject.Route]
 			if !found {
-				known = newSample()
-				routes[row.Subject.Route] = known
+				counted = newSample()
+				routes[subject.Route] = counted
 			}
-			known.add(row)
+			counted.add(subject, &counts)
 		}
 	}
-	return routes
+	return services
 }
 
 // judge looks for evidence that the target is bad, in all counts and in the newest.
@@ -291,7 +343,7 @@
 	switch {
 	case since >= burstTime && known:
 		return PhaseShift, fmt.Sprintf("nothing speaks against the version in %d of %d attempts", counted.target, counted.all)
-	case age >= deadline && !known:
+	case since >= burstTime && age >= deadline:
 		return PhaseRolledBack, fmt.Sprintf("only %d of %d attempts tried the version", counted.target, counted.all)
 	}
 	return PhaseNone, ""
@@ -318,7 +370,7 @@
 		if now-report.at >= reportMemory {
 			continue
 		}
-		for _, one := range report.Orders {
+		for _, one := range report.orders {
 			if one.Service != known.Order.Service || one.Order != known.Order.Revision {
 				continue
 			}
--- a/internal/decide/rollout/play_test.go
+++ b/internal/decide/rollout/play_test.go
@@ -101,7 +101,7 @@
 		node.allowance = NewAllowance(playBounds, 1/float64(p.nodes), p.duration, random.Float64)
 		nodes[index] = node
 	}
-	decider := NewDecider(nodes[0].book)
+	decider := NewDecider(nodes[0].book, "d")
 	var ended result
 	recent, recentTarget := 0.0, 0.0
 	nextReport := time.Duration(0)
@@ -173,7 +173,7 @@
 // report reports to the decider and takes its word.
 func (n *virtualNode) report(now time.Duration, decider *Decider) {
 	known := n.book.Of(playService)
-	reply := decider.Report(now, Report{Node: n.name, Rows: n.tally.Rows(), Orders: []Progress{
+	reply := decider.Report(now, Report{Node: n.name, Rows: n.tally.Changed(nil), Orders: []Progress{
 		{Service: playService, Order: 1, Phase: known.Phase(), Age: known.Age(now)},
 	}})
 	for _, grant := range reply.Grants {
--- a/internal/decide/rollout/report.go
+++ b/internal/decide/rollout/report.go
@@ -14,6 +14,9 @@
 type Report struct {
 	// Node is the incarnation of the node.
 	Node string
+	// Decider is the incarnation of the decider that Rows leave out what it was told
+	// already; empty if they leave out nothing.
+	Decider string
 	// Rows are its counts since its start.
 	Rows []Row
 	// Orders are those that it knows to be open.
@@ -37,6 +40,9 @@
 
 // Reply answers a Report.
 type Reply struct {
+	// Decider is the incarnation of the node that decides. Another one than before
+	// was told nothing yet.
+	Decider string
 	// Deciding is false if the node cannot write to the store now: another one may
 	// be able to.
 	Deciding bool
--- a/internal/decide/rollout/rollout_test.go
+++ b/internal/decide/rollout/rollout_test.go
@@ -163,7 +163,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := &modelStore{revision: 1}
 		books := []*Book{NewBook(), NewBook()}
-		deciders := []*Decider{NewDecider(books[0]), NewDecider(books[1])}
+		deciders := []*Decider{NewDecider(books[0], "d"), NewDecider(books[1], "d")}
 		now, version := time.Duration(0), 1
 		ended := make(map[uint64]Phase)
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
@@ -239,6 +239,7 @@
 		{"burst is over", PhaseShift, "", func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{50, 500}) }},
 		{"little traffic", PhaseShift, "", func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{0, 5}) }},
 		{"no evidence yet", PhaseNone, "", func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{3, 500}) }},
+		{"late, and the burst goes on", PhaseNone, "", func() (Phase, string) { return nextOfBurst(time.Second, deadline, deadline, amount{3, 500}) }},
 		{"no evidence", PhaseRolledBack, "", func() (Phase, string) { return nextOfBurst(burstTime, deadline, deadline, amount{3, 500}) }},
 	} {
 		if phase, _ := test.next(); phase != test.phase {
@@ -247,12 +248,33 @@
 	}
 }
 
+// TestDeciderHeedsNoReportThatLeavesOutWhatAnotherKnows, and moves no traffic before
+// it has heard the nodes for some time.
+func TestDeciderHeedsNoReportThatLeavesOutWhatAnotherKnows(t *testing.T) {
+	book := NewBook()
+	book.SetOrder(0, Order{Service: playService, Version: "v2", Duration: 10 * time.Second, Revision: 1})
+	book.SetRecord(record(1, PhaseBurst, 2))
+	decider := NewDecider(book, "new")
+	progress := []Progress{{Service: playService, Order: 1, Phase: PhaseBurst}}
+	reply := decider.Report(time.Minute, Report{Node: "n", Decider: "old", Orders: progress})
+	if reply.Decider != "new" || len(reply.Grants) > 0 || decider.Active(time.Minute) {
+		t.Errorf("%+v, active %v", reply, decider.Active(time.Minute))
+	}
+	for now := time.Minute; now < time.Minute+3*time.Second; now += 300 * time.Millisecond {
+		decider.Report(now, Report{Node: "n", Orders: progress})
+		steps := decider.Tick(now, time.Time{}, func(string) Supply { return Supply{Target: 1, Control: 1, Mixed: true} })
+		if len(steps) > 0 && now < time.Minute+gathering {
+			t.Errorf("after %v: %+v", now-time.Minute, steps)
+		}
+	}
+}
+
 // TestShiftEndsOnceOtherLeavesAreIdle by the word of each node that reports.
 func TestShiftEndsOnceOtherLeavesAreIdle(t *testing.T) {
 	book := NewBook()
 	book.SetOrder(0, Order{Service: playService, Version: "v2", Duration: 10 * time.Second, Revision: 1})
 	book.SetRecord(record(1, PhaseShift, 2))
-	decider := NewDecider(book)
+	decider := NewDecider(book, "d")
 	tick := func(now time.Duration) Phase {
 		steps := decider.Tick(now, time.Time{}, func(string) Supply { return Supply{} })
 		if len(steps) == 0 {
@@ -263,25 +285,38 @@
 	tell := func(now time.Duration, node string, phase Phase, busy int) {
 		decider.Report(now, Report{Node: node, Orders: []Progress{{Service: playService, Order: 1, Phase: phase, Busy: busy}}})
 	}
-	tell(0, "a", PhaseShift, 0)
+	// both reports each half of a second, up to a time; one of them may be silent.
+	both := func(from, to time.Duration, a, b Progress, silent bool) {
+		for now := from; now <= to; now += 500 * time.Millisecond {
+			tell(now, "a", a.Phase, a.Busy)
+			if !silent {
+				tell(now, "b", b.Phase, b.Busy)
+			}
+		}
+	}
+	idle := Progress{Phase: PhaseShift}
+	busy := Progress{Phase: PhaseShift, Busy: 2}
+	both(0, 0, idle, idle, false)
 	if got := tick(0); got != PhaseNone {
 		t.Errorf("at once: %s", got)
 	}
-	tell(time.Second, "a", PhaseShift, 0)
-	tell(time.Second, "b", PhaseShift, 2)
-	if got := tick(time.Second); got != PhaseNone {
+	both(0, 2*time.Second, idle, busy, false)
+	if got := tick(2 * time.Second); got != PhaseNone {
 		t.Errorf("one is busy: %s", got)
 	}
-	tell(2*time.Second, "b", PhaseBurst, 0)
-	if got := tick(2 * time.Second); got != PhaseNone {
+	both(2*time.Second, 3*time.Second, idle, Progress{Phase: PhaseBurst}, false)
+	if got := tick(3 * time.Second); got != PhaseNone {
 		t.Errorf("one is behind: %s", got)
 	}
-	tell(4*time.Second, "a", PhaseShift, 0)
-	if got := tick(4 * time.Second); got != PhaseCompleted {
+	both(3500*time.Millisecond, 6*time.Second, idle, idle, true)
+	if got := tick(6 * time.Second); got != PhaseCompleted {
 		t.Errorf("one is silent: %s", got)
 	}
-	tell(15*time.Second, "a", PhaseShift, 0)
-	tell(15*time.Second, "b", PhaseShift, 2)
+	both(12*time.Second, 14*time.Second, idle, busy, false)
+	if got := tick(14 * time.Second); got != PhaseNone {
+		t.Errorf("just after the deadline: %s", got)
+	}
+	both(14*time.Second, 15*time.Second, idle, busy, false)
 	if got := tick(15 * time.Second); got != PhaseCompleted {
 		t.Errorf("long after the deadline: %s", got)
 	}
@@ -320,3 +355,31 @@
 		}
 	}
 }
+
+// TestCountsAreToldOnce: what a decider has answered to is told again only once it
+// has changed, and stays with a decider that does not know the order yet.
+func TestCountsAreToldOnce(t *testing.T) {
+	tally, told := NewTally(), make(map[Subject]Counts)
+	subject := Subject{Service: playService, Order: 1, Route: playRoute, Target: true, Leaf: "a", Zone: "z"}
+	tally.Failed(subject)
+	rows := tally.Changed(told)
+	if len(rows) != 1 {
+		t.Fatalf("%d rows", len(rows))
+	}
+	told[subject] = rows[0].Counts
+	if again := tally.Changed(told); len(again) != 0 {
+		t.Errorf("told again: %+v", again)
+	}
+	book := NewBook()
+	decider := NewDecider(book, "d")
+	decider.Report(0, Report{Node: "n", Rows: rows})
+	decider.Tick(0, time.Time{}, nil)
+	book.SetOrder(0, Order{Service: playService, Version: "v2", Duration: time.Second, Revision: 1})
+	if counted := amountOf(decider.collect()[playService]); counted.target != 1 {
+		t.Errorf("%+v is known", counted)
+	}
+	tally.Retain(map[string]uint64{playService: 2})
+	if left := tally.Changed(nil); len(left) != 0 {
+		t.Errorf("of a former order: %+v", left)
+	}
+}
--- a/internal/decide/rollout/tally.go
+++ b/internal/decide/rollout/tally.go
@@ -136,11 +136,14 @@
 	}
 }
 
-// Rows returns all counts, in a fixed order.
-func (t *Tally) Rows() []Row {
+// Changed returns the counts that are not as they were told last, in a fixed order.
+// Nothing told, it returns all.
+func (t *Tally) Changed(told map[Subject]Counts) []Row {
 	rows := make([]Row, 0, len(t.rows))
 	for subject, counts := range t.rows {
-		rows = append(rows, Row{Subject: subject, Counts: *counts})
+		if told[subject] != *counts {
+			rows = append(rows, Row{Subject: subject, Counts: *counts})
+		}
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return compareSubjects(a.Subject, b.Subject) })
 	return rows
--- a/internal/decide/rollout/verdict.go
+++ b/internal/decide/rollout/verdict.go
@@ -81,19 +81,19 @@
 
 func newSample() *sample { return &sample{target: make(map[place]*Counts)} }
 
-// add takes in one row.
-func (s *sample) add(row Row) {
-	if !row.Subject.Target {
-		s.control.add(&row.Counts)
+// add takes in the counts of one node on one subject.
+func (s *sample) add(subject Subject, counts *Counts) {
+	if !subject.Target {
+		s.control.add(counts)
 		return
 	}
-	at := place{zone: row.Subject.Zone, leaf: row.Subject.Leaf}
+	at := place{zone: subject.Zone, leaf: subject.Leaf}
 	known, found := s.target[at]
 	if !found {
 		known = &Counts{}
 		s.target[at] = known
 	}
-	known.add(&row.Counts)
+	known.add(counts)
 }
 
 // since returns what was counted after an earlier state; all of it without one.
--- a/internal/event/rollouts.go
+++ b/internal/event/rollouts.go
@@ -8,7 +8,7 @@
 // RolloutOrdered tells that an operator ordered a roll-out, or withdrew the order.
 type RolloutOrdered struct {
 	Service   string        `event:"service" doc:"service that it is of"`
-	Version   string        `event:"version" doc:"version that the traffic shall move to"`
+	Version   string        `event:"target" doc:"version that the traffic shall move to"`
 	Duration  time.Duration `event:"duration" doc:"time from the order to its deadline"`
 	Withdrawn bool          `event:"withdrawn" doc:"whether the order is gone"`
 	Revision  uint64        `event:"revision" doc:"revision of the store"`
@@ -44,7 +44,7 @@
 // RolloutChanged tells that a roll-out has come to another phase.
 type RolloutChanged struct {
 	Service string        `event:"service" doc:"service that it is of"`
-	Version string        `event:"version" doc:"version that is rolled out"`
+	Version string        `event:"target" doc:"version that is rolled out"`
 	Phase   string        `event:"phase" doc:"trial (few attempts go to the version), burst (all of them, for a moment), shift (other leaves get no new ones), completed or rolled_back"`
 	Reason  string        `event:"reason" doc:"what decided it, with the counts"`
 	Age     time.Duration `event:"age" doc:"time since the order"`
@@ -65,7 +65,7 @@
 // RolloutDecided tells that this node has written a phase of a roll-out.
 type RolloutDecided struct {
 	Service string `event:"service" doc:"service that it is of"`
-	Version string `event:"version" doc:"version that is rolled out"`
+	Version string `event:"target" doc:"version that is rolled out"`
 	Phase   string `event:"phase" doc:"the phase, as in the line on its change"`
 	Reason  string `event:"reason" doc:"what decided it, with the counts"`
 	// Nodes is how many nodes' counts it rests on.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -48,7 +48,16 @@
 	Away     string `json:"away"`
 	Error    string `json:"error"`
 	Left     int    `json:"left"`
-	Dropped  int    `json:"dropped_before"`
+
+	Target    string `json:"target"`
+	Phase     string `json:"phase"`
+	Withdrawn bool   `json:"withdrawn"`
+	Nodes     int    `json:"nodes"`
+	Duration  string `json:"duration"`
+	Former    string `json:"former"`
+	Order     uint64 `json:"order"`
+
+	Dropped int `json:"dropped_before"`
 }
 
 // Read reads the lines of a log. What is no line of a log in JSON is skipped;
--- a/internal/frontend/rollout.go
+++ b/internal/frontend/rollout.go
@@ -55,15 +55,16 @@
 func newRollouts(f *Frontend, registerer prometheus.Registerer) *rollouts {
 	bounds := rollout.Bounds{Ratio: f.settings.Forward.ExposureRatio, Slack: f.settings.Forward.ExposureSlack}
 	book := rollout.NewBook()
+	incarnation := f.member.Name + "/" + ulid.Make().String()
 	return &rollouts{
 		Frontend:    f,
 		enabled:     bounds != rollout.Bounds{} && f.ports.Rollouts != nil,
 		bounds:      bounds,
-		incarnation: f.member.Name + "/" + ulid.Make().String(),
+		incarnation: incarnation,
 		counters:    newRolloutMetrics(registerer),
 		book:        book,
 		tally:       rollout.NewTally(),
-		decider:     rollout.NewDecider(book),
+		decider:     rollout.NewDecider(book, incarnation),
 		allowances:  make(map[string]allowance),
 		begun:       make(chan struct{}, 1),
 		deciders:    newDeciders(),
@@ -215,6 +216,7 @@
 	}
 	r.tally.Retain(orders)
 	if len(open) == 0 {
+		r.deciders.forget()
 		return
 	}
 	select {
--- a/internal/frontend/rollout_driver.go
+++ b/internal/frontend/rollout_driver.go
@@ -32,9 +32,14 @@
 	// current is the node that was asked last, and failure how that failed.
 	current string
 	failure error
+	// told is what an incarnation of a decider has answered to.
+	incarnation string
+	told        map[rollout.Subject]rollout.Counts
 }
 
-func newDeciders() deciders { return deciders{passed: make(map[string]time.Duration)} }
+func newDeciders() deciders {
+	return deciders{passed: make(map[string]time.Duration), told: make(map[rollout.Subject]rollout.Counts)}
+}
 
 // choose returns the first candidate that was not passed over lately, or the first
 // of all if each was.
@@ -50,6 +55,25 @@
 // pass passes a candidate over for some time.
 func (d *deciders) pass(now time.Duration, name string) { d.passed[name] = now + passedOver }
 
+// forget lets the next decider be told all.
+func (d *deciders) forget() {
+	d.incarnation = ""
+	clear(d.told)
+}
+
+// answered notes what a decider was told. One that has started anew does not heed
+// what leaves out something, and is told all next time.
+func (d *deciders) answered(incarnation string, report rollout.Report) {
+	if report.Decider != "" && incarnation != report.Decider {
+		d.forget()
+		return
+	}
+	d.incarnation = incarnation
+	for _, row := range report.Rows {
+		d.told[row.Subject] = row.Counts
+	}
+}
+
 // run reports while there are roll-outs, and takes their steps, until ctx ends.
 func (r *rollouts) run(ctx context.Context) {
 	if !r.enabled {
@@ -79,17 +103,17 @@
 	r.mutex.Lock()
 	members := r.nodes.Members(started)
 	participants := rollout.Participants(members)
-	report := r.report(started)
 	to := r.member
 	if candidates := rollout.Candidates(members); len(candidates) > 0 {
 		to = r.deciders.choose(started, candidates)
 	}
+	report := r.report(started, to.Name)
 	r.mutex.Unlock()
 	if !r.takesPart(participants) {
 		return rollout.Interval(len(participants))
 	}
 	reply, err := r.ask(ctx, to, report)
-	r.heed(started, to, reply, err)
+	r.heed(started, to, report, reply, err)
 	r.advance(ctx)
 	return max(rollout.Interval(len(participants))-(r.clock.Now()-started), 0)
 }
@@ -104,9 +128,12 @@
 	return len(participants) == 0
 }
 
-// report makes the report of this node. The caller holds the mutex.
-func (r *rollouts) report(now time.Duration) rollout.Report {
-	report := rollout.Report{Node: r.incarnation, Rows: r.tally.Rows()}
+// report makes the report of this node to another one. The caller holds the mutex.
+func (r *rollouts) report(now time.Duration, to string) rollout.Report {
+	if to != r.deciders.current {
+		r.deciders.forget()
+	}
+	report := rollout.Report{Node: r.incarnation, Decider: r.deciders.incarnation, Rows: r.tally.Changed(r.deciders.told)}
 	for _, service := range r.book.Open() {
 		known := r.book.Of(service)
 		others := r.leaves.Supply(service).Others
@@ -154,7 +181,7 @@
 }
 
 // heed takes in the answer to a report that was sent at some time.
-func (r *rollouts) heed(sent time.Duration, to roster.Member, reply rollout.Reply, err error) {
+func (r *rollouts) heed(sent time.Duration, to roster.Member, report rollout.Report, reply rollout.Reply, err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.clock.Now()
@@ -173,6 +200,9 @@
 		r.deciders.current = to.Name
 	}
 	r.deciders.failure = err
+	if err == nil {
+		r.deciders.answered(reply.Decider, report)
+	}
 	changed := false
 	for _, grant := range reply.Grants {
 		changed = r.granted(sent, grant) || changed
