rollout: a target that fails often gets no traffic, whatever the others do

Before the shift the newest attempts at the target may fail in 0.15 at most, without its worst zone or leaf; else the shift waits, and the version is rolled back at the deadline.

--- a/internal/decide/rollout/decider.go
+++ b/internal/decide/rollout/decider.go
@@ -27,6 +27,11 @@
 	// with busyTraffic requests or more.
 	leastEvidence = 10
 	busyTraffic   = 100
+	// mostFailing is the share of failures, of leastForShare attempts or more, above
+	// which a target gets no traffic though others may fail as often: where all leaves
+	// of a service are in trouble, nothing tells a bad version from a good one.
+	mostFailing   = 0.15
+	leastForShare = 5
 	// window is the time for which a version that turned bad later is judged apart,
 	// and windowStep the time between two states that are kept for it.
 	window     = 4 * time.Second
@@ -164,9 +169,7 @@
 		}
 		phase, reason := d.next(now, known, judged, amountOf(routes), supply(service))
 		if phase == PhaseShift {
-			if known.Bad = judged.evidence(routes, doubtful); known.Bad != "" {
-				phase, reason = PhaseRolledBack, known.Bad
-			}
+			phase, reason = judged.mayShift(known, routes, known.Age(now) >= known.Order.Duration)
 		}
 		if phase != PhaseTrial && phase != PhaseRolledBack && now-d.begun < gathering {
 			continue
@@ -272,6 +275,43 @@
 	return ""
 }
 
+// mayShift returns the shift, unless the newest counts speak against it: the target is
+// likely to be worse, or fails often, whatever the others do. In the latter case there
+// is time until the deadline.
+func (t *trial) mayShift(known *Rollout, routes map[string]*sample, late bool) (Phase, string) {
+	counted := amountOf(routes)
+	if known.Bad = t.evidence(routes, doubtful); known.Bad != "" {
+		return PhaseRolledBack, known.Bad
+	}
+	failing := t.failing(routes)
+	switch {
+	case failing == "":
+		return PhaseShift, fmt.Sprintf("nothing speaks against the version in %d of %d attempts", counted.target, counted.all)
+	case late:
+		return PhaseRolledBack, failing
+	default:
+		return PhaseNone, ""
+	}
+}
+
+// failing says on which route the target has failed often of late; empty if on none.
+func (t *trial) failing(routes map[string]*sample) string {
+	for route, counted := range routes {
+		newest := counted
+		if len(t.states) > 0 {
+			newest = counted.since(t.states[0].routes[route])
+		}
+		whole, all, some := newest.failures().ofTarget()
+		if !some {
+			all = whole
+		}
+		if all.asked >= leastForShare && all.share() > mostFailing {
+			return fmt.Sprintf("on route %s the target failed %.0f of %.0f attempts, and so may the other version", route, all.bad, all.asked)
+		}
+	}
+	return ""
+}
+
 // evidence says on which route the target is bad, by all counts or by the newest;
 // empty if on none.
 func (t *trial) evidence(routes map[string]*sample, how certainty) string {
@@ -342,7 +382,7 @@
 	known := counted.target >= leastEvidence || counted.all < busyTraffic
 	switch {
 	case since >= burstTime && known:
-		return PhaseShift, fmt.Sprintf("nothing speaks against the version in %d of %d attempts", counted.target, counted.all)
+		return PhaseShift, ""
 	case since >= burstTime && age >= deadline:
 		return PhaseRolledBack, fmt.Sprintf("only %d of %d attempts tried the version", counted.target, counted.all)
 	}
--- a/internal/decide/rollout/play_test.go
+++ b/internal/decide/rollout/play_test.go
@@ -225,6 +225,7 @@
 		{"good, with a dark leaf", when(lastLeaf, failing(1)), usual, 0, 0.1},
 		{"good, with a slow leaf", when(lastLeaf, slower(7, 1)), usual, 0, 0.1},
 		{"good, and 1.3 times slower", slower(1.3, 1), usual, 0, 0.1},
+		{"fails three in ten, as the others do", failing(0.3), failing(0.3), 0.8, 1},
 		{"fails one in ten", failing(0.1), usual, 0.8, 1},
 		{"fails three in ten", failing(0.3), usual, 1, 1},
 		{"fails all", failing(1), usual, 1, 1},
--- a/internal/decide/rollout/verdict.go
+++ b/internal/decide/rollout/verdict.go
@@ -118,10 +118,7 @@
 
 // bad says why the target is bad on the route; empty if nothing shows that.
 func (s *sample) bad(how certainty) string {
-	failures := s.rates(func(counts *Counts) rate {
-		return rate{bad: float64(counts.Failed), asked: float64(counts.asked())}
-	})
-	if target, control, found := failures.compare(leastFailing, how); found {
+	if target, control, found := s.failures().compare(leastFailing, how); found {
 		return fmt.Sprintf("failed %.0f of %.0f attempts, the other version %.0f of %.0f", target.bad, target.asked, control.bad, control.asked)
 	}
 	limit, known := s.slowBucket()
@@ -138,6 +135,13 @@
 	return ""
 }
 
+// failures are the rates of attempts that brought no answer.
+func (s *sample) failures() rates {
+	return s.rates(func(counts *Counts) rate {
+		return rate{bad: float64(counts.Failed), asked: float64(counts.asked())}
+	})
+}
+
 // slowBucket returns the bucket above which an attempt is slow; false while too
 // little is known of the other version.
 func (s *sample) slowBucket() (int, bool) {
@@ -174,20 +178,26 @@
 // with most bad attempts, or without that leaf if all are in one zone: a leaf or a
 // zone that is in trouble is no fault of the version.
 func (r rates) compare(least float64, how certainty) (target, control rate, found bool) {
+	target, rest, some := r.ofTarget()
+	if !worse(target, r.control, least, how.all) {
+		return target, r.control, false
+	}
+	return target, r.control, !some || worse(rest, r.control, least, how.rest)
+}
+
+// ofTarget returns the rate of the target, and that without its worst zone, or leaf;
+// some is false if all attempts are of one leaf.
+func (r rates) ofTarget() (whole, rest rate, some bool) {
 	byZone, byLeaf := make(map[string]rate), make(map[string]rate)
 	for at, one := range r.target {
-		target = target.plus(one)
+		whole = whole.plus(one)
 		byZone[at.zone] = byZone[at.zone].plus(one)
 		byLeaf[at.leaf] = byLeaf[at.leaf].plus(one)
 	}
-	if !worse(target, r.control, least, how.all) {
-		return target, r.control, false
+	if rest, some = withoutWorst(byZone, whole); !some {
+		rest, some = withoutWorst(byLeaf, whole)
 	}
-	rest, some := withoutWorst(byZone, target)
-	if !some {
-		rest, some = withoutWorst(byLeaf, target)
-	}
-	return target, r.control, !some || worse(rest, r.control, least, how.rest)
+	return whole, rest, some
 }
 
 func (r rate) plus(other rate) rate {
