relay: executors among equal machines

Change: from forward.equal_nodes (16) nodes of 0.6 cores or more on, two of each zone run the requests of many shards for all.

--- a/internal/frontend/connections_test.go
+++ b/internal/frontend/connections_test.go
@@ -12,7 +12,6 @@
 	"github.com/micaplank/micaplank/internal/lease"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/registry"
-	"github.com/micaplank/micaplank/internal/relay"
 	"github.com/micaplank/micaplank/internal/roster"
 	"github.com/micaplank/micaplank/internal/route"
 	"github.com/micaplank/micaplank/internal/scatter"
@@ -76,7 +75,7 @@
 func (f *Frontend) standby() map[string]bool {
 	marked := make(map[string]bool)
 	topology := f.leaves.Topology()
-	f.shareLeaves(&topology, shareOf(relay.Assign(f.member, f.nodes.Members(0)), f.nodes.Members(0), f.nodes.Count(0)))
+	f.shareLeaves(&topology, shareOf(f.fleet.Assign(f.member, f.nodes.Members(0)), f.nodes.Members(0), f.nodes.Count(0)))
 	for _, one := range topology.Leaves {
 		marked[one.BootID] = one.Standby
 	}
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -8,7 +8,6 @@
 	"github.com/micaplank/micaplank/internal/event"
 	"github.com/micaplank/micaplank/internal/mirror"
 	"github.com/micaplank/micaplank/internal/registry"
-	"github.com/micaplank/micaplank/internal/relay"
 	"github.com/micaplank/micaplank/internal/roster"
 	"github.com/micaplank/micaplank/internal/route"
 )
@@ -270,7 +269,7 @@
 	f.metrics.cordoned.Set(float64(len(cordoned)))
 	members := f.nodes.Members(f.clock.Now())
 	f.rollouts.share(members)
-	roles := relay.Assign(f.member, members)
+	roles := f.fleet.Assign(f.member, members)
 	f.relay.SetRoles(roles, f.terms())
 	f.combine.SetMembers(combiners(roles, members))
 	f.setWatchers(members)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -67,6 +67,7 @@
 	former    uint64
 	nodes     *roster.Roster
 	load      relay.Load
+	fleet     relay.Fleet
 	rollouts  *rollouts
 }
 
@@ -107,6 +108,7 @@
 	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
 	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{client: f.peers, self: f.member.Name}, f.logger)
+	f.fleet = relay.Fleet{Least: f.settings.Forward.EqualNodes}
 	f.relay = relay.New(relay.DefaultConfig(), f.member, f.peers, f.clock, registerer, f.logger)
 	f.rollouts = newRollouts(f, registerer)
 	registerer.MustRegister(newCollector(f))
--- a/internal/frontend/slack_test.go
+++ b/internal/frontend/slack_test.go
@@ -19,8 +19,12 @@
 	"github.com/micaplank/micaplank/internal/settings"
 )
 
-// slackPlay is one executor whose queries meet leaves that hang now and then.
+// slackPlay is one node whose queries meet leaves that hang now and then.
 type slackPlay struct {
+	// pause is the time between two queries.
+	pause time.Duration
+	// slow reports whether an attempt at a leaf hangs.
+	slow       func(random *rand.Rand, leaf netip.AddrPort) bool
 	random     *rand.Rand
 	dispatcher *dispatch.Dispatcher
 	now        time.Duration
@@ -33,14 +37,24 @@
 const (
 	slackObjective = 200 * time.Millisecond
 	slackQueries   = 60
-	slackPause     = time.Second / 6
+	// executorPause is the pause between two queries of one of eight executors, and
+	// alonePause of one of 76 nodes that each run their own.
+	executorPause = time.Second / 6
+	alonePause    = 76 * executorPause / 8
 	// hanging is the share of attempts that hang.
 	hanging = 0.35
 )
 
-func newSlackPlay(bounds hedge.Bounds, seed uint64) *slackPlay {
+// anyHangs lets attempts at all leaves hang by chance, and oneHangs all at one leaf of
+// three.
+func anyHangs(random *rand.Rand, _ netip.AddrPort) bool { return random.Float64() < hanging }
+
+func oneHangs(_ *rand.Rand, leaf netip.AddrPort) bool { return leaf.Port() == 1 }
+
+func newSlackPlay(bounds hedge.Bounds, pause time.Duration, slow func(*rand.Rand, netip.AddrPort) bool, seed uint64) *slackPlay {
 	configured := settings.Example()
 	p := &slackPlay{
+		pause: pause, slow: slow,
 		random: rand.New(rand.NewPCG(seed, 1)), ends: make(map[dispatch.AttemptID]time.Duration),
 		sends: make(map[dispatch.AttemptID]dispatch.Send), begun: make(map[dispatch.QueryID]time.Duration),
 	}
@@ -62,7 +76,7 @@
 		switch action := action.(type) {
 		case dispatch.Send:
 			took := 20 * time.Millisecond
-			if p.random.Float64() < hanging {
+			if p.slow(p.random, action.Leaf) {
 				took = time.Second
 			}
 			p.ends[action.Attempt], p.sends[action.Attempt] = p.now+took, action
@@ -81,10 +95,10 @@
 func (p *slackPlay) run() int {
 	class := catalog.Class{Name: "sweep", Priority: 1, HedgePercentile: 0.9, ExtraLoad: 0.2, Repeatable: true}
 	next, count := time.Duration(0), 0
-	for ; p.now < slackQueries*slackPause+time.Second; p.now += time.Millisecond {
+	for ; p.now < slackQueries*p.pause+time.Second; p.now += time.Millisecond {
 		if count < slackQueries && p.now >= next {
 			count++
-			next += slackPause
+			next += p.pause
 			id := dispatch.QueryID(count)
 			p.begun[id] = p.now
 			p.perform(p.dispatcher.Submit(p.now, dispatch.Query{
@@ -125,11 +139,37 @@
 	own := slackOf(roles, members, len(members), true).budget(from)
 	before, now := 0, 0
 	for seed := range uint64(20) {
-		before += newSlackPlay(half, seed).run()
-		now += newSlackPlay(own, seed).run()
+		before += newSlackPlay(half, executorPause, anyHangs, seed).run()
+		now += newSlackPlay(own, executorPause, anyHangs, seed).run()
 	}
 	t.Logf("answered in time: %d of %d, with half of the slack %d", now, 20*slackQueries, before)
 	if now < before+20*slackQueries/50 {
 		t.Errorf("answered in time: %d of %d, with half of the slack %d", now, 20*slackQueries, before)
 	}
 }
+
+// TestExecutorsAmongEqualsReachCallers plays a shard of which one leaf of three hangs,
+// at one of 76 equal nodes that each run their own queries, and at one of eight that
+// run them for all: the latter meets the leaf often enough to know it.
+func TestExecutorsAmongEqualsReachCallers(t *testing.T) {
+	from := settings.Defaults().Forward
+	from.ExtraSlack = 190
+	var members []roster.Member
+	for index := range 76 {
+		members = append(members, roster.Member{Name: fmt.Sprint(index), Zone: fmt.Sprint("zone-", index%4), Cores: 0.8})
+	}
+	fleet := relay.Fleet{Least: from.EqualNodes}
+	chosen := fleet.Assign(members[0], members)
+	executor := slackOf(fleet.Assign(chosen.Executors[0], members), members, len(members), true).budget(from)
+	alone := slackOf(relay.Assign(members[0], members), members, len(members), true).budget(from)
+	before, now := 0, 0
+	for seed := range uint64(20) {
+		before += newSlackPlay(alone, alonePause, oneHangs, seed).run()
+		now += newSlackPlay(executor, executorPause, oneHangs, seed).run()
+	}
+	late, lateBefore := 20*slackQueries-now, 20*slackQueries-before
+	t.Logf("late: %d of %d, where each runs its own %d", late, 20*slackQueries, lateBefore)
+	if 4*late > lateBefore || lateBefore == 0 {
+		t.Errorf("late: %d of %d, where each runs its own %d", late, 20*slackQueries, lateBefore)
+	}
+}
--- a/internal/roster/watchers.go
+++ b/internal/roster/watchers.go
@@ -55,6 +55,26 @@
 	return chosen
 }
 
+// FirstOfZones returns some members of each zone, those first by a hash of their
+// names, sorted by name. A member that is lost is followed by the next of its zone;
+// the others stay.
+func FirstOfZones(members []Member, perZone int) []Member {
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(a, b Member) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	})
+	taken := make(map[string]int)
+	var chosen []Member
+	for _, member := range order {
+		if taken[member.Zone] < perZone {
+			taken[member.Zone]++
+			chosen = append(chosen, member)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return chosen
+}
+
 // Preferred sorts members as a node asks them: those of its zone first, and
 // otherwise in an order of its own, so that the nodes spread over them.
 func Preferred(self Member, members []Member) []Member {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,7 @@
 	ExposureRatio   float64  `toml:"exposure_ratio" comment:"What all nodes together may send to a version that is being rolled out: this share of its service's requests, and exposure_slack more. Both 0: orders of roll-outs are not heeded." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
 	ExposureSlack   float64  `toml:"exposure_slack" validate:"gte=0" expect:"a number, 0 or above"`
 	ExtraNodes      int      `toml:"extra_nodes" comment:"Nodes that are taken to share extra_slack until they are counted." validate:"gte=1" expect:"a whole number, 1 or above"`
+	EqualNodes      int      `toml:"equal_nodes" comment:"Least number of nodes of one size, of 0.6 cores or more, of which two in each zone run the requests of many shards for all. 0: each runs its own." validate:"gte=0" expect:"a whole number, 0 or above"`
 	WatchWait       Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
 	WatchGather     Duration `toml:"watch_gather" comment:"Pause after changes before the next watch, so that changes in quick succession come together." validate:"gte=0" expect:"a duration, 0 or above, such as \"250ms\""`
 	LeafDoubt       Duration `toml:"leaf_doubt" comment:"How long a leaf is still used whose entry went around an outage of the store." validate:"gte=0" expect:"a duration, 0 or above, such as \"2s\""`
@@ -183,6 +184,7 @@
 		ExtraWindow:     Duration(10 * time.Second),
 		ColdOvershoot:   1,
 		ExtraNodes:      12,
+		EqualNodes:      16,
 		WatchWait:       Duration(2800 * time.Millisecond),
 		WatchGather:     Duration(500 * time.Millisecond),
 		LeafDoubt:       Duration(2 * time.Second),
