rollout, platform, frontend: roll-outs split by what the files do

Moves only: the decider's steps and its judgment of one order, the platform's documents of roll-outs, what a node takes in of them from the store.

--- /dev/null
+++ b/internal/decide/rollout/trial.go
@@ -0,0 +1,122 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// mostFailing is the share of failures, of leastForShare attempts or more, above
+	// which a target gets no traffic though others may fail as often: where all leaves
+	// of a service are in trouble, nothing tells a bad version from a good one.
+	mostFailing   = 0.15
+	leastForShare = 5
+	// window is the time for which a version that turned bad later is judged apart,
+	// and windowStep the time between two states that are kept for it.
+	window     = 4 * time.Second
+	windowStep = time.Second
+)
+
+// state is a sample at some time.
+type state struct {
+	at     time.Duration
+	routes map[string]*sample
+}
+
+// trial is what a Decider knows of one order.
+type trial struct {
+	order uint64
+	// phase is the last one seen, since then.
+	phase Phase
+	since time.Duration
+	// states are the counts at some times of the last window, the oldest first.
+	states []state
+	// triedAt is when a transition was last returned.
+	triedAt time.Duration
+}
+
+// judge looks for evidence that the target is bad, in all counts and in the newest.
+// It says what it found; nothing if there is none.
+func (t *trial) judge(now time.Duration, routes map[string]*sample) string {
+	for len(t.states) > 1 && now-t.states[1].at >= window {
+		t.states = t.states[1:]
+	}
+	how := certain
+	if t.phase == PhaseShift {
+		how = doubtful
+	}
+	if why := t.evidence(routes, how); why != "" {
+		return why
+	}
+	if len(t.states) == 0 || now-t.states[len(t.states)-1].at >= windowStep {
+		t.states = append(t.states, state{at: now, routes: routes})
+	}
+	return ""
+}
+
+// mayShift returns the shift, unless the newest counts speak against it: the target is
+// likely to be worse, or fails often, whatever the others do. In the latter case there
+// is time until the deadline.
+func (t *trial) mayShift(known *Rollout, routes map[string]*sample, late bool) (Phase, string) {
+	counted := amountOf(routes)
+	if known.Bad = t.evidence(routes, doubtful); known.Bad != "" {
+		return PhaseRolledBack, known.Bad
+	}
+	failing := t.failing(routes)
+	switch {
+	case failing == "":
+		return PhaseShift, fmt.Sprintf("nothing speaks against the version in %d of %d attempts", counted.target, counted.all)
+	case late:
+		return PhaseRolledBack, failing
+	default:
+		return PhaseNone, ""
+	}
+}
+
+// failing says on which route the target has failed often of late; empty if on none.
+func (t *trial) failing(routes map[string]*sample) string {
+	for route, counted := range routes {
+		newest := counted
+		if len(t.states) > 0 {
+			newest = counted.since(t.states[0].routes[route])
+		}
+		whole, all, some := newest.failures().ofTarget()
+		if !some {
+			all = whole
+		}
+		if all.asked >= leastForShare && all.share() > mostFailing {
+			return fmt.Sprintf("on route %s the target failed %.0f of %.0f attempts, and so may the other version", route, all.bad, all.asked)
+		}
+	}
+	return ""
+}
+
+// evidence says on which route the target is bad, by all counts or by the newest;
+// empty if on none.
+func (t *trial) evidence(routes map[string]*sample, how certainty) string {
+	for route, counted := range routes {
+		why := counted.bad(how)
+		if why == "" && len(t.states) > 0 {
+			why = counted.since(t.states[0].routes[route]).bad(how)
+		}
+		if why != "" {
+			return fmt.Sprintf("on route %s the target %s", route, why)
+		}
+	}
+	return ""
+}
+
+// amount is how much is known of a service since an order.
+type amount struct{ target, all uint32 }
+
+func amountOf(routes map[string]*sample) amount {
+	var known amount
+	for _, counted := range routes {
+		known.all += counted.control.asked()
+		for _, counts := range counted.target {
+			known.target += counts.asked()
+			known.all += counts.asked()
+		}
+	}
+	return known
+}
