--- a/internal/decide/rollout/rollout_test.go
+++ b/internal/decide/rollout/rollout_test.go
@@ -221,26 +221,26 @@
 	const deadline = 10 * time.Second
 	ample := Supply{Target: 4, Control: 6, Mixed: true}
 	for _, test := range []struct {
-		name   string
-		phase  Phase
-		reason string
-		next   func() (Phase, string)
+		name  string
+		phase Phase
+
+		next func() (Phase, string)
 	}{
-		{"trial goes on", PhaseNone, "", func() (Phase, string) { return nextOfTrial(time.Second, deadline, 5*time.Second, ample) }},
-		{"all leaves have the version", PhaseCompleted, "", func() (Phase, string) { return nextOfTrial(0, deadline, 5*time.Second, Supply{Target: 4}) }},
-		{"the trial is over", PhaseBurst, "", func() (Phase, string) { return nextOfTrial(5*time.Second, deadline, 5*time.Second, ample) }},
-		{"too few slots yet", PhaseNone, "", func() (Phase, string) {
+		{"trial goes on", PhaseNone, func() (Phase, string) { return nextOfTrial(time.Second, deadline, 5*time.Second, ample) }},
+		{"all leaves have the version", PhaseCompleted, func() (Phase, string) { return nextOfTrial(0, deadline, 5*time.Second, Supply{Target: 4}) }},
+		{"the trial is over", PhaseBurst, func() (Phase, string) { return nextOfTrial(5*time.Second, deadline, 5*time.Second, ample) }},
+		{"too few slots yet", PhaseNone, func() (Phase, string) {
 			return nextOfTrial(6*time.Second, deadline, 5*time.Second, Supply{Target: 1, Control: 6, Mixed: true})
 		}},
-		{"no leaf came", PhaseRolledBack, "", func() (Phase, string) {
+		{"no leaf came", PhaseRolledBack, func() (Phase, string) {
 			return nextOfTrial(deadline, deadline, 5*time.Second, Supply{Control: 6, Mixed: true})
 		}},
-		{"burst goes on", PhaseNone, "", func() (Phase, string) { return nextOfBurst(time.Second, 6*time.Second, deadline, amount{50, 500}) }},
-		{"burst is over", PhaseShift, "", func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{50, 500}) }},
-		{"little traffic", PhaseShift, "", func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{0, 5}) }},
-		{"no evidence yet", PhaseNone, "", func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{3, 500}) }},
-		{"late, and the burst goes on", PhaseNone, "", func() (Phase, string) { return nextOfBurst(time.Second, deadline, deadline, amount{3, 500}) }},
-		{"no evidence", PhaseRolledBack, "", func() (Phase, string) { return nextOfBurst(burstTime, deadline, deadline, amount{3, 500}) }},
+		{"burst goes on", PhaseNone, func() (Phase, string) { return nextOfBurst(time.Second, 6*time.Second, deadline, amount{50, 500}) }},
+		{"burst is over", PhaseShift, func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{50, 500}) }},
+		{"little traffic", PhaseShift, func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{0, 5}) }},
+		{"no evidence yet", PhaseNone, func() (Phase, string) { return nextOfBurst(burstTime, 6*time.Second, deadline, amount{3, 500}) }},
+		{"late, and the burst goes on", PhaseNone, func() (Phase, string) { return nextOfBurst(time.Second, deadline, deadline, amount{3, 500}) }},
+		{"no evidence", PhaseRolledBack, func() (Phase, string) { return nextOfBurst(burstTime, deadline, deadline, amount{3, 500}) }},
 	} {
 		if phase, _ := test.next(); phase != test.phase {
 			t.Errorf("%s: %q", test.name, phase)
--- a/internal/frontend/rollout.go
+++ b/internal/frontend/rollout.go
@@ -54,7 +54,7 @@
 }
 
 func newRollouts(f *Frontend, registerer prometheus.Registerer) *rollouts {
-	bounds := rollout.Bounds{Ratio: f.settings.Forward.ExposureRatio, Slack: f.settings.Forward.ExposureSlack}
+	bounds := rollout.Bounds{Ratio: f.settings.Forward.CanaryRatio, Slack: f.settings.Forward.CanarySlack}
 	book := rollout.NewBook()
 	incarnation := f.member.Name + "/" + ulid.Make().String()
 	return &rollouts{
@@ -134,13 +134,14 @@
 		return
 	}
 	participants := rollout.Participants(members)
-	taking := slices.ContainsFunc(participants, func(one roster.Member) bool { return one.Name == r.member.Name })
+	if len(participants) == 0 || !r.takesPart(participants) {
+		return // a node that knows of no other must not take all of the slack
+	}
 	for _, service := range open {
 		known := r.book.Of(service)
-		if known.Order.Revision == 0 || known.Phase().Shifted() || !taking {
-			continue
+		if known.Order.Revision != 0 && !known.Phase().Shifted() {
+			r.allow(known, len(participants))
 		}
-		r.allow(known, len(participants))
 	}
 }
 
--- a/internal/frontend/rollout_driver.go
+++ b/internal/frontend/rollout_driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -124,12 +125,8 @@
 
 // takesPart reports whether this node is one of those that report. Alone, it is.
 func (r *rollouts) takesPart(participants []roster.Member) bool {
-	for _, one := range participants {
-		if one.Name == r.member.Name {
-			return true
-		}
-	}
-	return len(participants) == 0
+	own := func(one roster.Member) bool { return one.Name == r.member.Name }
+	return len(participants) == 0 || slices.ContainsFunc(participants, own)
 }
 
 // report makes the report of this node to another one. The caller holds the mutex.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,8 +49,8 @@
 	ExtraWindow     Duration `toml:"extra_window" comment:"Window in which extra_slack counts." validate:"gt=0" expect:"a duration above 0, such as \"10s\""`
 	ColdOvershoot   float64  `toml:"cold_overshoot" comment:"What all nodes together may send to a cold leaf in a second: this many times what its service declares, and cold_slack more." validate:"gt=0" expect:"a number above 0"`
 	ColdSlack       float64  `toml:"cold_slack" validate:"gte=0" expect:"a number, 0 or above"`
-	ExposureRatio   float64  `toml:"exposure_ratio" comment:"What all nodes together may send to a version that is being rolled out: this share of its service's requests, and exposure_slack more. Both 0: orders of roll-outs are not heeded." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
-	ExposureSlack   float64  `toml:"exposure_slack" validate:"gte=0" expect:"a number, 0 or above"`
+	CanaryRatio     float64  `toml:"canary_ratio" comment:"What all nodes together may send to a version that is being rolled out: this share of its service's requests, and canary_slack more. Both 0: orders of roll-outs are not heeded." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
+	CanarySlack     float64  `toml:"canary_slack" validate:"gte=0" expect:"a number, 0 or above"`
 	ExtraNodes      int      `toml:"extra_nodes" comment:"Nodes that are taken to share extra_slack until they are counted." validate:"gte=1" expect:"a whole number, 1 or above"`
 	EqualNodes      int      `toml:"equal_nodes" comment:"Least number of nodes of one size, of 0.6 cores or more, of which two in each zone run the requests of many shards for all. 0: each runs its own." validate:"gte=0" expect:"a whole number, 0 or above"`
 	WatchWait       Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
