sight: the log names what a request asks, and attempts that their leaf closed without a word

Cause: the logs could not tell whether requests under which leaves end are the same request, nor whether a lost attempt was closed by its leaf, cut off or slow. Change: the line on a request has its content as a hash of host, request line and body; an attempt, and a counter, say whether the leaf closed or reset the connection before a byte of its answer. Nothing decides by either yet.

--- a/internal/combine/client.go
+++ b/internal/combine/client.go
@@ -177,7 +177,9 @@
 	}
 	c.metrics.attempts.WithLabelValues("combined").Inc()
 	if failed := answer.Failure; failed != nil {
-		return nil, true, &leaf.TransportError{Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Err: errors.New(failed.Text)}
+		return nil, true, &leaf.TransportError{
+			Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Closed: failed.Closed, Err: errors.New(failed.Text),
+		}
 	}
 	response = answer.scatterResponse(attempt)
 	if len(answer.Dropped) > 0 {
--- a/internal/combine/message.go
+++ b/internal/combine/message.go
@@ -94,7 +94,8 @@
 
 // failure is a leaf.TransportError between the combiner and the leaf.
 type failure struct {
-	Step leaf.Step
-	Sent bool
-	Text string
+	Step   leaf.Step
+	Sent   bool
+	Closed bool
+	Text   string
 }
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -5,6 +5,7 @@
 // Request is the end of one request at one node.
 type Request struct {
 	RequestID    string    `event:"request_id" doc:"the client's id of this attempt of its own"`
+	Content      string    `event:"content" doc:"what it asks, as a hash of host, request line and body: the same for each try of the same request, by any client at any node"`
 	Route        string    `event:"route" doc:"route that it matched; empty without one"`
 	Version      uint64    `event:"version" doc:"version of the configuration that it ran under"`
 	Fate         string    `event:"fate" doc:"answered (by one leaf), merged (from parts), no_route, not_run (it ran nowhere and never will), late, or failed (it may have run)"`
@@ -48,6 +49,7 @@
 	AtMS     int64   `json:"at_ms" event:"at_ms" doc:"when it was sent, in ms from the start of the request"`
 	TookMS   int64   `json:"took_ms" event:"took_ms" doc:"how long it took, in ms; 0 if it was open at the end"`
 	End      string  `json:"end" event:"end" doc:"answered, refused, failed (the leaf's own failure), lost (it may have run), unsent, or open"`
+	Closed   bool    `json:"closed,omitempty" event:"closed" doc:"whether the leaf closed or reset the connection before a byte of its answer, as when its process ends; left out if not"`
 	Detail   string  `json:"detail,omitempty" event:"detail" doc:"the error or the refusal"`
 	InFlight int     `json:"in_flight" event:"in_flight" doc:"attempts of this node at the leaf before it"`
 	Limit    int     `json:"limit" event:"limit" doc:"most attempts of this node at the leaf"`
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -81,7 +81,7 @@
 		return
 	}
 	event.Log(f.logger, event.Request{
-		RequestID: request.ID, Route: answer.Route, Version: answer.Version,
+		RequestID: request.ID, Content: request.Content().String(), Route: answer.Route, Version: answer.Version,
 		Fate: string(answer.Fate), Reason: string(answer.Reason),
 		Answered: answer.Answered, Total: answer.Total, Status: answer.Part.Status,
 		TookMS: took.Milliseconds(), PatienceMS: request.Patience.Milliseconds(),
@@ -123,7 +123,7 @@
 		}
 		lines = append(lines, event.Attempt{
 			Shard: one.Shard, Leaf: one.BootID, Address: one.Leaf.String(), Cause: string(one.Cause),
-			AtMS: one.At.Milliseconds(), TookMS: one.Took.Milliseconds(), End: string(one.End), Detail: one.Detail,
+			AtMS: one.At.Milliseconds(), TookMS: one.Took.Milliseconds(), End: string(one.End), Closed: one.Closed, Detail: one.Detail,
 			InFlight: one.Basis.InFlight, Limit: one.Basis.Limit, Others: rounded(one.Basis.Others),
 			AgeMS: one.Basis.Age.Milliseconds(), Pace: one.Basis.Pace, Slowness: rounded(one.Basis.Slowness), Budget: rounded(one.Basis.Budget),
 		})
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -110,7 +110,9 @@
 	case ended := <-exchange.done:
 		if ended.err != nil {
 			c.metrics.broken.Inc()
-			return nil, &leaf.TransportError{Step: StepReceive, Peer: target.Address, Sent: true, Err: ended.err}
+			return nil, &leaf.TransportError{
+				Step: StepReceive, Peer: target.Address, Sent: true, Closed: ended.closed, Err: ended.err,
+			}
 		}
 		return ended.response, nil
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/http1/closed_test.go
@@ -0,0 +1,42 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/leaf"
+)
+
+// TestEndBeforeAnyAnswerIsTold apart from one within an answer, and from a wait
+// that is given up here: only the first is what a process leaves behind that ends
+// under a request.
+func TestEndBeforeAnyAnswerIsTold(t *testing.T) {
+	for _, test := range []struct {
+		name, reply string
+		closed      bool
+	}{
+		{"no byte", "", true},
+		{"within the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false},
+		{"no answer of the protocol", "\x00\x01\r\n\r\n", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client := newClient(t, 1)
+			b := newBackend(t, func(_, number int) string {
+				if number > 1 {
+					return ""
+				}
+				return test.reply
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			_, err := client.Do(ctx, b.target(), request(), ours)
+			var transport *leaf.TransportError
+			if !errors.As(err, &transport) || !transport.Sent || transport.Closed != test.closed {
+				t.Errorf("error %v, %+v", err, transport)
+			}
+			client.Close()
+		})
+	}
+}
--- a/internal/http1/connection.go
+++ b/internal/http1/connection.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +25,9 @@
 type result struct {
 	response *Response
 	err      error
+	// closed is set if the other side ended the connection before a byte of the
+	// answer.
+	closed bool
 }
 
 // connection is one connection to a target. A goroutine reads it all the time,
@@ -102,7 +106,7 @@
 			return
 		}
 		if err != nil {
-			current.done <- result{err: err}
+			current.done <- result{err: err, closed: endedByPeer(err)}
 			return
 		}
 		if !c.answer(current) {
@@ -111,6 +115,12 @@
 	}
 }
 
+// endedByPeer reports whether a read failed because the other side closed or reset
+// the connection.
+func endedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 func (c *connection) state() (*exchange, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/leaf/errors.go
+++ b/internal/leaf/errors.go
@@ -35,6 +35,9 @@
 	// OnTheWay is set if the call was lost with another node that had it in
 	// hand: it says nothing of the leaf.
 	OnTheWay bool
+	// Closed is set if the leaf's end of the connection was closed or reset before
+	// a byte of its answer: as when its process ends under the call.
+	Closed bool
 	// Err is the cause. It carries the attributes step and peer.
 	Err error
 }
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -73,8 +73,12 @@
 		entry.End, entry.Detail = endOf(response, err)
 		entry.Took = now - running.begun - entry.At
 		entry.Aborted = started.aborted
+		entry.Closed = closedByLeaf(err)
 	}
 	if err != nil {
+		if closedByLeaf(err) {
+			c.config.Metrics.closed.Inc()
+		}
 		failure := dispatch.Failure{Sent: mayHaveBeenSent(err), Aborted: started.aborted, OnTheWay: lostOnTheWay(err)}
 		c.config.Metrics.countFailure(failure)
 		return c.dispatcher.Fail(now, id, failure)
@@ -140,6 +144,13 @@
 	return errors.As(err, &transport) && transport.OnTheWay
 }
 
+// closedByLeaf reports whether the leaf's end of the connection was closed before a
+// byte of the answer.
+func closedByLeaf(err error) bool {
+	var transport *leaf.TransportError
+	return errors.As(err, &transport) && transport.Closed
+}
+
 func (c *Conn[Q, P]) noteDraining(address netip.AddrPort, response *Response[P]) {
 	if response == nil || c.config.OnDraining == nil {
 		return
--- a/internal/scatter/metrics.go
+++ b/internal/scatter/metrics.go
@@ -11,6 +11,7 @@
 type Metrics struct {
 	refusals *prometheus.CounterVec
 	failures *prometheus.CounterVec
+	closed   prometheus.Counter
 }
 
 // NewMetrics registers the counters.
@@ -24,8 +25,12 @@
 			Name: "micaplank_scatter_failures_total",
 			Help: "Attempts that ended without a reply, by kind: aborted, not_sent or lost.",
 		}, []string{"kind"}),
+		closed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "micaplank_scatter_closed_total",
+			Help: "Attempts whose leaf closed or reset the connection before a byte of its answer, as when its process ends. They count among the failures, too.",
+		}),
 	}
-	registerer.MustRegister(metrics.refusals, metrics.failures)
+	registerer.MustRegister(metrics.refusals, metrics.failures, metrics.closed)
 	return metrics
 }
 
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -122,6 +122,9 @@
 	// Aborted says that it was given up before it ended, for another attempt or
 	// with its query.
 	Aborted bool
+	// Closed says that the leaf's end of the connection was closed or reset before
+	// a byte of its answer.
+	Closed bool
 	// Detail is the error of an attempt that failed, or the reason of a refusal.
 	Detail string
 }
