leaves that start again under their id; entries of other writers

Cause: a leaf was known by its id alone, so one that starts again under it kept its draining, its cold time and its place in roll-outs, a late word of its former start counted, and attempts at it behind a cut waited until their time was over. An entry with fields missing or of another type named a leaf with what could be read, one that became unreadable left the leaf in use, any service in an entry got a number, and any unreadable key under those of nodes counted as a node. The incarnation is the id with its start; entries are read strictly; services are numbered by configurations alone. Tests of the registry name their services as a configuration does, since an announcement does not number them any more.

--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -29,6 +29,7 @@
 	snapshots  []snapshot.View // of the views
 	topologies uint64          // number of topologies so far
 	goneUntil  Time            // when the next override of a holding ends; zero if none
+	reborn     []*leafState    // those that the topology being taken in lists anew
 
 	byID     map[QueryID]*query
 	running  []*query // all unfinished queries, started or not
--- a/internal/decide/dispatch/mechanism_test.go
+++ b/internal/decide/dispatch/mechanism_test.go
@@ -26,7 +26,8 @@
 	open     []Send
 	sent     []int // by leaf
 	aborted  []AttemptID
-	overdue  []bool // of the aborted
+	overdue  []bool      // of the aborted
+	mute     []AttemptID // that are never answered
 	finishes map[QueryID]Finish
 	nextID   QueryID
 	hedge    float64      // percentile
@@ -91,7 +92,8 @@
 		r.now += time.Millisecond
 		for _, send := range slices.Clone(r.open) {
 			sentAt := r.d.attempts.find(send.Attempt)
-			if sentAt != nil && r.now-sentAt.sentAt >= r.took[r.leafOf(send)] {
+			due := sentAt != nil && r.now-sentAt.sentAt >= r.took[r.leafOf(send)]
+			if due && !slices.Contains(r.mute, send.Attempt) {
 				r.reply(send)
 			}
 		}
--- /dev/null
+++ b/internal/decide/dispatch/restart_test.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// reborn sends a query to a leaf that ends behind a cut, and lists all leaves as
+// started anew after a time.
+func (r *rig) reborn(length time.Duration, once bool) QueryID {
+	r.shape = func(query *Query) {
+		query.Deadline = r.now + time.Minute
+		query.Class.Repeatable = !once
+	}
+	id := r.submit(1)
+	r.mute = append(r.mute, r.open[0].Attempt)
+	r.run(length)
+	for index := range r.topology.Leaves {
+		r.topology.Leaves[index].BootID = "2"
+	}
+	r.perform(r.d.SetTopology(r.now, r.topology))
+	return id
+}
+
+// TestAttemptAtAFormerStartIsLost with it: the query has its answer from the next
+// start, long before its time is over.
+func TestAttemptAtAFormerStartIsLost(t *testing.T) {
+	r := newRig(t, 2, func(config *Config) { config.Hedge.Disabled = true })
+	id := r.reborn(startLag, false)
+	r.run(50 * time.Millisecond)
+	if finish, ended := r.finishes[id]; !ended || finish.Outcome != OutcomeAnswered {
+		t.Errorf("%+v, %v", finish, ended)
+	}
+	if len(r.d.leaves[0].running)+len(r.d.leaves[1].running) != 0 {
+		t.Error("the former start still counts as busy")
+	}
+}
+
+// TestAttemptThatMayRunOnceAtAFormerStart is not sent again: its fate is unknown, and
+// its caller is told so at once.
+func TestAttemptThatMayRunOnceAtAFormerStart(t *testing.T) {
+	r := newRig(t, 2, func(config *Config) { config.Hedge.Disabled = true })
+	id := r.reborn(startLag, true)
+	if finish, ended := r.finishes[id]; !ended || finish.Outcome != OutcomeUnknown {
+		t.Errorf("%+v, %v", finish, ended)
+	}
+	if sent := r.sent[0] + r.sent[1]; sent != 1 {
+		t.Errorf("sent %d times", sent)
+	}
+}
+
+// TestYoungAttemptMayRunAtTheNextStart: the news of a start comes after it.
+func TestYoungAttemptMayRunAtTheNextStart(t *testing.T) {
+	r := newRig(t, 2, func(config *Config) { config.Hedge.Disabled = true })
+	id := r.reborn(startLag/2, false)
+	if len(r.aborted) != 0 {
+		t.Errorf("%d attempts given up", len(r.aborted))
+	}
+	r.mute = nil
+	r.run(50 * time.Millisecond)
+	if _, ended := r.finishes[id]; !ended {
+		t.Error("no answer from the next start")
+	}
+}
--- a/internal/decide/dispatch/topology.go
+++ b/internal/decide/dispatch/topology.go
@@ -52,6 +52,7 @@
 	if changed {
 		d.rebuild()
 	}
+	d.loseFormer()
 	d.startPending()
 	d.pumpAll()
 	return d.actions
@@ -95,6 +96,7 @@
 	}
 	if l.sawBoot(listed.BootID) {
 		d.restarted(l, listed.Cold)
+		d.reborn = append(d.reborn, l)
 	}
 	same := slices.EqualFunc(l.holdings, listed.Holdings, equalHoldings)
 	l.holdings = listed.Holdings
--- a/internal/frontend/connections_test.go
+++ b/internal/frontend/connections_test.go
@@ -41,6 +41,7 @@
 	t.Cleanup(func() { f.expiry.Stop() })
 	f.forwarder.Install(route.NewTable(&route.Config{Version: 1, Services: services}))
 	for _, one := range leaves {
+		f.index.Of(one.Service) // as a configuration that names it does
 		f.leaves.Set(0, one)
 	}
 	return f, func() map[string]int {
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -35,7 +35,9 @@
 				leaves = append(leaves, read)
 			}
 		case KindNode:
-			nodes[item.Key] = s.member(item)
+			if member, ok := s.member(item); ok {
+				nodes[item.Key] = member
+			}
 		case KindCordon:
 			cordons = append(cordons, s.ports.Decoder.CordonedZone(item.Key))
 		case KindQuarantine:
@@ -164,6 +166,11 @@
 		s.index.Of(declared.Name)
 		coldTimes[declared.Name] = declared.ColdTime
 	}
+	for index := range config.Routes {
+		for _, service := range config.Routes[index].Services() {
+			s.index.Of(service)
+		}
+	}
 	s.leaves.SetColdTimes(coldTimes)
 	s.shards = shardsOf(config)
 	s.coldBounds = coldBoundsOf(config, s.shards)
@@ -193,24 +200,43 @@
 	s.install(config, item.Revision)
 }
 
+// changeLeaf takes in an announcement, or that it is gone. One that cannot be read
+// names no leaf any more.
 func (s storeSink) changeLeaf(changed mirror.Event) {
-	read, ok := s.read(changed.Item)
+	read, ok := registry.Leaf{}, false
+	if !changed.Removed {
+		read, ok = s.read(changed.Item)
+	}
 	if !ok {
+		s.removeLeaf(changed)
 		return
 	}
 	s.mutex.Lock()
-	if changed.Removed {
-		s.leaves.Remove(s.clock.Now(), read.ID)
-	} else {
-		s.leaves.Set(s.clock.Now(), read)
-	}
+	taken := s.leaves.Set(s.clock.Now(), read)
 	s.mutex.Unlock()
+	if !taken {
+		s.metrics.leavesRejected.Inc()
+		event.Log(s.logger, event.LeafRejected{Key: changed.Key, Revision: changed.Revision, Error: registry.ErrFormerStart})
+		return
+	}
 	event.Log(s.logger, event.LeafChanged{
-		Leaf: read.ID, Service: read.Service, Address: read.Address,
-		Draining: read.Draining, Cold: read.Cold, Removed: changed.Removed, Revision: changed.Revision,
+		Leaf: read.Incarnation(), Service: read.Service, Address: read.Address,
+		Draining: read.Draining, Cold: read.Cold, Revision: changed.Revision,
 	})
 }
 
+// removeLeaf takes in that a key announces no leaf any more.
+func (s storeSink) removeLeaf(changed mirror.Event) {
+	id, err := s.ports.Decoder.LeafID(changed.Key)
+	if err != nil {
+		return // it never announced one, which was logged when it was written
+	}
+	s.mutex.Lock()
+	s.leaves.Remove(s.clock.Now(), id)
+	s.mutex.Unlock()
+	event.Log(s.logger, event.LeafChanged{Leaf: id, Removed: true, Revision: changed.Revision})
+}
+
 // changeCordon takes a zone out of service, or puts it back.
 func (s storeSink) changeCordon(changed mirror.Event) {
 	zone := s.ports.Decoder.CordonedZone(changed.Key)
@@ -249,11 +275,15 @@
 }
 
 func (s storeSink) changeNode(changed mirror.Event) {
+	member, counts := roster.Member{}, false
+	if !changed.Removed {
+		member, counts = s.member(changed.Item)
+	}
 	s.mutex.Lock()
-	if changed.Removed {
-		s.nodes.Remove(s.clock.Now(), changed.Key)
+	if counts {
+		s.nodes.Add(s.clock.Now(), changed.Key, member)
 	} else {
-		s.nodes.Add(s.clock.Now(), changed.Key, s.member(changed.Item))
+		s.nodes.Remove(s.clock.Now(), changed.Key)
 	}
 	s.mutex.Unlock()
 	event.Log(s.logger, event.NodeChanged{
@@ -262,14 +292,15 @@
 }
 
 // member reads the announcement of a node. One that cannot be read still counts,
-// under its key.
-func (s storeSink) member(item mirror.Item) roster.Member {
+// under its key, if it is under a lease, as those of nodes are: another version may
+// have written it. Without a lease another writer has.
+func (s storeSink) member(item mirror.Item) (roster.Member, bool) {
 	member, err := roster.Decode(item.Value)
 	if err != nil || member.Name == "" {
 		event.Log(s.logger, event.NodeRejected{Key: item.Key, Revision: item.Revision, Error: err})
-		return roster.Member{Name: s.ports.Decoder.Node(item.Key)}
+		return roster.Member{Name: s.ports.Decoder.Node(item.Key)}, item.Lease != 0
 	}
-	return member
+	return member, true
 }
 
 func (s storeSink) read(item mirror.Item) (registry.Leaf, bool) {
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -59,6 +59,8 @@
 	}, nil
 }
 
+func (keyDecoder) LeafID(key string) (string, error) { return strings.TrimPrefix(key, "leaf/"), nil }
+
 func (keyDecoder) Leaf(item mirror.Item) (registry.Leaf, error) {
 	service := strings.TrimPrefix(item.Key, "leaf/")
 	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(len(service)))
--- a/internal/frontend/ports.go
+++ b/internal/frontend/ports.go
@@ -38,8 +38,9 @@
 	Kind(key string) Kind
 	// Config reads the declared configuration.
 	Config(item mirror.Item) (*route.Config, error)
-	// Leaf reads the announcement of a leaf. Of a removed one, only the key is
-	// given, and only the id is wanted.
+	// LeafID returns the id of the leaf that a key announces.
+	LeafID(key string) (string, error)
+	// Leaf reads the announcement of a leaf.
 	Leaf(item mirror.Item) (registry.Leaf, error)
 	// CordonedZone returns the zone that a key takes out of service. The key is
 	// there for as long as it is.
--- a/internal/frontend/watch.go
+++ b/internal/frontend/watch.go
@@ -109,7 +109,9 @@
 func (f *Frontend) announcedMembers(items []mirror.Item) []roster.Member {
 	known := roster.New(nodesMemory, 0)
 	for _, item := range items {
-		known.Add(f.clock.Now(), item.Key, storeSink{f}.member(item))
+		if member, counts := (storeSink{f}).member(item); counts {
+			known.Add(f.clock.Now(), item.Key, member)
+		}
 	}
 	return known.Members(f.clock.Now())
 }
--- a/internal/registry/cordon_test.go
+++ b/internal/registry/cordon_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestCordonHoldsForLeavesThatComeLater(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	leaf := leafAt("a", "x", 1, 1)
 	leaf.Zone = "north"
 	table.Set(0, leaf)
@@ -31,7 +31,7 @@
 }
 
 func TestStaleListPutsNoZoneBack(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	table.Cordon(0, "north", true)
 	if changed := table.ReplaceCordons(0, []string{"south"}, true); !slices.Equal(changed, []string{"south"}) {
 		t.Errorf("changed by a stale list: %v", changed)
@@ -70,7 +70,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		model := storeModel{leaves: make(map[string]Leaf), cordons: make(map[string]bool)}
 		old := model.clone()
-		table := NewTable(config, NewIndex())
+		table := NewTable(config, named())
 		now := time.Hour
 		staleStart := false
 		anyID := func() string { return fmt.Sprint("leaf-", rapid.IntRange(0, 5).Draw(t, "leaf")) }
@@ -114,7 +114,7 @@
 				model.tell(table, now, false)
 				staleStart = false
 			case 8: // a process starts
-				table = NewTable(config, NewIndex())
+				table = NewTable(config, named())
 				if staleStart = rapid.Bool().Draw(t, "from an old copy"); staleStart {
 					old.tell(table, now, true)
 				}
--- a/internal/registry/index.go
+++ b/internal/registry/index.go
@@ -15,11 +15,18 @@
 	return &Index{numbers: make(map[string]int)}
 }
 
-// Of returns the number of a service, which it gets if it has none.
-func (i *Index) Of(service string) int {
+// Find returns the number of a service; false if it has none.
+func (i *Index) Find(service string) (int, bool) {
 	i.mutex.RLock()
+	defer i.mutex.RUnlock()
 	number, known := i.numbers[service]
-	i.mutex.RUnlock()
+	return number, known
+}
+
+// Of returns the number of a service, which it gets if it has none. Only services
+// that a configuration names get one: announcements may name any.
+func (i *Index) Of(service string) int {
+	number, known := i.Find(service)
 	if known {
 		return number
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"net/netip"
 	"slices"
@@ -18,9 +19,13 @@
 	"github.com/micaplank/micaplank/internal/leaf"
 )
 
-// Leaf is one announcement. Each start of a leaf has an id of its own.
+// Leaf is one announcement.
 type Leaf struct {
-	ID      string
+	ID string
+	// Born is when its process started; zero if the announcement does not say. A leaf
+	// may start again under its id: then it is another one, which knows nothing of
+	// before.
+	Born    time.Time
 	Service string
 	Address netip.AddrPort
 	Zone    string
@@ -30,7 +35,8 @@
 	Draining bool
 	// Cold is how much longer the leaf is slow from its start.
 	Cold time.Duration
-	// Created is the revision at which the id was first announced.
+	// Created is the revision at which the id was first announced, or this start of
+	// it, if that was seen here.
 	Created uint64
 	// Revision is that of this announcement.
 	Revision uint64
@@ -63,9 +69,10 @@
 	config       Config
 	index        *Index
 	entries      map[string]*entry
-	cordoned     map[string]bool          // zones out of service
-	stages       map[string]Stage         // by service
-	mixed        map[string]uint64        // orders under which another version was seen, by service
+	cordoned     map[string]bool   // zones out of service
+	stages       map[string]Stage  // by service
+	mixed        map[string]uint64 // orders under which another version was seen, by service
+	births       births
 	coldTimes    map[string]time.Duration // by service
 	settledAfter time.Duration
 	revision     uint64
@@ -73,16 +80,36 @@
 
 // NewTable returns an empty Table that numbers services by index.
 func NewTable(config Config, index *Index) *Table {
-	return &Table{config: config, index: index, entries: make(map[string]*entry), cordoned: make(map[string]bool), mixed: make(map[string]uint64)}
+	return &Table{
+		config: config, index: index, entries: make(map[string]*entry),
+		cordoned: make(map[string]bool), mixed: make(map[string]uint64), births: make(births),
+	}
 }
 
-// Set takes in an announcement. A leaf that drains stays draining, and one that
-// was taken to be cold until some time stays so: it may have turned cold after it
-// wrote its announcement.
-func (t *Table) Set(now time.Duration, announced Leaf) {
+// ErrFormerStart means that an announcement is of a former start of its leaf, or does
+// not say of which, though another did.
+var ErrFormerStart = errors.New("announcement is not of the newest start of its leaf")
+
+// Set takes in an announcement, and reports whether it did: one of a former start of
+// the leaf, written late or read from a copy that is behind, brings nothing back. A
+// leaf that drains stays draining, and one that was taken to be cold until some time
+// stays so: it may have turned cold after it wrote its announcement. Nothing of that
+// holds for its next start.
+func (t *Table) Set(now time.Duration, announced Leaf) bool {
+	if !t.births.newest(now, announced) {
+		if announced.Born.IsZero() {
+			t.Remove(now, announced.ID) // what it said before stands nowhere any more
+		}
+		return false
+	}
 	taken := &entry{Leaf: announced}
 	known, found := t.entries[announced.ID]
-	if found {
+	again := found && announced.Born.After(known.Born)
+	switch {
+	case again:
+		taken.Created = announced.Revision
+	case found:
+		taken.Created = known.Created
 		taken.Draining = announced.Draining || known.Draining
 		taken.coldUntil = known.coldUntil
 	}
@@ -90,7 +117,7 @@
 		taken.coldUntil = max(taken.coldUntil, now+announced.Cold)
 	}
 	t.entries[announced.ID] = taken
-	t.index.Of(announced.Service)
+	return true
 }
 
 // SetColdTimes says how long the leaves of each service are cold after a start.
@@ -114,9 +141,10 @@
 func (t *Table) Replace(now time.Duration, announced []Leaf) {
 	present := make(map[string]bool, len(announced))
 	for _, one := range announced {
-		present[one.ID] = true
-		t.Set(now, one)
-		t.entries[one.ID].Cold = 0
+		if t.Set(now, one) {
+			t.entries[one.ID].Cold = 0
+		}
+		present[one.ID] = t.entries[one.ID] != nil
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
 		if !present[id] {
@@ -130,9 +158,11 @@
 	t.settledAfter = now + t.config.Settling
 }
 
-// Expire drops the leaves whose doubt has ended, and reports whether there were
+// Expire drops the leaves whose doubt has ended, and what is remembered of others for
+// long enough, and reports whether there were
 // any, and when it has to be called next; zero for never.
 func (t *Table) Expire(now time.Duration) (changed bool, next time.Duration) {
+	t.births.expire(now)
 	for id, known := range t.entries {
 		switch {
 		case known.goneAt == 0:
@@ -149,8 +179,9 @@
 // Len returns the number of leaves.
 func (t *Table) Len() int { return len(t.entries) }
 
-// Topology returns what the Dispatcher may use. Of two leaves that announce
-// the same address, the one created last has it.
+// Topology returns what the Dispatcher may use: leaves of services that a
+// configuration has named. Of two leaves that announce the same address, the one
+// created last has it.
 func (t *Table) Topology() dispatch.Topology {
 	t.revision++
 	t.findMixed()
@@ -166,18 +197,20 @@
 		Partitions: []catalog.Partition{{Epoch: Snapshot.Epoch, Shards: t.index.Len()}},
 	}
 	for _, known := range owners {
-		topology.Leaves = append(topology.Leaves, t.listed(known))
+		if service, named := t.index.Find(known.Service); named {
+			topology.Leaves = append(topology.Leaves, t.listed(known, service))
+		}
 	}
 	slices.SortFunc(topology.Leaves, func(a, b dispatch.Leaf) int { return a.Address.Compare(b.Address) })
 	return topology
 }
 
-func (t *Table) listed(known *entry) dispatch.Leaf {
+func (t *Table) listed(known *entry, service int) dispatch.Leaf {
 	return dispatch.Leaf{
 		Address:   known.Address,
 		Zone:      known.Zone,
 		ColdUntil: known.coldUntil,
-		BootID:    known.ID,
+		BootID:    known.Incarnation(),
 		Usable:    t.usable(known) && !t.barred(known),
 		Canary:    t.canary(known),
 		WarmAt:    known.coldUntil,
@@ -185,7 +218,7 @@
 		Slots:     known.Slots,
 		Holdings: []leaf.Holding{{
 			Snapshot: Snapshot,
-			Shards:   []int{t.index.Of(known.Service)},
+			Shards:   []int{service},
 		}},
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -10,6 +10,15 @@
 
 var config = Config{Doubt: 2 * time.Second, Settling: 3 * time.Second}
 
+// named returns an Index of the services that a configuration names in these tests.
+func named() *Index {
+	index := NewIndex()
+	for _, service := range []string{"x", "y"} {
+		index.Of(service)
+	}
+	return index
+}
+
 func leafAt(id, service string, port int, created uint64) Leaf {
 	return Leaf{ID: id, Service: service, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)), Slots: 2, Created: created}
 }
@@ -26,7 +35,7 @@
 }
 
 func TestTopologyNumbersServices(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	table.Replace(0, []Leaf{leafAt("a", "x", 1, 1), leafAt("b", "y", 2, 2), leafAt("c", "x", 3, 3)})
 	topology := table.Topology()
 	found := usable(topology)
@@ -36,7 +45,7 @@
 }
 
 func TestDrainingSticksToTheID(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	leaf := leafAt("a", "x", 1, 1)
 	leaf.Draining = true
 	table.Set(0, leaf)
@@ -52,7 +61,7 @@
 }
 
 func TestNewerLeafOwnsItsAddress(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	table.Replace(0, []Leaf{leafAt("new", "y", 1, 7), leafAt("old", "x", 1, 3)})
 	found := usable(table.Topology())
 	if _, ok := found["new"]; !ok || len(found) != 1 {
@@ -76,7 +85,7 @@
 		{"announced again", outageEnd + time.Second, false, true, time.Hour},
 		{"it drained before", outageEnd + time.Second, true, false, 0},
 	} {
-		table := NewTable(config, NewIndex())
+		table := NewTable(config, named())
 		leaf := leafAt("a", "x", 1, 1)
 		table.Set(0, leaf)
 		if leaf.Draining = test.draining; leaf.Draining {
@@ -107,7 +116,7 @@
 }
 
 func TestReplaceTakesOutWhatIsGone(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	table.Replace(0, []Leaf{leafAt("a", "x", 1, 1), leafAt("b", "x", 2, 1)})
 	table.Replace(10*time.Second, []Leaf{leafAt("b", "x", 2, 1)})
 	found := usable(table.Topology())
@@ -119,7 +128,7 @@
 // TestColdIsBelievedOnlyOfNews reads an announcement that may be old: the time
 // for which its leaf was slow may be over.
 func TestColdIsBelievedOnlyOfNews(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	old, news := leafAt("a", "x", 1, 1), leafAt("b", "x", 2, 2)
 	old.Cold, news.Cold = time.Second, time.Second
 	table.Replace(0, []Leaf{old})
@@ -133,7 +142,7 @@
 
 // TestColdUntil covers until when a leaf is taken to be cold.
 func TestColdUntil(t *testing.T) {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	table.SetColdTimes(map[string]time.Duration{"x": 3 * time.Second})
 	check := func(what string, want time.Duration) {
 		t.Helper()
--- a/internal/registry/stage.go
+++ b/internal/registry/stage.go
@@ -84,7 +84,7 @@
 	// Target and Control are the slots of leaves of the version, and of the others,
 	// that may get work.
 	Target, Control int
-	// Others lists the leaves of other versions by id.
+	// Others lists the leaves of other versions by incarnation.
 	Others map[string]bool
 }
 
@@ -98,7 +98,7 @@
 		}
 		target := known.Version == stage.Version
 		if !target {
-			supply.Others[known.ID] = true
+			supply.Others[known.Incarnation()] = true
 		}
 		switch {
 		case !t.usable(known):
@@ -111,11 +111,11 @@
 	return supply
 }
 
-// Version returns the version of a leaf's software, and its zone; false if the leaf
-// is not known.
-func (t *Table) Version(id string) (version, zone string, found bool) {
-	known, found := t.entries[id]
-	if !found {
+// Version returns the version of a leaf's software, and its zone; false if this
+// incarnation is not known, or not any more.
+func (t *Table) Version(incarnation string) (version, zone string, found bool) {
+	known, found := t.entries[IDOf(incarnation)]
+	if !found || known.Incarnation() != incarnation {
 		return "", "", false
 	}
 	return known.Version, known.Zone, true
--- a/internal/registry/stage_test.go
+++ b/internal/registry/stage_test.go
@@ -9,7 +9,7 @@
 
 // versioned returns a Table with an old leaf and a new one of the service x.
 func versioned() *Table {
-	table := NewTable(config, NewIndex())
+	table := NewTable(config, named())
 	for _, one := range []struct {
 		id, version string
 		port        int
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -48,6 +49,15 @@
 	MinCoverage float64
 }
 
+// Services lists the services that may run its requests.
+func (r *Route) Services() []string {
+	services := slices.Clone(r.Shards)
+	for _, target := range r.Targets {
+		services = append(services, target.Service)
+	}
+	return services
+}
+
 // Target is a service that gets requests of a route in proportion to Weight.
 type Target struct {
 	Service string
