clock: the time for which a machine was suspended counts

Cause: all decisions rest on the steady clock, which stands still while the machine is suspended: requests, copies of the store and grants were valid for longer than they may be, by the suspension. The one clock adds the machine's account of suspensions, read when the time of day moves against the steady time. Arrival and patience of requests, the age of copies and the time that goes with an attempt are reckoned by it; after waking what has expired ends.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,26 +1,148 @@
-// Package clock reads the monotonic clock as a time since an arbitrary origin,
-// the form in which the pure decision packages take time.
+// Package clock reads the time since an arbitrary origin, the form in which the pure
+// decision packages take time.
 package clock
 
-import "time"
+import (
+	"context"
+	"sync/atomic"
+	"time"
 
-// Clock tells the time since an arbitrary origin. It never goes back and is not
-// moved by changes of the time of day.
+	"golang.org/x/sys/unix"
+)
+
+// Clock tells the time since an arbitrary origin. It never goes back, is not moved by
+// changes of the time of day, and counts the time for which the machine was
+// suspended: whatever is valid for some time is over when that time is.
+//
+// What only paces calls, or measures how long a peer is silent, reads the steady time
+// of package time instead, which stands still while the machine does: to wake must
+// not look like the silence of all others.
 type Clock interface {
 	Now() time.Duration
 }
 
-// Monotonic is the Clock of a running process.
+const (
+	// tolerance is how far the time of day may move against the steady time before the
+	// machine's own account of suspensions is read. The time of day is slewed by 500
+	// parts in a million at most, which makes one more call of the system in 10 s.
+	tolerance = 5 * time.Millisecond
+	// leastSuspension is the shortest suspension that counts: two clocks that are read
+	// one after the other differ by less.
+	leastSuspension = time.Millisecond
+)
+
+// readings are those of the machine's clocks. Steady is the time since the start of
+// the process without suspensions, wall the time of day, and boot the time since the
+// start of the machine with them.
+type readings struct {
+	now  func() (steady, wall time.Duration)
+	boot func() (time.Duration, error)
+}
+
+func machine() readings {
+	origin := time.Now()
+	return readings{
+		now: func() (steady, wall time.Duration) {
+			now := time.Now()
+			return now.Sub(origin), time.Duration(now.UnixNano())
+		},
+		boot: func() (time.Duration, error) {
+			var read unix.Timespec
+			err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &read)
+			return time.Duration(read.Nano()), err
+		},
+	}
+}
+
+// Monotonic is the Clock of a running process. It is safe for concurrent use.
+//
+// It asks for the machine's account of suspensions only when the time of day has moved
+// against the steady time, as it does by a suspension: that account costs a call of
+// the system, where the other two are read in the process.
 type Monotonic struct {
-	origin time.Time
+	machine readings
+	// bootOrigin is the machine's account at the origin, if it has one.
+	bootOrigin time.Duration
+	accounted  bool
+	// apart is by how much wall was ahead of steady when the account was read last.
+	apart atomic.Int64
+	// suspended is the time that steady lacks.
+	suspended atomic.Int64
+	failures  atomic.Int64
 }
 
 // NewMonotonic returns a clock whose origin is the moment of the call.
-func NewMonotonic() Monotonic {
-	return Monotonic{origin: time.Now()}
+func NewMonotonic() *Monotonic { return newMonotonic(machine()) }
+
+func newMonotonic(from readings) *Monotonic {
+	m := &Monotonic{machine: from}
+	boot, accounted := m.account()
+	steady, wall := from.now()
+	m.bootOrigin, m.accounted = boot-steady, accounted
+	m.apart.Store(int64(wall - steady))
+	return m
 }
 
-// Now returns the time since the clock was made.
-func (m Monotonic) Now() time.Duration {
-	return time.Since(m.origin)
+// Now implements Clock.
+func (m *Monotonic) Now() time.Duration {
+	steady, wall := m.machine.now()
+	moved := wall - steady - time.Duration(m.apart.Load())
+	if moved > tolerance || moved < -tolerance {
+		m.Check()
+	}
+	return steady + time.Duration(m.suspended.Load())
+}
+
+// Check reads the machine's account of suspensions.
+func (m *Monotonic) Check() {
+	boot, accounted := m.account()
+	steady, wall := m.machine.now()
+	m.apart.Store(int64(wall - steady))
+	if !accounted || !m.accounted {
+		return
+	}
+	lacking := int64(boot - m.bootOrigin - steady)
+	for {
+		known := m.suspended.Load()
+		if lacking < known+int64(leastSuspension) || m.suspended.CompareAndSwap(known, lacking) {
+			return
+		}
+	}
+}
+
+// account returns the machine's account; false, and it is counted, if there is none.
+func (m *Monotonic) account() (time.Duration, bool) {
+	boot, err := m.machine.boot()
+	if err != nil {
+		m.failures.Add(1)
+	}
+	return boot, err == nil
+}
+
+// Suspended returns for how long the machine was suspended since the origin.
+func (m *Monotonic) Suspended() time.Duration { return time.Duration(m.suspended.Load()) }
+
+// Failures counts the readings of the machine's account that failed: suspensions are
+// not seen then.
+func (m *Monotonic) Failures() int64 { return m.failures.Load() }
+
+// Watch calls woke after each suspension, with its length, until ctx ends. It looks
+// once in each interval of steady time: timers stand still with the machine, and go
+// off too late after it.
+func (m *Monotonic) Watch(ctx context.Context, interval time.Duration, woke func(length time.Duration)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	known := m.Suspended()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		m.Now()
+		if now := m.Suspended(); now > known {
+			woke(now - known)
+			known = now
+		}
+	}
 }
--- a/internal/combine/client.go
+++ b/internal/combine/client.go
@@ -157,7 +157,7 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(alive, func() { cancel(errSilent) })
 	defer stop()
-	asked := fetchRequest{Session: by.number, Address: attempt.Leaf, Instance: attempt.BootID}
+	asked := fetchRequest{Remaining: attempt.Remaining, Session: by.number, Address: attempt.Leaf, Instance: attempt.BootID}
 	if first {
 		asked.Query = headOf(attempt.Payload, attempt.Remaining)
 	}
--- a/internal/combine/message.go
+++ b/internal/combine/message.go
@@ -21,9 +21,11 @@
 // pingResponse says that it does.
 type pingResponse struct{ Alive bool }
 
-// fetchRequest asks for one attempt at a leaf. Its time left is that of the
-// call.
+// fetchRequest asks for one attempt at a leaf.
 type fetchRequest struct {
+	// Remaining is the time left for it. The call may have more where this machine was
+	// suspended: its own time stood still.
+	Remaining time.Duration
 	// Session groups the attempts of a query. It is unique to the connection.
 	Session uint64
 	// Query comes with the first attempt of a session.
--- a/internal/combine/server.go
+++ b/internal/combine/server.go
@@ -74,7 +74,7 @@
 		Send:       dispatch.Send{Leaf: request.Address, BootID: request.Instance},
 		RequestID:  of.query.ID,
 		Repeatable: true,
-		Remaining:  time.Until(deadline),
+		Remaining:  min(time.Until(deadline), request.Remaining),
 		Payload:    of.query,
 	})
 	if err != nil {
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -1,12 +1,17 @@
 package event
 
-import "log/slog"
+import (
+	"log/slog"
+	"time"
+)
 
 // Started is the first line of a process that serves.
 type Started struct {
 	HTTP  string  `event:"http" doc:"address for callers"`
 	Zone  string  `event:"zone" doc:"zone of the node"`
 	Cores float64 `event:"cores" doc:"processor that the node announces, in cores"`
+	// SeesSuspensions is false where the machine does not tell of them.
+	SeesSuspensions bool `event:"sees_suspensions" doc:"whether the machine tells how long it was suspended; if not, terms are late by that after it"`
 }
 
 // Message implements Event.
@@ -89,3 +94,19 @@
 
 // Describe implements Event.
 func (Failed) Describe() string { return "The process ends with an error." }
+
+// Woke tells that the machine was suspended.
+type Woke struct {
+	Suspended time.Duration `event:"suspended" doc:"for how long; the steady clock does not count it, deadlines and terms do"`
+}
+
+// Message implements Event.
+func (Woke) Message() string { return "woke" }
+
+// Level implements Event.
+func (Woke) Level() slog.Level { return slog.LevelWarn }
+
+// Describe implements Event.
+func (Woke) Describe() string {
+	return "Requests whose time is over have ended; leaves, configuration and other nodes are as they were known before, until the store is heard."
+}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -89,6 +89,6 @@
 		RolloutOrdered{}, RolloutRejected{}, RolloutChanged{}, RolloutDecided{}, RolloutDecider{},
 		NodeChanged{}, NodeRejected{}, NodeNotAnnounced{}, LeaseLapsed{}, LeaseNotRenewed{},
 		ExecutorInTouch{}, ExecutorsLost{}, CombinerInTouch{}, CombinerLost{},
-		Started{}, Draining{}, Stopped{}, SettingsRead{}, SettingsRejected{}, Failed{},
+		Started{}, Woke{}, Draining{}, Stopped{}, SettingsRead{}, SettingsRejected{}, Failed{},
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/registry"
 	"github.com/micaplank/micaplank/internal/route"
@@ -32,8 +33,10 @@
 	// http1.Message.
 	Head []byte
 	Body []byte
-	// Patience is how long the client waits; zero if it did not say.
+	// Patience is how long the client waited when the request was Arrived, on the
+	// clock of this node; zero if it did not say.
 	Patience time.Duration
+	Arrived  time.Duration
 	// Away is the time that the request spent on another node, and that its
 	// answer will take back over it. It counts for the objective.
 	Away time.Duration
@@ -129,6 +132,8 @@
 	// configuration will not come sooner, and a client comes again only once or
 	// twice.
 	OutageRetryAfter time.Duration
+	// Clock tells how much of a client's patience is left.
+	Clock clock.Clock
 }
 
 // Forwarder runs requests. It is safe for concurrent use.
@@ -211,17 +216,27 @@
 	if !found || len(matched.Shards) < 2 || !matched.Repeatable {
 		return 0, false
 	}
-	return timeoutOf(matched, request), true
+	return f.timeoutOf(matched, request), true
 }
 
-// timeoutOf returns the shorter of what the route and the client allow.
-func timeoutOf(matched *route.Route, request *Request) time.Duration {
+// timeoutOf returns the shorter of what the route and the client allow from now on.
+func (f *Forwarder) timeoutOf(matched *route.Route, request *Request) time.Duration {
 	if request.Patience > 0 {
-		return min(matched.Timeout, request.Patience)
+		return min(matched.Timeout, request.Left(f.config.Clock.Now()))
 	}
 	return matched.Timeout
 }
 
+// Left returns how long the client of a request waits yet, at a time on the clock of
+// this node; at least leastPatience.
+func (r *Request) Left(now time.Duration) time.Duration {
+	return max(r.Patience-(now-r.Arrived), leastPatience)
+}
+
+// leastPatience is what is left of a client's patience that is used up: the request
+// ends as one that had too little time.
+const leastPatience = time.Millisecond
+
 // Fresh reports whether the configuration in force is known to be the newest.
 func (f *Forwarder) Fresh() bool { return f.fresh.Load() }
 
@@ -277,7 +292,7 @@
 		Class:           class,
 		Payload:         request,
 		Shards:          f.shards(matched),
-		Timeout:         timeoutOf(matched, request),
+		Timeout:         f.timeoutOf(matched, request),
 		Objective:       objective,
 		HedgeDelay:      time.Duration(f.config.HedgeShare * float64(matched.Objective)),
 		MaximumSends:    matched.MaxAttempts,
@@ -288,10 +303,18 @@
 // objective returns the time from now within which an answer is worth most;
 // zero if it has passed, or there is none.
 func (f *Forwarder) objective(matched *route.Route, kind string, request *Request) time.Duration {
-	elapsed := f.patience.elapsed(kind, request.Patience)
+	elapsed := f.patience.elapsed(kind, request.Patience) + f.waited(request)
 	return max(matched.Objective-elapsed-request.Away-f.config.ClientAllowance, 0)
 }
 
+// waited returns the time that a request spent on this node so far.
+func (f *Forwarder) waited(request *Request) time.Duration {
+	if request.Patience == 0 {
+		return 0 // nothing says when it came
+	}
+	return f.config.Clock.Now() - request.Arrived
+}
+
 func (f *Forwarder) shards(matched *route.Route) []int {
 	if len(matched.Shards) == 0 {
 		return []int{f.index.Of(f.splitter.Pick(matched))}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -24,6 +24,11 @@
 	return f.result
 }
 
+// stopped is a Clock that the test moves.
+type stopped struct{ now time.Duration }
+
+func (s *stopped) Now() time.Duration { return s.now }
+
 // openGate lets every request in.
 type openGate struct{}
 
@@ -34,7 +39,7 @@
 	scatterer := &fakeScatterer{result: result}
 	forwarder := New(Config{
 		HedgeShare: 0.5, HedgePercentile: 0.9, ExtraLoad: 0.2,
-		ClientAllowance: 10 * time.Millisecond, UnknownRetryAfter: time.Second,
+		ClientAllowance: 10 * time.Millisecond, UnknownRetryAfter: time.Second, Clock: &stopped{},
 	}, scatterer, openGate{}, registry.NewIndex())
 	forwarder.Install(route.NewTable(testConfig(5)))
 	forwarder.SetFresh(true)
@@ -167,3 +172,23 @@
 		t.Errorf("%+v", answer)
 	}
 }
+
+// TestTimeOnThisNodeIsTakenOffThePatience, a suspension too: a request that was read
+// before it is planned with what its client has left.
+func TestTimeOnThisNodeIsTakenOffThePatience(t *testing.T) {
+	for _, test := range []struct{ spent, left time.Duration }{
+		{0, 800 * time.Millisecond}, {300 * time.Millisecond, 500 * time.Millisecond}, {time.Minute, leastPatience},
+	} {
+		forwarder, scatterer := newForwarder(parts(3))
+		forwarder.config.Clock = &stopped{now: time.Hour + test.spent}
+		request := sweep()
+		request.Arrived = time.Hour
+		forwarder.Execute(context.Background(), request)
+		if got := scatterer.last.Timeout; got != test.left {
+			t.Errorf("%v left after %v, want %v", got, test.spent, test.left)
+		}
+		if test.spent > 0 && scatterer.last.Objective > 0 && scatterer.last.Objective > 200*time.Millisecond-test.spent {
+			t.Errorf("objective %v after %v", scatterer.last.Objective, test.spent)
+		}
+	}
+}
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -67,7 +67,6 @@
 // answers, a request of many shards may run as a whole; of one to a single shard,
 // that is the answer.
 func (f *Forwarder) try(ctx context.Context, matched *route.Route, request *Request, content quarantine.Content) (Answer, bool) {
-	begun := time.Now()
 	planned := f.plan(matched, request)
 	planned.MaximumSends = 1
 	spread := len(planned.Shards) > 1
@@ -87,8 +86,5 @@
 			Total: result.Total, Attempts: result.Attempts,
 		}, false
 	}
-	if request.Patience > 0 {
-		request.Patience = max(request.Patience-time.Since(begun), time.Millisecond)
-	}
 	return Answer{}, true
 }
--- a/internal/frontend/executor.go
+++ b/internal/frontend/executor.go
@@ -63,6 +63,7 @@
 // Run implements relay.Executor.
 func (e executor) Run(ctx context.Context, from string, version uint64, request *forward.Request) (forward.Answer, bool) {
 	started := e.clock.Now()
+	request.Arrived = started
 	answer, ran := e.forwarder.ExecuteVersion(ctx, version, request)
 	if ran {
 		took := e.clock.Now() - started
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -36,7 +36,7 @@
 	settings settings.Settings
 	ports    Ports
 	logger   *slog.Logger
-	clock    clock.Clock
+	clock    *clock.Monotonic
 	metrics  *metrics
 	registry *telemetry.Registry
 	member   roster.Member
@@ -107,9 +107,9 @@
 		Trace:         true,
 	}, dispatch.New(dispatchConfig(f.settings), random))
 	f.gate = newQuarantined(f, registerer)
-	f.forwarder = forward.New(forwardConfig(f.settings.Forward), f.conn, f.gate, f.index)
+	f.forwarder = forward.New(forwardConfig(f.settings.Forward, f.clock), f.conn, f.gate, f.index)
 	f.nodes = roster.New(nodesMemory, f.settings.Forward.ExtraNodes)
-	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{client: f.peers, self: f.member.Name}, f.logger)
+	f.shared = mirror.NewShared(mirror.DefaultSharedConfig(), f.ports.Store, watchPeers{client: f.peers, self: f.member.Name}, f.clock, f.logger)
 	f.fleet = relay.Fleet{Least: f.settings.Forward.EqualNodes}
 	f.relay = relay.New(relay.DefaultConfig(), f.member, f.peers, f.clock, registerer, f.logger)
 	f.rollouts = newRollouts(f, registerer)
@@ -144,19 +144,16 @@
 	return answer
 }
 
-// handOn offers a request to executors. If none takes it, the time that this took
-// is taken off the client's patience.
+// handOn offers a request to executors. It returns false if none takes it.
 func (f *Frontend) handOn(ctx context.Context, timeout time.Duration, request *forward.Request) (forward.Answer, bool) {
-	started := f.clock.Now()
 	relaying, cancel := context.WithTimeout(ctx, timeout+relayGrace)
 	defer cancel()
-	answer, done := f.relay.Execute(relaying, f.terms(), request)
-	if !done && request.Patience > 0 {
-		request.Patience = max(request.Patience-(f.clock.Now()-started), time.Millisecond)
-	}
-	return answer, done
+	return f.relay.Execute(relaying, f.terms(), request)
 }
 
+// Now implements Service.
+func (f *Frontend) Now() time.Duration { return f.clock.Now() }
+
 // Limits implements Service.
 func (f *Frontend) Limits() route.Limits {
 	table := f.forwarder.Table()
--- a/internal/frontend/policy.go
+++ b/internal/frontend/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/forward"
 	"github.com/micaplank/micaplank/internal/settings"
@@ -27,8 +28,9 @@
 	outageRetryAfter  = 2 * time.Second
 )
 
-func forwardConfig(from settings.Forward) forward.Config {
+func forwardConfig(from settings.Forward, clock clock.Clock) forward.Config {
 	return forward.Config{
+		Clock:             clock,
 		HedgeShare:        from.HedgeShare,
 		HedgePercentile:   from.HedgePercentile,
 		ExtraLoad:         from.ExtraRatio,
--- a/internal/frontend/ports.go
+++ b/internal/frontend/ports.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/quarantine"
 	"github.com/micaplank/micaplank/internal/decide/rollout"
@@ -114,6 +115,8 @@
 type Service interface {
 	// Execute runs a request; see forward.Forwarder.
 	Execute(ctx context.Context, request *forward.Request) forward.Answer
+	// Now tells the time by which a request has Arrived.
+	Now() time.Duration
 	// Limits returns what the configuration in force allows clients to send.
 	Limits() route.Limits
 	// Draining reports whether callers should move to other nodes.
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return errors.Join(err, f.closeAll(servers))
 	}
-	event.Log(f.logger, event.Started{HTTP: f.settings.Listen.HTTP.String(), Zone: f.settings.Zone, Cores: f.member.Cores})
+	event.Log(f.logger, event.Started{HTTP: f.settings.Listen.HTTP.String(), Zone: f.settings.Zone, Cores: f.member.Cores, SeesSuspensions: f.clock.Failures() == 0})
 	following, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
@@ -59,6 +59,7 @@
 	background.Go(func() { f.combine.Run(following) })
 	background.Go(func() { f.rollouts.run(following) })
 	background.Go(func() { f.gate.run(following) })
+	background.Go(func() { f.clock.Watch(following, wakeInterval, f.woke) })
 	failed := make(chan error, len(servers))
 	for _, one := range servers {
 		background.Go(func() { failed <- ignoreClosed(one.Serve()) })
@@ -76,6 +77,18 @@
 	return err
 }
 
+// wakeInterval is how often a node looks whether it was suspended: its timers stand
+// still with the machine, so until then what is due waits for the next event.
+const wakeInterval = 100 * time.Millisecond
+
+// woke follows a suspension: what has expired meanwhile ends now.
+func (f *Frontend) woke(suspended time.Duration) {
+	f.metrics.suspended.Add(suspended.Seconds())
+	event.Log(f.logger, event.Woke{Suspended: suspended})
+	f.conn.Wake()
+	f.publish()
+}
+
 func (f *Frontend) mirror() *mirror.Mirror {
 	f.shared.SetPlanner(f.ports.Decoder.NodePrefix(), f.planStart)
 	return mirror.New(mirror.Config{
--- a/internal/frontend/telemetry.go
+++ b/internal/frontend/telemetry.go
@@ -25,6 +25,7 @@
 	leavesRejected  prometheus.Counter
 	nodes           prometheus.Gauge
 	storeUp         prometheus.Gauge
+	suspended       prometheus.Counter
 
 	mutex  sync.Mutex
 	labels routeLabels
@@ -59,9 +60,11 @@
 			Name: "micaplank_frontend_nodes", Help: "Nodes that share the extra load."}),
 		storeUp: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "micaplank_frontend_store_up", Help: "Whether the store answers: 1 or 0."}),
+		suspended: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "micaplank_frontend_suspended_seconds_total", Help: "Time for which the machine was suspended while this process ran."}),
 	}
 	registerer.MustRegister(created.outcomes, created.requests, created.configVersion, created.leaves, created.cordoned,
-		created.configsRejected, created.leavesRejected, created.nodes, created.storeUp)
+		created.configsRejected, created.leavesRejected, created.nodes, created.storeUp, created.suspended)
 	return created
 }
 
--- a/internal/mirror/fleet_test.go
+++ b/internal/mirror/fleet_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 // linkedStore is a store behind a link that carries one range at a time.
@@ -44,7 +46,7 @@
 		}
 		fleet := make([]*Shared, nodes)
 		for index := range fleet {
-			fleet[index] = NewShared(DefaultSharedConfig(), store, peers, slog.New(slog.DiscardHandler))
+			fleet[index] = NewShared(DefaultSharedConfig(), store, peers, clock.NewMonotonic(), slog.New(slog.DiscardHandler))
 			plan := Plan{Source: index < sources, Others: addresses}
 			fleet[index].SetPlanner("nodes/", func([]Item) Plan { return plan })
 			if plan.Source {
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -98,7 +98,7 @@
 // is a watcher, or a source that has started lately.
 func (s *Shared) watchesForOthers() bool {
 	const late = 2 // times the term: others start later than the sources
-	return s.watching || s.source && time.Since(s.loadedAt) < late*s.config.SourceTerm
+	return s.watching || s.source && s.clock.Now()-s.loadedAt < late*s.config.SourceTerm
 }
 
 // asked returns the nodes to ask for changes.
@@ -109,7 +109,7 @@
 		return nil
 	}
 	candidates := s.watchers
-	if time.Since(s.loadedAt) < s.config.SourceTerm {
+	if s.clock.Now()-s.loadedAt < s.config.SourceTerm {
 		candidates = slices.Concat(s.sources, s.watchers)
 	}
 	var well, lost []netip.AddrPort
@@ -164,7 +164,7 @@
 
 // take books the changes after a revision.
 func (s *Shared) take(after uint64, events []Event, revision uint64) {
-	s.heardAt = time.Now()
+	s.heardAt = s.clock.Now()
 	s.contents.apply(events, revision)
 	s.history.add(after, events, revision)
 }
--- a/internal/mirror/shared.go
+++ b/internal/mirror/shared.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 // Peers asks other nodes. An error means that there was no answer.
@@ -90,14 +92,15 @@
 	config SharedConfig
 	store  Store
 	peers  Peers
+	clock  clock.Clock
 	logger *slog.Logger
 
 	mutex    sync.Mutex
 	contents contents
 	history  history
 	// heardAt is when the store, or a watcher for it, last answered, and loadedAt
-	// when the contents were first known.
-	heardAt, loadedAt time.Time
+	// when the contents were first known, on the clock.
+	heardAt, loadedAt time.Duration
 
 	// The start: see Plan.
 	nodes   string // prefix under which nodes are announced
@@ -120,9 +123,9 @@
 }
 
 // NewShared returns a Source that asks the store alone, until SetWatchers.
-func NewShared(config SharedConfig, store Store, peers Peers, logger *slog.Logger) *Shared {
+func NewShared(config SharedConfig, store Store, peers Peers, time clock.Clock, logger *slog.Logger) *Shared {
 	return &Shared{
-		config: config, store: store, peers: peers, logger: logger,
+		config: config, store: store, peers: peers, clock: time, logger: logger,
 		paused:  make(map[netip.AddrPort]pause),
 		history: newHistory(config.History),
 		heardAt: time.Now(),
@@ -133,7 +136,7 @@
 func (s *Shared) Age() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return time.Since(s.heardAt)
+	return s.clock.Now() - s.heardAt
 }
 
 // SetWatchers says which nodes watch the store, in the order in which this node
@@ -170,7 +173,7 @@
 		s.history.lose()
 		return nil, 0, err
 	}
-	s.heardAt = time.Now()
+	s.heardAt = s.clock.Now()
 	if s.contents.items == nil || revision < s.contents.revision {
 		s.contents.replace(items, revision)
 		s.begin(revision)
@@ -184,7 +187,7 @@
 
 // begin starts the history anew with the contents.
 func (s *Shared) begin(revision uint64) {
-	s.loadedAt = time.Now()
+	s.loadedAt = s.clock.Now()
 	s.short = s.watchesForOthers()
 	s.history.begin(revision)
 }
--- a/internal/mirror/shared_test.go
+++ b/internal/mirror/shared_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 // memoryStore is a Source over a list of events; it can be down, and forget.
@@ -176,7 +178,7 @@
 	config := DefaultSharedConfig()
 	config.Pause = 0
 	logger := slog.New(slog.DiscardHandler)
-	p.watcher, p.follower = NewShared(config, p.store, p.peers, logger), NewShared(config, p.store, p.peers, logger)
+	p.watcher, p.follower = NewShared(config, p.store, p.peers, clock.NewMonotonic(), logger), NewShared(config, p.store, p.peers, clock.NewMonotonic(), logger)
 	p.peers.set(p.address, p.watcher)
 	p.watcher.SetWatchers(true, nil)
 	p.follower.SetWatchers(false, []netip.AddrPort{p.address})
--- a/internal/mirror/snapshot.go
+++ b/internal/mirror/snapshot.go
@@ -60,7 +60,7 @@
 	if s.contents.items == nil {
 		return Offer{State: OfferLoading}
 	}
-	offer := Offer{State: OfferCurrent, Revision: s.contents.revision, Age: time.Since(s.heardAt)}
+	offer := Offer{State: OfferCurrent, Revision: s.contents.revision, Age: s.clock.Now() - s.heardAt}
 	if s.history.lost || offer.Age > s.config.Fresh {
 		offer.State = OfferLost
 	}
--- a/internal/mirror/sources.go
+++ b/internal/mirror/sources.go
@@ -133,7 +133,7 @@
 		}
 		stale := got.State == OfferLost
 		s.adopt(got, stale)
-		event.Log(s.logger, event.SourceUsed{Source: source, Revision: got.Revision, Age: time.Since(got.heardAt), Stale: stale})
+		event.Log(s.logger, event.SourceUsed{Source: source, Revision: got.Revision, Age: s.clock.Now() - got.heardAt, Stale: stale})
 		if stale {
 			return got.items, got.Revision, ErrStale
 		}
@@ -148,20 +148,20 @@
 	items []Item
 	// heardAt is when the store last answered that node, as this one can tell: the
 	// way of the question and the answer counts as age.
-	heardAt time.Time
+	heardAt time.Duration
 }
 
 // fetch fetches the copy of one source. If it became too old on the way, it is one
 // of a node that has lost the store.
 func (s *Shared) fetch(ctx context.Context, source netip.AddrPort) (fetched, error) {
-	asked := time.Now()
+	asked := s.clock.Now()
 	snapshot, err := s.peers.Snapshot(ctx, source)
 	if err != nil || snapshot.State == OfferLoading {
 		return fetched{Offer: snapshot.Offer}, err
 	}
 	items, err := unpack[Item](snapshot.Packed)
-	got := fetched{Offer: snapshot.Offer, items: items, heardAt: asked.Add(-snapshot.Age)}
-	if time.Since(got.heardAt) > s.config.Fresh {
+	got := fetched{Offer: snapshot.Offer, items: items, heardAt: asked - snapshot.Age}
+	if s.clock.Now()-got.heardAt > s.config.Fresh {
 		got.State = OfferLost
 	}
 	return got, err
--- a/internal/mirror/sources_test.go
+++ b/internal/mirror/sources_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/clock"
 )
 
 // fleet is a store and some nodes that ask each other.
@@ -56,7 +58,7 @@
 
 // seed starts a seed.
 func (f *fleet) seed(index int) *Shared {
-	node := NewShared(f.config(), f.store, f.peers, slog.New(slog.DiscardHandler))
+	node := NewShared(f.config(), f.store, f.peers, clock.NewMonotonic(), slog.New(slog.DiscardHandler))
 	var others []netip.AddrPort
 	for position, seed := range f.seeds {
 		if position != index {
@@ -71,7 +73,7 @@
 
 // node starts a node that is no seed.
 func (f *fleet) node() *Shared {
-	node := NewShared(f.config(), f.store, f.peers, slog.New(slog.DiscardHandler))
+	node := NewShared(f.config(), f.store, f.peers, clock.NewMonotonic(), slog.New(slog.DiscardHandler))
 	node.SetPlanner("", func([]Item) Plan { return Plan{Others: f.seeds} })
 	return node
 }
@@ -194,7 +196,7 @@
 	seed := f.seed(0)
 	f.load(seed, nil)
 	f.store.put("b")
-	seed.heardAt = time.Now().Add(-time.Minute)
+	seed.heardAt -= time.Minute
 	f.load(f.node(), nil)
 	f.wantRanges(2)
 }
@@ -356,7 +358,7 @@
 			"freeze": func(rt *rapid.T) {
 				if node := f.peers.at(f.seeds[rapid.IntRange(0, 2).Draw(rt, "seed")]); node != nil {
 					node.mutex.Lock() // a question of a start that has ended may still be under way
-					node.heardAt = node.heardAt.Add(-time.Minute)
+					node.heardAt -= time.Minute
 					node.mutex.Unlock()
 				}
 			},
@@ -388,3 +390,29 @@
 		}
 	}
 }
+
+// suspended is a Clock that runs and counts suspensions.
+type suspended struct {
+	clock.Clock
+	length time.Duration
+}
+
+func (s *suspended) Now() time.Duration { return s.Clock.Now() + s.length }
+
+// TestCopyOfASuspendedMachineDoesNotCountAsCurrent: it has heard nothing meanwhile, and
+// knows it before its first call.
+func TestCopyOfASuspendedMachineDoesNotCountAsCurrent(t *testing.T) {
+	f := newFleet(t, 1)
+	f.store.put("a")
+	seed := f.seed(0)
+	machine := &suspended{Clock: seed.clock}
+	seed.clock = machine
+	f.load(seed, nil)
+	if offer := seed.Offer(t.Context(), 0); offer.State != OfferCurrent {
+		t.Fatalf("offers a copy that is %s", offer.State)
+	}
+	machine.length = time.Minute
+	if offer := seed.Offer(t.Context(), 0); offer.State != OfferLost {
+		t.Errorf("offers a copy that is %s after a minute", offer.State)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -177,7 +177,6 @@
 // until its answer or the end of ctx. It returns false if the request has run
 // nowhere and this node should run it itself.
 func (r *Relay) Execute(ctx context.Context, terms Terms, request *forward.Request) (forward.Answer, bool) {
-	started := r.clock.Now()
 	var tried []*target
 	for range maxTries {
 		chosen, alive, away := r.take(terms, tried)
@@ -187,7 +186,7 @@
 		tried = append(tried, chosen)
 		handed := *request
 		if handed.Patience > 0 {
-			handed.Patience = max(handed.Patience-(r.clock.Now()-started), time.Millisecond)
+			handed.Patience = request.Left(r.clock.Now())
 		}
 		handed.Away = away
 		answer, done := r.offer(ctx, chosen, alive, terms, &handed)
--- a/internal/scatter/conn.go
+++ b/internal/scatter/conn.go
@@ -314,6 +314,10 @@
 	c.step(c.dispatcher.Tick)
 }
 
+// Wake ends what has expired, which the timer tells too late once the machine was
+// suspended.
+func (c *Conn[Q, P]) Wake() { c.tick() }
+
 func (c *Conn[Q, P]) start(send dispatch.Send) {
 	running := c.queries[send.Query]
 	ctx, cancel := context.WithCancel(running.ctx)
