--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -73,7 +73,7 @@
 		entry.End, entry.Detail = endOf(response, err)
 		entry.Took = now - running.begun - entry.At
 		entry.Aborted = started.aborted
-		entry.Closed = closedByLeaf(err)
+		entry.Closed = err != nil && closedByLeaf(err)
 	}
 	if err != nil {
 		if closedByLeaf(err) {
