--- a/experiments/days/play.sh
+++ b/experiments/days/play.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
 # Plays days of our own on a site, some at a time, and prints a line for each.
-# usage: play.sh BENCH SITE WHY [DAY...]   (all days of this folder by default)
+# usage: play.sh BENCH SITE WHY [DAY...]   (all days of deploy/days by default)
 # JOBS sets how many are played at once; the whole output is kept in OUT.
 set -uo pipefail
 bench=$1 site=$2 why=$3
 shift 3
-folder=$(cd "$(dirname "$0")" && pwd)
+folder=$(cd "$(dirname "$0")/../../deploy/days" && pwd)
 out=${OUT:-$(mktemp -d)}
 mkdir -p "$out" || exit 1
 [ $# -gt 0 ] || set -- "$folder"/*.toml
--- a/experiments/days/variants.sh
+++ b/experiments/days/variants.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Writes variants of any site file beside a copy of its wire file: deployments of
 # the same kind that nobody has tuned for. usage: variants.sh SITE OUT [NAME...]
-# (all variants by default). Each is played with the days of this folder.
+# (all variants by default). Each is played with the days of deploy/days.
 set -euo pipefail
 site=$1 out=$2
 shift 2
