--- a/internal/decide/quarantine/config.go
+++ b/internal/decide/quarantine/config.go
@@ -29,10 +29,11 @@
 	Memory time.Duration
 	// MaxEntries bounds the requests that are known at a time.
 	MaxEntries int
-	// Burst is how many requests a node may report at once, and Refill how many all
-	// nodes together in a second.
-	Burst  float64
-	Refill float64
+	// Burst is how many requests a node may report at once, FleetBurst how many all
+	// nodes together may, one for each node at least, and Refill how many all nodes
+	// together may in a second.
+	Burst, FleetBurst float64
+	Refill            float64
 }
 
 // DefaultConfig returns the policy of a process.
@@ -41,8 +42,9 @@
 // have the request refused. With odds of 50, two trials are enough where less than
 // one in seven runs ends with its leaf by itself, and four where it is one in three.
 // A quarter of a second holds the trials that were measured (28 to 220 ms of work).
-// 40 reports a second are a tenth of the writes of the smallest store that the
-// product was run with, and 1,024 entries of at most 1.5 KB take 1.5 MB.
+// 10 reports a second are a fortieth of the writes of the smallest store that the
+// product was run with; in 10 minutes, after which the store forgets them, they are
+// 6,000 records of about 300 bytes. 1,024 entries of at most 1.5 KB take 1.5 MB.
 func DefaultConfig(self string) Config {
 	return Config{
 		Self:     self,
@@ -50,6 +52,6 @@
 		TrialTime: 5 * time.Second, TrialPause: time.Second, MaxTrialPause: 30 * time.Second,
 		TrialRetryAfter: 250 * time.Millisecond,
 		HoldTime:        5 * time.Minute, Memory: time.Hour,
-		MaxEntries: 1024, Burst: 4, Refill: 40,
+		MaxEntries: 1024, Burst: 4, FleetBurst: 400, Refill: 10,
 	}
 }
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -162,7 +162,7 @@
 func TestHeldRequestIsTriedOnceItsTimeIsOver(t *testing.T) {
 	p := newPlay(t)
 	p.table.Set(p.now, bad, Known{Record: Record{Ended: p.leaves(3), Odds: 400, Trials: 2, Held: true}, Revision: 5})
-	if !p.table.Remove(p.now, bad) {
+	if !p.table.Remove(p.now, bad, 9) {
 		t.Error("it was not held")
 	}
 	if decision := p.require(bad, Trial); decision.Change.Former != 0 || decision.Change.Record.Trials != 1 {
@@ -170,7 +170,7 @@
 	}
 	p.table.TrialOpen(p.now, bad)
 	p.table.Written(p.now, Change{Content: bad, Record: p.table.entries[bad].Record}, 9)
-	p.table.Remove(p.now, bad)
+	p.table.Remove(p.now, bad, 9)
 	p.require(bad, Pass)
 }
 
@@ -202,7 +202,7 @@
 		}
 		p.now += 10 * time.Millisecond
 	}
-	if seconds := p.now.Seconds(); float64(kept) > 4+seconds*40/8 {
+	if seconds := p.now.Seconds(); float64(kept) > 4+seconds*10/8 {
 		t.Errorf("%d reports in %v s by one of eight nodes", kept, seconds)
 	}
 	known, _ := p.table.Len()
@@ -216,6 +216,33 @@
 	}
 }
 
+// TestLargeFleetsReportNoMoreAtOnce than small ones do, but for one report of each node.
+func TestLargeFleetsReportNoMoreAtOnce(t *testing.T) {
+	for _, test := range []struct{ nodes, want int }{{8, 4}, {100, 4}, {200, 2}, {3900, 1}} {
+		p := newPlay(t)
+		p.table.SetNodes(test.nodes)
+		kept := 0
+		for number := range 10 {
+			if p.table.Suspect(0, ContentOf("h", fmt.Appendf(nil, "GET /%d HTTP/1.1", number), nil), "r", p.leaves(3)) {
+				kept++
+			}
+		}
+		if kept != test.want {
+			t.Errorf("%d reports at once by one of %d nodes", kept, test.nodes)
+		}
+	}
+}
+
+// TestRemovalThatIsOldNews leaves a record alone that was written since.
+func TestRemovalThatIsOldNews(t *testing.T) {
+	p := newPlay(t)
+	p.table.Set(p.now, bad, Known{Record: Record{Ended: p.leaves(3), Odds: 400, Held: true}, Revision: 12})
+	if p.table.Remove(p.now, bad, 10) {
+		t.Error("removed by news of before")
+	}
+	p.require(bad, Refuse)
+}
+
 // TestRecordsOfOtherWriters are read, or rejected, and never end the process.
 func TestRecordsOfOtherWriters(t *testing.T) {
 	for _, text := range []string{"", "{", "null", `{"ended":7,"odds":1}`, `{"ended":["a"],"odds":1}`, `{"trials":-1,"odds":1}`, `{"odds":0}`, `{"odds":1,"ended":[{},{},{},{},{},{},{},{},{}]}`, "\xff\x00"} {
@@ -280,7 +307,7 @@
 		f.tables[node].Set(f.now, bad, Known{Record: f.store.record, Revision: f.store.revision})
 		return
 	}
-	f.tables[node].Remove(f.now, bad)
+	f.tables[node].Remove(f.now, bad, f.store.revision)
 }
 
 // leaf returns the end of a leaf, which always has the same name.
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"time"
 )
 
@@ -139,7 +140,8 @@
 // spend takes a token for the report of a new request, if there is one.
 func (t *Table) spend(now time.Duration) bool {
 	earned := (now - t.filled).Seconds() * t.config.Refill / float64(t.nodes)
-	t.tokens = min(t.tokens+earned, t.config.Burst)
+	burst := max(min(t.config.Burst, t.config.FleetBurst/float64(t.nodes)), 1)
+	t.tokens = min(t.tokens+earned, burst)
 	t.filled = now
 	if t.tokens < 1 {
 		return false
@@ -303,10 +305,11 @@
 
 // Remove takes in that the store has no record of a request any more. One that was
 // held is tried first from then on: leaves may have been mended, or not. It reports
-// whether the request was held.
-func (t *Table) Remove(now time.Duration, content Content) bool {
+// whether the request was held. The revision is that of the news: a record that was
+// written since stays.
+func (t *Table) Remove(now time.Duration, content Content, revision uint64) bool {
 	known := t.entries[content]
-	if known == nil || known.Revision == 0 {
+	if known == nil || known.Revision == 0 || known.Revision > revision {
 		return false
 	}
 	if !known.Held || known.acquitted {
@@ -321,7 +324,7 @@
 func (t *Table) Replace(now time.Duration, all map[Content]Known) {
 	for content := range t.entries {
 		if _, listed := all[content]; !listed {
-			t.Remove(now, content)
+			t.Remove(now, content, math.MaxUint64)
 		}
 	}
 	t.Merge(now, all)
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -257,7 +257,7 @@
 		return
 	}
 	if content, err := s.ports.Decoder.Quarantined(changed.Key); err == nil { // else it was never taken in
-		s.gate.remove(content)
+		s.gate.remove(content, changed.Revision)
 	}
 }
 
--- /dev/null
+++ b/internal/frontend/quarantine_ends.go
@@ -0,0 +1,123 @@
+package frontend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/micaplank/micaplank/internal/decide/quarantine"
+	"github.com/micaplank/micaplank/internal/event"
+	"github.com/micaplank/micaplank/internal/forward"
+	"github.com/micaplank/micaplank/internal/scatter"
+)
+
+// Ended implements forward.Gate.
+func (q *quarantined) Ended(content quarantine.Content, tried forward.Tried) {
+	if !q.enabled {
+		return
+	}
+	attempts, trial := tried.Attempts, tried.Trial
+	ended, answered := endsOf(tried)
+	q.guard.Lock()
+	defer q.guard.Unlock()
+	now := q.clock.Now()
+	if _, suspected := q.table.Of(content); !suspected {
+		q.count(now, attempts)
+	}
+	write := false
+	switch {
+	case answered:
+		q.recent.Add(now, content)
+		write = q.table.Answered(content)
+	case trial:
+		q.tried(now, content, ended, attempts)
+		write = true
+	case len(ended) > 0 && !q.recent.Has(now, content):
+		write = q.suspect(now, content, tried.Route, ended)
+	}
+	if trial {
+		q.counts.trials.WithLabelValues(trialResult(ended, answered)).Inc()
+	}
+	if write {
+		q.show()
+		q.wakeWriter()
+	}
+}
+
+// endsOf returns the leaves that ended under some attempts, and whether a leaf
+// answered one, if only with a failure of its own.
+func endsOf(tried forward.Tried) (ended []quarantine.End, answered bool) {
+	for index := range tried.Attempts {
+		switch one := &tried.Attempts[index]; {
+		case one.End == scatter.EndAnswered, one.End == scatter.EndFailed:
+			answered = true
+		case one.Closed:
+			ended = append(ended, quarantine.NewEnd(one.BootID, tried.RequestID))
+		}
+	}
+	return ended, answered
+}
+
+// reached reports whether a leaf may have begun to run one of some attempts.
+func reached(attempts []scatter.AttemptTrace) bool {
+	return slices.ContainsFunc(attempts, func(one scatter.AttemptTrace) bool {
+		return one.End != scatter.EndUnsent && one.End != scatter.EndRefused
+	})
+}
+
+// count adds attempts to what is usual. The caller holds the guard.
+func (q *quarantined) count(now time.Duration, attempts []scatter.AttemptTrace) {
+	for index := range attempts {
+		switch one := &attempts[index]; {
+		case one.End == scatter.EndAnswered, one.End == scatter.EndFailed:
+			q.background.Answered(now, one.Shard)
+		case one.Closed:
+			q.background.Ended(now, one.Shard)
+		}
+	}
+}
+
+// tried takes in a trial that brought no answer. The caller holds the guard.
+func (q *quarantined) tried(now time.Duration, content quarantine.Content, ended []quarantine.End, attempts []scatter.AttemptTrace) {
+	switch {
+	case !reached(attempts):
+		q.table.Withdraw(content)
+		return
+	case len(ended) == 0:
+		q.table.TrialOpen(now, content)
+		return
+	}
+	chance := q.background.Chance(now, attempts[0].Shard)
+	held := q.table.Tried(now, content, ended, chance)
+	known, _ := q.table.Of(content)
+	event.Log(q.logger, event.RequestTried{
+		Content: content, Route: known.Route, Leaf: ended[0].Leaf, Trials: known.Trials, Chance: rounded(chance), Odds: rounded(known.Odds),
+	})
+	if held {
+		q.logHeld(content, known)
+	}
+}
+
+// suspect takes in that leaves ended under a request that has no answer. The caller
+// holds the guard.
+func (q *quarantined) suspect(now time.Duration, content quarantine.Content, route string, ended []quarantine.End) bool {
+	news := q.table.Suspect(now, content, route, ended)
+	if news {
+		event.Log(q.logger, event.RequestSuspected{Content: content, Route: route, Leaves: leavesOf(ended)})
+	}
+	q.counts.reported(news)
+	return news
+}
+
+func leavesOf(ended []quarantine.End) []string {
+	leaves := make([]string, 0, len(ended))
+	for _, one := range ended {
+		leaves = append(leaves, one.Leaf)
+	}
+	return leaves
+}
+
+func (q *quarantined) logHeld(content quarantine.Content, known quarantine.Known) {
+	event.Log(q.logger, event.RequestHeld{
+		Content: content, Route: known.Route, Leaves: leavesOf(known.Ended), Trials: known.Trials, Odds: rounded(known.Odds), Revision: known.Revision,
+	})
+}
