dispatch: second leaves are spared while leaves end under a query and none answers

Cause: within one try, each shard whose attempt was lost with its leaf went to the second leaf at once, so a request that ends leaves took both replicas of a shard before anyone could know of it. Change: from two such ends on, while no shard has answered, second attempts and hedges wait; an answer lets them go, and without one the query ends.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LDFLAGS := -X github.com/micaplank/micaplank/internal/version.Version=$(VERSION)
 PROGRAMS := micaplank micactl micarehearse
 
-.PHONY: all build test check fuzz demo demo-platform soak bench clean
+.PHONY: all build test check fuzz demo demo-platform soak soak-short bench clean
 
 all: build
 
@@ -40,6 +40,11 @@
 soak:
 	experiments/soak/play.sh $(SOAK_FRESH)
 
+# A seed that is played in continuous integration: few nodes, half a minute of faults.
+soak-short:
+	go build -o target/ ./platform/micaplank-edge ./platform/platformtest/soak
+	target/soak --seed 501 --duration 30s --nodes 8 --shards 4 --rate 60
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
 
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -163,6 +163,9 @@
 	}
 	l, q := ended.leaf, ended.query
 	ratio := (d.now - ended.sentAt).Seconds() / ended.expected
+	if failure.Closed {
+		q.closed++
+	}
 	if failure.Sent {
 		d.counters.FailedSent++
 		q.executed = true
--- a/internal/decide/dispatch/events.go
+++ b/internal/decide/dispatch/events.go
@@ -35,6 +35,9 @@
 	// OnTheWay is set if the attempt was lost with another node that had it in
 	// hand, which says nothing of the leaf.
 	OnTheWay bool
+	// Closed is set if the leaf closed the connection before a byte of its answer, as
+	// when its process ends.
+	Closed bool
 }
 
 // LeafState describes one leaf for status pages.
--- a/internal/decide/dispatch/hedging.go
+++ b/internal/decide/dispatch/hedging.go
@@ -106,7 +106,7 @@
 // to answer before the first.
 func (d *Dispatcher) hedgeShard(q *query, position int32, first *attempt) bool {
 	shard := &q.shards[position]
-	if shard.group == nil || shard.group.waiting.live > 0 || !q.maySend(shard, &d.config) {
+	if shard.group == nil || shard.group.waiting.live > 0 || !q.maySend(shard, &d.config) || q.barren() {
 		return false
 	}
 	if d.collect(shard, q.priority(d.now), shard.tried) != choiceSend {
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -55,6 +55,10 @@
 		d.lose(q, position, waiting)
 		return true
 	}
+	if shard.spent && q.barren() {
+		d.holdBack(q, position, waiting)
+		return true
+	}
 	chosen, verdict := d.choose(q, shard, waiting)
 	switch verdict {
 	case choiceNone:
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -75,6 +75,7 @@
 		d.reviewPending(q)
 		return
 	}
+	d.letGo(q)
 	if !q.invalid && !q.unknown {
 		d.armHedges(q)
 	}
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -76,10 +76,9 @@
 		entry.Closed = err != nil && closedByLeaf(err)
 	}
 	if err != nil {
-		if closedByLeaf(err) {
-			c.config.Metrics.closed.Inc()
+		failure := dispatch.Failure{
+			Sent: mayHaveBeenSent(err), Aborted: started.aborted, OnTheWay: lostOnTheWay(err), Closed: closedByLeaf(err),
 		}
-		failure := dispatch.Failure{Sent: mayHaveBeenSent(err), Aborted: started.aborted, OnTheWay: lostOnTheWay(err)}
 		c.config.Metrics.countFailure(failure)
 		return c.dispatcher.Fail(now, id, failure)
 	}
--- a/internal/scatter/metrics.go
+++ b/internal/scatter/metrics.go
@@ -39,6 +39,9 @@
 }
 
 func (m *Metrics) countFailure(failure dispatch.Failure) {
+	if failure.Closed {
+		m.closed.Inc()
+	}
 	switch {
 	case failure.Aborted:
 		m.failures.WithLabelValues("aborted").Inc()
