quarantine: trials are weighed by what ends in the same moment

Cause: the chance that a leaf ends by itself was that of about 30 s at its service. Change: runs of all other requests anywhere, halved in weight each second, count too.

--- a/internal/frontend/quarantine_ends.go
+++ b/internal/frontend/quarantine_ends.go
@@ -20,9 +20,7 @@
 	q.guard.Lock()
 	defer q.guard.Unlock()
 	now := q.clock.Now()
-	if _, suspected := q.table.Of(content); !suspected {
-		q.count(now, attempts)
-	}
+	q.count(now, content, attempts)
 	write := false
 	switch {
 	case answered:
@@ -64,14 +62,14 @@
 	})
 }
 
-// count adds attempts to what is usual. The caller holds the guard.
-func (q *quarantined) count(now time.Duration, attempts []scatter.AttemptTrace) {
+// count adds the attempts of a request to the background. The caller holds the guard.
+func (q *quarantined) count(now time.Duration, content quarantine.Content, attempts []scatter.AttemptTrace) {
+	_, suspected := q.table.Of(content)
 	for index := range attempts {
-		switch one := &attempts[index]; {
-		case one.End == scatter.EndAnswered, one.End == scatter.EndFailed:
-			q.background.Answered(now, one.Shard)
-		case one.Closed:
-			q.background.Ended(now, one.Shard)
+		one := &attempts[index]
+		answered := one.End == scatter.EndAnswered || one.End == scatter.EndFailed
+		if answered || one.Closed {
+			q.background.Add(now, content, suspected, one.Shard, one.Closed)
 		}
 	}
 }
@@ -86,7 +84,7 @@
 		q.table.TrialOpen(now, content)
 		return
 	}
-	chance := q.background.Chance(now, attempts[0].Shard)
+	chance := q.background.Chance(now, content, attempts[0].Shard)
 	held := q.table.Tried(now, content, ended, chance)
 	known, _ := q.table.Of(content)
 	event.Log(q.logger, event.RequestTried{
