--- a/internal/decide/quarantine/config.go
+++ b/internal/decide/quarantine/config.go
@@ -39,8 +39,8 @@
 // DefaultConfig returns the policy of a process.
 //
 // Two trials: a leaf that is lost to something else under the one trial would else
-// have the request refused. With odds of 50, two trials are enough where less than
-// one in seven runs ends with its leaf by itself, and four where it is one in three.
+// have the request refused. With odds of 100, two trials are enough where no more than
+// one in ten runs ends with its leaf by itself, and five where it is one in three.
 // A quarter of a second holds the trials that were measured (28 to 220 ms of work).
 // 10 reports a second are a fortieth of the writes of the smallest store that the
 // product was run with; in 10 minutes, after which the store forgets them, they are
@@ -48,7 +48,7 @@
 func DefaultConfig(self string) Config {
 	return Config{
 		Self:     self,
-		MinEnded: 3, MinTrials: 2, MinOdds: 50,
+		MinEnded: 3, MinTrials: 2, MinOdds: 100,
 		TrialTime: 5 * time.Second, TrialPause: time.Second, MaxTrialPause: 30 * time.Second,
 		TrialRetryAfter: 250 * time.Millisecond,
 		HoldTime:        5 * time.Minute, Memory: time.Hour,
--- a/internal/event/quarantine.go
+++ b/internal/event/quarantine.go
@@ -41,7 +41,7 @@
 
 // Describe implements Event.
 func (RequestTried) Describe() string {
-	return "It is held after two such trials, if their odds are 50 or more."
+	return "It is held after two such trials, if their odds are 100 or more."
 }
 
 // RequestHeld tells that a request gets no leaf from now on.
