--- a/internal/frontend/ports.go
+++ b/internal/frontend/ports.go
@@ -91,7 +91,8 @@
 	Store  mirror.Store
 	Leases lease.Store
 	// Rollouts may be nil where the settings bound no exposure.
-	Rollouts   Rollouts
+	Rollouts Rollouts
+	// Quarantine may be nil: then no request is kept from the leaves.
 	Quarantine Quarantine
 	Decoder    Decoder
 	Leaves     scatter.LeafClient[*forward.Request, forward.Part]
