quarantine: a start of a leaf crashes once, and survivors count no more

Cause: a connection that is reset looks as that of a leaf which crashes. Each loss was counted by leaf and try, so that five tries at one leaf that could not be reached were five crashes, and the trials met the same resets. Ruled out: a crash and restart of the leaf, and another request that crashes leaves (its record came 5 s later).

Change: a start crashes once (quarantine/starts.go): what is sent to it after it was lost, here or by the word of a record, and before it answers, proves nothing. A start that is still announced some time after it answered, or for longer than one that is gone would be, has survived, and its loss is taken back; held follows from the crashes that trials saw, without survivors, at each node by itself. New: forward.leaf_heartbeat, from the platform's settings; "leaf survived"; two counters.

Why it holds: a crash ends a start, so the leaf is gone from the store after three heartbeats, or announces another start. One that is there after that has not crashed. The hold may come at once, as before; what changed is that it ends.

--- a/internal/decide/quarantine/config.go
+++ b/internal/decide/quarantine/config.go
@@ -31,6 +31,8 @@
 	HoldTime time.Duration
 	// Memory is how long a request that is not held any more is still tried first.
 	Memory time.Duration
+	// Heartbeat is the time between two announcements of a leaf.
+	Heartbeat time.Duration
 	// MaxEntries bounds the requests that are known at a time.
 	MaxEntries int
 	// Burst is how many requests a node may report at once, FleetBurst how many all
@@ -58,7 +60,7 @@
 		MinCrashes: 3, MinTrials: 2, MinOdds: 100,
 		TrialTime: 5 * time.Second, TrialPause: time.Second, MaxTrialPause: 30 * time.Second,
 		TrialRetryAfter: 250 * time.Millisecond,
-		HoldTime:        RecordTTL / 2, Memory: time.Hour,
+		HoldTime:        RecordTTL / 2, Memory: time.Hour, Heartbeat: 1200 * time.Millisecond,
 		MaxEntries: 1024, Burst: 4, FleetBurst: 400, Refill: 10,
 	}
 }
--- a/internal/decide/quarantine/record.go
+++ b/internal/decide/quarantine/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -20,24 +21,33 @@
 	// Odds is how many times likelier the crashes of its trials are if it crashes leaves
 	// than if these crashed by themselves; 1 without a trial.
 	Odds float64 `json:"odds"`
-	// Held says that every node refuses it.
+	// Held says that every node refuses it. Odds and Held follow from Crashes where one of
+	// these was seen by a trial; they are written for nodes that do not know Crash.Chance.
 	Held bool `json:"held"`
 }
 
-// Crash is the crash of a leaf under one try of a request. A leaf that restarts under its
-// name may crash under the next try, too; two nodes that see the same crash with a try
-// each count it as two, which only has the request tried sooner.
+// Crash is the crash of a leaf under one try of a request.
 type Crash struct {
+	// Leaf names the start of the leaf that ended (see Starts). It can crash only once:
+	// two nodes that lost connections to it in one moment name the same crash.
 	Leaf    string `json:"leaf"`
 	Request string `json:"request"`
+	// Chance is how likely the crash was whatever the request, above 0 to 1, if a trial
+	// saw it; zero otherwise.
+	Chance float64 `json:"chance,omitempty"`
+	// Survived says that the leaf was seen to live on, so that it did not crash.
+	Survived bool `json:"survived,omitempty"`
 }
 
+// same reports whether two nodes or two tries speak of one crash.
+func (c Crash) same(other Crash) bool { return c.Leaf == other.Leaf }
+
 const (
 	// maxCrashes bounds the crashes that a record names. Not measured: chosen because they
 	// only need to be enough for a trial, and forward.quarantine_after is 8 at most.
 	maxCrashes = 8
 	// maxName bounds the names in them, in bytes, whatever callers and leaves send. Not
-	// measured: chosen because a record then takes 1.5 KB at most.
+	// measured: chosen because a record then takes 1.8 KB at most.
 	maxName = 64
 )
 
@@ -87,17 +97,84 @@
 	return current.equal(c.Record)
 }
 
-// withCrashes returns the record with more leaves that crashed.
+// withCrashes returns the record with more leaves that crashed. Of a crash that is known,
+// what else is known of it is added.
 func (r Record) withCrashes(crashes []Crash) Record {
 	r.Crashes = slices.Clone(r.Crashes)
 	for _, one := range crashes {
-		if len(r.Crashes) < maxCrashes && !slices.Contains(r.Crashes, one) {
-			r.Crashes = append(r.Crashes, one)
+		if at := slices.IndexFunc(r.Crashes, one.same); at >= 0 {
+			known := &r.Crashes[at]
+			known.Chance = max(known.Chance, one.Chance)
+			known.Survived = known.Survived || one.Survived
+			continue
 		}
+		r.addCrash(one)
 	}
 	return r
 }
 
+// addCrash adds a crash. If there is no room, it takes the place of one that proves less:
+// of a leaf that lived on, or one that no trial saw.
+func (r *Record) addCrash(added Crash) {
+	if len(r.Crashes) < maxCrashes {
+		r.Crashes = append(r.Crashes, added)
+		return
+	}
+	if added.Chance == 0 {
+		return
+	}
+	at := slices.IndexFunc(r.Crashes, func(one Crash) bool { return one.Survived })
+	if at < 0 {
+		at = slices.IndexFunc(r.Crashes, func(one Crash) bool { return one.Chance == 0 })
+	}
+	if at >= 0 {
+		r.Crashes[at] = added
+	}
+}
+
+// crashed returns how many leaves crashed.
+func (r Record) crashed() int {
+	leaves := make(map[string]bool, len(r.Crashes))
+	for _, one := range r.Crashes {
+		if !one.Survived {
+			leaves[one.Leaf] = true
+		}
+	}
+	return len(leaves)
+}
+
+// trialled reports whether a trial saw one of the crashes, so that the odds follow from
+// these.
+func (r Record) trialled() bool {
+	return slices.ContainsFunc(r.Crashes, func(one Crash) bool { return one.Chance > 0 })
+}
+
+// oddsOfTrials returns the odds of the crashes that trials saw. Each leaf counts once.
+func (r Record) oddsOfTrials() float64 {
+	chances := make(map[string]float64, len(r.Crashes))
+	for _, one := range r.Crashes {
+		if one.Chance > 0 && !one.Survived {
+			chances[one.Leaf] = max(chances[one.Leaf], one.Chance)
+		}
+	}
+	odds := 1.0
+	for _, leaf := range slices.Sorted(maps.Keys(chances)) {
+		odds /= chances[leaf]
+	}
+	return odds
+}
+
+// survivedTrials returns how many trials ended with a leaf that lived on.
+func (r Record) survivedTrials() int {
+	count := 0
+	for _, one := range r.Crashes {
+		if one.Chance > 0 && one.Survived {
+			count++
+		}
+	}
+	return count
+}
+
 // mergeRecords returns what two nodes know together. Nothing that either learned is lost,
 // except the trial under way: the store has the last word on that.
 func mergeRecords(stored, own Record) Record {
@@ -111,7 +188,9 @@
 	return both
 }
 
+// equal reports whether two records say the same. Odds and Held do not count where they
+// follow from the crashes: each node has its own view of which leaves lived on.
 func (r Record) equal(other Record) bool {
-	return r.Route == other.Route && slices.Equal(r.Crashes, other.Crashes) && r.Trials == other.Trials &&
-		r.Trial == other.Trial && r.Odds == other.Odds && r.Held == other.Held
+	same := r.Route == other.Route && slices.Equal(r.Crashes, other.Crashes) && r.Trials == other.Trials && r.Trial == other.Trial
+	return same && (r.trialled() || r.Odds == other.Odds && r.Held == other.Held)
 }
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -36,6 +36,18 @@
 	unwritten bool
 	// cleared is set once a leaf has answered the request, until the store knows.
 	cleared bool
+	// seen says what this node knows of each crash beyond the record, by Crash.Leaf.
+	seen map[string]sight
+}
+
+// sight is what this node knows of a crash beyond the record.
+type sight struct {
+	// since is when it heard of the crash, and own says that it saw the crash itself.
+	since time.Duration
+	own   bool
+	// announced says that the leaf was announced when it was looked at last, and
+	// survived that it lived on by what this node saw.
+	announced, survived bool
 }
 
 // Table holds the requests under which leaves crashed, as one node knows them. Times
@@ -43,6 +55,7 @@
 type Table struct {
 	config  Config
 	entries map[Content]*entry
+	starts  *Starts
 	// tokens are the new requests that this node may report, as of filled.
 	tokens float64
 	filled time.Duration
@@ -51,7 +64,7 @@
 
 // NewTable returns an empty Table.
 func NewTable(config Config) *Table {
-	return &Table{config: config, entries: make(map[Content]*entry), tokens: config.Burst, nodes: 1}
+	return &Table{config: config, entries: make(map[Content]*entry), starts: NewStarts(), tokens: config.Burst, nodes: 1}
 }
 
 // SetNodes says how many nodes share the reports.
@@ -74,13 +87,13 @@
 	case known == nil, known.cleared:
 		return Decision{}
 	case known.Held:
-		return Decision{Verdict: Refuse, Held: true, RetryAfter: max(known.changed+t.config.HoldTime-now, t.config.TrialPause)}
-	case len(known.Crashes) < t.config.MinCrashes:
+		return Decision{Verdict: Refuse, Held: true, RetryAfter: max(t.heldUntil(known)-now, t.config.TrialPause)}
+	case known.believed().crashed() < t.config.MinCrashes:
 		return Decision{}
 	case known.Trial != "" && now < known.changed+t.config.TrialTime:
 		return Decision{Verdict: Refuse, TrialRunning: true, RetryAfter: t.config.TrialRetryAfter}
 	}
-	if next := known.changed + t.pause(known.Trials); now < next {
+	if next := known.changed + t.pause(known.Trials-known.believed().survivedTrials()); now < next {
 		return Decision{Verdict: Refuse, RetryAfter: next - now}
 	}
 	known.Trials++
@@ -119,7 +132,7 @@
 		if !t.takeToken(now) || !t.makeRoom(now) {
 			return false
 		}
-		known = &entry{Known: Known{Record: Record{Route: route, Odds: 1}}}
+		known = newEntry(Known{Record: Record{Route: route, Odds: 1}}, 0)
 		t.entries[content] = known
 	}
 	if known.cleared {
@@ -130,6 +143,7 @@
 		return false
 	}
 	known.Record = grown
+	t.see(now, known, true)
 	known.changed, known.unwritten = now, true
 	return true
 }
@@ -169,8 +183,9 @@
 }
 
 // Expire drops what was remembered for long enough of requests that the store does
-// not list any more.
+// not list any more, and of leaves that were lost.
 func (t *Table) Expire(now time.Duration) {
+	t.starts.Expire(now)
 	for content, known := range t.entries {
 		if known.Revision == 0 && !known.unwritten && now >= known.changed+t.config.Memory {
 			delete(t.entries, content)
@@ -186,10 +201,13 @@
 	if known == nil || known.cleared {
 		return false
 	}
+	for index := range crashes {
+		crashes[index].Chance = byChance
+	}
 	known.Record = known.withCrashes(crashes)
-	known.Odds /= byChance
+	t.see(now, known, true)
 	former := known.Held
-	known.Held = former || known.Trials >= t.config.MinTrials && known.Odds >= t.config.MinOdds
+	t.settle(known)
 	t.endTrial(now, known)
 	return known.Held && !former
 }
--- a/internal/decide/quarantine/table_store.go
+++ b/internal/decide/quarantine/table_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -62,8 +63,11 @@
 		if !t.makeRoom(now) {
 			return false
 		}
-		t.entries[content] = &entry{Known: stored, changed: now}
-		return stored.Held
+		known = newEntry(stored, now)
+		t.entries[content] = known
+		t.see(now, known, false)
+		t.settle(known)
+		return known.Held
 	}
 	if stored.Revision <= known.Revision {
 		return false
@@ -72,13 +76,15 @@
 	if ownOver := stored.Trial == t.config.Self && known.Trial == ""; ownOver {
 		both.Trial = ""
 	}
-	news := both.Held && !known.Held
 	if !both.equal(known.Record) {
 		known.changed = now
 	}
+	former := known.Held
 	known.Known = Known{Record: both, Revision: stored.Revision}
-	known.unwritten = known.cleared || !both.equal(stored.Record)
-	return news
+	t.see(now, known, false)
+	t.settle(known)
+	known.unwritten = known.cleared || !known.equal(stored.Record)
+	return known.Held && !former
 }
 
 // Remove takes in that the store has no record of a request any more. One that was
@@ -94,7 +100,12 @@
 		delete(t.entries, content)
 		return false
 	}
-	t.entries[content] = &entry{Known: Known{Record: Record{Route: known.Route, Crashes: known.Crashes, Odds: 1}}, changed: now}
+	again := newEntry(Known{Record: Record{Route: known.Route, Crashes: slices.Clone(known.Crashes), Odds: 1}}, now)
+	for index := range again.Crashes {
+		again.Crashes[index].Chance = 0 // its trials are over
+	}
+	again.seen = known.seen
+	t.entries[content] = again
 	return true
 }
 
--- a/internal/edge/forward/forward.go
+++ b/internal/edge/forward/forward.go
@@ -153,8 +153,9 @@
 		return answer
 	}
 	planned := f.plan(matched, request)
+	began := f.config.Clock.Now()
 	result := f.scatterer.Execute(ctx, planned)
-	f.quarantine.Finished(content, Execution{RequestID: request.ID, Route: matched.Name, Attempts: result.Attempts})
+	f.quarantine.Finished(content, Execution{RequestID: request.ID, Route: matched.Name, Began: began, Attempts: result.Attempts})
 	return f.answerOf(ctx, matched, planned.Class.Name, result)
 }
 
--- a/internal/edge/forward/quarantine.go
+++ b/internal/edge/forward/quarantine.go
@@ -42,7 +42,9 @@
 type Execution struct {
 	RequestID string
 	Route     string
-	Attempts  []scatter.AttemptTrace
+	// Began is when it was submitted, on the clock of the Forwarder.
+	Began    time.Duration
+	Attempts []scatter.AttemptTrace
 	// Trial says that it ran on one leaf alone.
 	Trial bool
 }
@@ -67,8 +69,9 @@
 	planned := f.plan(matched, request)
 	trial := quarantine.PlanTrial(planned.Shards, planned.Timeout, rand.IntN)
 	planned.Shards, planned.Timeout, planned.MaximumSends = trial.Shards, trial.Timeout, trial.Attempts
+	began := f.config.Clock.Now()
 	result := f.scatterer.Execute(ctx, planned)
-	f.quarantine.Finished(content, Execution{RequestID: request.ID, Route: matched.Name, Attempts: result.Attempts, Trial: true})
+	f.quarantine.Finished(content, Execution{RequestID: request.ID, Route: matched.Name, Began: began, Attempts: result.Attempts, Trial: true})
 	if trial.Whole {
 		return f.answerOf(ctx, matched, planned.Class.Name, result), false
 	}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -113,7 +113,7 @@
 		Linger:        n.settings.Forward.Linger.Duration(),
 		Trace:         true,
 	}, dispatch.New(dispatchConfig(n.settings), random))
-	n.quarantine = newQuarantineDriver(n.self.Name, n.settings.Forward, n.ports.Quarantine, n.clock, n.logger, registerer)
+	n.quarantine = newQuarantineDriver(n.self.Name, n.settings.Forward, n.ports.Quarantine, view, n.clock, n.logger, registerer)
 	n.forwarder = forward.New(forwardConfig(n.settings.Forward, n.clock), n.conn, n.quarantine, view.index)
 }
 
--- a/internal/edge/node/quarantine.go
+++ b/internal/edge/node/quarantine.go
@@ -19,16 +19,22 @@
 	"github.com/micaplank/micaplank/internal/settings"
 )
 
+// announcedLeaves says which of some starts of leaves are announced now. It is a view.
+type announcedLeaves interface {
+	announced(starts []string) map[string]bool
+}
+
 // quarantineDriver keeps requests under which leaves crash from the leaves, by what all
 // nodes know of them together. Package quarantine decides. It implements
 // forward.Quarantine and is safe for concurrent use.
 type quarantineDriver struct {
-	store   Quarantine
-	clock   clock.Clock
-	logger  *slog.Logger
-	enabled bool
-	lease   *lease.Shared
-	metrics *quarantineMetrics
+	store     Quarantine
+	announced announcedLeaves
+	clock     clock.Clock
+	logger    *slog.Logger
+	enabled   bool
+	lease     *lease.Shared
+	metrics   *quarantineMetrics
 	// wake wakes the writer when there is something to write.
 	wake chan struct{}
 	// storeAway is set while the store does not answer.
@@ -46,20 +52,22 @@
 
 // newQuarantineDriver returns the driver of a node by name. It admits everything if it has
 // no store, or if the settings name no number of leaves.
-func newQuarantineDriver(name string, from settings.Forward, store Quarantine, clock clock.Clock, logger *slog.Logger, registerer prometheus.Registerer) *quarantineDriver {
+func newQuarantineDriver(name string, from settings.Forward, store Quarantine, announced announcedLeaves, clock clock.Clock, logger *slog.Logger, registerer prometheus.Registerer) *quarantineDriver {
 	config := quarantine.DefaultConfig(name + "/" + ulid.Make().String())
 	config.MinCrashes = from.QuarantineAfter
+	config.Heartbeat = from.LeafHeartbeat.Duration()
 	return &quarantineDriver{
-		store:   store,
-		clock:   clock,
-		logger:  logger,
-		enabled: config.MinCrashes > 0 && store != nil,
-		lease:   lease.NewShared(store, quarantine.RecordTTL, clock.Now),
-		metrics: newQuarantineMetrics(registerer),
-		wake:    make(chan struct{}, 1),
-		table:   quarantine.NewTable(config),
-		changed: make(chan struct{}),
-		recent:  quarantine.NewRecent(),
+		store:     store,
+		announced: announced,
+		clock:     clock,
+		logger:    logger,
+		enabled:   config.MinCrashes > 0 && store != nil,
+		lease:     lease.NewShared(store, quarantine.RecordTTL, clock.Now),
+		metrics:   newQuarantineMetrics(registerer),
+		wake:      make(chan struct{}, 1),
+		table:     quarantine.NewTable(config),
+		changed:   make(chan struct{}),
+		recent:    quarantine.NewRecent(),
 	}
 }
 
--- a/internal/edge/node/quarantine_finished.go
+++ b/internal/edge/node/quarantine_finished.go
@@ -16,11 +16,10 @@
 		return
 	}
 	attempts, trial := ended.Attempts, ended.Trial
-	crashes, answered := crashesOf(ended)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := q.clock.Now()
-	q.countBackground(now, content, attempts)
+	crashes, answered := q.learn(now, content, ended)
 	write := false
 	switch {
 	case answered:
@@ -41,15 +40,27 @@
 	}
 }
 
-// crashesOf returns the leaves that crashed under a request, and whether a leaf answered
-// it, if only with a failure of its own.
-func crashesOf(ended forward.Execution) (crashes []quarantine.Crash, answered bool) {
+// learn takes in the attempts of a request, for the leaves and for the background. It
+// returns the leaves that crashed under it, and whether a leaf answered it, if only with a
+// failure of its own. The caller holds the mutex.
+func (q *quarantineDriver) learn(now time.Duration, content quarantine.Content, ended forward.Execution) (crashes []quarantine.Crash, answered bool) {
+	_, suspected := q.table.Of(content)
 	for index := range ended.Attempts {
-		switch one := &ended.Attempts[index]; {
+		one := &ended.Attempts[index]
+		sent := ended.Began + one.At
+		switch {
 		case one.End == scatter.EndAnswered, one.End == scatter.EndFailed:
 			answered = true
+			q.table.LeafAnswered(one.BootID, sent)
+			q.background.Add(now, content, suspected, one.Shard, false)
 		case one.Closed:
-			crashes = append(crashes, quarantine.NewCrash(one.BootID, ended.RequestID))
+			crash, crashed := q.table.Lost(one.BootID, sent, sent+one.Took)
+			if !crashed {
+				q.metrics.void.Inc()
+				continue
+			}
+			crashes = append(crashes, quarantine.NewCrash(crash, ended.RequestID))
+			q.background.Add(now, content, suspected, one.Shard, true)
 		}
 	}
 	return crashes, answered
@@ -62,18 +73,6 @@
 	})
 }
 
-// countBackground adds the attempts of a request to the background. The caller holds the mutex.
-func (q *quarantineDriver) countBackground(now time.Duration, content quarantine.Content, attempts []scatter.AttemptTrace) {
-	_, suspected := q.table.Of(content)
-	for index := range attempts {
-		one := &attempts[index]
-		answered := one.End == scatter.EndAnswered || one.End == scatter.EndFailed
-		if answered || one.Closed {
-			q.background.Add(now, content, suspected, one.Shard, one.Closed)
-		}
-	}
-}
-
 // trialUnanswered records a trial that brought no answer. The caller holds the mutex.
 func (q *quarantineDriver) trialUnanswered(now time.Duration, content quarantine.Content, crashes []quarantine.Crash, attempts []scatter.AttemptTrace) {
 	switch {
--- a/internal/edge/node/quarantine_metrics.go
+++ b/internal/edge/node/quarantine_metrics.go
@@ -15,6 +15,9 @@
 	trials  *prometheus.CounterVec
 	refused *prometheus.CounterVec
 	writes  *prometheus.CounterVec
+	// void counts losses that were no crash, and survived leaves that lived on.
+	void     prometheus.Counter
+	survived prometheus.Counter
 }
 
 func newQuarantineMetrics(registerer prometheus.Registerer) *quarantineMetrics {
@@ -36,6 +39,10 @@
 		writes: create.Counters("micaplank_quarantine_writes_total",
 			"Changes of records in the store, by result: written, overtaken or failed.",
 			"result"),
+		void: create.Counter("micaplank_quarantine_void_losses_total",
+			"Connections that leaves closed or reset before a byte of an answer, and that count as no crash: the leaf had been lost before the attempt was sent, and had not answered since."),
+		survived: create.Counter("micaplank_quarantine_survivors_total",
+			"Leaves that were seen to live on after it was said that they ended under a request."),
 	}
 }
 
--- a/internal/edge/node/quarantine_store.go
+++ b/internal/edge/node/quarantine_store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"time"
 
 	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/quarantine"
@@ -85,12 +86,22 @@
 	}
 }
 
-// run writes what this node learns, until ctx ends.
+// reviewInterval is the time between two looks at leaves that are said to have crashed.
+// Not measured: chosen because it is short beside the time for which a request is held
+// whose leaves lived on, 3 s at least.
+const reviewInterval = time.Second
+
+// run writes what this node learns, and looks which leaves have lived on, until ctx ends.
 func (q *quarantineDriver) run(ctx context.Context) {
 	failures := 0
+	reviews := time.NewTicker(reviewInterval)
+	defer reviews.Stop()
 	for {
 		select {
 		case <-q.wake:
+		case <-reviews.C:
+			q.review()
+			continue
 		case <-ctx.Done():
 			return
 		}
@@ -162,8 +173,38 @@
 	q.tableChanged()
 }
 
+// review looks which leaves have lived on that are said to have crashed.
+func (q *quarantineDriver) review() {
+	q.mutex.Lock()
+	suspects := q.table.Suspects()
+	q.mutex.Unlock()
+	if len(suspects) == 0 {
+		return
+	}
+	announced := q.announced.announced(suspects) // before the mutex: the view calls with its own held
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	survivors := q.table.Review(q.clock.Now(), announced)
+	for _, one := range survivors {
+		q.metrics.survived.Inc()
+		event.Log(q.logger, event.LeafSurvived{Content: one.Content, Route: one.Route, Leaf: one.Leaf})
+		if one.Released {
+			event.Log(q.logger, event.RequestReleased{Content: one.Content})
+		}
+	}
+	if len(survivors) > 0 {
+		q.tableChanged()
+		q.wakeWriter()
+	}
+}
+
 // setStoreAway says whether the store does not answer.
-func (q *quarantineDriver) setStoreAway(away bool) { q.storeAway.Store(away) }
+func (q *quarantineDriver) setStoreAway(away bool) {
+	q.storeAway.Store(away)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.table.SetStoreAway(q.clock.Now(), away)
+}
 
 // setNodes says how many nodes there are. It comes with each topology, and what was
 // remembered for long enough is dropped with it.
--- a/internal/edge/node/view.go
+++ b/internal/edge/node/view.go
@@ -59,3 +59,14 @@
 	defer v.mutex.Unlock()
 	return v.leavesKnown
 }
+
+// announced implements announcedLeaves.
+func (v *view) announced(starts []string) map[string]bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	found := make(map[string]bool, len(starts))
+	for _, start := range starts {
+		found[start] = v.leaves.Announced(start)
+	}
+	return found
+}
--- a/internal/edge/registry/registry.go
+++ b/internal/edge/registry/registry.go
@@ -151,6 +151,13 @@
 	}
 }
 
+// Announced reports whether an incarnation is announced now. One whose announcement has
+// vanished is not, though it may still be used for a while.
+func (t *Table) Announced(incarnation string) bool {
+	known, found := t.entries[IDOf(incarnation)]
+	return found && known.goneAt == 0 && known.Incarnation() == incarnation
+}
+
 // Outage takes in that the store was away until now.
 func (t *Table) Outage(now time.Duration) { t.removals.Outage(now) }
 
--- a/internal/event/quarantine.go
+++ b/internal/event/quarantine.go
@@ -54,7 +54,19 @@
 
 // Kind implements Event.
 func (RequestReleased) Kind() Kind {
-	return Kind{"request released", slog.LevelInfo, "Its time is over, or an operator took its key out of the store. It is tried on one leaf before it may run as usual."}
+	return Kind{"request released", slog.LevelInfo, "Its time is over, an operator took its key out of the store, or leaves that were said to have ended under it lived on (leaf survived). Unless that leaves too few of them, it is tried on one leaf before it may run as usual."}
+}
+
+// LeafSurvived reports that a leaf lived on which was said to have ended under a request.
+type LeafSurvived struct {
+	Content fmt.Stringer `event:"content" doc:"what the request asks, as in the line on the request"`
+	Route   string       `event:"route" doc:"its route"`
+	Leaf    string       `event:"leaf" doc:"incarnation that lived on"`
+}
+
+// Kind implements Event.
+func (LeafSurvived) Kind() Kind {
+	return Kind{"leaf survived", slog.LevelInfo, "It answered after its connections were lost, or is still announced after three heartbeats and 3 s: they were reset on the way. It counts against the request no more."}
 }
 
 // QuarantineNotWritten reports that the store did not take what is known of a request.
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -71,6 +71,8 @@
 		// Package removal has the reasons of both.
 		LeafDoubt:    Duration(2 * time.Second),
 		LeafSettling: Duration(3 * time.Second),
+		// That of the deployments that the product was run with.
+		LeafHeartbeat: Duration(1200 * time.Millisecond),
 		// Not measured: chosen to leave time for what is in flight within the 6 s that a
 		// planned stop has.
 		DrainDelay: Duration(3500 * time.Millisecond),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,7 @@
 	WatchWait       Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
 	WatchGather     Duration `toml:"watch_gather" comment:"Pause after changes before the next watch, so that changes in quick succession come together." validate:"gte=0" expect:"a duration, 0 or above, such as \"250ms\""`
 	LeafDoubt       Duration `toml:"leaf_doubt" comment:"How long a leaf is still used whose entry went around an outage of the store." validate:"gte=0" expect:"a duration, 0 or above, such as \"2s\""`
+	LeafHeartbeat   Duration `toml:"leaf_heartbeat" comment:"Time between two announcements of a leaf; after three of silence its entry goes." validate:"gt=0" expect:"a duration above 0, such as \"1.2s\""`
 	LeafSettling    Duration `toml:"leaf_settling" comment:"Time after an outage of the store in which leaves announce themselves again." validate:"gte=0" expect:"a duration, 0 or above, such as \"3s\""`
 	DrainDelay      Duration `toml:"drain_delay" comment:"Time of a planned stop in which connections are still taken, until callers have moved." validate:"gte=0" expect:"a duration, 0 or above, such as \"3500ms\""`
 	IdleTimeout     Duration `toml:"idle_timeout" comment:"How long a caller's connection may rest, unless the configuration in force says." validate:"gt=0" expect:"a duration above 0, such as \"1m\""`
