rollout: a leaf that is out of use does not speak for its version

Cause: the verdict leaves out the zone or leaf with most bad attempts, so that one leaf in trouble is no fault of the version. Left was a leaf whose zone had gone out of service, by its answers of before.

Change: what was good at a leaf of the target before it was last out of use counts no more (judgement.dropStale); the registry tells the decider which leaves may get work.

Why it holds: the exception needs another leaf that could take the traffic and has answered since it could; there is none where one leaf is left. What was bad anywhere still counts.

--- a/internal/decide/rollout/decider.go
+++ b/internal/decide/rollout/decider.go
@@ -28,6 +28,9 @@
 	Target, Control int
 	// Mixed says that leaves of another version were known since the order.
 	Mixed bool
+	// Usable holds the leaves of the target that may get work, by Subject.Leaf; nil if
+	// all may.
+	Usable map[string]bool
 }
 
 // nodeReport is what a node has reported: its newest counts, and how far it was last.
@@ -124,11 +127,12 @@
 	for _, service := range d.table.Open() {
 		known := d.table.Of(service)
 		judged := d.judgementOf(now, service, known)
-		routes := counted[service]
+		routes, there := counted[service], supply(service)
+		judged.dropStale(routes, there.Usable)
 		if known.Bad == "" {
 			known.Bad = judged.judge(now, routes)
 		}
-		phase, reason := d.next(now, known, judged, amountOf(routes), supply(service))
+		phase, reason := d.next(now, known, judged, amountOf(routes), there)
 		if phase == PhaseShift {
 			phase, reason = judged.mayShift(known, routes, known.Age(now) >= known.Order.Duration)
 		}
@@ -182,7 +186,7 @@
 func (d *Decider) judgementOf(now time.Duration, service string, known *Rollout) *judgement {
 	judged, found := d.judgements[service]
 	if !found || judged.order != known.Order.Revision {
-		judged = &judgement{order: known.Order.Revision, since: now}
+		judged = &judgement{order: known.Order.Revision, since: now, stale: make(map[countedAt]Counts)}
 		d.judgements[service] = judged
 	}
 	if phase := known.Phase(); judged.phase != phase {
--- a/internal/decide/rollout/judgement.go
+++ b/internal/decide/rollout/judgement.go
@@ -36,6 +36,39 @@
 	states []state
 	// triedAt is when a transition was last returned.
 	triedAt time.Duration
+	// stale is what was counted at leaves of the target when they were last out of use.
+	stale map[countedAt]Counts
+}
+
+// countedAt is a leaf of the target on a route.
+type countedAt struct {
+	route string
+	place
+}
+
+// dropStale marks in some counts what of them was counted at leaves of the target before
+// these were last out of use: gone, draining, or in a zone out of service. Usable holds
+// those that may get work; nil for all.
+//
+// A leaf in trouble is no fault of the version while others speak for it. One that cannot
+// be sent to speaks for nothing: a version that turned bad when the zone of its good leaf
+// went out of service got all traffic, with 15 of its newest 24 attempts failed, all at
+// the leaf that was left. What was bad there still counts.
+func (t *judgement) dropStale(routes map[string]*sample, usable map[string]bool) {
+	if usable == nil {
+		return
+	}
+	for route, counted := range routes {
+		for at, counts := range counted.target {
+			key := countedAt{route: route, place: at}
+			if !usable[at.leaf] {
+				t.stale[key] = *counts
+			}
+			if stale, found := t.stale[key]; found {
+				counted.stale[at] = &stale
+			}
+		}
+	}
 }
 
 // judge looks for evidence that the target is bad, in all counts and in the newest.
--- a/internal/decide/rollout/verdict.go
+++ b/internal/decide/rollout/verdict.go
@@ -76,12 +76,17 @@
 	control Counts
 	// target holds the counts of the target by leaf.
 	target map[place]*Counts
+	// stale holds what of target was counted before a leaf was last out of use: what was
+	// good of that says nothing for the version any more (see judgement.dropStale).
+	stale map[place]*Counts
 }
 
 // place is where a leaf of the target is.
 type place struct{ zone, leaf string }
 
-func newSample() *sample { return &sample{target: make(map[place]*Counts)} }
+func newSample() *sample {
+	return &sample{target: make(map[place]*Counts), stale: make(map[place]*Counts)}
+}
 
 // add takes in the counts of one node on one subject.
 func (s *sample) add(subject Subject, counts *Counts) {
@@ -106,6 +111,10 @@
 		copied := *counts
 		left.target[at] = &copied
 	}
+	for at, counts := range s.stale {
+		copied := *counts
+		left.stale[at] = &copied
+	}
 	if earlier == nil {
 		return left
 	}
@@ -114,6 +123,9 @@
 		if known, found := left.target[at]; found {
 			known.subtract(counts)
 		}
+		if known, found := left.stale[at]; found {
+			known.subtract(counts)
+		}
 	}
 	return left
 }
@@ -172,7 +184,12 @@
 func (s *sample) rates(of func(*Counts) rate) rates {
 	made := rates{control: of(&s.control), target: make(map[place]rate, len(s.target))}
 	for at, counts := range s.target {
-		made.target[at] = of(counts)
+		counted := of(counts)
+		if stale, found := s.stale[at]; found {
+			former := of(stale)
+			counted.asked -= former.asked - former.bad
+		}
+		made.target[at] = counted
 	}
 	return made
 }
--- a/internal/edge/node/rollout_driver.go
+++ b/internal/edge/node/rollout_driver.go
@@ -191,7 +191,7 @@
 // holds the mutex of the view.
 func (r *rolloutDriver) supply(service string) rollout.Supply {
 	there := r.view.leaves.Supply(service)
-	return rollout.Supply{Target: there.Target, Control: there.Control, Mixed: r.view.leaves.Mixed(service)}
+	return rollout.Supply{Target: there.Target, Control: there.Control, Mixed: r.view.leaves.Mixed(service), Usable: there.Usable}
 }
 
 // write writes one step.
--- a/internal/edge/registry/stage.go
+++ b/internal/edge/registry/stage.go
@@ -84,14 +84,15 @@
 	// Target and Control are the slots of leaves of the version, and of the others,
 	// that may get work.
 	Target, Control int
-	// Others lists the leaves of other versions by incarnation.
-	Others map[string]bool
+	// Others lists the leaves of other versions by incarnation, and Usable those of the
+	// version that may get work.
+	Others, Usable map[string]bool
 }
 
 // Supply returns what there is of the leaves of a service that has a Stage.
 func (t *Table) Supply(service string) Supply {
 	stage := t.stages[service]
-	supply := Supply{Others: make(map[string]bool)}
+	supply := Supply{Others: make(map[string]bool), Usable: make(map[string]bool)}
 	for _, known := range t.entries {
 		if known.Service != service {
 			continue
@@ -104,6 +105,7 @@
 		case !t.usable(known):
 		case target:
 			supply.Target += known.Slots
+			supply.Usable[known.Incarnation()] = true
 		default:
 			supply.Control += known.Slots
 		}
