rollout: a slow version shows by what overtakes it, and beside a deaf leaf

Cause: two, each enough. An attempt for which a hedge answered counted with the short time until then; and what is usual was taken of all leaves of the other version, also of one that was deaf, so that slow began at 218 to 305 ms. Shown by the reasons of the records, and in virtual time: without the count of overtaken attempts a version four times slower beside hedges is taken back in 13 to 18 of 100 plays; with a deaf leaf counted in 49 to 96.

Change: nodes count first attempts and those that a later one overtook, and the other version by leaf; usual and slow are taken without its worst leaf.

Why it holds: a slow first attempt is either waited for, and its time counts, or overtaken, and that counts; and one leaf in trouble moves neither side.

Measured, 100 plays each: 100 taken back in both cases, good versions 0 to 2; TestErrorsOfVerdicts as before. The benchmark of a judgment ended orders and forgot nodes on a fast machine; its time stops now. Reports of former nodes are read (TestFormerReportIsRead).

--- a/internal/decide/rollout/benchmark_test.go
+++ b/internal/decide/rollout/benchmark_test.go
@@ -9,7 +9,7 @@
 )
 
 // reported returns the report of a node on some orders: two routes each, and three
-// leaves of the target that have been tried.
+// leaves of each version that have been tried.
 func reported(node string, orders int) Report {
 	counter := NewCounter()
 	report := Report{Node: node}
@@ -17,13 +17,15 @@
 		service := fmt.Sprint("shard-", order)
 		report.Orders = append(report.Orders, Progress{Service: service, Order: 7, Phase: PhaseTrial, Age: 3 * time.Second})
 		for _, route := range []string{"sweep", "glance"} {
-			control := Subject{Service: service, Order: 7, Route: route}
 			for attempt := range 200 {
+				control := Subject{Service: service, Order: 7, Route: route, Zone: "zone-a", Leaf: fmt.Sprint("i-58d01b2", attempt%3)}
 				counter.Took(control, time.Duration(5+attempt%40)*time.Millisecond)
+				counter.First(control, false)
 			}
 			for leaf := range 3 {
 				target := Subject{Service: service, Order: 7, Route: route, Target: true, Zone: "zone-a", Leaf: fmt.Sprint("i-7f3a91c", leaf)}
 				counter.Took(target, 12*time.Millisecond)
+				counter.First(target, false)
 			}
 		}
 	}
@@ -71,7 +73,7 @@
 			supply := func(string) Supply { return Supply{Target: 6, Control: 6, Mixed: true} }
 			now := time.Duration(0)
 			for b.Loop() {
-				now += 300 * time.Millisecond
+				now = min(now+300*time.Millisecond, longGone/2) // later the nodes count as gone
 				if steps := decider.Tick(now, time.Time{}, supply); len(steps) > 0 {
 					b.Fatalf("%+v", steps[0])
 				}
--- a/internal/decide/rollout/counts.go
+++ b/internal/decide/rollout/counts.go
@@ -72,16 +72,23 @@
 	// Took counts the others by the time that they took, or had taken when another
 	// attempt was answered first.
 	Took Histogram
+	// First counts those that were the first of their shard, and Overtaken the ones among
+	// them of which a later attempt was answered first.
+	First, Overtaken uint32
 }
 
 func (c *Counts) add(other *Counts) {
 	c.Failed += other.Failed
 	c.Took.add(&other.Took)
+	c.First += other.First
+	c.Overtaken += other.Overtaken
 }
 
 func (c *Counts) subtract(earlier *Counts) {
 	c.Failed -= min(earlier.Failed, c.Failed)
 	c.Took.subtract(&earlier.Took)
+	c.First -= min(earlier.First, c.First)
+	c.Overtaken -= min(earlier.Overtaken, c.Overtaken)
 }
 
 // asked returns how many attempts ended.
@@ -95,7 +102,8 @@
 	Route string
 	// Target says that the leaf has the version of the order.
 	Target bool
-	// Zone and Leaf are those of the target's leaves; empty for the others.
+	// Zone and Leaf are those of the leaf. Nodes of a former version leave them empty for
+	// leaves that are none of the target's.
 	Zone, Leaf string
 }
 
@@ -128,6 +136,16 @@
 	c.counts(subject).Took[bucketOf(took)]++
 }
 
+// First counts that an attempt was the first of its shard, and whether a later one was
+// answered before it.
+func (c *Counter) First(subject Subject, overtaken bool) {
+	counts := c.counts(subject)
+	counts.First++
+	if overtaken {
+		counts.Overtaken++
+	}
+}
+
 // Retain forgets what was counted under other orders than those given, by service.
 func (c *Counter) Retain(orders map[string]uint64) {
 	for subject := range c.rows {
--- a/internal/decide/rollout/play_test.go
+++ b/internal/decide/rollout/play_test.go
@@ -70,8 +70,13 @@
 	duration time.Duration
 	target   behaviour
 	control  behaviour
+	// hedged lets a second attempt go to another leaf of the control after hedgeAfter.
+	hedged bool
 }
 
+// hedgeAfter is about the 0.9 quantile of what is usual.
+const hedgeAfter = 200 * time.Millisecond
+
 // result is how a play ended.
 type result struct {
 	phase Phase
@@ -155,21 +160,40 @@
 		toTarget = true
 	}
 	leaf := random.IntN(p.leaves)
-	subject := Subject{Service: playService, Order: 1, Route: playRoute}
+	subject := subjectOf(toTarget, leaf)
 	play := p.control
 	if toTarget {
 		play = p.target
-		subject.Target, subject.Zone, subject.Leaf = true, fmt.Sprint("zone-", leaf%3), fmt.Sprint(leaf)
 	}
 	took, failed := play(random, now, leaf, load)
+	overtaken := false
+	if p.hedged && took > hedgeAfter {
+		other := random.IntN(p.leaves)
+		if second, lost := p.control(random, now, other, load); !lost {
+			n.counter.Took(subjectOf(false, other), min(second, took-hedgeAfter))
+			overtaken = hedgeAfter+second < took
+			took = min(took, hedgeAfter+second)
+			failed = failed && !overtaken
+		}
+	}
 	if failed {
 		n.counter.Failed(subject)
 	} else {
 		n.counter.Took(subject, took)
 	}
+	n.counter.First(subject, overtaken)
 	return toTarget
 }
 
+// subjectOf is what counts of a leaf of the target, or of the control, are of.
+func subjectOf(target bool, leaf int) Subject {
+	name := fmt.Sprint(leaf)
+	if !target {
+		name = fmt.Sprint("other-", leaf)
+	}
+	return Subject{Service: playService, Order: 1, Route: playRoute, Target: target, Zone: fmt.Sprint("zone-", leaf%3), Leaf: name}
+}
+
 // report reports to the decider and takes its word.
 func (n *virtualNode) report(now time.Duration, decider *Decider) {
 	known := n.table.Of(playService)
@@ -218,6 +242,7 @@
 	later := func(now time.Duration, _ int, _ float64) bool { return now > 5*time.Second }
 	loaded := func(_ time.Duration, _ int, load float64) bool { return load > 0.4 }
 	lastLeaf := func(_ time.Duration, leaf int, _ float64) bool { return leaf == 2 }
+	deaf := when(lastLeaf, slower(20, 1))
 	for _, one := range []trouble{
 		{"good", usual, usual, 0, 0.02},
 		{"good, among failing ones", failing(0.1), failing(0.1), 0, 0.02},
@@ -234,20 +259,44 @@
 		{"fails three in ten later", when(later, failing(0.3)), usual, 0.98, 1},
 		{"fails three in ten under load", when(loaded, failing(0.3)), usual, 0.98, 1},
 		{"four times slower under load", when(loaded, slower(4, 1)), usual, 0.98, 1},
+		{"good, beside a deaf leaf of the others", usual, deaf, 0, 0.02},
+		{"four times slower, beside a deaf leaf of the others", slower(4, 1), deaf, 0.98, 1},
+	} {
+		for _, rate := range playRates {
+			one.check(t, rate, false)
+		}
+	}
+}
+
+// TestErrorsOfVerdictsBesideHedges plays versions of which a hedge answers what takes long,
+// so that a slow one shows by what overtakes it. The seeds are fixed.
+func TestErrorsOfVerdictsBesideHedges(t *testing.T) {
+	loaded := func(_ time.Duration, _ int, load float64) bool { return load > 0.4 }
+	lastLeaf := func(_ time.Duration, leaf int, _ float64) bool { return leaf == 2 }
+	deaf := when(lastLeaf, slower(20, 1))
+	for _, one := range []trouble{
+		{"good", usual, usual, 0, 0.02},
+		{"good, with a slow leaf", when(lastLeaf, slower(7, 1)), usual, 0, 0.1},
+		{"good, and 1.3 times slower", slower(1.3, 1), usual, 0, 0.1},
+		{"good, beside a deaf leaf of the others", usual, deaf, 0, 0.02},
+		{"four times slower", slower(4, 1), usual, 1, 1},
+		{"four times slower for three in ten", slower(4, 0.3), usual, 0.8, 1},
+		{"four times slower under load", when(loaded, slower(4, 1)), usual, 0.98, 1},
+		{"four times slower, beside a deaf leaf of the others", slower(4, 1), deaf, 0.98, 1},
 	} {
 		for _, rate := range playRates {
-			one.check(t, rate)
+			one.check(t, rate, true)
 		}
 	}
 }
 
 const plays = 100
 
-func (one trouble) check(t *testing.T, rate float64) {
+func (one trouble) check(t *testing.T, rate float64, hedged bool) {
 	t.Helper()
 	back, over, exposed := 0, 0, 0
 	for seed := range plays {
-		ended := play{nodes: 12, leaves: 3, rate: rate, duration: 15 * time.Second, target: one.target, control: one.control}.run(uint64(seed))
+		ended := play{nodes: 12, leaves: 3, rate: rate, duration: 15 * time.Second, target: one.target, control: one.control, hedged: hedged}.run(uint64(seed))
 		exposed += ended.exposed
 		if ended.phase != PhaseRolledBack {
 			continue
@@ -257,11 +306,11 @@
 			over++
 		}
 	}
-	t.Logf("%s, %.0f requests a second: taken back in %d of %d plays, %d requests exposed", one.name, rate, back, plays, exposed/plays)
+	t.Logf("%s, %.0f requests a second, hedged %v: taken back in %d of %d plays, over in %d, %d requests exposed", one.name, rate, hedged, back, plays, over, exposed/plays)
 	if share := float64(back) / plays; share < one.least || share > one.most {
-		t.Errorf("%s, %.0f requests a second: taken back in %d of %d plays", one.name, rate, back, plays)
+		t.Errorf("%s, %.0f requests a second, hedged %v: taken back in %d of %d plays", one.name, rate, hedged, back, plays)
 	}
 	if over > plays/25 {
-		t.Errorf("%s, %.0f requests a second: over the allowance in %d of %d plays", one.name, rate, over, plays)
+		t.Errorf("%s, %.0f requests a second, hedged %v: over the allowance in %d of %d plays", one.name, rate, hedged, over, plays)
 	}
 }
--- a/internal/decide/rollout/verdict.go
+++ b/internal/decide/rollout/verdict.go
@@ -7,6 +7,11 @@
 )
 
 const (
+	// leastOvertaken is the same of first attempts that a later one overtook, which are
+	// answered all the same. With 0.1, a version 1.3 times slower was taken back in up to
+	// 12 of 100 plays, with 0.15 in 2; one that is four times slower for three in ten in
+	// 98 to 100, and with 0.25 in 67 to 69.
+	leastOvertaken = 0.15
 	// leastFailing and leastSlowing are how much higher the rates of a bad version are at
 	// least. Not measured: chosen because what is less is not worth taking a version back
 	// for.
@@ -74,6 +79,8 @@
 // sample is what was counted on one route of a service.
 type sample struct {
 	control Counts
+	// controlAt holds the same by leaf.
+	controlAt map[place]*Counts
 	// target holds the counts of the target by leaf.
 	target map[place]*Counts
 	// stale holds what of target was counted before a leaf was last out of use: what was
@@ -81,51 +88,53 @@
 	stale map[place]*Counts
 }
 
-// place is where a leaf of the target is.
+// place is a leaf, and where it is.
 type place struct{ zone, leaf string }
 
 func newSample() *sample {
-	return &sample{target: make(map[place]*Counts), stale: make(map[place]*Counts)}
+	return &sample{controlAt: make(map[place]*Counts), target: make(map[place]*Counts), stale: make(map[place]*Counts)}
 }
 
 // add takes in the counts of one node on one subject.
 func (s *sample) add(subject Subject, counts *Counts) {
+	leaves := s.target
 	if !subject.Target {
 		s.control.add(counts)
-		return
+		leaves = s.controlAt
 	}
 	at := place{zone: subject.Zone, leaf: subject.Leaf}
-	known, found := s.target[at]
+	known, found := leaves[at]
 	if !found {
 		known = &Counts{}
-		s.target[at] = known
+		leaves[at] = known
 	}
 	known.add(counts)
 }
 
 // since returns what was counted after an earlier state; all of it without one.
 func (s *sample) since(earlier *sample) *sample {
-	left := newSample()
-	left.control = s.control
-	for at, counts := range s.target {
-		copied := *counts
-		left.target[at] = &copied
-	}
-	for at, counts := range s.stale {
-		copied := *counts
-		left.stale[at] = &copied
-	}
 	if earlier == nil {
-		return left
+		earlier = newSample()
+	}
+	left := &sample{
+		control:   s.control,
+		controlAt: leftOf(s.controlAt, earlier.controlAt),
+		target:    leftOf(s.target, earlier.target),
+		stale:     leftOf(s.stale, earlier.target),
 	}
 	left.control.subtract(&earlier.control)
-	for at, counts := range earlier.target {
-		if known, found := left.target[at]; found {
-			known.subtract(counts)
-		}
-		if known, found := left.stale[at]; found {
-			known.subtract(counts)
+	return left
+}
+
+// leftOf returns counts by leaf without those of an earlier state.
+func leftOf(counted, earlier map[place]*Counts) map[place]*Counts {
+	left := make(map[place]*Counts, len(counted))
+	for at, counts := range counted {
+		copied := *counts
+		if former, found := earlier[at]; found {
+			copied.subtract(former)
 		}
+		left[at] = &copied
 	}
 	return left
 }
@@ -135,11 +144,15 @@
 	if target, control, found := s.failures().compare(leastFailing, how); found {
 		return fmt.Sprintf("failed %.0f of %.0f attempts, the other version %.0f of %.0f", target.bad, target.asked, control.bad, control.asked)
 	}
+	if target, control, found := s.overtaken().compare(leastOvertaken, how); found {
+		return fmt.Sprintf("was overtaken by a later attempt in %.0f of %.0f first ones, the other version in %.0f of %.0f",
+			target.bad, target.asked, control.bad, control.asked)
+	}
 	limit, known := s.slowBucket()
 	if !known {
 		return ""
 	}
-	slows := s.rates(func(counts *Counts) rate {
+	slows := s.slowRates(func(counts *Counts) rate {
 		return rate{bad: float64(counts.Took.above(limit)), asked: float64(counts.Took.total())}
 	})
 	if target, control, found := slows.compare(leastSlowing, how); found {
@@ -156,19 +169,67 @@
 	})
 }
 
+// overtaken are the rates of first attempts that a later one overtook. A slow version
+// shows there first: its times are those until the answer of the hedge.
+func (s *sample) overtaken() rates {
+	return s.slowRates(func(counts *Counts) rate {
+		return rate{bad: float64(counts.Overtaken), asked: float64(counts.First)}
+	})
+}
+
+// slowRates returns rates of slowness, of the control without its worst leaf: one that is
+// deaf or slow for a time takes a share of the attempts that hides a slow version. With
+// three leaves of which one is deaf, a version four times slower was taken back in 49 to
+// 96 of 100 plays with that leaf counted.
+func (s *sample) slowRates(of func(*Counts) rate) rates {
+	made := s.rates(of)
+	leaves := make(map[string]rate, len(s.controlAt))
+	for at, counts := range s.controlAt {
+		leaves[at.leaf] = leaves[at.leaf].plus(of(counts))
+	}
+	if rest, some := withoutWorst(leaves, made.control); some {
+		made.control = rest
+	}
+	return made
+}
+
 // slowBucket returns the bucket above which an attempt is slow; false while too
 // little is known of the other version.
 func (s *sample) slowBucket() (int, bool) {
-	total := s.control.Took.total()
+	bucket, known := s.usualBucket()
+	if !known {
+		return 0, false
+	}
+	usual := bucketEnd(bucket)
+	return min(bucketOf(max(time.Duration(slowFactor*float64(usual)), usual+slowFloor)), buckets-2), true
+}
+
+// usualBucket returns the bucket of the quantile slowQuantile of the other version, without
+// the leaf that makes it longest: beside one that is deaf for a time, nothing would be
+// slow. It is false while too little is known.
+func (s *sample) usualBucket() (int, bool) {
+	usual, known := s.control.Took.quantile(slowQuantile)
+	for _, counts := range s.controlAt {
+		rest := s.control
+		rest.subtract(counts)
+		if bucket, enough := rest.Took.quantile(slowQuantile); enough && bucket < usual {
+			usual = bucket
+		}
+	}
+	return usual, known
+}
+
+// quantile returns the bucket of a quantile; false if it is one of too few.
+func (h *Histogram) quantile(share float64) (int, bool) {
+	total := h.total()
 	if total < leastForQuantile {
 		return 0, false
 	}
 	bucket := 0
-	for float64(total-s.control.Took.above(bucket)) < slowQuantile*float64(total) {
+	for float64(total-h.above(bucket)) < share*float64(total) {
 		bucket++
 	}
-	usual := bucketEnd(bucket)
-	return min(bucketOf(max(time.Duration(slowFactor*float64(usual)), usual+slowFloor)), buckets-2), true
+	return bucket, true
 }
 
 // leastForQuantile is how many attempts a quantile is taken of at least. Not measured:
--- a/internal/edge/node/rollout.go
+++ b/internal/edge/node/rollout.go
@@ -226,9 +226,9 @@
 	if !listed {
 		return // it left while it ran
 	}
-	subject := rollout.Subject{Service: service, Order: known.Order.Revision, Route: answer.Route}
-	if version == known.Order.Version {
-		subject.Target, subject.Zone, subject.Leaf = true, zone, attempt.BootID
+	subject := rollout.Subject{
+		Service: service, Order: known.Order.Revision, Route: answer.Route,
+		Target: version == known.Order.Version, Zone: zone, Leaf: attempt.BootID,
 	}
 	switch {
 	case attempt.End == scatter.EndOpen && answer.Reason == dispatch.ReasonCancelled:
@@ -240,5 +240,18 @@
 	default:
 		r.counter.Failed(subject)
 	}
+	if attempt.Cause == dispatch.CauseNeeded {
+		r.counter.First(subject, overtaken(answer, attempt))
+	}
 	r.metrics.count(subject, attempt)
 }
+
+// overtaken reports whether an attempt was open when a later one at its shard was answered.
+func overtaken(answer *forward.Answer, attempt *scatter.AttemptTrace) bool {
+	if attempt.End != scatter.EndOpen && !attempt.Aborted {
+		return false
+	}
+	return slices.ContainsFunc(answer.Attempts, func(other scatter.AttemptTrace) bool {
+		return other.Shard == attempt.Shard && other.At > attempt.At && other.End == scatter.EndAnswered
+	})
+}
--- a/internal/edge/node/wire_test.go
+++ b/internal/edge/node/wire_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"bytes"
+	"encoding/gob"
+	"encoding/hex"
+	"os"
 	"testing"
 
 	"github.com/micaplank/micaplank/internal/decide/rollout"
@@ -19,3 +23,23 @@
 	wiretest.Gob[rollout.Report](t, "rollout.report.request")
 	wiretest.Gob[rollout.Reply](t, "rollout.report.response")
 }
+
+// TestFormerReportIsRead: nodes of a former version count neither first attempts nor those
+// that were overtaken.
+func TestFormerReportIsRead(t *testing.T) {
+	recorded, err := os.ReadFile("testdata/wire/rollout.report.request.former.gob")
+	if err != nil {
+		t.Fatal(err)
+	}
+	message, err := hex.DecodeString(string(recorded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var report rollout.Report
+	if err := gob.NewDecoder(bytes.NewReader(message)).Decode(&report); err != nil {
+		t.Fatal(err)
+	}
+	if counts := report.Rows[0].Counts; counts.Failed != 88 || counts.Took[0] != 18 || counts.First != 0 || counts.Overtaken != 0 {
+		t.Errorf("%+v", counts)
+	}
+}
