leaf: a connection that a call has picked is kept until its end

What callers saw: at the planned stop of a leaf one of 1,182 requests had an unknown outcome (TestPlannedStopCutsNothingOff, once beside a load of 36). That it was this fault is not shown; it does just that.

Cause: a node closes the connections to a leaf that was retired once no request is in flight there, and a call counts as in flight only once its stream is open. One that had picked the connection could begin between the look and the close. Shown by its error, "client connection force closed via ClientConn.Close": 1 to 3 of some 100,000 calls in each of six plays beside 36 busy processes, none in three quiet ones.

Change: a call claims the connection as it picks it, under the lock that takes connections out of the pool, and releases it at its end.

Why it holds: what is out of the pool cannot be claimed, so that the claims of a connection that is being closed only fall.

--- a/internal/leaf/call.go
+++ b/internal/leaf/call.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return false, newTransportError(StepConnect, address, false, err)
 	}
+	defer conn.release()
 	body := &requestBody{content: content, admit: func() error { return c.admit(ctx) }}
 	if err := onTime(ctx); err != nil {
 		return false, newTransportError(StepSend, address, false, err)
--- a/internal/leaf/connection.go
+++ b/internal/leaf/connection.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 )
 
 // connection is one HTTP/2 connection to a leaf.
@@ -13,6 +14,11 @@
 	watched *watchedConn
 	// changed receives a token when the connection's state may have changed.
 	changed chan struct{}
+	// claims counts the calls that have picked it and have not ended. They are more than
+	// those in flight: a call counts there only once its stream is open. A connection that
+	// was closed when none was in flight cut off 1 to 3 of 100,000 calls beside 36 busy
+	// processes on 8 cores.
+	claims atomic.Int64
 }
 
 // newTransport returns a transport that only speaks HTTP/2 without TLS. Its
@@ -82,11 +88,21 @@
 	}
 }
 
-// finish closes the connection as soon as its requests have ended, or at once
-// if ctx is done.
+// claim takes the connection into use by one call. The caller holds the mutex of the pool
+// and has found the connection in it.
+func (c *connection) claim() { c.claims.Add(1) }
+
+// release ends the use by one call.
+func (c *connection) release() {
+	c.claims.Add(-1)
+	c.signal()
+}
+
+// finish closes the connection as soon as its calls have ended, or at once if ctx is
+// done. The pool does not have it any more, so that none begins.
 func (c *connection) finish(ctx context.Context) {
 	defer c.client.Close()
-	for c.client.Err() == nil && c.client.InFlight() > 0 {
+	for c.client.Err() == nil && c.claims.Load() > 0 {
 		select {
 		case <-c.changed:
 		case <-ctx.Done():
--- a/internal/leaf/forget_test.go
+++ b/internal/leaf/forget_test.go
@@ -56,6 +56,13 @@
 	if err := picked.client.Err(); err != nil {
 		t.Errorf("the connection was closed: %v", err)
 	}
+	picked.release()
+	for end := testContext(t); picked.client.Err() == nil && end.Err() == nil; {
+		time.Sleep(time.Millisecond)
+	}
+	if picked.client.Err() == nil {
+		t.Error("the connection stays open after its last call")
+	}
 }
 
 // TestForgetCutsNothing calls a sound leaf while it is forgotten again and again: each call
--- a/internal/leaf/pool.go
+++ b/internal/leaf/pool.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// pick returns the open connection with the fewest requests. While the first
-// dials are under way it waits, at most Config.ConnectWait.
+// pick returns the open connection with the fewest calls, claimed for one more, which has
+// to release it. While the first dials are under way it waits, at most Config.ConnectWait.
 func (p *pool) pick(ctx context.Context) (*connection, error) {
 	if c, _, _ := p.look(); c != nil {
 		return c, nil
@@ -146,19 +146,22 @@
 	}
 }
 
+// look claims the open connection with the fewest calls; nil if none is usable. It holds
+// the mutex, so that a connection which was removed is claimed by nobody.
 func (p *pool) look() (best *connection, changed <-chan struct{}, failure error) {
 	p.mutex.Lock()
-	open := p.open
-	changed, failure = p.changed, p.failure
-	p.mutex.Unlock()
-	fewest := 0
-	for _, c := range open {
+	defer p.mutex.Unlock()
+	fewest := int64(0)
+	for _, c := range p.open {
 		if !c.usable() {
 			continue
 		}
-		if inFlight := c.client.InFlight(); best == nil || inFlight < fewest {
-			best, fewest = c, inFlight
+		if claims := c.claims.Load(); best == nil || claims < fewest {
+			best, fewest = c, claims
 		}
 	}
-	return best, changed, failure
+	if best != nil {
+		best.claim()
+	}
+	return best, p.changed, p.failure
 }
