dispatch: what needs leaves that are down is refused at once

Cause: the address of a leaf that is gone refuses connections, and the leaf is left alone for a pause; a query waited for the end of the pauses, tried, and waited. Only leaves whose entries had lapsed counted as missing.

Change: a leaf whose address refused the newest connection is down while it is held off; a shard all of whose leaves are down cannot be answered. Such a query is refused (no_leaf, 503) or ended. Combiners say it, too (one field more on the wire; the former message is still read, TestFormerFailureIsRead).

Why it holds: nobody listens there, so nothing that is sent can be answered; the end of the hold-off lets one query try, and a new start of the leaf, an answer or any sign of a listener ends it.

--- a/internal/decide/dispatch/admit.go
+++ b/internal/decide/dispatch/admit.go
@@ -1,5 +1,6 @@
 // Rule: admit or refuse. A query is refused at once if it cannot be served at all (service
-// stopped, deadline passed, no snapshot, too few shards with a leaf) or if its predicted
+// stopped, deadline passed, no snapshot, too few shards with a leaf, or with one that is
+// not down) or if its predicted
 // wait and service time fill more of its remaining time than admission.Config allows.
 // The wait is predicted for its slowest shard: for each class that goes first, the waiting
 // work over the rate at which such work was sent, or could be sent into free slots.
@@ -55,7 +56,7 @@
 	}
 	reachable := q.progress
 	for position := range q.shards {
-		if q.shards[position].group == nil {
+		if group := q.shards[position].group; group == nil || d.isDown(group) {
 			reachable.Unavailable++
 		}
 	}
--- a/internal/decide/dispatch/ends.go
+++ b/internal/decide/dispatch/ends.go
@@ -37,6 +37,7 @@
 	l.speed.Completed(d.now, ratio)
 	l.probation.recovering = ratio < d.config.Probation.Slowness
 	l.holdOff = holdOff{}
+	d.setDown(l, false)
 	l.learnLatency(latency)
 	l.losses.Ended(&d.config.Losses, d.now, false)
 	q.class.learn(latency, ended.expected/q.class.base)
@@ -94,6 +95,7 @@
 		d.attemptRefused(&ended, refusal)
 	}
 	d.observe(l, refusal.BootID, refusal.Load, len(l.running))
+	d.setDown(l, false)
 	d.learnFromRefusal(&ended, refusal)
 	if awaited {
 		d.placeDue(&ended)
@@ -145,12 +147,14 @@
 	if ended.wanted && !failure.Aborted && !failure.OnTheWay {
 		l.holdOff.failed(d.now, d.config.Backoff)
 		l.losses.Ended(&d.config.Losses, d.now, true)
+		d.setDown(l, failure.Refused)
 	}
 	if ended.wanted && q.shards[ended.position].status != shardAnswered {
 		d.attemptFailed(&ended, failure)
 		d.placeDue(&ended)
 	}
 	d.review(q)
+	d.endOutOfReach(l)
 	d.pump(l)
 	return d.actions
 }
--- a/internal/decide/dispatch/events.go
+++ b/internal/decide/dispatch/events.go
@@ -37,4 +37,6 @@
 	// Closed is set if the leaf closed the connection before a byte of its answer, as
 	// when its process ends.
 	Closed bool
+	// Refused is set if the leaf's address refused the connection: nobody listens there.
+	Refused bool
 }
--- a/internal/decide/dispatch/leafstate.go
+++ b/internal/decide/dispatch/leafstate.go
@@ -25,6 +25,7 @@
 	losses    replica.Losses
 	reports   reports
 	holdOff   holdOff
+	down      bool // its address refused the newest connection
 	warmup    warmup
 	probation probation
 	// waiting is the work that waits for the leaf, as the time that it takes
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -1,6 +1,6 @@
 // Rule: give up and settle. A query ends when all its shards are answered, when an answer
 // is impossible (attempt of unknown fate, invalid statement, no shard or too few that can
-// still be answered) or at its deadline; with enough coverage it also ends when no shard
+// still be answered, also since the leaves of the others are down) or at its deadline; with enough coverage it also ends when no shard
 // is awaited any more, or at its settle time shortly before the objective or deadline.
 //
 // Inputs: shards answered, unavailable and needed, the least coverage (share from 0 to 1),
@@ -28,6 +28,8 @@
 		return q.failure(), q.findings.lastReason, true
 	case d.config.RequireCoverage && !progress.Attainable(q.MinimumCoverage):
 		return q.failure(), q.findings.lastReason, true
+	case d.config.RequireCoverage && d.outOfReach(q):
+		return q.failure(), ReasonNoLeaf, true
 	case d.now >= q.Deadline && d.config.RequireCoverage && !progress.Enough(q.MinimumCoverage):
 		return q.failure(), ReasonDeadline, true
 	case d.now >= q.Deadline && progress.Answered > 0:
--- a/internal/decide/dispatch/topology.go
+++ b/internal/decide/dispatch/topology.go
@@ -21,6 +21,7 @@
 	views      []view          // newest first
 	snapshots  []snapshot.View // of the views
 	goneUntil  Time            // when the next override of a holding ends; zero if none
+	down       int             // leaves that are down, see setDown
 }
 
 // SetTopology replaces the topology. A leaf that is not usable in it gets no
@@ -114,6 +115,7 @@
 	l.speed = replica.NewSpeed(&d.config.Speed)
 	l.losses = replica.Losses{}
 	l.holdOff = holdOff{}
+	d.setDown(l, false)
 	l.gone = nil
 }
 
@@ -130,6 +132,7 @@
 			dropped = dropped || l.takesWork()
 			l.usable = false
 			l.groups = nil
+			d.setDown(l, false)
 			l.unlistedAt = d.now
 		}
 	}
--- a/internal/edge/combine/client.go
+++ b/internal/edge/combine/client.go
@@ -179,7 +179,7 @@
 	c.metrics.attempts.WithLabelValues("combined").Inc()
 	if failed := answer.Failure; failed != nil {
 		return nil, true, &leaf.TransportError{
-			Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Closed: failed.Closed, Err: errors.New(failed.Text),
+			Step: failed.Step, Peer: attempt.Leaf, Sent: failed.Sent, Closed: failed.Closed, Refused: failed.Refused, Err: errors.New(failed.Text),
 		}
 	}
 	response = answer.scatterResponse(attempt)
--- a/internal/edge/combine/message.go
+++ b/internal/edge/combine/message.go
@@ -96,8 +96,9 @@
 
 // failure is a leaf.TransportError between the combiner and the leaf.
 type failure struct {
-	Step   leaf.Step
-	Sent   bool
-	Closed bool
-	Text   string
+	Step    leaf.Step
+	Sent    bool
+	Closed  bool
+	Refused bool
+	Text    string
 }
--- a/internal/edge/combine/server.go
+++ b/internal/edge/combine/server.go
@@ -183,7 +183,7 @@
 func failureOf(err error) *failure {
 	var transport *leaf.TransportError
 	if errors.As(err, &transport) {
-		return &failure{Step: transport.Step, Sent: transport.Sent, Closed: transport.Closed, Text: transport.Err.Error()}
+		return &failure{Step: transport.Step, Sent: transport.Sent, Closed: transport.Closed, Refused: transport.Refused, Text: transport.Err.Error()}
 	}
 	return &failure{Step: stepCombiner, Sent: true, Text: err.Error()}
 }
--- a/internal/edge/combine/wire_test.go
+++ b/internal/edge/combine/wire_test.go
@@ -1,6 +1,10 @@
 package combine
 
 import (
+	"bytes"
+	"encoding/gob"
+	"encoding/hex"
+	"os"
 	"testing"
 
 	"github.com/micaplank/micaplank/internal/wiretest"
@@ -15,3 +19,22 @@
 	wiretest.Gob[restRequest](t, "combine.rest.request")
 	wiretest.Gob[restResponse](t, "combine.rest.response")
 }
+
+// TestFormerFailureIsRead: combiners of a former version do not say that nobody listens.
+func TestFormerFailureIsRead(t *testing.T) {
+	recorded, err := os.ReadFile("testdata/wire/combine.fetch.response.former.gob")
+	if err != nil {
+		t.Fatal(err)
+	}
+	message, err := hex.DecodeString(string(recorded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var response fetchResponse
+	if err := gob.NewDecoder(bytes.NewReader(message)).Decode(&response); err != nil {
+		t.Fatal(err)
+	}
+	if failed := response.Failure; failed == nil || !failed.Sent || !failed.Closed || failed.Refused || failed.Text == "" {
+		t.Errorf("%+v", failed)
+	}
+}
--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -101,7 +102,9 @@
 func (c *Client) Do(ctx context.Context, target Target, message Message, match Matcher) (*Response, error) {
 	connection, err := c.acquire(ctx, target, message.Once)
 	if err != nil {
-		return nil, unsent(StepConnect, target, err)
+		failed := unsent(StepConnect, target, err)
+		failed.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		return nil, failed
 	}
 	if err := ctx.Err(); err != nil {
 		connection.release()
@@ -126,7 +129,7 @@
 	}
 }
 
-func unsent(step leaf.Step, target Target, err error) error {
+func unsent(step leaf.Step, target Target, err error) *leaf.TransportError {
 	return &leaf.TransportError{Step: step, Peer: target.Address, Sent: false, Err: err}
 }
 
--- a/internal/leaf/errors.go
+++ b/internal/leaf/errors.go
@@ -38,6 +38,8 @@
 	// Closed is set if the leaf's end of the connection was closed or reset before
 	// a byte of its answer, as when its process crashes during the call.
 	Closed bool
+	// Refused is set if the leaf's address refused the connection: nobody listens there.
+	Refused bool
 	// Err is the cause. It carries the attributes step and peer.
 	Err error
 }
--- a/internal/scatter/ends.go
+++ b/internal/scatter/ends.go
@@ -88,7 +88,7 @@
 	if !errors.As(err, &transport) {
 		return dispatch.Failure{Sent: true}
 	}
-	return dispatch.Failure{Sent: transport.Sent, OnTheWay: transport.OnTheWay, Closed: transport.Closed}
+	return dispatch.Failure{Sent: transport.Sent, OnTheWay: transport.OnTheWay, Closed: transport.Closed, Refused: transport.Refused}
 }
 
 // noteDraining reports a leaf whose answer says that it takes no new work.
