quarantine: a request is suspected while it still runs

What callers saw: a request crashed 131 leaves of 90 shards, and 60 shards had none left for 3 s.

Cause: what a node sees of a request counted only at the end of its run, which is that of its slowest shard. Shown by the lines: first leaf lost at 7.14, second run begun at 7.184, request suspected at 7.251.

Change: scatter tells each attempt that was closed as it ends; the third one without an answer has the request suspected (quarantineDriver.Losing).

Why it holds: the same evidence, as soon as it is there; the end of the run adds the rest, and an answer clears as before.

--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -14,6 +14,7 @@
 func (f *Forwarder) plan(matched *route.Route, request *Request) scatter.Request[*Request] {
 	class := f.class(matched)
 	objective := f.objective(matched, class.Name, request)
+	request.Route = matched.Name
 	request.TopK, request.Floor = 0, nil
 	if len(matched.Shards) > 0 {
 		request.TopK, request.Floor = matched.TopK, f.learned.floor(class.Name)
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -27,6 +27,8 @@
 	// RelayTime is the time that another node, which received the request, has had it,
 	// and needs to return the answer.
 	RelayTime time.Duration
+	// Route is the name of its route. The Forwarder sets it.
+	Route string
 	// TopK is how many records of all parts the answer holds; zero if it is the
 	// one part unchanged. The Forwarder sets it.
 	TopK int
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -112,6 +112,7 @@
 		Metrics:       scatter.NewMetrics(registerer),
 		Linger:        n.settings.Forward.Linger.Duration(),
 		Trace:         true,
+		OnClosed:      func(ended scatter.Unfinished[*forward.Request]) { n.quarantine.Losing(ended) },
 	}, dispatch.New(dispatchConfig(n.settings), random))
 	n.quarantine = newQuarantineDriver(n.self.Name, n.settings.Forward, n.ports.Quarantine, view, n.clock, n.logger, registerer)
 	n.forwarder = forward.New(forwardConfig(n.settings.Forward, n.clock), n.conn, n.quarantine, view.index)
--- a/internal/edge/node/quarantine.go
+++ b/internal/edge/node/quarantine.go
@@ -33,8 +33,10 @@
 	clock     clock.Clock
 	logger    *slog.Logger
 	enabled   bool
-	lease     *lease.Shared
-	metrics   *quarantineMetrics
+	// minCrashes is how many leaves have to crash under a request.
+	minCrashes int
+	lease      *lease.Shared
+	metrics    *quarantineMetrics
 	// wake wakes the writer when there is something to write.
 	wake chan struct{}
 	// storeAway is set while the store does not answer.
@@ -57,17 +59,18 @@
 	config.MinCrashes = from.QuarantineAfter
 	config.Heartbeat = from.LeafHeartbeat.Duration()
 	return &quarantineDriver{
-		store:     store,
-		announced: announced,
-		clock:     clock,
-		logger:    logger,
-		enabled:   config.MinCrashes > 0 && store != nil,
-		lease:     lease.NewShared(store, quarantine.RecordTTL, clock.Now),
-		metrics:   newQuarantineMetrics(registerer),
-		wake:      make(chan struct{}, 1),
-		table:     quarantine.NewTable(config),
-		changed:   make(chan struct{}),
-		recent:    quarantine.NewRecent(),
+		store:      store,
+		announced:  announced,
+		clock:      clock,
+		logger:     logger,
+		enabled:    config.MinCrashes > 0 && store != nil,
+		minCrashes: config.MinCrashes,
+		lease:      lease.NewShared(store, quarantine.RecordTTL, clock.Now),
+		metrics:    newQuarantineMetrics(registerer),
+		wake:       make(chan struct{}, 1),
+		table:      quarantine.NewTable(config),
+		changed:    make(chan struct{}),
+		recent:     quarantine.NewRecent(),
 	}
 }
 
--- a/internal/edge/node/quarantine_finished.go
+++ b/internal/edge/node/quarantine_finished.go
@@ -40,6 +40,51 @@
 	}
 }
 
+// Losing takes in a request that runs and has lost one more leaf. Once enough have
+// crashed under it, and none has answered, it is suspected at once: a node that waited for
+// the end of the run, which is that of its slowest shard, ran it as a whole for the next
+// callers meanwhile. The rest of the leaves comes with Finished.
+func (q *quarantineDriver) Losing(ended scatter.Unfinished[*forward.Request]) {
+	if !q.enabled || !q.enough(ended.Attempts) {
+		return
+	}
+	content := ended.Payload.Content()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.clock.Now()
+	if q.recent.Has(now, content) {
+		return
+	}
+	var crashes []quarantine.Crash
+	for index := range ended.Attempts {
+		if one := &ended.Attempts[index]; one.Closed {
+			sent := ended.Began + one.At
+			if crash, crashed := q.table.Lost(one.BootID, sent, sent+one.Took); crashed {
+				crashes = append(crashes, quarantine.NewCrash(crash, ended.RequestID))
+			}
+		}
+	}
+	if len(crashes) > 0 && q.suspect(now, content, ended.Payload.Route, crashes) {
+		q.tableChanged()
+		q.wakeWriter()
+	}
+}
+
+// enough reports whether just as many attempts were lost as have a request suspected, and
+// none was answered.
+func (q *quarantineDriver) enough(attempts []scatter.AttemptTrace) bool {
+	lost := 0
+	for index := range attempts {
+		switch one := &attempts[index]; {
+		case one.End == scatter.EndAnswered, one.End == scatter.EndFailed:
+			return false
+		case one.Closed:
+			lost++
+		}
+	}
+	return lost == q.minCrashes
+}
+
 // learn takes in the attempts of a request, for the leaves and for the background. It
 // returns the leaves that crashed under it, and whether a leaf answered it, if only with a
 // failure of its own. The caller holds the mutex.
--- a/internal/scatter/ends.go
+++ b/internal/scatter/ends.go
@@ -14,6 +14,11 @@
 	_, active := c.queries[started.send.Query]
 	if active && c.config.Trace {
 		traceEnd(&running.trace[started.trace], now-running.begun, started.aborted, response, err)
+		if running.trace[started.trace].Closed && c.config.OnClosed != nil {
+			c.config.OnClosed(Unfinished[Q]{
+				RequestID: running.request.RequestID, Payload: running.request.Payload, Began: running.begun, Attempts: running.trace,
+			})
+		}
 	}
 	id := started.send.Attempt
 	switch {
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -80,6 +80,10 @@
 	Metrics       *Metrics
 	// Trace collects the attempts of each query for its Result.
 	Trace bool
+	// OnClosed, if set, and Trace, is called with each attempt of a query that runs whose
+	// leaf closed the connection before a byte of its answer. It is called with the Conn
+	// locked, and must not block or call it.
+	OnClosed func(Unfinished[Q])
 	// Linger is how long an attempt that is not wanted any more may go on; zero
 	// cancels it at once. The rule is package linger.
 	Linger time.Duration
@@ -108,6 +112,15 @@
 	MinimumCoverage float64
 }
 
+// Unfinished is a query that runs. Its attempts are those up to now, and must not be kept.
+type Unfinished[Q any] struct {
+	RequestID string
+	Payload   Q
+	// Began is when it was submitted, on the clock of the Conn.
+	Began    time.Duration
+	Attempts []AttemptTrace
+}
+
 // ShardPart is the part of one shard that counts for the answer.
 type ShardPart[P any] struct {
 	Shard int
