--- a/internal/edge/combine/wire_test.go
+++ b/internal/edge/combine/wire_test.go
@@ -1,10 +1,6 @@
 package combine
 
 import (
-	"bytes"
-	"encoding/gob"
-	"encoding/hex"
-	"os"
 	"testing"
 
 	"github.com/micaplank/micaplank/internal/wiretest"
@@ -22,18 +18,7 @@
 
 // TestFormerFailureIsRead: combiners of a former version do not say that nobody listens.
 func TestFormerFailureIsRead(t *testing.T) {
-	recorded, err := os.ReadFile("testdata/wire/combine.fetch.response.former.gob")
-	if err != nil {
-		t.Fatal(err)
-	}
-	message, err := hex.DecodeString(string(recorded))
-	if err != nil {
-		t.Fatal(err)
-	}
-	var response fetchResponse
-	if err := gob.NewDecoder(bytes.NewReader(message)).Decode(&response); err != nil {
-		t.Fatal(err)
-	}
+	response := wiretest.FormerGob[fetchResponse](t, "combine.fetch.response")
 	if failed := response.Failure; failed == nil || !failed.Sent || !failed.Closed || failed.Refused || failed.Text == "" {
 		t.Errorf("%+v", failed)
 	}
--- a/internal/edge/node/wire_test.go
+++ b/internal/edge/node/wire_test.go
@@ -1,10 +1,6 @@
 package node
 
 import (
-	"bytes"
-	"encoding/gob"
-	"encoding/hex"
-	"os"
 	"testing"
 
 	"github.com/micaplank/micaplank/internal/decide/rollout"
@@ -27,18 +23,7 @@
 // TestFormerReportIsRead: nodes of a former version count neither first attempts nor those
 // that were overtaken.
 func TestFormerReportIsRead(t *testing.T) {
-	recorded, err := os.ReadFile("testdata/wire/rollout.report.request.former.gob")
-	if err != nil {
-		t.Fatal(err)
-	}
-	message, err := hex.DecodeString(string(recorded))
-	if err != nil {
-		t.Fatal(err)
-	}
-	var report rollout.Report
-	if err := gob.NewDecoder(bytes.NewReader(message)).Decode(&report); err != nil {
-		t.Fatal(err)
-	}
+	report := wiretest.FormerGob[rollout.Report](t, "rollout.report.request")
 	if counts := report.Rows[0].Counts; counts.Failed != 88 || counts.Took[0] != 18 || counts.First != 0 || counts.Overtaken != 0 {
 		t.Errorf("%+v", counts)
 	}
--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -53,6 +53,17 @@
 	compare(t, name+".fields", []byte(fieldsOf(reflect.TypeFor[T]())))
 }
 
+// FormerGob reads a message as a former version recorded it: fields that were added since
+// are zero.
+func FormerGob[T any](t *testing.T, name string) T {
+	t.Helper()
+	var got T
+	if err := gob.NewDecoder(bytes.NewReader(recorded(t, name+".former.gob"))).Decode(&got); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return got
+}
+
 // JSON checks a type that the store holds as JSON: a recorded value is read whole, and
 // the same value is written byte for byte.
 func JSON[T any](t *testing.T, name string) {
