--- a/internal/decide/quarantine/doc.go
+++ b/internal/decide/quarantine/doc.go
@@ -17,11 +17,14 @@
 // 31 and 111 to 121 leaves crashed in the two plays of
 // TestRequestUnderWhichLeavesEndIsKeptFromThem, with it 6 and 10 (five runs).
 //
+// Which losses are crashes, and which leaves survived theirs, decides Starts.
+//
 // Measurements behind the constants: see DefaultConfig and the constants of Background,
-// Recent, Record and PlanTrial. docs/design/0016-quarantine.md has the argument and what
+// Recent, Record, Starts and PlanTrial. docs/design/0016-quarantine.md has the argument and what
 // was weighed.
 //
 // The package owns what one node knows of suspected requests: Table (states and trials),
+// Starts (leaves that were lost),
 // Background (how often runs crash their leaf whatever the request), Recent (what was
 // answered lately). It has no clock and makes no calls: the driver writes each Change that
 // it returns to the store, and hands in what the store says.
--- a/internal/decide/rollout/verdict.go
+++ b/internal/decide/rollout/verdict.go
@@ -7,16 +7,16 @@
 )
 
 const (
-	// leastOvertaken is the same of first attempts that a later one overtook, which are
-	// answered all the same. With 0.1, a version 1.3 times slower was taken back in up to
-	// 12 of 100 plays, with 0.15 in 2; one that is four times slower for three in ten in
-	// 98 to 100, and with 0.25 in 67 to 69.
-	leastOvertaken = 0.15
 	// leastFailing and leastSlowing are how much higher the rates of a bad version are at
 	// least. Not measured: chosen because what is less is not worth taking a version back
 	// for.
 	leastFailing = 0.01
 	leastSlowing = 0.1
+	// leastOvertaken is the same of first attempts that a later one overtook, which are
+	// answered all the same. With 0.1, a version 1.3 times slower was taken back in up to
+	// 12 of 100 plays, with 0.15 in 2; one that is four times slower for three in ten in
+	// 98 to 100, and with 0.25 in 67 to 69.
+	leastOvertaken = 0.15
 	// slowQuantile, slowFactor and slowFloor say what is slow: longer than the quantile of
 	// the control times the factor, and longer by the floor, which is the way to another
 	// zone and back. Not measured by themselves: see the plays of the package comment.
