--- a/experiments/soak/mixed.sh
+++ b/experiments/soak/mixed.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # mixed.sh REVISION [FRESH] [NODES]: plays FRESH new seeds of the soak (default 1) on a
 # fleet of two versions, NODES nodes (default 10): those of an odd number run this tree,
-# the others REVISION. Exits with 1 if a promise was broken.
+# the others REVISION. All read the settings of REVISION: it rejects those that came
+# later. Exits with 1 if a promise was broken.
 cd "$(dirname "$0")/../.." || exit 2
 former=$(git rev-parse --verify "$1^{commit}") || exit 2
 folder=$(mktemp -d) || exit 2
@@ -22,6 +23,6 @@
 played=0
 while [ "$played" -lt "${2:-1}" ]; do
 	played=$((played + 1))
-	./target/soak --binary "$folder/edge" --nodes "${3:-10}" --duration "${DURATION:-40s}" || failed=1
+	./target/soak --binary "$folder/edge" --template "$folder/former/deploy/micaplank.toml.tmpl" --nodes "${3:-10}" --duration "${DURATION:-40s}" || failed=1
 done
 exit $failed
