rollout: what is overtaken within 10 ms is not slow

Its leaf takes 10 ms where the others take less than 1, so that hedges overtook each of its attempts within some ms. The verdict on times has a floor of 10 ms for that (slowFloor); what is overtaken sooner does not count now, either.

--- a/internal/decide/rollout/counts.go
+++ b/internal/decide/rollout/counts.go
@@ -136,12 +136,13 @@
 	c.counts(subject).Took[bucketOf(took)]++
 }
 
-// First counts that an attempt was the first of its shard, and whether a later one was
-// answered before it.
-func (c *Counter) First(subject Subject, overtaken bool) {
+// First counts that an attempt was the first of its shard, and after which time a later one
+// was answered before it; zero if none was. What was overtaken within slowFloor is not
+// slow: where leaves take less than a millisecond hedges overtake one that takes 10.
+func (c *Counter) First(subject Subject, overtaken time.Duration) {
 	counts := c.counts(subject)
 	counts.First++
-	if overtaken {
+	if overtaken >= slowFloor {
 		counts.Overtaken++
 	}
 }
--- a/internal/edge/node/rollout.go
+++ b/internal/edge/node/rollout.go
@@ -246,12 +246,17 @@
 	r.metrics.count(subject, attempt)
 }
 
-// overtaken reports whether an attempt was open when a later one at its shard was answered.
-func overtaken(answer *forward.Answer, attempt *scatter.AttemptTrace) bool {
+// overtaken returns how long an attempt was open when a later one at its shard was answered;
+// zero if none was.
+func overtaken(answer *forward.Answer, attempt *scatter.AttemptTrace) time.Duration {
 	if attempt.End != scatter.EndOpen && !attempt.Aborted {
-		return false
+		return 0
 	}
-	return slices.ContainsFunc(answer.Attempts, func(other scatter.AttemptTrace) bool {
-		return other.Shard == attempt.Shard && other.At > attempt.At && other.End == scatter.EndAnswered
-	})
+	for index := range answer.Attempts {
+		other := &answer.Attempts[index]
+		if other.Shard == attempt.Shard && other.At > attempt.At && other.End == scatter.EndAnswered {
+			return other.At + other.Took - attempt.At
+		}
+	}
+	return 0
 }
