query: log requests of unknown outcome; tests print the trace of a violation

Cause: an unknown outcome could not be traced. The check tells the id, but neither the nodes nor the test said which node or leaf lost the request, when it was sent, and how its attempt ended.

Change: the caller's node and the owner each log 'request outcome unknown' with the id, the time, the error or the attempts at leaves (10 lines a second at most). The attempts of requests that may run once are always recorded. A failed check of internal/rehearsal/promises prints these lines and the leaves' execution logs for the first three ids. No check or bound changed.

--- a/internal/rehearsal/promises/deployment_test.go
+++ b/internal/rehearsal/promises/deployment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -60,6 +61,8 @@
 
 	mutex sync.Mutex
 	nodes []*cluster.Node
+	// started lists the processes of all nodes, including those that were replaced.
+	started []*cluster.Node
 }
 
 // shortenFreshness shortens the freshness window, so that the replacement of an owner accepts ids
@@ -97,7 +100,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(running.Close)
-	return &deployment{Cluster: running, t: t, ctx: ctx, nodes: append([]*cluster.Node(nil), running.Nodes...)}
+	return &deployment{Cluster: running, t: t, ctx: ctx, nodes: slices.Clone(running.Nodes), started: slices.Clone(running.Nodes)}
 }
 
 // node returns the process that currently fills a node slot.
@@ -120,6 +123,14 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.nodes[index%len(d.nodes)] = started
+	d.started = append(d.started, started)
+}
+
+// startedNodes returns the processes of all nodes, including those that were replaced.
+func (d *deployment) startedNodes() []*cluster.Node {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Clone(d.started)
 }
 
 // addNode starts a node in addition to those of the plan. The node is not a voter.
@@ -130,6 +141,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.nodes = append(d.nodes, started)
+	d.started = append(d.started, started)
 }
 
 // submit sends a request to a node and records the response.
@@ -238,6 +250,7 @@
 // requireNoViolations fails the test if a check found violations.
 func (d *deployment) requireNoViolations(violations []history.Violation) {
 	d.t.Helper()
+	defer d.logTraces(violations)
 	for index, violation := range violations {
 		if index == maxViolationsShown {
 			d.t.Errorf("and %d more violations", len(violations)-maxViolationsShown)
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithCancel(query.ctx)
 	query.references++
 	attempt := &runningAttempt{send: send, cancel: cancel, traceIndex: len(query.trace)}
-	if c.config.Trace {
+	if query.traced {
 		query.trace = append(query.trace, AttemptTrace{Send: send, SentAfter: c.config.Clock.Now() - query.submittedAt, End: EndOpen})
 	}
 	c.attempts[send.Attempt] = attempt
--- a/internal/scatter/attempt_end.go
+++ b/internal/scatter/attempt_end.go
@@ -12,7 +12,7 @@
 // reportEnd records the end of an attempt and passes it to the dispatcher.
 func (c *QueryRunner[Q, P]) reportEnd(now dispatch.Time, attempt *runningAttempt, query *runningQuery[Q, P], response *Response[P], err error) []dispatch.Action {
 	_, active := c.queries[attempt.send.Query]
-	if active && c.config.Trace {
+	if active && query.traced {
 		completeTrace(&query.trace[attempt.traceIndex], now-query.submittedAt, attempt.aborted, response, err)
 		if query.trace[attempt.traceIndex].Closed && c.config.OnConnectionClosed != nil {
 			c.config.OnConnectionClosed(QueryProgress[Q]{
--- a/internal/scatter/running_query.go
+++ b/internal/scatter/running_query.go
@@ -17,8 +17,10 @@
 	// detail is the leaf's explanation of a RefusedInvalid refusal.
 	detail      string
 	submittedAt dispatch.Time
-	trace       []AttemptTrace
-	result      chan Result[P]
+	// traced is set if the attempts are recorded in trace.
+	traced bool
+	trace  []AttemptTrace
+	result chan Result[P]
 	// ctx is the parent context of all attempts. It ends at the deadline.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -30,6 +32,7 @@
 func (c *QueryRunner[Q, P]) submit(request Request[Q]) *runningQuery[Q, P] {
 	query := &runningQuery[Q, P]{
 		request: request,
+		traced:  c.config.Trace || !request.Class.Repeatable,
 		parts:   make(map[dispatch.AttemptID]P),
 		result:  make(chan Result[P], 1),
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -77,7 +77,8 @@
 	Guard         Guard
 	OnDraining    DrainingFunc
 	Metrics       *Metrics
-	// Trace enables the recording of all attempts in Result.Attempts.
+	// Trace enables the recording of all attempts in Result.Attempts. The attempts of queries that
+	// must not be repeated are always recorded.
 	Trace bool
 	// OnConnectionClosed, if not nil, is called when the leaf of an attempt closes the connection
 	// before the first byte of its answer while the query runs. It requires Trace. It is called
@@ -159,8 +160,8 @@
 type Result[P any] struct {
 	dispatch.Finish
 	Parts []ShardPart[P]
-	// Attempts lists the attempts in the order in which they were sent. It is empty unless
-	// Config.Trace is set.
+	// Attempts lists the attempts in the order in which they were sent. It is empty for a
+	// repeatable query unless Config.Trace is set.
 	Attempts []AttemptTrace
 	// Failure is the last answer with which a leaf failed. It is valid only if HasFailure is set.
 	Failure    P
--- a/internal/selfhosted/node/build.go
+++ b/internal/selfhosted/node/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,8 +21,12 @@
 	"github.com/micaplank/micaplank/internal/selfhosted/query"
 	"github.com/micaplank/micaplank/internal/selfhosted/store"
 	"github.com/micaplank/micaplank/internal/selfhosted/topology"
+	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
+// queryLogLimits limits the lines about single requests, in lines per second.
+var queryLogLimits = telemetry.RateLimits{Info: 10, Warn: 10}
+
 // listenPeer opens the peer server and the datagram socket, and creates the client for calls to
 // other nodes.
 func (n *Node) listenPeer() (err error) {
@@ -141,6 +146,7 @@
 		HasVoterMajority: n.isAcknowledgedByMajority,
 		Clock:            n.clock,
 		Metrics:          query.NewMetrics(n.registry),
+		Logger:           slog.New(telemetry.NewRateLimitHandler(n.logger.Handler(), queryLogLimits, n.registry)),
 		StaleRetryAfter:  n.settings.Freshness.ExchangeInterval.Duration(),
 	})
 }
--- a/internal/selfhosted/query/at_most_once.go
+++ b/internal/selfhosted/query/at_most_once.go
@@ -48,6 +48,7 @@
 // forwardToOwner sends the query to the owner exactly once. If the response is lost,
 // the query may have run, and the caller receives an outcome-unknown problem.
 func (r *Runner) forwardToOwner(ctx context.Context, plan *queryPlan, owner string) (*api.QueryResponse, error) {
+	started := r.config.Clock.Now()
 	forwardCtx, cancel := context.WithTimeout(ctx, plan.timeout)
 	defer cancel()
 	response, err := r.config.Forwarder.Forward(forwardCtx, owner, ForwardedQuery{
@@ -66,6 +67,7 @@
 	if errors.As(err, &forwardErr) && !forwardErr.Sent {
 		return nil, r.newUnavailableProblem(plan.request, fmt.Sprintf("The owner of this request id, %s, cannot be reached.", owner))
 	}
+	r.logLostForward(plan, owner, r.config.Clock.Now()-started, err)
 	unknownOutcome := plan.newProblem(api.ProblemOutcomeUnknown, err.Error())
 	unknownOutcome.Outcome = dispatch.OutcomeUnknown
 	unknownOutcome.Reason = dispatch.ReasonConnectionLost
--- a/internal/selfhosted/query/fixture_test.go
+++ b/internal/selfhosted/query/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"testing"
 	"time"
@@ -128,6 +129,7 @@
 		HasVoterMajority: func() bool { return !f.withoutMajority },
 		Clock:            f.clock,
 		Metrics:          NewMetrics(prometheus.NewRegistry()),
+		Logger:           slog.New(slog.DiscardHandler),
 		StaleRetryAfter:  retryWhenStale,
 	})
 	f.runner.SetVoters(f.catalogs.current)
--- a/internal/selfhosted/query/runner.go
+++ b/internal/selfhosted/query/runner.go
@@ -14,10 +14,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/rows"
 	"github.com/micaplank/micaplank/internal/scatter"
 	"github.com/micaplank/micaplank/internal/selfhosted/api"
@@ -91,6 +93,9 @@
 	HasVoterMajority func() bool
 	Clock            clock.Clock
 	Metrics          *Metrics
+	// Logger receives a line for each request that may run at most once and whose outcome is
+	// unknown, so that an operator can find out whether it ran.
+	Logger *slog.Logger
 	// StaleRetryAfter is the retry delay for callers that were refused because this
 	// node was not fresh.
 	StaleRetryAfter time.Duration
@@ -137,10 +142,14 @@
 
 // scatterQuery runs a planned query over the shards and merges their tables.
 func (r *Runner) scatterQuery(ctx context.Context, plan *queryPlan) (*api.QueryResponse, error) {
+	started := r.config.Clock.Now()
 	scatterer, ok := r.config.Scatterers.Scatterer(plan.service.Name)
 	if !ok {
 		return nil, plan.newProblem(api.ProblemNotRunNoSnapshot, "The service is not installed on this node yet.")
 	}
 	result := scatterer.Execute(ctx, plan.newScatterRequest())
+	if result.Outcome == dispatch.OutcomeUnknown {
+		r.logUnknownOutcome(plan, r.config.Clock.Now()-started, result)
+	}
 	return plan.toResponse(result)
 }
