peer: a silent connection stays open for requests that must not be repeated

What callers saw: an insert that may run once ended as 'outcome unknown' before its deadline (after 962 ms of 1 s), although its owner, which was only paused, ran and answered it.

Cause: a connection between nodes on which calls have waited for 0.7 s without a frame was closed under all its calls. Another call to the same owner that ran into its deadline closed it.

Change: the connection takes no new calls, and calls that can be repeated fail at once as before, but it is closed only when the calls made by CallOnce have ended. Why it holds: such a call now ends by its response, its deadline or a real loss of the connection, never by what happened to another call.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -85,21 +85,33 @@
 // most once: it retries only if no byte of the request was sent. Errors wrap an *Error; use
 // errors.As.
 func (c *Client) Call(ctx context.Context, to netip.AddrPort, method string, request, response any) error {
+	return c.callWithRetries(ctx, to, callRequest{method: method, body: request}, response)
+}
+
+// CallOnce is Call for a request that the caller must not repeat. It also waits on a connection that
+// counts as dead because the peer is silent: the peer may only be slow, and its response is the only
+// proof of what it did.
+func (c *Client) CallOnce(ctx context.Context, to netip.AddrPort, method string, request, response any) error {
+	return c.callWithRetries(ctx, to, callRequest{method: method, body: request, once: true}, response)
+}
+
+// callWithRetries performs a call, and repeats it while no byte of the request was sent.
+func (c *Client) callWithRetries(ctx context.Context, to netip.AddrPort, request callRequest, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	failure := c.call(ctx, to, method, request, response)
+	failure := c.call(ctx, to, request, response)
 	for range maxUnsentRetries {
 		if failure == nil || failure.Sent || !errors.Is(failure.Err, ErrConnectionLost) {
 			break
 		}
 		// The pooled connection was lost before anything was sent on it.
-		failure = c.call(ctx, to, method, request, response)
+		failure = c.call(ctx, to, request, response)
 	}
-	c.metrics.calls.WithLabelValues(method, resultLabel(failure)).Inc()
+	c.metrics.calls.WithLabelValues(request.method, resultLabel(failure)).Inc()
 	if failure == nil {
 		return nil
 	}
-	failure.Peer, failure.Method = to, method
+	failure.Peer, failure.Method = to, request.method
 	failure.NotExecuted = failure.NotExecuted || !failure.Sent
 	return wrap(failure)
 }
@@ -112,7 +124,7 @@
 	return string(failure.Step)
 }
 
-func (c *Client) call(ctx context.Context, to netip.AddrPort, method string, request, response any) *Error {
+func (c *Client) call(ctx context.Context, to netip.AddrPort, request callRequest, response any) *Error {
 	conn, err := c.acquire(to)
 	if err != nil {
 		return &Error{Step: StepDial, Err: err}
@@ -126,7 +138,7 @@
 	if conn.dialErr != nil {
 		return &Error{Step: conn.dialErr.Step, Err: conn.dialErr.Err}
 	}
-	failure := conn.call(ctx, method, request, response)
+	failure := conn.call(ctx, request, response)
 	if failure != nil && errors.Is(failure.Err, ErrConnectionLost) {
 		c.remove(conn)
 	}
--- a/internal/peer/client_call.go
+++ b/internal/peer/client_call.go
@@ -13,8 +13,17 @@
 	failure *Error
 }
 
+// callRequest is what a call asks of the peer.
+type callRequest struct {
+	method string
+	body   any // a pointer to a struct
+	// once is set if the caller must not repeat the request; see Client.CallOnce.
+	once bool
+}
+
 // pendingCall is a call without a response.
 type pendingCall struct {
+	once         bool            // see callRequest
 	responseType reflect.Type    // type to which the caller's response points
 	result       chan callResult // buffered for one result
 }
@@ -28,23 +37,25 @@
 }
 
 // call performs one call on the established connection.
-func (c *clientConn) call(ctx context.Context, method string, request, response any) *Error {
+func (c *clientConn) call(ctx context.Context, request callRequest, response any) *Error {
 	target := reflect.ValueOf(response)
 	if target.Kind() != reflect.Pointer || target.IsNil() {
 		return &Error{Step: StepEncode, Err: fmt.Errorf("peer: response is %T, want a non-nil pointer to a struct", response)}
 	}
-	pending := &pendingCall{responseType: target.Type().Elem(), result: make(chan callResult, 1)}
+	pending := &pendingCall{once: request.once, responseType: target.Type().Elem(), result: make(chan callResult, 1)}
 	callID, ok := c.register(pending)
 	if !ok {
 		return &Error{Step: StepQueue, Err: ErrConnectionLost}
 	}
 	defer c.unregister(callID)
 	startedAt := time.Now()
-	frame := newRequestFrame(ctx, callID, method, request, pending)
+	frame := newRequestFrame(ctx, callID, request, pending)
 	select {
 	case c.framed.queue <- frame:
 	case <-c.framed.closed:
 		return &Error{Step: StepQueue, Err: ErrConnectionLost}
+	case result := <-pending.result:
+		return storeResult(result, target, frame)
 	case <-ctx.Done():
 		return &Error{Step: StepQueue, Err: ctx.Err()}
 	}
@@ -60,8 +71,8 @@
 
 // newRequestFrame returns the request frame of a call. If the frame cannot be encoded, the call
 // ends with that error.
-func newRequestFrame(ctx context.Context, callID uint64, method string, request any, pending *pendingCall) *outgoingFrame {
-	frame := &outgoingFrame{header: frameHeader{Kind: frameRequest, Call: callID, Method: method}, body: request}
+func newRequestFrame(ctx context.Context, callID uint64, request callRequest, pending *pendingCall) *outgoingFrame {
+	frame := &outgoingFrame{header: frameHeader{Kind: frameRequest, Call: callID, Method: request.method}, body: request.body}
 	if deadline, ok := ctx.Deadline(); ok {
 		frame.header.Remaining = max(time.Until(deadline), 1)
 	}
--- a/internal/peer/client_conn.go
+++ b/internal/peer/client_conn.go
@@ -21,10 +21,12 @@
 	activeCalls int
 	lastCall    uint64
 	lost        bool
-	draining    bool // accepts no new calls because the peer is draining or the connection is idle
-	lastUsed    time.Time
-	idleTimer   *time.Timer
-	silence     silenceDetector
+	// draining is set if the connection accepts no new calls because the peer is draining or silent,
+	// or because the connection is idle.
+	draining  bool
+	lastUsed  time.Time
+	idleTimer *time.Timer
+	silence   silenceDetector
 }
 
 func newClientConn(client *Client, key poolKey) *clientConn {
@@ -103,8 +105,7 @@
 	}
 }
 
-// closeIfSilent records that a call was abandoned, and closes the connection if it counts as dead:
-// other calls on it would receive no response either.
+// closeIfSilent records that a call was abandoned, and drains the connection if it counts as dead.
 func (c *clientConn) closeIfSilent(startedAt time.Time) {
 	c.mutex.Lock()
 	silent := c.silence.callAbandoned(startedAt, time.Now())
@@ -114,7 +115,23 @@
 	}
 	c.client.metrics.silentConnections.Inc()
 	c.client.remove(c)
-	c.framed.close()
+	c.drainSilent()
+}
+
+// drainSilent fails the calls that can be repeated, and closes the connection once no other call is
+// left.
+func (c *clientConn) drainSilent() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.draining = true
+	for callID, pending := range c.pending {
+		if pending.once {
+			continue
+		}
+		delete(c.pending, callID)
+		pending.complete(callResult{failure: &Error{Step: StepWait, Sent: true, Err: ErrConnectionLost}})
+	}
+	c.closeIfDrained()
 }
 
 // closeIfDrained closes the connection if it accepts no new calls and its last call has ended. A
--- a/internal/selfhosted/node/peers.go
+++ b/internal/selfhosted/node/peers.go
@@ -111,7 +111,7 @@
 		return nil, &query.ForwardError{Node: name, Sent: false, Err: errors.New("the owner is not a current member")}
 	}
 	var response queryResponse
-	if err := f.node.peerClient.Call(ctx, member.Address, methodQuery, &request, &response); err != nil {
+	if err := f.node.peerClient.CallOnce(ctx, member.Address, methodQuery, &request, &response); err != nil {
 		return nil, &query.ForwardError{Node: name, Sent: !peer.NotExecuted(err), Err: err}
 	}
 	if response.Problem != nil {
