dispatch: no attempt that cannot be answered in time for a query that may run once

What callers saw: inserts that may run once ended at their deadline of 1 s as 'outcome unknown', after they had waited in their node for 952 to 975 ms and were then sent to a leaf that takes 60 to 100 ms.

Cause: a queued query was sent as long as any time was left, which turned a provable 'not run' into 'unknown'. A queue about as long as the deadline is enough; no process needs to be paused for that long.

Change: such a query gets no attempt when less than the service time of its class is left (half of its own time at most), and ends then as not run. Why it holds: an outcome can only become unknown by an attempt, and attempts now begin with the time that they are expected to take.

Test: TestNonRepeatableQueryIsNotSentTooLate fails without the rule (one attempt, no end).

--- /dev/null
+++ b/internal/decide/dispatch/last_send.go
@@ -0,0 +1,20 @@
+// Rule: last send. A query that may run once gets no attempt from the moment on at which less than
+// the service time of its class is left, or less than half of its own time if that is shorter. If it
+// has no attempt then, it ends as not run.
+//
+// Inputs: submission and deadline of the query, service time of its class (seconds).
+//
+// Reason: an attempt that is not answered before the deadline leaves the outcome unknown, although
+// the query had provably not run a moment before. A query that can be repeated loses nothing by the
+// attempt. The bound of half its own time lets a class recover from a service time that was
+// overestimated, since only answers correct it.
+
+package dispatch
+
+// lastSend returns the time from which on the query gets no attempt.
+func (d *Dispatcher) lastSend(q *query) Time {
+	if q.Class.Repeatable {
+		return q.Deadline
+	}
+	return q.Deadline - min(seconds(q.class.serviceTime), (q.Deadline-q.submitted)/2)
+}
--- a/internal/decide/dispatch/lifecycle.go
+++ b/internal/decide/dispatch/lifecycle.go
@@ -77,16 +77,26 @@
 	d.setTimer(q)
 }
 
-// expirePending ends a query that still waits for the concurrency limit at its deadline.
+// expirePending ends a query that still waits for the concurrency limit at the time of its last
+// send, which may have changed since its timer was set.
 func (d *Dispatcher) expirePending(q *query) {
-	if !q.finished && d.now >= q.Deadline {
+	if q.finished {
+		return
+	}
+	last := d.lastSend(q)
+	if d.now >= last {
 		d.finish(q, OutcomeNotRun, ReasonDeadline)
+		return
 	}
+	d.timers.set(q, last)
 }
 
 // setTimer schedules the next time-based event of a query.
 func (d *Dispatcher) setTimer(q *query) {
 	next := q.Deadline
+	if q.inFlight == 0 {
+		next = d.lastSend(q)
+	}
 	if q.settleAt > d.now {
 		next = min(next, q.settleAt)
 	}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -1,8 +1,8 @@
-// The next step of a shard without an attempt, in this order: after the deadline nothing is sent;
-// without the budget for a needed retry the shard is parked or given up; a shard that has used up
-// its attempts is given up; a retry of a suspected query is withheld; a shard that no leaf holds is
-// given up, and the query may restart; without room on the leaves the shard is queued; otherwise
-// the attempt is sent.
+// The next step of a shard without an attempt, in this order: after the last send (see lastSend)
+// nothing is sent; without the budget for a needed retry the shard is parked or given up; a shard
+// that has used up its attempts is given up; a retry of a suspected query is withheld; a shard that
+// no leaf holds is given up, and the query may restart; without room on the leaves the shard is
+// queued; otherwise the attempt is sent.
 
 package dispatch
 
@@ -19,9 +19,9 @@
 }
 
 // placeNext implements place and placeWaiting. It returns false if the shard remains queued or
-// waits for the deadline.
+// waits for the end of the query.
 func (d *Dispatcher) placeNext(q *query, position int32, waiting bool) bool {
-	if d.now >= q.Deadline {
+	if d.now >= d.lastSend(q) {
 		return false
 	}
 	if d.blockAttempt(q, position, waiting) {
--- a/internal/decide/dispatch/queue.go
+++ b/internal/decide/dispatch/queue.go
@@ -129,7 +129,7 @@
 			return
 		}
 		waiting := *next.waiting.head(d.now)
-		if d.now >= waiting.query.Deadline {
+		if d.now >= d.lastSend(waiting.query) {
 			d.advance(waiting.query)
 			continue
 		}
@@ -183,7 +183,7 @@
 		return 1
 	})
 	d.queries.pending = slices.Insert(d.queries.pending, at, q)
-	d.timers.set(q, q.Deadline)
+	d.timers.set(q, d.lastSend(q))
 }
 
 // startPending starts postponed queries as far as the concurrency limit allows.
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -1,11 +1,13 @@
 // Rule: settling. A query ends when all its shards are answered, when an answer is impossible, or
 // at its deadline. An answer is impossible after an attempt of unknown outcome or an invalid
-// statement, or if no shard or too few shards can still be answered, also because the leaves of the
-// others are down. With enough coverage a query also ends when no shard is outstanding any more, or
-// at its settle time shortly before the objective or deadline.
+// statement, if no shard or too few shards can still be answered, also because the leaves of the
+// others are down, or if a query that may run once has no attempt at the time of its last send.
+// With enough coverage a query also ends when no shard is outstanding any more, or at its settle
+// time shortly before the objective or deadline.
 //
 // Inputs: shards answered, unavailable and needed, the minimum coverage (share from 0 to 1), the
-// settle time (coverage.Config), the deadline; for each shard, the attempts sent and lost.
+// settle time (coverage.Config), the deadline, the time of the last send; for each shard, the
+// attempts sent and lost.
 //
 // Reason: waiting has no value once the outcome cannot improve, and an answer after the objective
 // has little value.
@@ -22,6 +24,8 @@
 		return OutcomeUnknown, ReasonConnectionLost, true
 	case q.findings.invalid:
 		return q.failureOutcome(), ReasonInvalid, true
+	case !q.Class.Repeatable && q.inFlight == 0 && d.now >= d.lastSend(q):
+		return q.failureOutcome(), ReasonDeadline, true
 	case progress.Unanswerable():
 		return q.failureOutcome(), q.findings.lastReason, true
 	case d.config.RequireCoverage && !progress.CanMeetMinimum(q.MinimumCoverage):
