query: wait for the outcome of a request that may run once after its deadline

What callers saw: inserts that may run once, deadline 1 s, ended as 'outcome unknown' after 1.0 to 1.3 s, while a process was paused for 1.2 s; most had run, and their leaf or owner knew it at most 0.3 s later.

Cause: one deadline bounded the work and the wait for word of it, at the caller's node, the owner and the leaf alike. A word about the deadline itself came always too late, and a reply that waited in the socket of a process that woke lost against the timer.

Change: the deadline bounds what is begun. At the deadline the caller's node withdraws the request; an owner that has not begun it, also because it was paused after its arrival, answers 'not run'. Nothing is sent to a leaf after the deadline: the leaf client checks the remaining time by itself, since its context lasts longer now. Why it holds: each place now waits longer than the one behind it needs to know.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -60,6 +60,9 @@
 	Shards []int
 	// Deadline is an absolute time on the clock of Time.
 	Deadline Time
+	// OutcomeWait is how long after Deadline a query that may run once waits for the end of its
+	// attempt, which tells whether it ran. Nothing is sent in that time.
+	OutcomeWait time.Duration
 	// Objective is the time after which an answer has little value; zero means that there is none.
 	// A query with enough coverage settles shortly before it.
 	Objective Time
--- a/internal/decide/dispatch/lifecycle.go
+++ b/internal/decide/dispatch/lifecycle.go
@@ -94,8 +94,11 @@
 // setTimer schedules the next time-based event of a query.
 func (d *Dispatcher) setTimer(q *query) {
 	next := q.Deadline
-	if q.inFlight == 0 {
+	switch {
+	case q.inFlight == 0:
 		next = d.lastSend(q)
+	case q.awaitsOutcome(d.now):
+		next += q.OutcomeWait
 	}
 	if q.settleAt > d.now {
 		next = min(next, q.settleAt)
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -2,7 +2,8 @@
 // at its deadline. An answer is impossible after an attempt of unknown outcome or an invalid
 // statement, if no shard or too few shards can still be answered, also because the leaves of the
 // others are down, or if a query that may run once has no attempt at the time of its last send.
-// With enough coverage a query also ends when no shard is outstanding any more, or at its settle
+// A query that may run once and has an attempt in flight at its deadline waits for its end for
+// Query.OutcomeWait. With enough coverage a query also ends when no shard is outstanding any more, or at its settle
 // time shortly before the objective or deadline.
 //
 // Inputs: shards answered, unavailable and needed, the minimum coverage (share from 0 to 1), the
@@ -10,7 +11,8 @@
 // attempts sent and lost.
 //
 // Reason: waiting has no value once the outcome cannot improve, and an answer after the objective
-// has little value.
+// has little value. A late outcome of a query that may run once has value: without it the caller
+// cannot know whether to submit the query again under a new id.
 
 package dispatch
 
@@ -32,6 +34,8 @@
 		return q.failureOutcome(), q.findings.lastReason, true
 	case d.config.RequireCoverage && d.coverageBlockedByDownLeaves(q):
 		return q.failureOutcome(), ReasonNoLeaf, true
+	case q.awaitsOutcome(d.now):
+		return "", ReasonNone, false
 	case d.now >= q.Deadline && d.config.RequireCoverage && !progress.MeetsMinimum(q.MinimumCoverage):
 		return q.failureOutcome(), ReasonDeadline, true
 	case d.now >= q.Deadline && progress.Answered > 0:
@@ -49,6 +53,11 @@
 	}
 }
 
+// awaitsOutcome reports whether the query is past its deadline and waits for the end of its attempt.
+func (q *query) awaitsOutcome(now Time) bool {
+	return !q.Class.Repeatable && q.inFlight > 0 && now >= q.Deadline && now < q.Deadline+q.OutcomeWait
+}
+
 // failureOutcome returns the outcome of a query that ends without an answer.
 func (q *query) failureOutcome() Outcome {
 	switch {
--- a/internal/leaf/call.go
+++ b/internal/leaf/call.go
@@ -22,9 +22,31 @@
 // that one large reply does not stay in memory.
 const maxPooledBuffer = 1 << 20
 
-// call sends one request and decodes its reply into out. It reports whether the leaf sent a GOAWAY
+// message is one request of the leaf protocol.
+type message struct {
+	method, path string
+	content      []byte
+	// sendBy is the time after which the content is not sent any more; zero for no bound beside the
+	// context.
+	sendBy time.Time
+}
+
+// checkTime returns an error if the message must not be sent any more. It compares the times with
+// the clock, because the timers of ctx fire late after the process was frozen.
+func (m *message) checkTime(ctx context.Context) error {
+	now := time.Now()
+	if deadline, limited := ctx.Deadline(); limited && !now.Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	if !m.sendBy.IsZero() && !now.Before(m.sendBy) {
+		return context.DeadlineExceeded
+	}
+	return ctx.Err()
+}
+
+// call sends one message and decodes its reply into out. It reports whether the leaf sent a GOAWAY
 // frame on the connection. Errors are of type *TransportError.
-func (c *Client) call(ctx context.Context, address netip.AddrPort, method, path string, content []byte, out any) (goingAway bool, err error) {
+func (c *Client) call(ctx context.Context, address netip.AddrPort, sent message, out any) (goingAway bool, err error) {
 	p := c.poolOrNil(address)
 	if p == nil {
 		return false, newTransportError(StepConnect, address, false, ErrClosed)
@@ -34,11 +56,11 @@
 		return false, newTransportError(StepConnect, address, false, err)
 	}
 	defer conn.release()
-	body := &requestBody{content: content, check: func() error { return c.checkSend(ctx) }}
-	if err := checkDeadline(ctx); err != nil {
+	body := &requestBody{content: sent.content, check: func() error { return c.checkSend(ctx, &sent) }}
+	if err := sent.checkTime(ctx); err != nil {
 		return false, newTransportError(StepSend, address, false, err)
 	}
-	response, err := conn.client.RoundTrip(newRequest(ctx, address, method, path, body))
+	response, err := conn.client.RoundTrip(newRequest(ctx, address, sent.method, sent.path, body))
 	if err != nil {
 		return false, classifySendError(address, body, err)
 	}
@@ -50,22 +72,13 @@
 }
 
 // checkSend returns an error if a request with a body must not be sent now.
-func (c *Client) checkSend(ctx context.Context) error {
-	if err := checkDeadline(ctx); err != nil {
+func (c *Client) checkSend(ctx context.Context, sent *message) error {
+	if err := sent.checkTime(ctx); err != nil {
 		return err
 	}
 	return c.config.Guard()
 }
 
-// checkDeadline returns an error if ctx has ended or its deadline has passed. It compares the
-// deadline with the clock, because the timer of ctx fires late after the process was frozen.
-func checkDeadline(ctx context.Context) error {
-	if deadline, limited := ctx.Deadline(); limited && !time.Now().Before(deadline) {
-		return context.DeadlineExceeded
-	}
-	return ctx.Err()
-}
-
 // newRequest creates a request that net/http never sends twice. It sets neither GetBody, which
 // http.NewRequest sets for some types of bodies, nor an Idempotency-Key header: with either of them
 // net/http may send the request again.
--- a/internal/leaf/client.go
+++ b/internal/leaf/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -44,10 +45,10 @@
 	}
 }
 
-// Execute sends one attempt and blocks until its reply has been verified or ctx is done. If ctx is
-// done first, it resets the stream so that the leaf can stop the work. Errors are of type
-// *TransportError. If the leaf sent a GOAWAY frame on the connection, Load.State of the response is
-// StateDraining.
+// Execute sends one attempt and blocks until its reply has been verified or ctx is done. It sends
+// nothing after the remaining time of the request has passed. If ctx is done first, Execute resets
+// the stream so that the leaf can stop the work. Errors are of type *TransportError. If the leaf
+// sent a GOAWAY frame on the connection, Load.State of the response is StateDraining.
 func (c *Client) Execute(ctx context.Context, address netip.AddrPort, request ExecuteRequest) (*ExecuteResponse, error) {
 	response, err := c.execute(ctx, address, &request)
 	c.metrics.recordAttempt(response, err, ctx.Err() != nil)
@@ -60,7 +61,8 @@
 		return nil, newTransportError(StepSend, address, false, err)
 	}
 	response := new(ExecuteResponse)
-	goingAway, err := c.call(ctx, address, http.MethodPost, ExecutePath, body, response)
+	sendBy := time.Now().Add(time.Duration(request.RemainingMilliseconds) * time.Millisecond)
+	goingAway, err := c.call(ctx, address, message{http.MethodPost, ExecutePath, body, sendBy}, response)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +79,7 @@
 // are of type *TransportError.
 func (c *Client) Load(ctx context.Context, address netip.AddrPort) (*LoadReport, error) {
 	report := new(LoadReport)
-	goingAway, err := c.call(ctx, address, http.MethodGet, LoadPath, nil, report)
+	goingAway, err := c.call(ctx, address, message{method: http.MethodGet, path: LoadPath}, report)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/leaf/execute_test.go
+++ b/internal/leaf/execute_test.go
@@ -265,6 +265,12 @@
 	if !errors.As(err, &transportError) || transportError.Sent || !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("expired deadline: got error %v, want %v with Sent false", err, context.DeadlineExceeded)
 	}
+	late := testRequest(false)
+	late.RemainingMilliseconds = 0
+	_, err = client.Execute(testContext(t), server.address(), late)
+	if !errors.As(err, &transportError) || transportError.Sent || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("no time remaining: got error %v, want %v with Sent false", err, context.DeadlineExceeded)
+	}
 	if _, err := guarded.Load(testContext(t), server.address()); errors.Is(err, errStale) {
 		t.Errorf("load report: got error %v, want the guard not to apply", err)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -88,11 +88,13 @@
 	return c.callWithRetries(ctx, to, callRequest{method: method, body: request}, response)
 }
 
-// CallOnce is Call for a request that the caller must not repeat. It also waits on a connection that
-// counts as dead because the peer is silent: the peer may only be slow, and its response is the only
-// proof of what it did.
-func (c *Client) CallOnce(ctx context.Context, to netip.AddrPort, method string, request, response any) error {
-	return c.callWithRetries(ctx, to, callRequest{method: method, body: request, once: true}, response)
+// CallOnce is Call for a request that the caller must not repeat. The request is not sent after
+// withdrawAt. If it was sent before and has no response by then, it is withdrawn: the context of the
+// peer's handler ends. CallOnce then waits on for the response until ctx ends, also on a connection
+// that counts as dead because the peer is silent. The peer may only be slow, and its response is the
+// only proof of what it did.
+func (c *Client) CallOnce(ctx context.Context, to netip.AddrPort, method string, request, response any, withdrawAt time.Time) error {
+	return c.callWithRetries(ctx, to, callRequest{method: method, body: request, once: true, withdrawAt: withdrawAt}, response)
 }
 
 // callWithRetries performs a call, and repeats it while no byte of the request was sent.
@@ -130,15 +132,17 @@
 		return &Error{Step: StepDial, Err: err}
 	}
 	defer c.activeCalls.Done()
+	sendCtx, cancel := request.sendContext(ctx)
+	defer cancel()
 	select {
 	case <-conn.ready:
-	case <-ctx.Done():
-		return &Error{Step: StepDial, Err: ctx.Err()}
+	case <-sendCtx.Done():
+		return &Error{Step: StepDial, Err: sendCtx.Err()}
 	}
 	if conn.dialErr != nil {
 		return &Error{Step: conn.dialErr.Step, Err: conn.dialErr.Err}
 	}
-	failure := conn.call(ctx, request, response)
+	failure := conn.call(ctx, sendCtx, request, response)
 	if failure != nil && errors.Is(failure.Err, ErrConnectionLost) {
 		c.remove(conn)
 	}
--- a/internal/peer/client_call.go
+++ b/internal/peer/client_call.go
@@ -19,6 +19,16 @@
 	body   any // a pointer to a struct
 	// once is set if the caller must not repeat the request; see Client.CallOnce.
 	once bool
+	// withdrawAt is the time at which a request with once is withdrawn.
+	withdrawAt time.Time
+}
+
+// sendContext returns the context that ends when the request must not be sent any more.
+func (r *callRequest) sendContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !r.once {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, r.withdrawAt)
 }
 
 // pendingCall is a call without a response.
@@ -36,8 +46,9 @@
 	}
 }
 
-// call performs one call on the established connection.
-func (c *clientConn) call(ctx context.Context, request callRequest, response any) *Error {
+// call performs one call on the established connection. sendCtx is the context of
+// callRequest.sendContext.
+func (c *clientConn) call(ctx, sendCtx context.Context, request callRequest, response any) *Error {
 	target := reflect.ValueOf(response)
 	if target.Kind() != reflect.Pointer || target.IsNil() {
 		return &Error{Step: StepEncode, Err: fmt.Errorf("peer: response is %T, want a non-nil pointer to a struct", response)}
@@ -49,31 +60,39 @@
 	}
 	defer c.unregister(callID)
 	startedAt := time.Now()
-	frame := newRequestFrame(ctx, callID, request, pending)
+	frame := newRequestFrame(sendCtx, callID, request, pending)
 	select {
 	case c.framed.queue <- frame:
 	case <-c.framed.closed:
 		return &Error{Step: StepQueue, Err: ErrConnectionLost}
 	case result := <-pending.result:
 		return storeResult(result, target, frame)
-	case <-ctx.Done():
-		return &Error{Step: StepQueue, Err: ctx.Err()}
+	case <-sendCtx.Done():
+		return &Error{Step: StepQueue, Err: sendCtx.Err()}
+	}
+	select {
+	case result := <-pending.result:
+		return storeResult(result, target, frame)
+	case <-sendCtx.Done():
+	}
+	failure := c.abandon(sendCtx, callID, frame)
+	c.closeIfSilent(startedAt)
+	if !request.once || !failure.Sent {
+		return failure
 	}
 	select {
 	case result := <-pending.result:
 		return storeResult(result, target, frame)
 	case <-ctx.Done():
-		failure := c.abandon(ctx, callID, frame)
-		c.closeIfSilent(startedAt)
 		return failure
 	}
 }
 
-// newRequestFrame returns the request frame of a call. If the frame cannot be encoded, the call
-// ends with that error.
-func newRequestFrame(ctx context.Context, callID uint64, request callRequest, pending *pendingCall) *outgoingFrame {
+// newRequestFrame returns the request frame of a call, with the time until sendCtx ends. If the
+// frame cannot be encoded, the call ends with that error.
+func newRequestFrame(sendCtx context.Context, callID uint64, request callRequest, pending *pendingCall) *outgoingFrame {
 	frame := &outgoingFrame{header: frameHeader{Kind: frameRequest, Call: callID, Method: request.method}, body: request.body}
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := sendCtx.Deadline(); ok {
 		frame.header.Remaining = max(time.Until(deadline), 1)
 	}
 	frame.onEncodeError = func(err error) *outgoingFrame {
--- a/internal/peer/silent_peer_test.go
+++ b/internal/peer/silent_peer_test.go
@@ -126,7 +126,7 @@
 	var onceErr, repeatableErr error
 	onceResponse, repeatableDone := echoResponse{}, make(chan struct{})
 	calls.Go(func() {
-		onceErr = client.CallOnce(ctx, proxy.address(), "hold", &echoRequest{Number: 1}, &onceResponse)
+		onceErr = client.CallOnce(ctx, proxy.address(), "hold", &echoRequest{Number: 1}, &onceResponse, time.Now().Add(10*time.Second))
 	})
 	calls.Go(func() {
 		defer close(repeatableDone)
--- a/internal/scatter/running_query.go
+++ b/internal/scatter/running_query.go
@@ -21,7 +21,8 @@
 	traced bool
 	trace  []AttemptTrace
 	result chan Result[P]
-	// ctx is the parent context of all attempts. It ends at the deadline.
+	// ctx is the parent context of all attempts. It ends when no end of an attempt is awaited any
+	// more.
 	ctx    context.Context
 	cancel context.CancelFunc
 	// references counts the holders of ctx: the query itself and its running attempts.
@@ -43,7 +44,7 @@
 		}
 		c.lastQueryID++
 		query.submittedAt, query.deadline = now, now+request.Timeout
-		query.ctx, query.cancel = context.WithTimeout(context.Background(), request.Timeout)
+		query.ctx, query.cancel = context.WithTimeout(context.Background(), request.Timeout+request.OutcomeWait)
 		query.references = 1
 		c.queries[c.lastQueryID] = query
 		return c.dispatcher.Submit(now, request.dispatchQuery(c.lastQueryID, now))
@@ -60,6 +61,7 @@
 		HasKey:          r.HasKey,
 		Shards:          r.Shards,
 		Deadline:        now + r.Timeout,
+		OutcomeWait:     r.OutcomeWait,
 		HedgeDelay:      r.HedgeDelay,
 		MaximumAttempts: r.MaximumSends,
 		MinimumCoverage: r.MinimumCoverage,
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -100,6 +100,9 @@
 	// Shards lists the shards to query. If it is empty, all shards are queried.
 	Shards  []int
 	Timeout time.Duration
+	// OutcomeWait is how long after Timeout a query that may run once waits for the end of its
+	// attempt; see dispatch.Query.
+	OutcomeWait time.Duration
 	// Objective is the target latency: an answer is worth most before it has passed. Zero means
 	// none.
 	Objective time.Duration
--- a/internal/selfhosted/node/peers.go
+++ b/internal/selfhosted/node/peers.go
@@ -111,7 +111,8 @@
 		return nil, &query.ForwardError{Node: name, Sent: false, Err: errors.New("the owner is not a current member")}
 	}
 	var response queryResponse
-	if err := f.node.peerClient.CallOnce(ctx, member.Address, methodQuery, &request, &response); err != nil {
+	withdrawAt := time.Now().Add(request.Remaining)
+	if err := f.node.peerClient.CallOnce(ctx, member.Address, methodQuery, &request, &response, withdrawAt); err != nil {
 		return nil, &query.ForwardError{Node: name, Sent: !peer.NotExecuted(err), Err: err}
 	}
 	if response.Problem != nil {
--- a/internal/selfhosted/query/at_most_once.go
+++ b/internal/selfhosted/query/at_most_once.go
@@ -45,11 +45,12 @@
 	return id, nil
 }
 
-// forwardToOwner sends the query to the owner exactly once. If the response is lost,
-// the query may have run, and the caller receives an outcome-unknown problem.
+// forwardToOwner sends the query to the owner exactly once. If the response is lost or
+// does not arrive within once.ForwardedOutcomeWait after the deadline, the query may have
+// run, and the caller receives an outcome-unknown problem.
 func (r *Runner) forwardToOwner(ctx context.Context, plan *queryPlan, owner string) (*api.QueryResponse, error) {
 	started := r.config.Clock.Now()
-	forwardCtx, cancel := context.WithTimeout(ctx, plan.timeout)
+	forwardCtx, cancel := context.WithTimeout(ctx, plan.timeout+once.ForwardedOutcomeWait)
 	defer cancel()
 	response, err := r.config.Forwarder.Forward(forwardCtx, owner, ForwardedQuery{
 		Service:   plan.service.Name,
@@ -86,6 +87,10 @@
 		return nil, err
 	}
 	plan.timeout = min(plan.timeout, forward.Remaining)
+	if deadline, limited := ctx.Deadline(); limited {
+		// The time since the query arrived counts, also if this process was paused in it.
+		plan.timeout = min(plan.timeout, time.Until(deadline))
+	}
 	id, err := plan.parseRequestID()
 	if err != nil {
 		return nil, err
@@ -117,6 +122,10 @@
 		r.config.Ledger.release(id)
 		return nil, r.newUnavailableProblem(plan.request, "The owner of this request id cannot show that its catalog is current.")
 	}
+	if ctx.Err() != nil || plan.timeout <= 0 {
+		r.config.Ledger.release(id)
+		return nil, plan.newWithdrawnProblem()
+	}
 	return r.runAndRecord(context.WithoutCancel(ctx), plan, id)
 }
 
@@ -133,6 +142,15 @@
 	return response, err
 }
 
+// newWithdrawnProblem returns the problem for a query that was withdrawn, or whose time was
+// over, before the owner began to run it.
+func (p *queryPlan) newWithdrawnProblem() *api.Problem {
+	problem := p.newProblem(api.ProblemNotRunDeadline, "The deadline passed before the owner of this request id began to run it.")
+	problem.Outcome = dispatch.OutcomeNotRun
+	problem.Reason = dispatch.ReasonDeadline
+	return problem
+}
+
 // newInProgressProblem returns the problem for an id whose request is running.
 func (p *queryPlan) newInProgressProblem() *api.Problem {
 	problem := p.newProblem(api.ProblemOutcomeUnknown, "A request with this id is running.")
--- a/internal/selfhosted/query/at_most_once_test.go
+++ b/internal/selfhosted/query/at_most_once_test.go
@@ -159,6 +159,28 @@
 	}
 }
 
+// TestWithdrawnForwardIsNotRun covers an owner that was paused until the caller's node had withdrawn
+// the query, or until its time was over: it must say that the query did not run, instead of running
+// it for a caller that has given up.
+func TestWithdrawnForwardIsNotRun(t *testing.T) {
+	withdrawn, withdraw := context.WithCancel(context.Background())
+	withdraw()
+	overdue, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
+	defer cancel()
+	for name, ctx := range map[string]context.Context{"withdrawn": withdrawn, "overdue": overdue} {
+		f := newFixturePastFence(t)
+		forward := ForwardedQuery{Service: "rate-desk", Request: f.newInsertFor("node-a1"), Remaining: time.Second}
+		_, err := f.runner.RunForwarded(ctx, forward)
+		problem := requireProblem(t, name, err, api.ProblemNotRunDeadline)
+		if problem.Outcome != dispatch.OutcomeNotRun || f.scatterer.executions != 0 {
+			t.Errorf("%s: got outcome %s after %d executions, want %s after none", name, problem.Outcome, f.scatterer.executions, dispatch.OutcomeNotRun)
+		}
+		if _, err := f.runner.RunForwarded(context.Background(), forward); err != nil {
+			t.Errorf("%s: second submission: got %v, want no error", name, err)
+		}
+	}
+}
+
 // TestStaleCatalogAfterDecisionReleasesID checks that an accepted id is released if the
 // catalog became stale after the decision, so that the request may be submitted again.
 func TestStaleCatalogAfterDecisionReleasesID(t *testing.T) {
--- a/internal/selfhosted/query/plan.go
+++ b/internal/selfhosted/query/plan.go
@@ -8,6 +8,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/micaplank/micaplank/internal/catalog"
+	"github.com/micaplank/micaplank/internal/decide/once"
 	"github.com/micaplank/micaplank/internal/rows"
 	"github.com/micaplank/micaplank/internal/scatter"
 	"github.com/micaplank/micaplank/internal/selfhosted/api"
@@ -219,6 +220,9 @@
 	if p.hasKey {
 		request.KeyHash = rows.KeyHash(p.key)
 	}
+	if !p.class.Repeatable {
+		request.OutcomeWait = once.OutcomeWait
+	}
 	return request
 }
 
--- a/internal/selfhosted/query/runner.go
+++ b/internal/selfhosted/query/runner.go
@@ -45,8 +45,9 @@
 	Scatterer(service string) (Scatterer, bool)
 }
 
-// Forwarder sends a query to the node with the given name. The error is a *ForwardError,
-// or the *api.Problem with which that node responded.
+// Forwarder sends a query to the node with the given name. It withdraws the query when
+// ForwardedQuery.Remaining has passed, and waits for the response until ctx ends. The error
+// is a *ForwardError, or the *api.Problem with which that node responded.
 type Forwarder interface {
 	Forward(ctx context.Context, node string, forward ForwardedQuery) (*api.QueryResponse, error)
 }
@@ -113,7 +114,8 @@
 }
 
 // Query runs a request that a caller sent to this node. It blocks until the request has
-// its final result, and at most until the deadline.
+// its final result: at most until the deadline, or for a request that may have run and must
+// not be repeated until once.ForwardedOutcomeWait after it.
 func (r *Runner) Query(ctx context.Context, service string, request api.QueryRequest) (*api.QueryResponse, error) {
 	started := r.config.Clock.Now()
 	response, err := r.runQuery(ctx, service, request)
