peer: a request that may run once goes only to an owner that responds

What callers saw: inserts whose owner was paused before it got them ended as 'outcome unknown' at their deadline. They had not run then; the owner ran them when it went on.

Cause: the caller's node handed the request over without a sign that the owner runs. A paused process, like a machine without power, keeps its connections, so the request counted as sent, and only the owner could tell what became of it.

Change: peer.Client.CallOnce sends only to a peer from which something arrived within 50 ms, or which responds to a ping within half of the request's time; the caller is told then that the submission ran nowhere. A peer of a version without the ping refuses it, which counts as a response. Why it holds: a request that was never sent cannot run, however long the owner is paused.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -88,8 +88,8 @@
 	return c.callWithRetries(ctx, to, callRequest{method: method, body: request}, response)
 }
 
-// CallOnce is Call for a request that the caller must not repeat. The request is not sent after
-// withdrawAt. If it was sent before and has no response by then, it is withdrawn: the context of the
+// CallOnce is Call for a request that the caller must not repeat. The request is sent only to a peer
+// that responds; see confirmResponsive. It is not sent after withdrawAt. If it was sent before and has no response by then, it is withdrawn: the context of the
 // peer's handler ends. CallOnce then waits on for the response until ctx ends, also on a connection
 // that counts as dead because the peer is silent. The peer may only be slow, and its response is the
 // only proof of what it did.
--- a/internal/peer/client_call.go
+++ b/internal/peer/client_call.go
@@ -53,6 +53,11 @@
 	if target.Kind() != reflect.Pointer || target.IsNil() {
 		return &Error{Step: StepEncode, Err: fmt.Errorf("peer: response is %T, want a non-nil pointer to a struct", response)}
 	}
+	if request.once {
+		if failure := c.confirmResponsive(sendCtx); failure != nil {
+			return failure
+		}
+	}
 	pending := &pendingCall{once: request.once, responseType: target.Type().Elem(), result: make(chan callResult, 1)}
 	callID, ok := c.register(pending)
 	if !ok {
--- a/internal/peer/client_conn.go
+++ b/internal/peer/client_conn.go
@@ -25,6 +25,7 @@
 	// or because the connection is idle.
 	draining  bool
 	lastUsed  time.Time
+	lastHeard time.Time // when the last frame or the greeting of the peer arrived
 	idleTimer *time.Timer
 	silence   silenceDetector
 }
@@ -56,6 +57,7 @@
 		func(bytes int) { sent.Add(float64(bytes)) },
 		func(bytes int) { received.Add(float64(bytes)) })
 	metrics.connections.Inc()
+	c.markHeard()
 	close(c.ready)
 	c.startIdleTimer(c.client.options.IdleTimeout)
 	err := c.readFrames()
--- a/internal/peer/client_read.go
+++ b/internal/peer/client_read.go
@@ -14,6 +14,7 @@
 		if err := c.framed.decoder.Decode(&header); err != nil {
 			return err
 		}
+		c.markHeard()
 		var err error
 		switch header.Kind {
 		case frameResponse:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,7 @@
 const (
 	StepDial      Step = "dial"
 	StepHandshake Step = "handshake"
+	StepPing      Step = "ping"
 	StepQueue     Step = "queue"
 	StepEncode    Step = "encode"
 	StepWait      Step = "wait"
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -48,13 +48,15 @@
 	if err != nil {
 		return nil, oops.In("peer").With("step", "listen").With("peer", address.String()).Wrap(err)
 	}
-	return &Server{
+	server := &Server{
 		listener:    listener,
 		metrics:     metrics,
 		methods:     map[string]registeredMethod{},
 		conns:       map[*serverConn]struct{}{},
 		handshaking: map[net.Conn]struct{}{},
-	}, nil
+	}
+	Register(server, methodPing, handlePing)
+	return server, nil
 }
 
 // Register sets the handler of a method. Request and Response are structs that gob can encode, so
--- a/internal/rehearsal/promises/paused_process_test.go
+++ b/internal/rehearsal/promises/paused_process_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
+	"github.com/micaplank/micaplank/internal/decide/once"
 	"github.com/micaplank/micaplank/internal/rehearsal/cluster"
 	"github.com/micaplank/micaplank/internal/rehearsal/history"
+	"github.com/micaplank/micaplank/internal/rehearsal/leaf"
 )
 
 // pauseBeyondDeadline is longer than the deadline of an insert, 1 s, and shorter than the time after
@@ -37,3 +43,45 @@
 	d.requireNoViolations(history.CheckNoneCancelled(d.executions()))
 	d.requireFates("answered")
 }
+
+// TestPausedOwnerIsToldAsNotRun guards against inserts of unknown outcome at an owner that was
+// paused before it got them. Their callers must learn before the deadline that they did not run, and
+// the owner must not run them when it goes on.
+func TestPausedOwnerIsToldAsNotRun(t *testing.T) {
+	const inserts = 10
+	d := deploy(t, shortenFreshness)
+	d.awaitInserts()
+	current, err := d.FetchCatalog(d.ctx, d.node(0))
+	d.requireNoError(err)
+	owner := d.node(1)
+	d.sleep(300 * time.Millisecond) // until no response of the owner is recent
+	d.requireNoError(owner.Freeze())
+	var callers sync.WaitGroup
+	submissions := make([]history.Submission, inserts)
+	for index := range submissions {
+		insert := newInsertOwnedBy(owner.Name, current.VoterNames(), index)
+		callers.Go(func() { submissions[index] = d.submit(d.node(0), insert) })
+	}
+	callers.Wait()
+	d.requireNoError(owner.Thaw())
+	d.sleep(settleTime)
+	executions := d.executions()
+	for _, submission := range submissions {
+		id := submission.Request.RequestID
+		ran := slices.ContainsFunc(executions, func(e leaf.Execution) bool { return e.RequestID == id })
+		waited := submission.Returned.Sub(submission.Called)
+		if !submission.Refused() || ran || waited >= time.Second {
+			t.Errorf("%s: got %s after %s, ran %t; want unavailable within the deadline of 1s, not run", id, submission.Fate(), waited, ran)
+		}
+	}
+}
+
+// newInsertOwnedBy returns an insert whose request id the given voter owns.
+func newInsertOwnedBy(owner string, voters []string, caller int) history.Submission {
+	for {
+		insert := newInsert(caller)
+		if once.Owner(voters, ulid.MustParse(insert.Request.RequestID)) == owner {
+			return insert
+		}
+	}
+}
--- a/internal/selfhosted/query/at_most_once.go
+++ b/internal/selfhosted/query/at_most_once.go
@@ -66,7 +66,7 @@
 	}
 	var forwardErr *ForwardError
 	if errors.As(err, &forwardErr) && !forwardErr.Sent {
-		return nil, r.newUnavailableProblem(plan.request, fmt.Sprintf("The owner of this request id, %s, cannot be reached.", owner))
+		return nil, r.newUnavailableProblem(plan.request, fmt.Sprintf("The owner of this request id, %s, cannot be reached or does not respond.", owner))
 	}
 	r.logLostForward(plan, owner, r.config.Clock.Now()-started, err)
 	unknownOutcome := plan.newProblem(api.ProblemOutcomeUnknown, err.Error())
