query: ask the owner for an outcome whose response was lost

What callers would see: a connection between two nodes is lost while the owner of an id runs the request. The caller gets 'outcome unknown' at once, while the owner goes on and records the outcome.

Cause: the response was the only way for the outcome, and the caller's node did not ask the owner's ledger.

The request is still forwarded once. An owner that has not begun it records that it never will, so that a late arrival on the lost connection does not run. Why it holds: the ledger that prevents a second run is the same that answers.

A connection that is reset between two real nodes was not played.

--- a/internal/selfhosted/node/peers.go
+++ b/internal/selfhosted/node/peers.go
@@ -17,6 +17,7 @@
 // Names of the methods that nodes call on each other.
 const (
 	methodQuery   = "query.owner"
+	methodOutcome = "query.outcome"
 	methodLeaving = "topology.leaving"
 	methodMarks   = "topology.marks"
 	methodDrain   = "node.drain"
@@ -28,6 +29,8 @@
 	// noticeAttempts is the maximum number of calls to a member that does not respond. Notices are
 	// idempotent, so repeating a call is safe.
 	noticeAttempts = 3
+	// askTimeout bounds one question for the outcome of a query.
+	askTimeout = time.Second
 )
 
 // queryResponse is the owner's response to a forwarded query. Exactly one field is set.
@@ -60,6 +63,7 @@
 // registerHandlers registers the handlers of peer calls and datagrams.
 func (n *Node) registerHandlers() {
 	peer.Register(n.peerServer, methodQuery, n.handleQuery)
+	peer.Register(n.peerServer, methodOutcome, n.handleOutcome)
 	peer.Register(n.peerServer, methodLeaving, n.handleNotices)
 	peer.Register(n.peerServer, methodMarks, n.handleMarks)
 	peer.Register(n.peerServer, methodDrain, n.handleDrain)
@@ -70,9 +74,17 @@
 // handleQuery runs a forwarded query that this node owns. Problems are part of the response; other
 // errors fail the call.
 func (n *Node) handleQuery(ctx context.Context, _ netip.AddrPort, request *query.ForwardedQuery) (*queryResponse, error) {
-	response, err := n.queryRunner.RunForwarded(ctx, *request)
+	return newQueryResponse(n.queryRunner.RunForwarded(ctx, *request))
+}
+
+// handleOutcome returns the outcome of a query that was forwarded to this node before.
+func (n *Node) handleOutcome(_ context.Context, _ netip.AddrPort, request *query.ForwardedQuery) (*queryResponse, error) {
+	return newQueryResponse(n.queryRunner.ForwardedOutcome(*request))
+}
+
+func newQueryResponse(answer *api.QueryResponse, err error) (*queryResponse, error) {
 	if err == nil {
-		return &queryResponse{Answer: response}, nil
+		return &queryResponse{Answer: answer}, nil
 	}
 	var problem *api.Problem
 	if errors.As(err, &problem) {
@@ -106,13 +118,29 @@
 // Forward calls the owner once. It never retries after a lost response, because the query may have
 // run.
 func (f forwarder) Forward(ctx context.Context, name string, request query.ForwardedQuery) (*api.QueryResponse, error) {
+	return f.call(name, func(owner netip.AddrPort, response *queryResponse) error {
+		withdrawAt := time.Now().Add(request.Remaining)
+		return f.node.peerClient.CallOnce(ctx, owner, methodQuery, &request, response, withdrawAt)
+	})
+}
+
+// AskOutcome calls the node once.
+func (f forwarder) AskOutcome(ctx context.Context, name string, request query.ForwardedQuery) (*api.QueryResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return f.call(name, func(owner netip.AddrPort, response *queryResponse) error {
+		return f.node.peerClient.Call(ctx, owner, methodOutcome, &request, response)
+	})
+}
+
+// call looks up a node, makes a call to it and unpacks the response.
+func (f forwarder) call(name string, makeCall func(owner netip.AddrPort, response *queryResponse) error) (*api.QueryResponse, error) {
 	member, ok := f.node.membership.Lookup(name)
 	if !ok || member.State == membership.StateGone {
 		return nil, &query.ForwardError{Node: name, Sent: false, Err: errors.New("the owner is not a current member")}
 	}
 	var response queryResponse
-	withdrawAt := time.Now().Add(request.Remaining)
-	if err := f.node.peerClient.CallOnce(ctx, member.Address, methodQuery, &request, &response, withdrawAt); err != nil {
+	if err := makeCall(member.Address, &response); err != nil {
 		return nil, &query.ForwardError{Node: name, Sent: !peer.NotExecuted(err), Err: err}
 	}
 	if response.Problem != nil {
--- a/internal/selfhosted/node/wire_test.go
+++ b/internal/selfhosted/node/wire_test.go
@@ -12,6 +12,8 @@
 func TestRecordedMessagesDecode(t *testing.T) {
 	wiretest.CheckGob[query.ForwardedQuery](t, "query.owner.request")
 	wiretest.CheckGob[queryResponse](t, "query.owner.response")
+	wiretest.CheckGob[query.ForwardedQuery](t, "query.outcome.request")
+	wiretest.CheckGob[queryResponse](t, "query.outcome.response")
 	wiretest.CheckGob[leavingRequest](t, "topology.leaving.request")
 	wiretest.CheckGob[leavingResponse](t, "topology.leaving.response")
 	wiretest.CheckGob[marksRequest](t, "topology.marks.request")
--- a/internal/selfhosted/query/at_most_once.go
+++ b/internal/selfhosted/query/at_most_once.go
@@ -8,7 +8,6 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/decide/once"
 	"github.com/micaplank/micaplank/internal/selfhosted/api"
@@ -31,7 +30,7 @@
 	case "":
 		return nil, r.newUnavailableProblem(plan.request, "No voters are configured.")
 	case r.config.NodeName:
-		return r.runAsOwner(ctx, plan, id, current)
+		return r.runAsOwner(ctx, ownedQuery{plan, id, current.VotersRevision})
 	}
 	return r.forwardToOwner(ctx, plan, owner)
 }
@@ -45,18 +44,15 @@
 	return id, nil
 }
 
-// forwardToOwner sends the query to the owner exactly once. If the response is lost or
-// does not arrive within once.ForwardedOutcomeWait after the deadline, the query may have
-// run, and the caller receives an outcome-unknown problem.
+// forwardToOwner sends the query to the owner exactly once. If the response is lost, it asks
+// the owner for the outcome. If that is not known within once.ForwardedOutcomeWait after the
+// deadline, the query may have run, and the caller receives an outcome-unknown problem.
 func (r *Runner) forwardToOwner(ctx context.Context, plan *queryPlan, owner string) (*api.QueryResponse, error) {
 	started := r.config.Clock.Now()
 	forwardCtx, cancel := context.WithTimeout(ctx, plan.timeout+once.ForwardedOutcomeWait)
 	defer cancel()
-	response, err := r.config.Forwarder.Forward(forwardCtx, owner, ForwardedQuery{
-		Service:   plan.service.Name,
-		Request:   plan.request,
-		Remaining: plan.timeout,
-	})
+	forward := ForwardedQuery{Service: plan.service.Name, Request: plan.request, Remaining: plan.timeout}
+	response, err := r.config.Forwarder.Forward(forwardCtx, owner, forward)
 	if err == nil {
 		return response, nil
 	}
@@ -68,6 +64,9 @@
 	if errors.As(err, &forwardErr) && !forwardErr.Sent {
 		return nil, r.newUnavailableProblem(plan.request, fmt.Sprintf("The owner of this request id, %s, cannot be reached or does not respond.", owner))
 	}
+	if response, err, known := r.askOutcome(forwardCtx, owner, forward); known {
+		return response, err
+	}
 	r.logLostForward(plan, owner, r.config.Clock.Now()-started, err)
 	unknownOutcome := plan.newProblem(api.ProblemOutcomeUnknown, err.Error())
 	unknownOutcome.Outcome = dispatch.OutcomeUnknown
@@ -78,55 +77,82 @@
 // RunForwarded runs a query that another node forwarded because this node owns its id.
 // Errors are *api.Problem values.
 func (r *Runner) RunForwarded(ctx context.Context, forward ForwardedQuery) (*api.QueryResponse, error) {
-	if !r.config.Catalogs.Fresh() {
-		return nil, r.newUnavailableProblem(forward.Request, "The owner of this request id cannot show that its catalog is current.")
-	}
-	current := r.config.Catalogs.Current()
-	plan, err := newPlan(r.statementCache, current, forward.Service, forward.Request)
+	owned, err := r.planForwarded(forward)
 	if err != nil {
 		return nil, err
 	}
-	plan.timeout = min(plan.timeout, forward.Remaining)
+	owned.plan.timeout = min(owned.plan.timeout, forward.Remaining)
 	if deadline, limited := ctx.Deadline(); limited {
 		// The time since the query arrived counts, also if this process was paused in it.
-		plan.timeout = min(plan.timeout, time.Until(deadline))
+		owned.plan.timeout = min(owned.plan.timeout, time.Until(deadline))
+	}
+	return r.runAsOwner(ctx, owned)
+}
+
+// ownedQuery is a query whose id this node owns by a catalog.
+type ownedQuery struct {
+	plan *queryPlan
+	id   ulid.ULID
+	// votersRevision is the revision of the voting set by which this node owns the id.
+	votersRevision uint64
+}
+
+// planForwarded plans a query that another node forwarded. It returns a problem if this node
+// does not own its id.
+func (r *Runner) planForwarded(forward ForwardedQuery) (ownedQuery, error) {
+	if !r.config.Catalogs.Fresh() {
+		return ownedQuery{}, r.newUnavailableProblem(forward.Request, "The owner of this request id cannot show that its catalog is current.")
+	}
+	current := r.config.Catalogs.Current()
+	plan, err := newPlan(r.statementCache, current, forward.Service, forward.Request)
+	if err != nil {
+		return ownedQuery{}, err
 	}
 	id, err := plan.parseRequestID()
 	if err != nil {
-		return nil, err
+		return ownedQuery{}, err
 	}
 	if plan.class.Repeatable || once.Owner(current.VoterNames(), id) != r.config.NodeName {
-		return nil, r.newUnavailableProblem(forward.Request, "The nodes do not agree yet on the owner of this request id.")
+		return ownedQuery{}, r.newUnavailableProblem(forward.Request, "The nodes do not agree yet on the owner of this request id.")
 	}
-	return r.runAsOwner(ctx, plan, id, current)
+	return ownedQuery{plan, id, current.VotersRevision}, nil
 }
 
-// runAsOwner decides about an id that this node owns by the given catalog, and runs the
-// query if it is new. The query continues after the caller disconnects, so that a later
-// submission of the id receives its outcome.
-func (r *Runner) runAsOwner(ctx context.Context, plan *queryPlan, id ulid.ULID, current *catalog.Catalog) (*api.QueryResponse, error) {
-	decision := r.config.Ledger.begin(id, current.VotersRevision)
+// runAsOwner runs a query whose id this node owns if the id is new. The query continues
+// after the caller disconnects, so that a later submission of the id receives its outcome.
+func (r *Runner) runAsOwner(ctx context.Context, owned ownedQuery) (*api.QueryResponse, error) {
+	admitted, response, err := r.admitAsOwner(owned)
+	if !admitted {
+		return response, err
+	}
+	if ctx.Err() != nil || owned.plan.timeout <= 0 {
+		r.config.Ledger.release(owned.id)
+		return nil, owned.plan.newNotBegunProblem("The deadline passed before the owner of this request id began to run it.")
+	}
+	return r.runAndRecord(context.WithoutCancel(ctx), owned.plan, owned.id)
+}
+
+// admitAsOwner decides about an id that this node owns. If the id is not admitted, it returns
+// the recorded outcome of an earlier submission, or a problem.
+func (r *Runner) admitAsOwner(owned ownedQuery) (admitted bool, response *api.QueryResponse, err error) {
+	decision := r.config.Ledger.begin(owned.id, owned.votersRevision)
 	// The decision is valid only if, after it was made, the catalog was still fresh, a
 	// majority of the voters still acknowledged this process, and the ownership was
 	// unchanged.
 	decisionValid := r.config.HasVoterMajority() && r.config.Catalogs.Fresh() && r.config.Ledger.isStillOwned(decision)
 	switch decision.Kind {
 	case once.Replay:
-		return decision.Outcome.response, decision.Outcome.err()
+		return false, decision.Outcome.response, decision.Outcome.err()
 	case once.InProgress:
-		return nil, plan.newInProgressProblem()
+		return false, nil, owned.plan.newInProgressProblem()
 	case once.Refuse:
-		return nil, r.refuseRequestID(plan, decision, decisionValid)
+		return false, nil, r.refuseRequestID(owned.plan, decision, decisionValid)
 	}
 	if !decisionValid {
-		r.config.Ledger.release(id)
-		return nil, r.newUnavailableProblem(plan.request, "The owner of this request id cannot show that its catalog is current.")
-	}
-	if ctx.Err() != nil || plan.timeout <= 0 {
-		r.config.Ledger.release(id)
-		return nil, plan.newWithdrawnProblem()
+		r.config.Ledger.release(owned.id)
+		return false, nil, r.newUnavailableProblem(owned.plan.request, "The owner of this request id cannot show that its catalog is current.")
 	}
-	return r.runAndRecord(context.WithoutCancel(ctx), plan, id)
+	return true, nil, nil
 }
 
 // runAndRecord runs a query that the ledger accepted and records its result. An id
@@ -142,10 +168,9 @@
 	return response, err
 }
 
-// newWithdrawnProblem returns the problem for a query that was withdrawn, or whose time was
-// over, before the owner began to run it.
-func (p *queryPlan) newWithdrawnProblem() *api.Problem {
-	problem := p.newProblem(api.ProblemNotRunDeadline, "The deadline passed before the owner of this request id began to run it.")
+// newNotBegunProblem returns the problem for a query that its owner did not begin to run.
+func (p *queryPlan) newNotBegunProblem(detail string) *api.Problem {
+	problem := p.newProblem(api.ProblemNotRunDeadline, detail)
 	problem.Outcome = dispatch.OutcomeNotRun
 	problem.Reason = dispatch.ReasonDeadline
 	return problem
--- a/internal/selfhosted/query/fixture_test.go
+++ b/internal/selfhosted/query/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"testing"
@@ -70,7 +71,10 @@
 func (f *fakeScattererRegistry) Scatterer(string) (Scatterer, bool) { return f.scatterer, !f.missing }
 
 type fakeForwarder struct {
-	calls       int
+	calls int
+	// asks counts the calls of AskOutcome, which return the results of onAsk or no response.
+	asks        int
+	onAsk       func(ask int) (*api.QueryResponse, error)
 	lastNode    string
 	lastForward ForwardedQuery
 	response    *api.QueryResponse
@@ -83,6 +87,14 @@
 	return f.response, f.err
 }
 
+func (f *fakeForwarder) AskOutcome(_ context.Context, node string, _ ForwardedQuery) (*api.QueryResponse, error) {
+	f.asks++
+	if f.onAsk == nil {
+		return nil, &ForwardError{Node: node, Err: errors.New("refused")}
+	}
+	return f.onAsk(f.asks)
+}
+
 // manualClock is a clock that only tests advance.
 type manualClock struct{ now time.Duration }
 
--- a/internal/selfhosted/query/runner.go
+++ b/internal/selfhosted/query/runner.go
@@ -50,6 +50,9 @@
 // is a *ForwardError, or the *api.Problem with which that node responded.
 type Forwarder interface {
 	Forward(ctx context.Context, node string, forward ForwardedQuery) (*api.QueryResponse, error)
+	// AskOutcome asks the node for the outcome of a query that was forwarded to it before; see
+	// Runner.ForwardedOutcome. It never makes the node run the query.
+	AskOutcome(ctx context.Context, node string, forward ForwardedQuery) (*api.QueryResponse, error)
 }
 
 // ForwardedQuery is a query that the receiving node forwards to the owner of the request id.
