query: an owner that cannot tell an outcome says so; CallOnce has no timeout of its own

Its refusals (ledger full, id too old, service removed) apply to a new submission of the id; as an answer to the question they would have been passed on as the outcome of a request that may have run, or may still arrive on the lost connection. They are 'unavailable' now, so the outcome stays unknown. TestOwnerDoesNotGuessForwardedOutcome has five such cases.

A request of a class with a deadline above 24.5 s was given up by the timeout of all calls between nodes (30 s) while its owner ran it; CallOnce waits until its context ends. TestCallOnceOutlastsCallTimeout.

Also: the decision of the owner stands in one function, and the queueing of a frame in one of its own. A call that waits to be queued on a connection that is drained gets its result at once, as it did when such connections were closed.

--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -3,8 +3,8 @@
 // statement, if no shard or too few shards can still be answered, also because the leaves of the
 // others are down, or if a query that may run once has no attempt at the time of its last send.
 // A query that may run once and has an attempt in flight at its deadline waits for its end for
-// Query.OutcomeWait. With enough coverage a query also ends when no shard is outstanding any more, or at its settle
-// time shortly before the objective or deadline.
+// Query.OutcomeWait. With enough coverage a query also ends when no shard is outstanding any more,
+// or at its settle time shortly before the objective or deadline.
 //
 // Inputs: shards answered, unavailable and needed, the minimum coverage (share from 0 to 1), the
 // settle time (coverage.Config), the deadline, the time of the last send; for each shard, the
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -20,8 +20,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long a connection without calls is kept open; 60 s by default.
 	IdleTimeout time.Duration
-	// CallTimeout is the timeout of a call, also if the deadline of its context is later; 30 s by
-	// default.
+	// CallTimeout is the timeout of a call other than CallOnce, also if the deadline of its context
+	// is later; 30 s by default.
 	CallTimeout time.Duration
 }
 
@@ -85,22 +85,22 @@
 // most once: it retries only if no byte of the request was sent. Errors wrap an *Error; use
 // errors.As.
 func (c *Client) Call(ctx context.Context, to netip.AddrPort, method string, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
 	return c.callWithRetries(ctx, to, callRequest{method: method, body: request}, response)
 }
 
 // CallOnce is Call for a request that the caller must not repeat. The request is sent only to a peer
-// that responds; see confirmResponsive. It is not sent after withdrawAt. If it was sent before and has no response by then, it is withdrawn: the context of the
-// peer's handler ends. CallOnce then waits on for the response until ctx ends, also on a connection
-// that counts as dead because the peer is silent. The peer may only be slow, and its response is the
-// only proof of what it did.
+// that responds (see confirmResponsive), and not after withdrawAt. If it has no response by then, it
+// is withdrawn: the context of the peer's handler ends. CallOnce then waits on for the response until
+// ctx ends, without the timeout of other calls, and also on a connection that counts as dead because
+// the peer is silent. The peer may only be slow, and its response is the only proof of what it did.
 func (c *Client) CallOnce(ctx context.Context, to netip.AddrPort, method string, request, response any, withdrawAt time.Time) error {
 	return c.callWithRetries(ctx, to, callRequest{method: method, body: request, once: true, withdrawAt: withdrawAt}, response)
 }
 
 // callWithRetries performs a call, and repeats it while no byte of the request was sent.
 func (c *Client) callWithRetries(ctx context.Context, to netip.AddrPort, request callRequest, response any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
-	defer cancel()
 	failure := c.call(ctx, to, request, response)
 	for range maxUnsentRetries {
 		if failure == nil || failure.Sent || !errors.Is(failure.Err, ErrConnectionLost) {
--- a/internal/peer/client_call.go
+++ b/internal/peer/client_call.go
@@ -66,14 +66,8 @@
 	defer c.unregister(callID)
 	startedAt := time.Now()
 	frame := newRequestFrame(sendCtx, callID, request, pending)
-	select {
-	case c.framed.queue <- frame:
-	case <-c.framed.closed:
-		return &Error{Step: StepQueue, Err: ErrConnectionLost}
-	case result := <-pending.result:
-		return storeResult(result, target, frame)
-	case <-sendCtx.Done():
-		return &Error{Step: StepQueue, Err: sendCtx.Err()}
+	if failure := c.enqueue(sendCtx, frame, pending); failure != nil {
+		return failure
 	}
 	select {
 	case result := <-pending.result:
@@ -81,7 +75,7 @@
 	case <-sendCtx.Done():
 	}
 	failure := c.abandon(sendCtx, callID, frame)
-	c.closeIfSilent(startedAt)
+	c.drainIfSilent(startedAt)
 	if !request.once || !failure.Sent {
 		return failure
 	}
@@ -93,6 +87,22 @@
 	}
 }
 
+// enqueue queues the request frame of a call. It returns nil as well if the call has its result
+// before, because the connection is drained.
+func (c *clientConn) enqueue(sendCtx context.Context, frame *outgoingFrame, pending *pendingCall) *Error {
+	select {
+	case c.framed.queue <- frame:
+		return nil
+	case result := <-pending.result:
+		pending.complete(result)
+		return nil
+	case <-c.framed.closed:
+		return &Error{Step: StepQueue, Err: ErrConnectionLost}
+	case <-sendCtx.Done():
+		return &Error{Step: StepQueue, Err: sendCtx.Err()}
+	}
+}
+
 // newRequestFrame returns the request frame of a call, with the time until sendCtx ends. If the
 // frame cannot be encoded, the call ends with that error.
 func newRequestFrame(sendCtx context.Context, callID uint64, request callRequest, pending *pendingCall) *outgoingFrame {
--- a/internal/peer/client_conn.go
+++ b/internal/peer/client_conn.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// closeIfSilent records that a call was abandoned, and drains the connection if it counts as dead.
-func (c *clientConn) closeIfSilent(startedAt time.Time) {
+// drainIfSilent records that a call was abandoned, and drains the connection if it counts as dead.
+func (c *clientConn) drainIfSilent(startedAt time.Time) {
 	c.mutex.Lock()
 	silent := c.silence.callAbandoned(startedAt, time.Now())
 	c.mutex.Unlock()
--- a/internal/peer/withdraw_test.go
+++ b/internal/peer/withdraw_test.go
@@ -43,3 +43,16 @@
 		t.Errorf("got error %v and %d started calls, want one with NotExecuted and none", err, len(started))
 	}
 }
+
+// TestCallOnceOutlastsCallTimeout checks that the timeout of other calls does not end a request that
+// must not be repeated.
+func TestCallOnceOutlastsCallTimeout(t *testing.T) {
+	server, started, release := startServer(t)
+	client := newClient(t, peer.ClientOptions{CallTimeout: 50 * time.Millisecond})
+	time.AfterFunc(200*time.Millisecond, func() { close(release) })
+	var response echoResponse
+	err := client.CallOnce(context.Background(), server.Address(), "hold", &echoRequest{Number: 4}, &response, time.Now().Add(10*time.Second))
+	if err != nil || response.Number != 4 || len(started) != 1 {
+		t.Errorf("got number %d, %d started calls and error %v, want 4 and 1", response.Number, len(started), err)
+	}
+}
--- a/internal/selfhosted/query/ask_outcome.go
+++ b/internal/selfhosted/query/ask_outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/decide/once"
 	"github.com/micaplank/micaplank/internal/selfhosted/api"
 )
 
@@ -45,15 +46,26 @@
 
 // ForwardedOutcome returns the outcome of a query that another node forwarded earlier. If this
 // node has not begun to run the query, it records that it never will: the query may still be on
-// its way on a connection that the other node has given up. Errors are *api.Problem values.
+// its way on a connection that the other node has given up. Errors are *api.Problem values. An
+// unavailable problem means that the outcome is not known here; a refusal would only apply to
+// another submission of the id.
 func (r *Runner) ForwardedOutcome(forward ForwardedQuery) (*api.QueryResponse, error) {
+	notKnown := r.newUnavailableProblem(forward.Request, "The owner of this request id cannot tell its outcome.")
 	owned, err := r.planForwarded(forward)
 	if err != nil {
-		return nil, err
+		return nil, notKnown
 	}
-	admitted, response, err := r.admitAsOwner(owned)
-	if !admitted {
-		return response, err
+	decision, valid := r.decideAsOwner(owned)
+	switch {
+	case decision.Kind == once.Replay:
+		return decision.Outcome.response, decision.Outcome.err()
+	case decision.Kind == once.InProgress:
+		return nil, owned.plan.newInProgressProblem()
+	case decision.Kind == once.Refuse:
+		return nil, notKnown
+	case !valid:
+		r.config.Ledger.release(owned.id)
+		return nil, notKnown
 	}
 	problem := owned.plan.newNotBegunProblem("The owner of this request id did not begin to run it, and will not run this id any more.")
 	r.config.Ledger.finish(owned.id, storedResult{problem: problem})
--- a/internal/selfhosted/query/ask_outcome_test.go
+++ b/internal/selfhosted/query/ask_outcome_test.go
@@ -100,3 +100,21 @@
 		t.Errorf("recorded: got %+v, want one that is not in progress", problem)
 	}
 }
+
+// TestOwnerDoesNotGuessForwardedOutcome checks that an owner that cannot tell an outcome says so. A
+// refusal would be passed on to the caller as the outcome of a request that may have run.
+func TestOwnerDoesNotGuessForwardedOutcome(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"stale":            func(f *fixture) { f.catalogs.fresh = false },
+		"without majority": func(f *fixture) { f.withoutMajority = true },
+		"service removed":  func(f *fixture) { delete(f.catalogs.current.Services, "rate-desk") },
+		"id in the future": func(f *fixture) { f.timeOfDay = f.timeOfDay.Add(-30 * time.Second) },
+		"id too old":       func(f *fixture) { f.advance(time.Hour) },
+	} {
+		f := newFixturePastFence(t)
+		forward := ForwardedQuery{Service: "rate-desk", Request: f.newInsertFor("node-a1"), Remaining: time.Second}
+		change(f)
+		_, err := f.runner.ForwardedOutcome(forward)
+		requireUnavailable(t, name, err)
+	}
+}
--- a/internal/selfhosted/query/at_most_once.go
+++ b/internal/selfhosted/query/at_most_once.go
@@ -121,9 +121,18 @@
 // runAsOwner runs a query whose id this node owns if the id is new. The query continues
 // after the caller disconnects, so that a later submission of the id receives its outcome.
 func (r *Runner) runAsOwner(ctx context.Context, owned ownedQuery) (*api.QueryResponse, error) {
-	admitted, response, err := r.admitAsOwner(owned)
-	if !admitted {
-		return response, err
+	decision, valid := r.decideAsOwner(owned)
+	switch decision.Kind {
+	case once.Replay:
+		return decision.Outcome.response, decision.Outcome.err()
+	case once.InProgress:
+		return nil, owned.plan.newInProgressProblem()
+	case once.Refuse:
+		return nil, r.refuseRequestID(owned.plan, decision, valid)
+	}
+	if !valid {
+		r.config.Ledger.release(owned.id)
+		return nil, r.newUnavailableProblem(owned.plan.request, "The owner of this request id cannot show that its catalog is current.")
 	}
 	if ctx.Err() != nil || owned.plan.timeout <= 0 {
 		r.config.Ledger.release(owned.id)
@@ -132,27 +141,13 @@
 	return r.runAndRecord(context.WithoutCancel(ctx), owned.plan, owned.id)
 }
 
-// admitAsOwner decides about an id that this node owns. If the id is not admitted, it returns
-// the recorded outcome of an earlier submission, or a problem.
-func (r *Runner) admitAsOwner(owned ownedQuery) (admitted bool, response *api.QueryResponse, err error) {
-	decision := r.config.Ledger.begin(owned.id, owned.votersRevision)
-	// The decision is valid only if, after it was made, the catalog was still fresh, a
-	// majority of the voters still acknowledged this process, and the ownership was
-	// unchanged.
-	decisionValid := r.config.HasVoterMajority() && r.config.Catalogs.Fresh() && r.config.Ledger.isStillOwned(decision)
-	switch decision.Kind {
-	case once.Replay:
-		return false, decision.Outcome.response, decision.Outcome.err()
-	case once.InProgress:
-		return false, nil, owned.plan.newInProgressProblem()
-	case once.Refuse:
-		return false, nil, r.refuseRequestID(owned.plan, decision, decisionValid)
-	}
-	if !decisionValid {
-		r.config.Ledger.release(owned.id)
-		return false, nil, r.newUnavailableProblem(owned.plan.request, "The owner of this request id cannot show that its catalog is current.")
-	}
-	return true, nil, nil
+// decideAsOwner decides about an id that this node owns. The decision is valid only if, after
+// it was made, the catalog was still fresh, a majority of the voters still acknowledged this
+// process, and the ownership was unchanged.
+func (r *Runner) decideAsOwner(owned ownedQuery) (decision once.Decision[storedResult], valid bool) {
+	decision = r.config.Ledger.begin(owned.id, owned.votersRevision)
+	valid = r.config.HasVoterMajority() && r.config.Catalogs.Fresh() && r.config.Ledger.isStillOwned(decision)
+	return decision, valid
 }
 
 // runAndRecord runs a query that the ledger accepted and records its result. An id
