peer: Client.Close does not wait for a connection that becomes ready meanwhile

What operators would see: a node that is stopped as planned stays for up to 60 s after its last request.

Cause: Close closes the connections that are ready and cancels the other dials; a dial that had just succeeded, or a handshake, which is not cancelled, left a connection behind that ended by its idle timeout only.

Change: a connection that becomes ready closes itself if the client has stopped. Why it holds: either Close sees the connection ready, or the connection sees the client stopped; both look under the client's mutex.

Test: TestClientCloseDuringHandshake took 60.2 s and failed before; 20 plays in 4 s under the race detector now.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -57,7 +57,8 @@
 	mutex     sync.Mutex
 	pool      map[poolKey]*clientConn
 	nextIndex int
-	closed    bool
+	closed    bool // no new calls
+	stopped   bool // no call is active or will be
 
 	activeCalls    sync.WaitGroup
 	connGoroutines sync.WaitGroup
@@ -187,6 +188,7 @@
 	c.activeCalls.Wait()
 	c.cancelDials()
 	c.mutex.Lock()
+	c.stopped = true
 	for _, conn := range c.pool {
 		conn.close()
 	}
@@ -195,6 +197,13 @@
 	return nil
 }
 
+// isStopped reports whether Close has closed the connections of the pool.
+func (c *Client) isStopped() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.stopped
+}
+
 // dial opens a connection to a peer and performs the handshake.
 func (c *Client) dial(to netip.AddrPort) (net.Conn, *Error) {
 	ctx, cancel := context.WithTimeout(c.dialCtx, c.options.DialTimeout)
--- a/internal/peer/client_conn.go
+++ b/internal/peer/client_conn.go
@@ -59,6 +59,9 @@
 	metrics.connections.Inc()
 	c.markHeard()
 	close(c.ready)
+	if c.client.isStopped() {
+		c.framed.close() // Client.Close may have seen the connection before it was ready
+	}
 	c.startIdleTimer(c.client.options.IdleTimeout)
 	err := c.readFrames()
 	c.client.remove(c)
--- a/internal/peer/shutdown_test.go
+++ b/internal/peer/shutdown_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -60,3 +62,47 @@
 		t.Errorf("got error %v from Close, want none", err)
 	}
 }
+
+// TestClientCloseDuringHandshake guards against a planned stop that takes as long as the idle timeout
+// of a connection: the peer sends its greeting while the client closes, after the only call that
+// needed the connection was abandoned.
+func TestClientCloseDuringHandshake(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	closing := make(chan struct{})
+	var slowPeer sync.WaitGroup
+	slowPeer.Go(func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		<-closing
+		time.Sleep(100 * time.Millisecond) // until Close waits for the handshake
+		_, _ = io.WriteString(conn, peer.Greeting)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	client := peer.NewClient(peer.ClientOptions{}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	if err := client.Call(ctx, address, "echo", &echoRequest{}, &echoResponse{}); err == nil {
+		t.Error("got a response without a greeting, want none")
+	}
+	closed := make(chan struct{})
+	go func() {
+		_ = client.Close()
+		close(closed)
+	}()
+	close(closing)
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Error("Close did not return within 10s")
+		<-closed
+	}
+	slowPeer.Wait()
+}
