--- a/internal/rehearsal/cluster/cluster.go
+++ b/internal/rehearsal/cluster/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/selfhosted/api"
 )
 
@@ -123,8 +125,10 @@
 
 // configureCatalog runs the statements on the first node and fails unless each of them is accepted.
 func (c *Cluster) configureCatalog(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
 	for _, statement := range c.buildCatalogStatements() {
-		response, err := c.ExecuteStatement(ctx, c.Nodes[0], statement)
+		response, err := c.configure(ctx, statement)
 		if err != nil {
 			return oops.With("step", "configure").Wrapf(err, "%s", statement)
 		}
@@ -135,6 +139,19 @@
 	return nil
 }
 
+// configure runs a statement on the first node. It repeats it while the node refuses it because a
+// voter is not a member yet, or suspected: a node that is paused while the cluster starts becomes one
+// when it goes on.
+func (c *Cluster) configure(ctx context.Context, statement string) (*api.StatementResponse, error) {
+	for {
+		response, err := c.ExecuteStatement(ctx, c.Nodes[0], statement)
+		var problem *api.Problem
+		if !errors.As(err, &problem) || problem.Type != api.ProblemUnknownNode || !clock.Sleep(ctx, readyPollInterval) {
+			return response, err
+		}
+	}
+}
+
 // Close kills all processes and removes the settings files and the execution logs.
 func (c *Cluster) Close() {
 	for _, process := range c.startedProcesses() {
