--- a/internal/selfhosted/query/unknown_outcome.go
+++ b/internal/selfhosted/query/unknown_outcome.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -25,8 +26,8 @@
 		"request_id", plan.request.RequestID, "class", plan.class.Name, "owner", r.config.NodeName,
 		"duration", duration, "reason", result.Reason,
 	}
-	for _, attempt := range result.Attempts {
-		attributes = append(attributes, slog.Group("attempt",
+	for index, attempt := range result.Attempts {
+		attributes = append(attributes, slog.Group(fmt.Sprintf("attempt_%d", index+1),
 			"leaf", attempt.Leaf, "sent_after", attempt.SentAfter, "duration", attempt.Duration,
 			"end", attempt.End, "aborted", attempt.Aborted, "detail", attempt.Detail))
 	}
