leaf: a request without remaining time is left to the leaf to refuse

Cause: the bound of the send that came with the outcome wait took a remaining time of zero for one that has passed. Nodes never send one: the check before a send ends such attempts.

Change: the bound applies to a remaining time above zero.

--- a/internal/leaf/call.go
+++ b/internal/leaf/call.go
@@ -31,6 +31,15 @@
 	sendBy time.Time
 }
 
+// newExecuteMessage returns the message of an attempt, which is not sent after the remaining time.
+func newExecuteMessage(remainingMilliseconds int64, body []byte) message {
+	created := message{method: http.MethodPost, path: ExecutePath, content: body}
+	if remainingMilliseconds > 0 {
+		created.sendBy = time.Now().Add(time.Duration(remainingMilliseconds) * time.Millisecond)
+	}
+	return created
+}
+
 // checkTime returns an error if the message must not be sent any more. It compares the times with
 // the clock, because the timers of ctx fire late after the process was frozen.
 func (m *message) checkTime(ctx context.Context) error {
--- a/internal/leaf/client.go
+++ b/internal/leaf/client.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -46,9 +45,10 @@
 }
 
 // Execute sends one attempt and blocks until its reply has been verified or ctx is done. It sends
-// nothing after the remaining time of the request has passed. If ctx is done first, Execute resets
-// the stream so that the leaf can stop the work. Errors are of type *TransportError. If the leaf
-// sent a GOAWAY frame on the connection, Load.State of the response is StateDraining.
+// nothing after the remaining time of the request has passed; a request without remaining time is
+// left to the leaf to refuse. If ctx is done first, Execute resets the stream so that the leaf can
+// stop the work. Errors are of type *TransportError. If the leaf sent a GOAWAY frame on the
+// connection, Load.State of the response is StateDraining.
 func (c *Client) Execute(ctx context.Context, address netip.AddrPort, request ExecuteRequest) (*ExecuteResponse, error) {
 	response, err := c.execute(ctx, address, &request)
 	c.metrics.recordAttempt(response, err, ctx.Err() != nil)
@@ -61,8 +61,7 @@
 		return nil, newTransportError(StepSend, address, false, err)
 	}
 	response := new(ExecuteResponse)
-	sendBy := time.Now().Add(time.Duration(request.RemainingMilliseconds) * time.Millisecond)
-	goingAway, err := c.call(ctx, address, message{http.MethodPost, ExecutePath, body, sendBy}, response)
+	goingAway, err := c.call(ctx, address, newExecuteMessage(request.RemainingMilliseconds, body), response)
 	if err != nil {
 		return nil, err
 	}
