--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -110,7 +110,8 @@
 	return n, nil
 }
 
-// renderSettings fills the template with the bounds of the site harvest-search, as the platform does.
+// renderSettings fills the template as the platform does, with the bounds of the site harvest-search. Those
+// of hft-quotes differ from them in retry_slack alone, which is 56 there.
 func renderSettings(config NodeConfig, n *Node, metricsPort uint16) (string, error) {
 	content, err := os.ReadFile(template)
 	if err != nil {
