http1, scatter: an attempt that waits for a connection is checked again before it is sent

Cause: a node gives a leaf up to slots + 1 attempts and keeps fewer connections to it. An attempt without a connection waits in http1.pool up to its deadline. presend looked at the leaf before that wait and never after; the value of X-Deadline-Ms was as old.

Evidence: the new gauge micaplank_http1_waiting_requests counts the waits. In the new test the node has applied a later change of the store before the leaf gets the requests, and all of them were decided before it drained.

Fix: presend.Decide is asked when the attempt has its connection, with the remaining time of that moment. The wait ends when the leaf leaves the topology, and at the last send of the query. The attempt is then withdrawn: not sent, no fault of the leaf, decided again by the Dispatcher. A combiner checks in the same place and reports the attempt as not taken. Failures of attempts have the kind "withdrawn" in micaplank_scatter_failures_total.

Why it works: nothing but the write of the request follows the check.

TestWithdrawnRequestStopsWaiting and TestRequestIsCheckedDirectlyBeforeSend hold the mechanism in http1, TestWithdrawnAttemptIsNoFaultOfItsLeaf in the Dispatcher.

--- a/internal/decide/dispatch/attempt_ends.go
+++ b/internal/decide/dispatch/attempt_ends.go
@@ -40,7 +40,7 @@
 	d.setDown(l, false)
 	l.recordLatency(latency)
 	l.losses.RecordEnd(&d.config.Losses, d.now, false)
-	q.class.recordLatency(latency, ended.expectedTime/q.class.serviceTime)
+	q.class.recordLatency(latency, reply.Waited, ended.expectedTime/q.class.serviceTime)
 	l.limiter.RecordSuccess(d.now, len(l.running)+1, reply.Load.Queue)
 	d.applyLoadReport(l, reply.BootID, reply.Load, len(l.running))
 }
@@ -144,7 +144,7 @@
 	} else {
 		d.counters.FailedUnsent++
 	}
-	if ended.wanted && !failure.Aborted && !failure.LostAtRelay {
+	if ended.wanted && !failure.Aborted && !failure.LostAtRelay && !failure.Withdrawn {
 		l.backoff.recordFailure(d.now, d.config.Backoff)
 		l.losses.RecordEnd(&d.config.Losses, d.now, true)
 		d.setDown(l, failure.ConnectionRefused)
--- a/internal/decide/dispatch/class.go
+++ b/internal/decide/dispatch/class.go
@@ -19,6 +19,8 @@
 	samples     int
 	// latency holds the latencies of individual attempts.
 	latency hedge.LatencyHistogram
+	// answerTime holds the latencies without the time for which the driver held the attempts.
+	answerTime hedge.LatencyHistogram
 }
 
 // With these weights serviceTime averages over about fifty attempts, and an attempt that met a
@@ -64,10 +66,11 @@
 	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.deadline, b.deadline))
 }
 
-// recordLatency adds the latency of an attempt whose expected time was stretch times the service
-// time because of the queue of its leaf.
-func (c *classState) recordLatency(latency time.Duration, stretch float64) {
+// recordLatency adds the latency of an attempt that waited in the driver before it was sent, and
+// whose expected time was stretch times the service time because of the queue of its leaf.
+func (c *classState) recordLatency(latency, waited time.Duration, stretch float64) {
 	c.latency.Add(latency)
+	c.answerTime.Add(latency - waited)
 	c.samples++
 	sample := latency.Seconds() / stretch
 	if c.samples == 1 {
--- a/internal/decide/dispatch/events.go
+++ b/internal/decide/dispatch/events.go
@@ -14,6 +14,8 @@
 	Snapshot catalog.Snapshot
 	BootID   string
 	Load     leaf.LoadSummary
+	// Waited is how long the driver held the attempt before it sent it, for lack of a connection.
+	Waited time.Duration
 }
 
 // Refusal reports the proof that a leaf did not execute an attempt.
@@ -34,6 +36,9 @@
 	// LostAtRelay is set if the attempt was lost together with the node that forwarded it. Such a
 	// loss does not count against the leaf.
 	LostAtRelay bool
+	// Withdrawn is set if the driver did not send the attempt because its leaf became unusable or
+	// too little time was left. This does not count against the leaf.
+	Withdrawn bool
 	// ConnectionClosed is set if the leaf closed the connection before the first byte of its
 	// answer, for example because its process ended.
 	ConnectionClosed bool
--- a/internal/decide/dispatch/last_send.go
+++ b/internal/decide/dispatch/last_send.go
@@ -18,3 +18,20 @@
 	}
 	return q.Deadline - min(seconds(q.class.serviceTime), (q.Deadline-q.submitted)/2)
 }
+
+// SendLimits bounds the attempts of a query in time.
+type SendLimits struct {
+	// LastSend is the time from which on the query gets no attempt.
+	LastSend Time
+	// Deadline is the time at which the query ends.
+	Deadline Time
+}
+
+// SendLimits returns the limits of a query that has not ended, and false for any other.
+func (d *Dispatcher) SendLimits(id QueryID) (SendLimits, bool) {
+	q, ok := d.queries.byID[id]
+	if !ok {
+		return SendLimits{}, false
+	}
+	return SendLimits{LastSend: d.lastSend(q), Deadline: q.Deadline}, true
+}
--- a/internal/decide/presend/presend_test.go
+++ b/internal/decide/presend/presend_test.go
@@ -12,12 +12,15 @@
 		state State
 		want  Verdict
 	}{
-		{State{LeafUsable: true, Remaining: time.Nanosecond}, Send},
-		{State{GuardErr: notFresh, LeafUsable: true, Remaining: time.Second}, NodeNotFresh},
-		{State{Remaining: time.Second}, LeafNotUsable},
-		{State{LeafUsable: true}, DeadlinePassed},
-		{State{LeafUsable: true, Remaining: -time.Second}, DeadlinePassed},
+		{State{LeafUsable: true, UntilLastSend: time.Nanosecond}, Send},
+		{State{GuardErr: notFresh, LeafUsable: true, UntilLastSend: time.Second}, NodeNotFresh},
+		{State{UntilLastSend: time.Second}, LeafNotUsable},
+		{State{LeafUsable: true, Unwanted: true, UntilLastSend: time.Second}, NotWanted},
+		{State{LeafUsable: true}, TooLate},
+		{State{LeafUsable: true, UntilLastSend: -time.Second}, TooLate},
 		{State{GuardErr: notFresh}, NodeNotFresh},
+		{State{Unwanted: true}, LeafNotUsable},
+		{State{LeafUsable: true, Unwanted: true}, NotWanted},
 		{State{}, LeafNotUsable},
 	} {
 		if got := Decide(test.state); got != test.want {
--- a/internal/edge/combine/server.go
+++ b/internal/edge/combine/server.go
@@ -71,20 +71,43 @@
 	if !session.awaitQuery(ctx) || !c.acceptsWork(request.Address) {
 		return &fetchResponse{NotTaken: true}
 	}
-	deadline, _ := ctx.Deadline()
+	deadline := time.Now().Add(request.Remaining)
+	if end, ok := ctx.Deadline(); ok && end.Before(deadline) {
+		deadline = end
+	}
 	response, err := c.leaves.Execute(ctx, scatter.Attempt[*forward.Request]{
 		Send:       dispatch.Send{Leaf: request.Address, BootID: request.Instance},
 		RequestID:  session.query.ID,
 		Repeatable: true,
-		Remaining:  min(time.Until(deadline), request.Remaining),
+		Remaining:  time.Until(deadline),
+		CheckSend:  func() (time.Duration, error) { return c.checkSend(request.Address, deadline) },
 		Payload:    session.query,
 	})
-	if err != nil {
+	switch {
+	case isWithdrawn(err):
+		return &fetchResponse{NotTaken: true}
+	case err != nil:
 		return &fetchResponse{Failure: newTransportFailure(err)}
 	}
 	return session.thinResponse(response)
 }
 
+// errNotUsable is the error of an attempt whose leaf became unusable while the attempt waited.
+var errNotUsable = errors.New("leaf no longer accepts new work")
+
+// checkSend returns the time until the deadline of an attempt, or an error if the attempt must not
+// be sent any more.
+func (c *combiner) checkSend(target netip.AddrPort, deadline time.Time) (time.Duration, error) {
+	remaining := time.Until(deadline)
+	switch {
+	case !c.acceptsWork(target):
+		return 0, errNotUsable
+	case remaining <= 0:
+		return 0, context.DeadlineExceeded
+	}
+	return remaining, nil
+}
+
 // session returns the session of an attempt, which may carry the query. If an attempt arrives
 // before the one with the query, it creates a session without a query.
 func (c *combiner) session(key remoteSessionKey, query *queryHead) *session {
@@ -181,6 +204,12 @@
 	return &restResponse{Known: true, Records: records.FilterBelow(session.dropped[request.Number-1], request.Floor)}
 }
 
+// isWithdrawn reports whether an attempt was not sent because of checkSend.
+func isWithdrawn(err error) bool {
+	var transport *leaf.TransportError
+	return errors.As(err, &transport) && transport.Withdrawn
+}
+
 func newTransportFailure(err error) *transportFailure {
 	var transport *leaf.TransportError
 	if errors.As(err, &transport) {
--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -11,6 +11,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -99,13 +100,11 @@
 // the connection is closed, unless the response has arrived and the connection may serve another
 // request. An error is a *leaf.TransportError whose step is one of this package.
 func (c *Client) Do(ctx context.Context, target Target, message Message, match Matcher) (*Response, error) {
-	connection, err := c.acquire(ctx, target, message.AtMostOnce)
+	connection, err := c.acquire(ctx, target, &message)
 	if err != nil {
-		transportErr := notSentError(StepConnect, target, err)
-		transportErr.Refused = errors.Is(err, syscall.ECONNREFUSED)
-		return nil, transportErr
+		return nil, notSentError(StepConnect, target, err)
 	}
-	if err := ctx.Err(); err != nil {
+	if err := cmp.Or(ctx.Err(), message.prepare()); err != nil {
 		connection.release()
 		return nil, notSentError(StepSend, target, err)
 	}
@@ -136,10 +135,14 @@
 }
 
 func notSentError(step leaf.Step, target Target, err error) *leaf.TransportError {
-	return &leaf.TransportError{Step: step, Peer: target.Address, Sent: false, Err: err}
+	var withdrawn *withdrawnError
+	return &leaf.TransportError{
+		Step: step, Peer: target.Address, Sent: false, Err: err,
+		Refused: errors.Is(err, syscall.ECONNREFUSED), Withdrawn: errors.As(err, &withdrawn),
+	}
 }
 
-func (c *Client) acquire(ctx context.Context, target Target, once bool) (*connection, error) {
+func (c *Client) acquire(ctx context.Context, target Target, message *Message) (*connection, error) {
 	c.mutex.Lock()
 	if c.closed {
 		c.mutex.Unlock()
@@ -147,7 +150,7 @@
 	}
 	targetPool := c.getPool(target)
 	c.mutex.Unlock()
-	return targetPool.acquire(ctx, once)
+	return targetPool.acquire(ctx, message)
 }
 
 // getPool returns the pool of a target and creates it if needed. The caller holds the mutex.
--- a/internal/edge/http1/message.go
+++ b/internal/edge/http1/message.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Message is a request to be sent. Parts that several requests have in common are encoded once and
@@ -19,6 +22,14 @@
 	Head []byte
 	// ExtraHeaders holds additional header lines of this request only.
 	ExtraHeaders []byte
+	// Prepare, if not nil, returns ExtraHeaders as they are at the time of the send. It is called
+	// directly before the send. An error means that the request must not be sent any more.
+	Prepare func() (extraHeaders []byte, err error)
+	// Withdrawn, if not nil, is closed when the request must not be sent any more. SendWithin, if
+	// above zero, is the time after which it must not be sent any more. Both end the wait of a
+	// request for a connection.
+	Withdrawn  <-chan struct{}
+	SendWithin time.Duration
 	// Body is the complete body.
 	Body []byte
 	// AtMostOnce is set if the request may run at most once. It is then not sent on a connection
@@ -26,6 +37,36 @@
 	AtMostOnce bool
 }
 
+// prepare calls Prepare. An error is a *withdrawnError.
+func (m *Message) prepare() error {
+	if m.Prepare == nil {
+		return nil
+	}
+	headers, err := m.Prepare()
+	if err != nil {
+		return &withdrawnError{cause: err}
+	}
+	m.ExtraHeaders = headers
+	return nil
+}
+
+// withdrawalReason returns the error of a request that was withdrawn while it waited.
+func (m *Message) withdrawalReason() error {
+	return cmp.Or(m.prepare(), error(&withdrawnError{cause: errWithdrawn}))
+}
+
+// errWithdrawn is the reason of a withdrawal for which Prepare gives none.
+var errWithdrawn = errors.New("no connection became free in time")
+
+// withdrawnError is the error of a request that must not be sent any more.
+type withdrawnError struct{ cause error }
+
+// Error implements error.
+func (e *withdrawnError) Error() string { return "withdrawn before the send: " + e.cause.Error() }
+
+// Unwrap returns the reason.
+func (e *withdrawnError) Unwrap() error { return e.cause }
+
 // framingHeaders lists the headers that a Client writes itself.
 var framingHeaders = map[string]bool{
 	"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true,
--- a/internal/edge/http1/metrics.go
+++ b/internal/edge/http1/metrics.go
@@ -9,6 +9,7 @@
 // metrics counts connection events.
 type metrics struct {
 	dials, dialFailures, brokenExchanges prometheus.Counter
+	waiting                              prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -20,5 +21,7 @@
 			"Connections to leaves that could not be opened."),
 		brokenExchanges: create.Counter("micaplank_http1_broken_exchanges_total",
 			"Requests that were sent to leaves and got no complete response of their own."),
+		waiting: create.Gauge("micaplank_http1_waiting_requests",
+			"Requests that wait for a connection to their leaf, since all that this node may keep are in use."),
 	}
 }
--- a/internal/edge/http1/pool.go
+++ b/internal/edge/http1/pool.go
@@ -54,11 +54,11 @@
 // acquire returns a connection for exclusive use. It opens one if none is idle and the limit allows
 // it, and otherwise waits. For a request that may run at most once, it checks that the connection
 // is still open.
-func (p *pool) acquire(ctx context.Context, once bool) (*connection, error) {
+func (p *pool) acquire(ctx context.Context, message *Message) (*connection, error) {
 	for {
 		claimed, wait, mayOpen := p.claimOrWait()
 		switch {
-		case claimed != nil && once && !claimed.hasNoPendingInput():
+		case claimed != nil && message.AtMostOnce && !claimed.hasNoPendingInput():
 			claimed.close()
 			continue
 		case claimed != nil:
@@ -66,15 +66,35 @@
 		case mayOpen:
 			return p.dial(ctx)
 		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
+		if err := p.await(ctx, wait, message); err != nil {
 			p.cancelWait(wait)
-			return nil, ctx.Err()
+			return nil, err
 		}
 	}
 }
 
+// await blocks until a waiter is woken. It returns an error if ctx ends or the request must not be
+// sent any more.
+func (p *pool) await(ctx context.Context, wait <-chan struct{}, message *Message) error {
+	p.client.metrics.waiting.Inc()
+	defer p.client.metrics.waiting.Dec()
+	var tooLate <-chan time.Time
+	if message.SendWithin > 0 {
+		timer := time.NewTimer(message.SendWithin)
+		defer timer.Stop()
+		tooLate = timer.C
+	}
+	select {
+	case <-wait:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-message.Withdrawn:
+	case <-tooLate:
+	}
+	return message.withdrawalReason()
+}
+
 // claimOrWait claims an idle connection. If there is none, it either allows the caller to open one
 // or enqueues a waiter.
 func (p *pool) claimOrWait() (claimed *connection, wait chan struct{}, mayOpen bool) {
--- a/internal/leaf/errors.go
+++ b/internal/leaf/errors.go
@@ -39,6 +39,9 @@
 	// Refused is set if the connection was refused because no process listens at the leaf's
 	// address.
 	Refused bool
+	// Withdrawn is set if the node decided not to send the request after all, so that the error does
+	// not indicate a fault of the leaf.
+	Withdrawn bool
 	// Err is the cause. It carries the attributes step and peer.
 	Err error
 }
--- a/internal/scatter/attempt_end.go
+++ b/internal/scatter/attempt_end.go
@@ -40,6 +40,7 @@
 		Snapshot: response.Snapshot,
 		BootID:   response.BootID,
 		Load:     response.Load,
+		Waited:   attempt.sentAt - attempt.startedAt,
 	})
 }
 
@@ -93,7 +94,7 @@
 	if !errors.As(err, &transport) {
 		return dispatch.Failure{Sent: true}
 	}
-	return dispatch.Failure{Sent: transport.Sent, LostAtRelay: transport.LostAtRelay, ConnectionClosed: transport.Closed, ConnectionRefused: transport.Refused}
+	return dispatch.Failure{Sent: transport.Sent, LostAtRelay: transport.LostAtRelay, Withdrawn: transport.Withdrawn, ConnectionClosed: transport.Closed, ConnectionRefused: transport.Refused}
 }
 
 // reportDraining calls Config.OnDraining if the response shows that the leaf is draining.
--- a/internal/scatter/metrics.go
+++ b/internal/scatter/metrics.go
@@ -22,7 +22,7 @@
 		refusals: factory.CounterVec("micaplank_scatter_refusals_total",
 			"Attempts that a leaf refused without running them, by reason.", "reason"),
 		failures: factory.CounterVec("micaplank_scatter_failures_total",
-			"Attempts that ended without a reply, by kind: aborted, not_sent or lost.", "kind"),
+			"Attempts that ended without a reply, by kind: aborted, withdrawn (not sent, as their leaf, their query or the node ended while they waited for a connection), not_sent or lost.", "kind"),
 		closed: factory.Counter("micaplank_scatter_closed_total",
 			"Attempts whose leaf closed or reset the connection before the first byte of its answer, as when its process ends. They are included in the failures."),
 	}
@@ -39,6 +39,8 @@
 	switch {
 	case failure.Aborted:
 		m.failures.WithLabelValues("aborted").Inc()
+	case failure.Withdrawn:
+		m.failures.WithLabelValues("withdrawn").Inc()
 	case !failure.Sent:
 		m.failures.WithLabelValues("not_sent").Inc()
 	default:
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -36,8 +36,16 @@
 	RequestID  string
 	Service    string
 	Repeatable bool
-	// Remaining is the time until the deadline of the query when the attempt is sent.
+	// Remaining is the time until the deadline of the query when the attempt is started.
 	Remaining time.Duration
+	// Withdrawn is closed when the attempt must not be sent any more, and SendWithin is the time
+	// after which it must not be sent any more. Both end the wait of a LeafClient for a connection.
+	Withdrawn  <-chan struct{}
+	SendWithin time.Duration
+	// CheckSend returns the time until the deadline of the query, or an error if the attempt must
+	// not be sent any more. A LeafClient that waits before it sends the attempt calls it directly
+	// before the send.
+	CheckSend func() (time.Duration, error)
 	Payload   Q
 }
 
--- a/internal/scatter/topology.go
+++ b/internal/scatter/topology.go
@@ -14,6 +14,7 @@
 	c.applyDecision(func(now dispatch.Time) []dispatch.Action {
 		c.topology = topology
 		c.usable = usableLeaves(topology)
+		c.withdrawUnusable()
 		return c.dispatcher.SetTopology(now, topology)
 	})
 }
