node, dispatch: a planned stop answers each request before the process ends

Cause: the node did not know how long a stop may take. It took requests for 3.5 s as if it had for ever, and then waited 10 s for them, longer than grace_s. Requests that waited for a connection to a leaf, or in the queue, had no end before the kill.

Fix: the settings carry the time that the platform allows (forward.stop_timeout, bounds.grace_s in the template; 6 s without it). internal/decide/shutdown derives the times of a stop from it, internal/decide/dispatch/stop.go what becomes of each query: it gets attempts while an answer can be expected before the end, and otherwise ends at once, as not run (503, shortest Retry-After) where no attempt may have run. What is at work at the end gets 502, a body that is incomplete then 503. A request at an executor ends by then, too; an executor that cannot answer in time refuses it, so that its sender runs it. The server for other nodes closes at the signal, beside the one for clients and not after it.

Why it works: each place in which a request can wait has an end 0.4 s before the kill, derived from the platform's time.

--- a/internal/decide/dispatch/actions.go
+++ b/internal/decide/dispatch/actions.go
@@ -40,6 +40,7 @@
 	ReasonConnectionLost Reason = "connection_lost" // the request was sent and no reply arrived
 	ReasonRefused        Reason = "refused"         // the leaves refused the attempts
 	ReasonInvalid        Reason = "invalid"         // the leaves cannot run the statement
+	ReasonStopping       Reason = "stopping"        // the process ends before an answer could arrive
 	// ReasonExtraLoad: another attempt would exceed the budget of extra load.
 	ReasonExtraLoad Reason = "extra_load"
 )
--- a/internal/decide/dispatch/admit.go
+++ b/internal/decide/dispatch/admit.go
@@ -31,7 +31,7 @@
 	case d.fleet.topology.Stopped:
 		return ReasonStopped
 	case q.Deadline <= d.now:
-		return ReasonDeadline
+		return d.deadlineReason(q)
 	case len(d.fleet.views) == 0:
 		return ReasonNoSnapshot
 	default:
@@ -102,8 +102,13 @@
 	}
 }
 
-// refuseOverload ends a query that is not admitted because of overload.
+// refuseOverload ends a query that is not admitted because of overload. While the process stops,
+// the query is refused because of the stop: other nodes have more time for it.
 func (d *Dispatcher) refuseOverload(q *query, wait time.Duration) {
+	if d.stopping() {
+		d.finish(q, OutcomeNotRun, ReasonStopping)
+		return
+	}
 	d.counters.Overloaded++
 	d.setPredictedWait(q, wait)
 	d.finish(q, OutcomeNotRun, ReasonOverload)
--- a/internal/decide/dispatch/dispatcher.go
+++ b/internal/decide/dispatch/dispatcher.go
@@ -28,6 +28,7 @@
 	load       loadEstimate
 	budgets    budgets
 	allowances allowances
+	stopAt     Time // end of the process, see stop.go; zero if it is not known
 
 	counters  Counters
 	actions   []Action // of the current call
@@ -70,19 +71,7 @@
 		return nil
 	}
 	d.counters.Submitted++
-	q := &query{
-		Query: request,
-		class: d.classes.get(request.Class),
-		schedule: schedule{
-			submitted: d.now,
-			settleAt:  d.config.Settle.SettleAt(d.now, request.Deadline, request.Objective),
-			promoteAt: d.now + time.Duration(d.config.PromoteAfter*float64(request.Deadline-d.now)),
-		},
-		timer: timer{index: -1},
-	}
-	if d.mayHedge(q) {
-		q.hedging.chargeAsRetryAt = d.now + time.Duration(d.config.Hedge.ChargeAsRetryAfter*float64(request.Deadline-d.now))
-	}
+	q := d.newQuery(request)
 	if reason := d.rejectReason(q); reason != ReasonNone {
 		d.reject(q, reason)
 		return d.actions
@@ -99,6 +88,22 @@
 	return d.actions
 }
 
+// newQuery returns the state of a query that is submitted now.
+func (d *Dispatcher) newQuery(request Query) *query {
+	q := &query{Query: request, class: d.classes.get(request.Class), timer: timer{index: -1}}
+	d.boundByStop(q)
+	remaining := float64(q.Deadline - d.now)
+	q.schedule = schedule{
+		submitted: d.now,
+		settleAt:  d.config.Settle.SettleAt(d.now, q.Deadline, q.Objective),
+		promoteAt: d.now + time.Duration(d.config.PromoteAfter*remaining),
+	}
+	if d.mayHedge(q) {
+		q.hedging.chargeAsRetryAt = d.now + time.Duration(d.config.Hedge.ChargeAsRetryAfter*remaining)
+	}
+	return q
+}
+
 // Cancel ends a query whose caller no longer waits, and aborts its attempts.
 func (d *Dispatcher) Cancel(now Time, id QueryID) []Action {
 	d.begin(now)
--- a/internal/decide/dispatch/hedge.go
+++ b/internal/decide/dispatch/hedge.go
@@ -49,7 +49,7 @@
 func (d *Dispatcher) sendHedges(q *query) {
 	q.hedging.nextCheckAt = 0
 	q.hedging.armed = true
-	if d.now >= q.Deadline {
+	if d.now >= d.lastSend(q) {
 		return
 	}
 	delay, ok := d.hedgeDelay(q)
--- a/internal/decide/dispatch/last_send.go
+++ b/internal/decide/dispatch/last_send.go
@@ -1,6 +1,7 @@
 // Rule: last send. A query that may run once gets no attempt from the moment on at which less than
 // the service time of its class is left, or less than half of its own time if that is shorter. If it
-// has no attempt then, it ends as not run.
+// has no attempt then, it ends as not run. While the process stops, no query gets an attempt that
+// would outlast the process (stop.go).
 //
 // Inputs: submission and deadline of the query, service time of its class (seconds).
 //
@@ -13,10 +14,14 @@
 
 // lastSend returns the time from which on the query gets no attempt.
 func (d *Dispatcher) lastSend(q *query) Time {
-	if q.Class.Repeatable {
-		return q.Deadline
+	last := q.Deadline
+	if !q.Class.Repeatable {
+		last -= min(seconds(q.class.serviceTime), (q.Deadline-q.submitted)/2)
 	}
-	return q.Deadline - min(seconds(q.class.serviceTime), (q.Deadline-q.submitted)/2)
+	if d.stopping() {
+		last = min(last, d.lastSendBeforeStop(q.class))
+	}
+	return last
 }
 
 // SendLimits bounds the attempts of a query in time.
--- a/internal/decide/dispatch/lifecycle.go
+++ b/internal/decide/dispatch/lifecycle.go
@@ -70,6 +70,7 @@
 		q.findings.snapshotLost = false
 		d.restart(q)
 	}
+	d.giveUpForStop(q)
 	if outcome, reason, settled := d.settle(q); settled {
 		d.finish(q, outcome, reason)
 		return
@@ -85,7 +86,7 @@
 	}
 	last := d.lastSend(q)
 	if d.now >= last {
-		d.finish(q, OutcomeNotRun, ReasonDeadline)
+		d.finish(q, OutcomeNotRun, d.expiryReason(q))
 		return
 	}
 	d.timers.set(q, last)
@@ -103,6 +104,9 @@
 	if q.settleAt > d.now {
 		next = min(next, q.settleAt)
 	}
+	if last := d.lastSend(q); d.stopping() && last > d.now {
+		next = min(next, last)
+	}
 	if q.hedging.nextCheckAt > 0 {
 		next = min(next, max(q.hedging.nextCheckAt, d.now+1))
 	}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -1,5 +1,5 @@
-// The next step of a shard without an attempt, in this order: after the last send (see lastSend)
-// nothing is sent; without the budget for a needed retry the shard is parked or given up; a shard
+// The next step of a shard without an attempt, in this order: a shard that gets no answer before the
+// process stops is given up; after the last send (see lastSend) nothing is sent; without the budget for a needed retry the shard is parked or given up; a shard
 // that has used up its attempts is given up; a retry of a suspected query is withheld; a shard that
 // no leaf holds is given up, and the query may restart; without room on the leaves the shard is
 // queued; otherwise the attempt is sent.
@@ -21,6 +21,10 @@
 // placeNext implements place and placeWaiting. It returns false if the shard remains queued or
 // waits for the end of the query.
 func (d *Dispatcher) placeNext(q *query, position int32, waiting bool) bool {
+	if d.tooLateForStop(q) {
+		d.giveUpShardForStop(q, position, waiting)
+		return true
+	}
 	if d.now >= d.lastSend(q) {
 		return false
 	}
--- a/internal/decide/dispatch/queue.go
+++ b/internal/decide/dispatch/queue.go
@@ -129,7 +129,7 @@
 			return
 		}
 		waiting := *next.waiting.head(d.now)
-		if d.now >= d.lastSend(waiting.query) {
+		if d.now >= d.lastSend(waiting.query) && !d.tooLateForStop(waiting.query) {
 			d.advance(waiting.query)
 			continue
 		}
--- a/internal/decide/dispatch/restart.go
+++ b/internal/decide/dispatch/restart.go
@@ -11,18 +11,14 @@
 
 package dispatch
 
-import (
-	"time"
-
-	"github.com/micaplank/micaplank/internal/decide/snapshot"
-)
+import "github.com/micaplank/micaplank/internal/decide/snapshot"
 
 // restart runs the whole query again at a newer snapshot if the rule permits it.
 func (d *Dispatcher) restart(q *query) {
 	if q.restarted || !q.Class.Repeatable {
 		return
 	}
-	if d.now+time.Duration(q.class.serviceTime*float64(time.Second)) >= q.Deadline {
+	if d.now+seconds(q.class.serviceTime) >= q.Deadline || d.tooLateForStop(q) {
 		return
 	}
 	index, ok := snapshot.Pick(d.fleet.snapshots, q.need())
--- a/internal/decide/dispatch/retryafter.go
+++ b/internal/decide/dispatch/retryafter.go
@@ -1,8 +1,9 @@
 // Rule: Retry-After of a Finish without an answer (OutcomeNotRun or OutcomeFailed). A query refused
 // because of load carries its predicted wait. A query whose leaves shed its attempts carries the
 // longest pause that a leaf requested. A query that reached its deadline without either carries the
-// shortest pause. All are within the bounds of admission.Config. Other queries carry none,
-// including a query that was submitted after its deadline or to a stopped service.
+// shortest pause. All are within the bounds of admission.Config. A query that ends because the
+// process stops carries none, because its caller reaches another node. Other queries carry none
+// either, including a query that was submitted after its deadline or to a stopped service.
 //
 // Inputs: the predicted wait and the pauses that leaves request (durations), the reason.
 //
@@ -27,6 +28,9 @@
 // retryAfter returns the time after which a caller without an answer may retry; zero if it is
 // unknown.
 func (d *Dispatcher) retryAfter(q *query, reason Reason) time.Duration {
+	if reason == ReasonStopping {
+		return retryAfterStop
+	}
 	if q.findings.retryAfter == 0 && reason == ReasonDeadline {
 		return d.config.Admission.RetryAfter(0)
 	}
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -4,7 +4,8 @@
 // others are down, or if a query that may run once has no attempt at the time of its last send.
 // A query that may run once and has an attempt in flight at its deadline waits for its end for
 // Query.OutcomeWait. With enough coverage a query also ends when no shard is outstanding any more,
-// or at its settle time shortly before the objective or deadline.
+// or at its settle time shortly before the objective or deadline. While the process stops, a query
+// without an attempt in flight also ends once it gets no more attempts (stop.go).
 //
 // Inputs: shards answered, unavailable and needed, the minimum coverage (share from 0 to 1), the
 // settle time (coverage.Config), the deadline, the time of the last send; for each shard, the
@@ -26,6 +27,8 @@
 		return OutcomeUnknown, ReasonConnectionLost, true
 	case q.findings.invalid:
 		return q.failureOutcome(), ReasonInvalid, true
+	case q.inFlight == 0 && d.tooLateForStop(q):
+		return d.outcomeAtStop(q), ReasonStopping, true
 	case !q.Class.Repeatable && q.inFlight == 0 && d.now >= d.lastSend(q):
 		return q.failureOutcome(), ReasonDeadline, true
 	case progress.Unanswerable():
@@ -37,11 +40,11 @@
 	case q.awaitsOutcome(d.now):
 		return "", ReasonNone, false
 	case d.now >= q.Deadline && d.config.RequireCoverage && !progress.MeetsMinimum(q.MinimumCoverage):
-		return q.failureOutcome(), ReasonDeadline, true
+		return q.failureOutcome(), d.deadlineReason(q), true
 	case d.now >= q.Deadline && progress.Answered > 0:
-		return OutcomePartial, ReasonDeadline, true
+		return OutcomePartial, d.deadlineReason(q), true
 	case d.now >= q.Deadline:
-		return q.failureOutcome(), ReasonDeadline, true
+		return q.failureOutcome(), d.deadlineReason(q), true
 	case !progress.MeetsMinimum(q.MinimumCoverage):
 		return "", ReasonNone, false
 	case progress.NoneAwaited():
--- a/internal/decide/dispatch/waitqueue.go
+++ b/internal/decide/dispatch/waitqueue.go
@@ -25,6 +25,18 @@
 	return best
 }
 
+// reorder restores the order of the waiters after the deadlines of their queries have changed.
+func (g *groupQueue) reorder() {
+	for index := range g.byClass.values {
+		queue := &g.byClass.values[index]
+		waiters := queue.heap
+		queue.heap = make([]waiter, 0, len(waiters))
+		for _, w := range waiters {
+			queue.push(w)
+		}
+	}
+}
+
 // age returns the time since the submission of the first waiting query of a class.
 func (g *groupQueue) age(class *classState, now Time) time.Duration {
 	head := g.byClass.ensure(class).head()
--- a/internal/decide/retryafter/retryafter.go
+++ b/internal/decide/retryafter/retryafter.go
@@ -28,6 +28,8 @@
 //	other proof that nothing ran: no byte was       503     MinDelay
 //	sent, no budget for another attempt
 //	the deadline passed before anything ran         503     50 ms (minimum of admission)
+//	the node stops before an answer could arrive    503     MinDelay: other nodes can run it now
+//	the node ends before the body has arrived       503     MinDelay
 //	quarantined: its trials closed their leaves     503     until it may be tried again
 //	                                                        (quarantine.Table.Admit)
 //	a trial is running, and was awaited             503     quarantine.Config.TrialRetryAfter
--- a/internal/edge/delegate/message.go
+++ b/internal/edge/delegate/message.go
@@ -59,6 +59,8 @@
 	refusedTerms Refusal = "terms"
 	// refusedVersion means that the executor's configuration changed after the terms were checked.
 	refusedVersion Refusal = "version"
+	// refusedStopping means that the executor stops before an answer could arrive.
+	refusedStopping Refusal = "stopping"
 )
 
 func (r *executeResponse) answer(executor string, version uint64) forward.Answer {
--- a/internal/edge/delegate/server.go
+++ b/internal/edge/delegate/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 
+	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/decide/executors"
 	"github.com/micaplank/micaplank/internal/edge/forward"
 	"github.com/micaplank/micaplank/internal/peer"
@@ -39,8 +40,11 @@
 		ID: request.ID, Method: request.Method, Host: request.Host, Path: request.Path,
 		Head: request.Head, Body: request.Body, ClientTimeout: request.Patience, RelayTime: request.Away,
 	})
-	if !ran {
+	switch {
+	case !ran:
 		return &executeResponse{Refusal: refusedVersion, Status: runner.Status()}
+	case answer.Fate == forward.FateNotRun && answer.Reason == dispatch.ReasonStopping:
+		return &executeResponse{Refusal: refusedStopping, Status: runner.Status()}
 	}
 	return &executeResponse{
 		Status: status, Fate: answer.Fate, Reason: answer.Reason, Body: answer.Body, Signatures: answer.Signatures,
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -44,6 +44,9 @@
 	metricsRegistry *telemetry.Registry
 	self            roster.Member
 	draining        atomic.Bool
+	// ending ends when each request must have its final answer; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	// These fields run requests.
 	conn      *scatter.QueryRunner[*forward.Request, forward.Part]
@@ -74,6 +77,7 @@
 		metricsRegistry: metricsRegistry,
 		self:            newSelfMember(configured),
 	}
+	n.ending, n.endRequests = context.WithCancel(context.Background())
 	view := newView(configured.Forward, n.clock)
 	n.connectPeers(metricsRegistry)
 	n.buildRequestPath(view, metricsRegistry)
@@ -178,6 +182,8 @@
 func (n *Node) delegateRequest(ctx context.Context, timeout time.Duration, request *forward.Request) (forward.Answer, bool) {
 	delegateCtx, cancel := context.WithTimeout(ctx, timeout+executors.ResponseGrace)
 	defer cancel()
+	stop := context.AfterFunc(n.ending, cancel)
+	defer stop()
 	return n.delegate.Execute(delegateCtx, n.follower.terms.current(), request)
 }
 
@@ -196,6 +202,9 @@
 // Draining implements Service.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
+// Ending implements Service.
+func (n *Node) Ending() context.Context { return n.ending }
+
 // isReady reports whether the node accepts requests.
 func (n *Node) isReady() bool {
 	return startup.State{
--- a/internal/edge/node/ports.go
+++ b/internal/edge/node/ports.go
@@ -122,4 +122,7 @@
 	Limits() route.Limits
 	// Draining reports whether clients should move to other nodes.
 	Draining() bool
+	// Ending returns a context that ends when each request must have its final answer, since the
+	// process is about to end.
+	Ending() context.Context
 }
--- a/internal/edge/node/run.go
+++ b/internal/edge/node/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/micaplank/micaplank/internal/decide/shutdown"
 	"github.com/micaplank/micaplank/internal/edge/combine"
 	"github.com/micaplank/micaplank/internal/edge/delegate"
 	"github.com/micaplank/micaplank/internal/edge/mirror"
@@ -17,9 +18,6 @@
 )
 
 const (
-	// shutdownTimeout bounds the time for requests in flight once the drain delay is over. It is
-	// longer than a request takes.
-	shutdownTimeout = 10 * time.Second
 	// minBackoff is the first pause after a failed call to the store.
 	minBackoff = 50 * time.Millisecond
 	// maxBackoff bounds the pause between two calls to a store that does not answer. A node that
@@ -39,7 +37,8 @@
 const suspensionCheckInterval = 100 * time.Millisecond
 
 // Run serves until ctx ends, and then shuts down gracefully: it reports not ready immediately,
-// continues to serve for the drain delay, and finishes the requests in flight.
+// continues to serve for the drain delay, and gives each request its final answer; see package
+// shutdown.
 func (n *Node) Run(ctx context.Context) error {
 	servers, err := listen(n.endpoints(), n.serverTimeouts)
 	if err != nil {
@@ -67,7 +66,7 @@
 	background.Wait()
 	err = errors.Join(err, n.peers.Close())
 	n.publisher.stop()
-	event.Log(n.logger, event.Stopped{})
+	event.Log(n.logger, event.Stopped{Unanswered: n.conn.InFlight()})
 	return err
 }
 
@@ -119,22 +118,38 @@
 	return server, nil
 }
 
-// drain shuts down the client endpoint first, then readiness checks and metrics, and last the
-// server for other nodes.
+// drain announces the stop to all parts that hold requests, and ends each server once its requests
+// are answered. Other nodes are sent away at once, since they have other nodes to turn to.
 func (n *Node) drain(servers []*httpServer, peers *peer.Server) error {
+	schedule := shutdown.Plan(n.settings.Forward.StopTimeout.Duration(), n.settings.Forward.DrainDelay.Duration())
 	n.draining.Store(true)
-	event.Log(n.logger, event.Draining{InFlight: n.conn.InFlight()})
-	time.Sleep(n.settings.Forward.DrainDelay.Duration())
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	event.Log(n.logger, event.Draining{
+		InFlight: n.conn.InFlight(), Waiting: n.conn.Load().WaitingShards, AnswerBy: schedule.AnswerBy,
+	})
+	exitCtx, cancel := context.WithTimeout(context.Background(), schedule.ExitBy)
 	defer cancel()
+	n.conn.Stop(n.clock.Now() + schedule.AnswerBy)
+	answerTimer := time.AfterFunc(schedule.AnswerBy, n.endRequests)
+	defer answerTimer.Stop()
+	peersClosed := closePeers(exitCtx, peers)
+	time.Sleep(schedule.CloseAfter)
 	var errs []error
 	for _, server := range servers {
-		errs = append(errs, server.Shutdown(shutdownCtx))
+		errs = append(errs, server.Shutdown(exitCtx))
 	}
-	if peers != nil {
-		errs = append(errs, peers.Close(shutdownCtx))
+	return errors.Join(append(errs, <-peersClosed)...)
+}
+
+// closePeers closes the server for other nodes, which may be nil, in the background. The channel
+// receives the result.
+func closePeers(ctx context.Context, peers *peer.Server) <-chan error {
+	closed := make(chan error, 1)
+	if peers == nil {
+		closed <- nil
+		return closed
 	}
-	return errors.Join(errs...)
+	go func() { closed <- peers.Close(ctx) }()
+	return closed
 }
 
 // Reload receives the settings after they were read again. All of them need a restart to take
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -21,7 +21,9 @@
 
 // Draining reports the start of a planned stop.
 type Draining struct {
-	InFlight int `event:"in_flight" doc:"queries that run on this node"`
+	InFlight int           `event:"in_flight" doc:"queries that run on this node"`
+	Waiting  int           `event:"waiting" doc:"shards of these queries that wait for a leaf in the queue of the node"`
+	AnswerBy time.Duration `event:"answer_by" doc:"time from now on within which each request gets its final answer"`
 }
 
 // Kind implements Event.
@@ -30,11 +32,13 @@
 }
 
 // Stopped reports the end of a planned stop.
-type Stopped struct{}
+type Stopped struct {
+	Unanswered int `event:"unanswered" doc:"queries that still ran on this node, whose clients got no answer"`
+}
 
 // Kind implements Event.
 func (Stopped) Kind() Kind {
-	return Kind{"stopped", slog.LevelInfo, "A planned stop has completed; no request is in flight."}
+	return Kind{"stopped", slog.LevelInfo, "A planned stop has completed. The process ends."}
 }
 
 // SettingsReloaded reports that the settings were read again after SIGHUP.
--- a/internal/scatter/dispatcher.go
+++ b/internal/scatter/dispatcher.go
@@ -56,6 +56,17 @@
 	return c.dispatcher.InFlightAt(match)
 }
 
+// Stop announces the end of the process to the dispatcher. Every query ends by then. Attempts that
+// wait for a connection are decided again, since there is less time for them.
+func (c *QueryRunner[Q, P]) Stop(endAt dispatch.Time) {
+	c.applyDecision(func(now dispatch.Time) []dispatch.Action {
+		for _, attempt := range c.attempts {
+			attempt.withdraw()
+		}
+		return c.dispatcher.Stop(now, endAt)
+	})
+}
+
 // Observe passes a load report of a leaf to the dispatcher.
 func (c *QueryRunner[Q, P]) Observe(address netip.AddrPort, load leaf.LoadSummary) {
 	c.applyDecision(func(now dispatch.Time) []dispatch.Action {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -73,8 +73,10 @@
 		LeafSettling: Duration(3 * time.Second),
 		// Leaves of the supported deployments announce themselves at this interval.
 		LeafHeartbeat: Duration(1200 * time.Millisecond),
-		// A planned stop may last 6 s, so this delay leaves 2.5 s for requests in flight.
+		// The delay leaves 2.5 s of stop_timeout for requests in flight.
 		DrainDelay: Duration(3500 * time.Millisecond),
+		// The supported deployments allow this time.
+		StopTimeout: Duration(6 * time.Second),
 		// The timeout applies if the installed configuration does not specify one.
 		IdleTimeout: Duration(time.Minute),
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,7 @@
 	LeafHeartbeat   Duration `toml:"leaf_heartbeat" comment:"Time between two announcements of a leaf; after three of silence its entry goes." validate:"gt=0" expect:"a duration above 0, such as \"1.2s\""`
 	LeafSettling    Duration `toml:"leaf_settling" comment:"Time after an outage of the store in which leaves announce themselves again." validate:"gte=0" expect:"a duration, 0 or above, such as \"3s\""`
 	DrainDelay      Duration `toml:"drain_delay" comment:"Time of a planned stop in which connections are still taken, until callers have moved." validate:"gte=0" expect:"a duration, 0 or above, such as \"3500ms\""`
+	StopTimeout     Duration `toml:"stop_timeout" comment:"Time that the platform allows for a planned stop before it kills the process." validate:"gt=0" expect:"a duration above 0, such as \"6s\""`
 	IdleTimeout     Duration `toml:"idle_timeout" comment:"How long a caller's connection may rest, unless the configuration in force says." validate:"gt=0" expect:"a duration above 0, such as \"1m\""`
 }
 
