http1: no connection carries two attempts of a request

Cause: all attempts of a request carry the client's id, and a response is recognised by that id alone. A refused attempt may go to the same leaf again, and the pool handed out the connection that was used last, the one of the refusal. A second copy of the refusal then counted as the answer to the next attempt, and as proof that it did not run.

Evidence, a record of: at 4.816 s two leaves refuse; at 4.829 s one of them sends its refusal a second time, and in the same millisecond the client gets 503; at 4.836 s that leaf runs the request.

Fix: the attempts of a request share a History of the connections that carried them, and no such connection is used again for it; no connection carries the same id twice in a row, for a client that uses an id twice. If no other connection is idle, another one is opened, at the limit in place of one of them (micaplank_http1_replaced_connections_total).

Why it works: a copy arrives on the connection of its attempt, which carries no other attempt of that request.

TestOtherRequestsReuseConnectionOfRefusal holds that other requests cost no connection.

--- a/internal/edge/combine/message.go
+++ b/internal/edge/combine/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/edge/forward"
+	"github.com/micaplank/micaplank/internal/edge/http1"
 	"github.com/micaplank/micaplank/internal/leaf"
 )
 
@@ -54,7 +55,9 @@
 }
 
 func (q *queryHead) toRequest() *forward.Request {
-	return &forward.Request{ID: q.ID, Method: q.Method, Head: q.Head, Body: q.Body, TopK: q.TopK, Floor: q.Floor}
+	return &forward.Request{
+		ID: q.ID, Method: q.Method, Head: q.Head, Body: q.Body, TopK: q.TopK, Floor: q.Floor, Carriers: new(http1.History),
+	}
 }
 
 // fetchResponse is the end of an attempt.
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -6,6 +6,7 @@
 	"github.com/micaplank/micaplank/internal/catalog"
 	"github.com/micaplank/micaplank/internal/decide/requestclass"
 	"github.com/micaplank/micaplank/internal/decide/timeleft"
+	"github.com/micaplank/micaplank/internal/edge/http1"
 	"github.com/micaplank/micaplank/internal/edge/route"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
@@ -15,6 +16,9 @@
 	class := f.buildClass(matched)
 	objective := f.computeObjective(matched, class.Name, request)
 	request.Route = matched.Name
+	if request.Carriers == nil {
+		request.Carriers = new(http1.History)
+	}
 	request.TopK, request.Floor = 0, nil
 	if len(matched.Shards) > 0 {
 		request.TopK, request.Floor = matched.TopK, f.estimators.estimateFloor(class.Name)
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/micaplank/micaplank/internal/decide/quarantine"
 	"github.com/micaplank/micaplank/internal/decide/timeleft"
+	"github.com/micaplank/micaplank/internal/edge/http1"
 )
 
 // Request is a client's request. Leaves receive it unchanged. The time fields are named as in
@@ -32,6 +33,9 @@
 	// TopK is the number of records that the answer holds, merged from all parts; zero if the
 	// answer is one part unchanged. The Forwarder sets it.
 	TopK int
+	// Carriers holds the connections that have carried an attempt of the request. The Forwarder sets
+	// it.
+	Carriers *http1.History
 	// Floor is a record below which no record is likely to be in the answer; empty without an
 	// estimate. The Forwarder sets it.
 	Floor []byte
--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -109,7 +109,7 @@
 		return nil, notSentError(StepSend, target, err)
 	}
 	exchange := &exchange{method: message.Method, match: match, done: make(chan result, 1)}
-	if sent, err := connection.send(ctx, exchange, message.encode()); err != nil {
+	if sent, err := connection.send(ctx, exchange, &message); err != nil {
 		return nil, &leaf.TransportError{Step: StepSend, Peer: target.Address, Sent: sent, Err: err}
 	}
 	select {
--- a/internal/edge/http1/connection.go
+++ b/internal/edge/http1/connection.go
@@ -39,6 +39,7 @@
 	reader *bufio.Reader
 
 	mutex   sync.Mutex
+	lastID  string // Message.ID of the last request
 	current *exchange
 	busy    bool // in use, or claimed
 	closed  bool
@@ -51,6 +52,15 @@
 	return c
 }
 
+// mayCarry reports whether a response that the back end repeats could not be taken for the response
+// to the message.
+func (c *connection) mayCarry(message *Message) bool {
+	c.mutex.Lock()
+	repeated := message.ID != "" && c.lastID == message.ID
+	c.mutex.Unlock()
+	return !repeated && !message.History.contains(c)
+}
+
 // claim marks an idle connection as in use. It returns false if the connection is closed.
 func (c *connection) claim() bool {
 	c.mutex.Lock()
@@ -70,13 +80,15 @@
 	}
 }
 
-// send sends the bytes of a request. On an error it closes the connection and reports whether a
-// byte may have been sent.
-func (c *connection) send(ctx context.Context, next *exchange, content []byte) (sent bool, err error) {
+// send sends a request. On an error it closes the connection and reports whether a byte may have
+// been sent.
+func (c *connection) send(ctx context.Context, next *exchange, message *Message) (sent bool, err error) {
+	message.History.add(c)
 	c.mutex.Lock()
 	closed := c.closed
 	if !closed {
 		c.current = next
+		c.lastID = message.ID
 	}
 	c.mutex.Unlock()
 	if closed {
@@ -85,7 +97,7 @@
 	_ = c.socket.SetReadDeadline(time.Time{}) // Write reports a closed socket
 	deadline, _ := ctx.Deadline()
 	_ = c.socket.SetWriteDeadline(deadline)
-	written, err := c.socket.Write(content)
+	written, err := c.socket.Write(message.encode())
 	if err != nil {
 		c.close()
 		return written > 0, err
@@ -103,6 +115,9 @@
 		}
 		current := c.currentExchange()
 		if current == nil {
+			if err == nil {
+				c.pool.client.metrics.surplusResponses.Inc()
+			}
 			return
 		}
 		if err != nil {
@@ -153,6 +168,7 @@
 			}
 			return response, idle, nil
 		}
+		c.pool.client.metrics.surplusResponses.Inc()
 		if idle == 0 || skipped >= c.pool.client.config.MaxSkippedResponses {
 			return nil, 0, errResponseMismatch
 		}
--- a/internal/edge/http1/message.go
+++ b/internal/edge/http1/message.go
@@ -32,6 +32,12 @@
 	SendWithin time.Duration
 	// Body is the complete body.
 	Body []byte
+	// ID is the ID by which a Matcher recognises the response; empty if it recognises none. A
+	// connection does not carry the same ID twice in a row.
+	ID string
+	// History, if not nil, holds the connections that have carried earlier attempts of the request.
+	// None of them carries this one.
+	History *History
 	// AtMostOnce is set if the request may run at most once. It is then not sent on a connection
 	// that the back end has closed; this check costs a system call.
 	AtMostOnce bool
--- a/internal/edge/http1/metrics.go
+++ b/internal/edge/http1/metrics.go
@@ -9,6 +9,7 @@
 // metrics counts connection events.
 type metrics struct {
 	dials, dialFailures, brokenExchanges prometheus.Counter
+	surplusResponses, replaced           prometheus.Counter
 	waiting                              prometheus.Gauge
 }
 
@@ -21,6 +22,10 @@
 			"Connections to leaves that could not be opened."),
 		brokenExchanges: create.Counter("micaplank_http1_broken_exchanges_total",
 			"Requests that were sent to leaves and got no complete response of their own."),
+		surplusResponses: create.Counter("micaplank_http1_surplus_responses_total",
+			"Responses of leaves that belong to no request in progress on their connection, or other bytes that arrive there unasked."),
+		replaced: create.Counter("micaplank_http1_replaced_connections_total",
+			"Connections to leaves that were closed because they had carried an earlier attempt of the request that needed one."),
 		waiting: create.Gauge("micaplank_http1_waiting_requests",
 			"Requests that wait for a connection to their leaf, since all that this node may keep are in use."),
 	}
--- a/internal/edge/http1/pool.go
+++ b/internal/edge/http1/pool.go
@@ -51,13 +51,17 @@
 	return p.client.config.IdleTimeout
 }
 
-// acquire returns a connection for exclusive use. It opens one if none is idle and the limit allows
-// it, and otherwise waits. For a request that may run at most once, it checks that the connection
-// is still open.
+// acquire returns a connection for exclusive use that may carry the message. It opens one if none is
+// idle and the limit allows it, and otherwise waits. For a request that may run at most once, it
+// checks that the connection is still open.
 func (p *pool) acquire(ctx context.Context, message *Message) (*connection, error) {
 	for {
-		claimed, wait, mayOpen := p.claimOrWait()
+		claimed, wait, mayOpen := p.claimOrWait(message)
 		switch {
+		case claimed != nil && !claimed.mayCarry(message):
+			p.client.metrics.replaced.Inc()
+			claimed.close()
+			continue
 		case claimed != nil && message.AtMostOnce && !claimed.hasNoPendingInput():
 			claimed.close()
 			continue
@@ -95,28 +99,43 @@
 	return message.withdrawalReason()
 }
 
-// claimOrWait claims an idle connection. If there is none, it either allows the caller to open one
-// or enqueues a waiter.
-func (p *pool) claimOrWait() (claimed *connection, wait chan struct{}, mayOpen bool) {
+// claimOrWait claims an idle connection that may carry the message. If there is none, it allows the
+// caller to open one. If the limit does not allow that, it claims any idle connection, which the
+// caller has to close, or enqueues a waiter.
+func (p *pool) claimOrWait(message *Message) (claimed *connection, wait chan struct{}, mayOpen bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		candidate := p.idle[last]
-		p.idle = p.idle[:last]
-		if candidate.claim() {
-			return candidate, nil, false
-		}
+	if claimed = p.claimIdle(func(candidate *connection) bool { return candidate.mayCarry(message) }); claimed != nil {
+		return claimed, nil, false
 	}
 	if p.openCount < p.limit() {
 		p.openCount++
 		return nil, nil, true
 	}
+	if claimed = p.claimIdle(func(*connection) bool { return true }); claimed != nil {
+		return claimed, nil, false
+	}
 	wait = make(chan struct{}, 1)
 	p.waiters = append(p.waiters, wait)
 	return nil, wait, false
 }
 
+// claimIdle claims the idle connection that was used last among those that fit, or returns nil. The
+// caller holds the mutex.
+func (p *pool) claimIdle(fits func(*connection) bool) *connection {
+	for index := len(p.idle) - 1; index >= 0; index-- {
+		candidate := p.idle[index]
+		if !fits(candidate) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, index, index+1)
+		if candidate.claim() {
+			return candidate
+		}
+	}
+	return nil
+}
+
 // cancelWait removes a waiter. If the waiter was already woken, the next one is woken instead.
 func (p *pool) cancelWait(wait chan struct{}) {
 	p.mutex.Lock()
