selfhosted: a planned stop answers queries that outlast the drain timeout

What callers saw: a query of a draining node whose deadline was later than limits.drain_timeout got no answer. Operators saw a process that stayed until the callers gave up, 11 s after the signal at a drain timeout of 2 s, and ended with an error.

Evidence: the log of TestPlannedStopAnswersWithinDrainTimeout with the mechanism off, "planned stop aborted requests in flight" 11 s after "draining".

Fix: the connections of all services learn the end of the process, with the times of internal/decide/shutdown. Package graceful, split from edge/node, notices the last request within 50 ms in both programs.

Why it works: every query ends before the servers are given up, so that each handler writes its answer.

The test failed before: with the mechanism off (a copy without stopWithin) all 6 queries got "context deadline exceeded, want an answer", and the process exited with an error; with it all are answered, exit code 0. The tests of internal/selfhosted and internal/rehearsal/promises pass.

--- a/internal/edge/node/http_server.go
+++ b/internal/edge/node/http_server.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/graceful"
 )
 
 // serverTimeouts bounds the time that a client may take to send the headers of a request, and the
@@ -107,27 +109,11 @@
 		errs = append(errs, s.listener.Close())
 	}
 	for _, handoff := range s.handoffs { // the map does not change once closed is set
-		errs = append(errs, shutdownPromptly(ctx, handoff.server))
+		errs = append(errs, graceful.Shutdown(ctx, handoff.server))
 	}
 	return errors.Join(errs...)
 }
 
-// shutdownPollInterval bounds how long the end of the last request stays unnoticed.
-const shutdownPollInterval = 50 * time.Millisecond
-
-// shutdownPromptly shuts a server down. http.Server.Shutdown looks for active connections at
-// intervals that grow to half a second, and starts with a short one at each call.
-func shutdownPromptly(ctx context.Context, server *http.Server) error {
-	for {
-		pollCtx, cancel := context.WithTimeout(ctx, shutdownPollInterval)
-		err := server.Shutdown(pollCtx)
-		cancel()
-		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
-			return err
-		}
-	}
-}
-
 // handoffListener is the net.Listener of an http.Server that gets its connections from an
 // httpServer.
 type handoffListener struct {
--- a/internal/rehearsal/promises/planned_stop_test.go
+++ b/internal/rehearsal/promises/planned_stop_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/rehearsal/cluster"
 	"github.com/micaplank/micaplank/internal/rehearsal/history"
+	"github.com/micaplank/micaplank/internal/settings"
 )
 
 // exitTimeout bounds the graceful exit of a process.
@@ -55,6 +57,36 @@
 	d.requireFates("answered", "not-run-stopped")
 }
 
+// hangingControl makes leaves take longer than any test.
+const hangingControl = `{"slow_factor":100000}`
+
+// TestPlannedStopAnswersWithinDrainTimeout guards against queries that a planned stop cuts off since
+// their deadline is later than the drain timeout, and against a process that stays on for them. Each
+// caller must get an answer, and the process must exit with code 0.
+func TestPlannedStopAnswersWithinDrainTimeout(t *testing.T) {
+	d := deploy(t, func(configured *settings.Settings) {
+		configured.Limits.DrainTimeout = settings.Duration(2 * time.Second)
+	})
+	d.runStatement("class hour on filing-vault priority 1 deadline 1h coverage 1.0 repeatable")
+	d.controlLeaves(hangingControl)
+	before := len(d.recorder.Submissions())
+	const callers = 6
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() { d.submit(d.node(0), newSelect(rand.New(rand.NewPCG(1, uint64(caller))), caller, "hour")) })
+	}
+	d.sleep(time.Second)
+	old := d.node(0)
+	d.requireNoError(old.Terminate())
+	d.requireCleanExit(old.Process)
+	group.Wait()
+	for _, submission := range d.recorder.Submissions()[before:] {
+		if submission.Err != nil {
+			t.Errorf("query %s: got error %v, want an answer", submission.Request.RequestID, submission.Err)
+		}
+	}
+}
+
 func (d *deployment) controlLeaves(control string) {
 	d.t.Helper()
 	for _, leaf := range d.Leaves {
--- a/internal/selfhosted/node/run.go
+++ b/internal/selfhosted/node/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/micaplank/micaplank/internal/decide/shutdown"
+	"github.com/micaplank/micaplank/internal/graceful"
 	"github.com/micaplank/micaplank/internal/selfhosted/machines"
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
@@ -65,9 +67,11 @@
 	defer cancel()
 	leaveErr := n.membership.Leave(leaveContext)
 	time.Sleep(drainAnnouncementDelay)
-	drainContext, cancel := context.WithTimeout(context.Background(), n.settings.Limits.DrainTimeout.Duration())
+	schedule := shutdown.Plan(n.settings.Limits.DrainTimeout.Duration(), 0)
+	drainContext, cancel := context.WithTimeout(context.Background(), schedule.ExitBy)
 	defer cancel()
-	err := errors.Join(n.httpServer.Shutdown(drainContext), n.peerServer.Close(drainContext))
+	n.services.stopWithin(schedule.AnswerBy)
+	err := errors.Join(graceful.Shutdown(drainContext, n.httpServer), n.peerServer.Close(drainContext))
 	if leaveErr != nil {
 		n.logger.Warn("no member acknowledged the planned stop", telemetry.Error(leaveErr))
 	}
--- a/internal/selfhosted/node/service_conns.go
+++ b/internal/selfhosted/node/service_conns.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,6 +27,8 @@
 
 	mutex sync.Mutex
 	conns map[string]*scatter.QueryRunner[string, rows.Table]
+	// stopAt is the end of the process on the clock of the connections; zero if it is not known.
+	stopAt dispatch.Time
 	// closing waits for the connections of dropped services, which close once their queries have
 	// ended.
 	closing sync.WaitGroup
@@ -71,7 +74,22 @@
 	config.Service = service
 	config.AttemptPrefix = fmt.Sprintf("%s/%s", s.scatterConfig.AttemptPrefix, service)
 	random := rand.New(rand.NewPCG(s.seed, xxhash.Sum64String(service)))
-	return scatter.NewQueryRunner(config, dispatch.New(s.dispatchConfig, random))
+	conn := scatter.NewQueryRunner(config, dispatch.New(s.dispatchConfig, random))
+	if s.stopAt > 0 {
+		conn.Stop(s.stopAt)
+	}
+	return conn
+}
+
+// stopWithin announces the end of the process, after the given time, to all connections. Every query
+// ends by then.
+func (s *serviceConns) stopWithin(remaining time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stopAt = s.scatterConfig.Clock.Now() + remaining
+	for _, conn := range s.conns {
+		conn.Stop(s.stopAt)
+	}
 }
 
 // Observe passes a leaf's load report to the connection of a service.
--- a/internal/selfhosted/query/response.go
+++ b/internal/selfhosted/query/response.go
@@ -61,6 +61,8 @@
 	switch reason {
 	case dispatch.ReasonStopped:
 		return api.ProblemNotRunStopped
+	case dispatch.ReasonStopping:
+		return api.ProblemNotRunDraining
 	case dispatch.ReasonNoLeaf:
 		return api.ProblemNotRunNoLeaf
 	case dispatch.ReasonNoSnapshot:
