dispatch: a query that a planned stop ends has an answer only with its minimum coverage

What callers would see: a node of micaplank that stops could answer a query with fewer shards than its class asks for, although its deadline was not reached and another node had time for all of them. The edge refuses such answers anyway.

Cause: the rule of the planned stop settled with whatever was answered, as at the deadline of the query.

Evidence: TestInvariantsUnderPlannedStop, new, which announces the end of the process among the random events: "settled below the minimum coverage before the deadline: Outcome:partial Reason:stopping ... Answered 1 Missing 3".

Fix: such a query ends as failed, with time left for another node.

--- a/internal/decide/dispatch/machine_check_test.go
+++ b/internal/decide/dispatch/machine_check_test.go
@@ -46,6 +46,9 @@
 	if !holds {
 		t.Fatalf("send to a leaf that does not hold the shard: %+v", send)
 	}
+	if m.stopAt > 0 && m.now >= m.stopAt {
+		t.Fatalf("send after the end of the process at %v: %+v", m.stopAt, send)
+	}
 	if query.finish != nil || send.Remaining <= 0 || m.attempts[send.Attempt] != nil {
 		t.Fatalf("send for a finished query, past its deadline, or with an ID that was used before: %+v", send)
 	}
@@ -122,7 +125,7 @@
 		if query.finish == nil && m.d.queries.byID[id] == nil {
 			t.Fatalf("query %d was dropped without a finish", id)
 		}
-		if at, ok := m.d.NextTick(); query.finish == nil && (!ok || at > query.Deadline) {
+		if at, ok := m.d.NextTick(); query.finish == nil && (!ok || at > m.deadline(query)) {
 			t.Fatalf("no tick is due by the deadline of query %d", id)
 		}
 		if query.finish != nil {
--- a/internal/decide/dispatch/machine_test.go
+++ b/internal/decide/dispatch/machine_test.go
@@ -24,6 +24,7 @@
 	attempts      map[AttemptID]*trackedAttempt
 	drainingBoots map[string]bool // boot IDs that reported that they drain
 	nextID        QueryID
+	stopAt        Time // end of the process; zero if it is not announced
 }
 
 // trackedQuery is a submitted query with the state that the checks need.
@@ -239,6 +240,24 @@
 	t.Fatal("got a NextTick that is due after 100 calls of Tick, want a later one")
 }
 
+// stop announces the end of the process, at most once.
+func (m *machine) stop(t *rapid.T) {
+	if m.stopAt > 0 || rapid.IntRange(0, 3).Draw(t, "stop") > 0 {
+		t.Skip("no stop now")
+	}
+	m.advance(t)
+	m.stopAt = m.now + time.Duration(rapid.IntRange(1, 150).Draw(t, "until stop"))*time.Millisecond
+	m.perform(t, m.d.Stop(m.now, m.stopAt))
+}
+
+// deadline returns the time by which a query must end.
+func (m *machine) deadline(query *trackedQuery) Time {
+	if m.stopAt > 0 {
+		return min(query.Deadline, m.stopAt)
+	}
+	return query.Deadline
+}
+
 // The invariants of the Dispatcher must hold after each event of random schedules, and no query,
 // attempt or waiting work may be left over after the last event.
 func TestInvariantsUnderRandomSchedules(t *testing.T) {
@@ -249,3 +268,15 @@
 		m.endAll(t)
 	})
 }
+
+// The invariants must also hold while the process stops, and every query must end before it does.
+func TestInvariantsUnderPlannedStop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		m.setTopology(t)
+		actions := m.actions()
+		actions["stop"] = m.stop
+		t.Repeat(actions)
+		m.endAll(t)
+	})
+}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -1,8 +1,8 @@
 // The next step of a shard without an attempt, in this order: a shard that gets no answer before the
-// process stops is given up; after the last send (see lastSend) nothing is sent; without the budget for a needed retry the shard is parked or given up; a shard
-// that has used up its attempts is given up; a retry of a suspected query is withheld; a shard that
-// no leaf holds is given up, and the query may restart; without room on the leaves the shard is
-// queued; otherwise the attempt is sent.
+// process stops is given up; after the last send (see lastSend) nothing is sent; without the budget
+// for a needed retry the shard is parked or given up; a shard that has used up its attempts is given
+// up; a retry of a suspected query is withheld; a shard that no leaf holds is given up, and the query
+// may restart; without room on the leaves the shard is queued; otherwise the attempt is sent.
 
 package dispatch
 
--- a/internal/decide/dispatch/retryafter.go
+++ b/internal/decide/dispatch/retryafter.go
@@ -2,7 +2,7 @@
 // because of load carries its predicted wait. A query whose leaves shed its attempts carries the
 // longest pause that a leaf requested. A query that reached its deadline without either carries the
 // shortest pause. All are within the bounds of admission.Config. A query that ends because the
-// process stops carries none, because its caller reaches another node. Other queries carry none
+// process stops carries none, because its caller turns to another node. Other queries carry none
 // either, including a query that was submitted after its deadline or to a stopped service.
 //
 // Inputs: the predicted wait and the pauses that leaves request (durations), the reason.
@@ -29,7 +29,7 @@
 // unknown.
 func (d *Dispatcher) retryAfter(q *query, reason Reason) time.Duration {
 	if reason == ReasonStopping {
-		return retryAfterStop
+		return 0
 	}
 	if q.findings.retryAfter == 0 && reason == ReasonDeadline {
 		return d.config.Admission.RetryAfter(0)
--- a/internal/decide/dispatch/settle.go
+++ b/internal/decide/dispatch/settle.go
@@ -28,7 +28,7 @@
 	case q.findings.invalid:
 		return q.failureOutcome(), ReasonInvalid, true
 	case q.inFlight == 0 && d.tooLateForStop(q):
-		return d.outcomeAtStop(q), ReasonStopping, true
+		return q.outcomeAtStop(), ReasonStopping, true
 	case !q.Class.Repeatable && q.inFlight == 0 && d.now >= d.lastSend(q):
 		return q.failureOutcome(), ReasonDeadline, true
 	case progress.Unanswerable():
@@ -39,7 +39,7 @@
 		return q.failureOutcome(), ReasonNoLeaf, true
 	case q.awaitsOutcome(d.now):
 		return "", ReasonNone, false
-	case d.now >= q.Deadline && d.config.RequireCoverage && !progress.MeetsMinimum(q.MinimumCoverage):
+	case d.now >= q.Deadline && (d.config.RequireCoverage || d.endsByStop(q)) && !progress.MeetsMinimum(q.MinimumCoverage):
 		return q.failureOutcome(), d.deadlineReason(q), true
 	case d.now >= q.Deadline && progress.Answered > 0:
 		return OutcomePartial, d.deadlineReason(q), true
--- a/internal/decide/dispatch/stop.go
+++ b/internal/decide/dispatch/stop.go
@@ -1,7 +1,8 @@
 // Rule: planned stop. Once the end of the process is known, every query ends by then. From the time
 // of one attempt before that end on, a query gets no more attempts: its shards that have none in
-// flight are given up, and a query that has none in flight ends at once. It ends as not run if no
-// attempt may have run. The time of an attempt is the quantile attemptTimeQuantile of the times from
+// flight are given up, and a query that has none in flight ends at once: with the answered shards if
+// they reach the minimum coverage, as not run if no attempt may have run, and otherwise as failed or
+// unknown. The time of an attempt is the quantile attemptTimeQuantile of the times from
 // the send of an attempt of the class to its answer.
 //
 // Inputs: the end of the process, the times of the answers of the class or, before the first one,
@@ -14,10 +15,7 @@
 
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // attemptTimeQuantile is the quantile that is taken as the time of an attempt. A refusal costs the
 // caller little compared with a request that is cut off.
@@ -39,7 +37,7 @@
 	return d.actions
 }
 
-// stopping reports whether the end of the process is known.
+// stopping reports whether a planned stop has begun.
 func (d *Dispatcher) stopping() bool { return d.stopAt > 0 }
 
 // boundByStop makes the query end before the process.
@@ -51,7 +49,8 @@
 	q.OutcomeWait = min(q.OutcomeWait, d.stopAt-q.Deadline)
 }
 
-// lastSendBeforeStop returns the time from which on attempts of the class would outlast the process.
+// lastSendBeforeStop returns the time from which on an attempt of the class is expected to outlast the
+// process.
 func (d *Dispatcher) lastSendBeforeStop(class *classState) Time {
 	if class.answerTime.SampleCount() == 0 {
 		return d.stopAt - seconds(class.serviceTime)
@@ -59,12 +58,12 @@
 	return d.stopAt - class.answerTime.Quantile(attemptTimeQuantile)
 }
 
-// tooLateForStop reports whether an attempt of the query would outlast the process.
+// tooLateForStop reports whether an attempt of the query is expected to outlast the process.
 func (d *Dispatcher) tooLateForStop(q *query) bool {
 	return d.stopping() && d.now >= d.lastSendBeforeStop(q.class)
 }
 
-// giveUpForStop gives up the shards of a query that get no attempt before the process ends.
+// giveUpForStop gives up the shards of a query that wait, once it is too late for their attempts.
 func (d *Dispatcher) giveUpForStop(q *query) {
 	if !d.tooLateForStop(q) {
 		return
@@ -78,23 +77,28 @@
 	}
 }
 
-// giveUpShardForStop gives up one shard; see markUnavailable.
+// giveUpShardForStop gives up one shard. The flag waiting is set if the shard is queued.
 func (d *Dispatcher) giveUpShardForStop(q *query, position int32, waiting bool) {
 	q.findings.lastReason = ReasonStopping
 	d.markUnavailable(q, position, waiting)
 }
 
 // outcomeAtStop returns the outcome of a query that gets no more attempts and has none in flight.
-func (d *Dispatcher) outcomeAtStop(q *query) Outcome {
-	if q.progress.MeetsMinimum(q.MinimumCoverage) || q.progress.Answered > 0 && !d.config.RequireCoverage {
+func (q *query) outcomeAtStop() Outcome {
+	if q.progress.MeetsMinimum(q.MinimumCoverage) {
 		return OutcomePartial
 	}
 	return q.failureOutcome()
 }
 
+// endsByStop reports whether the query ends with the process, before its own deadline.
+func (d *Dispatcher) endsByStop(q *query) bool {
+	return d.stopping() && q.Deadline == d.stopAt
+}
+
 // deadlineReason returns the reason of a query that ends at its deadline.
 func (d *Dispatcher) deadlineReason(q *query) Reason {
-	if d.stopping() && q.Deadline == d.stopAt {
+	if d.endsByStop(q) {
 		return ReasonStopping
 	}
 	return ReasonDeadline
@@ -118,7 +122,3 @@
 		}
 	}
 }
-
-// retryAfterStop is the Retry-After of a query that the stop has ended. The caller reaches another
-// node, so there is nothing to wait for.
-const retryAfterStop time.Duration = 0
--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -11,7 +11,6 @@
 package http1
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -104,7 +103,7 @@
 	if err != nil {
 		return nil, notSentError(StepConnect, target, err)
 	}
-	if err := cmp.Or(ctx.Err(), message.prepare()); err != nil {
+	if err := message.checkSend(ctx); err != nil {
 		connection.release()
 		return nil, notSentError(StepSend, target, err)
 	}
--- a/internal/edge/http1/message.go
+++ b/internal/edge/http1/message.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -43,6 +43,15 @@
 	AtMostOnce bool
 }
 
+// checkSend completes the message for the send. It returns an error if the request must not be sent
+// any more: that of ctx, or a *withdrawnError.
+func (m *Message) checkSend(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return m.prepare()
+}
+
 // prepare calls Prepare. An error is a *withdrawnError.
 func (m *Message) prepare() error {
 	if m.Prepare == nil {
@@ -58,7 +67,10 @@
 
 // withdrawalReason returns the error of a request that was withdrawn while it waited.
 func (m *Message) withdrawalReason() error {
-	return cmp.Or(m.prepare(), error(&withdrawnError{cause: errWithdrawn}))
+	if err := m.prepare(); err != nil {
+		return err
+	}
+	return &withdrawnError{cause: errWithdrawn}
 }
 
 // errWithdrawn is the reason of a withdrawal for which Prepare gives none.
