shutdown: a stopping process gives up its requests later

Until now a process gave up 0.2 s before the platform kills it, 0.2 s after the last answers were due. It ends as soon as all requests are answered; giving up helps nobody but the log. It now waits 0.3 s for answers to be written, which a starved machine needs, and 0.1 s before the kill at the latest it ends.

--- a/internal/decide/shutdown/shutdown.go
+++ b/internal/decide/shutdown/shutdown.go
@@ -20,6 +20,8 @@
 	exitMargin = 400 * time.Millisecond
 	// maxMarginShare bounds exitMargin by a share of the time that the platform allows.
 	maxMarginShare = 1.0 / 6
+	// exitShare is the share of the margin that is kept for the end of the process.
+	exitShare = 0.25
 )
 
 // Schedule holds the times of a planned stop, as durations from the signal on.
@@ -39,6 +41,6 @@
 	return Schedule{
 		CloseAfter: min(drainDelay, answerBy),
 		AnswerBy:   answerBy,
-		ExitBy:     allowed - margin/2,
+		ExitBy:     allowed - time.Duration(exitShare*float64(margin)),
 	}
 }
