http1: the time by which a waiting request must be sent is a point in time

A request that was woken, found no connection and waited again started its whole time anew. The combiner sets the time, too.

--- a/internal/edge/combine/server.go
+++ b/internal/edge/combine/server.go
@@ -80,6 +80,7 @@
 		RequestID:  session.query.ID,
 		Repeatable: true,
 		Remaining:  time.Until(deadline),
+		SendWithin: time.Until(deadline),
 		CheckSend:  func() (time.Duration, error) { return c.checkSend(request.Address, deadline) },
 		Payload:    session.query,
 	})
--- a/internal/edge/http1/history_test.go
+++ b/internal/edge/http1/history_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// identified returns a request with an ID, and an attempt of the request that history belongs to.
+// identified returns a message with an ID. Messages that share a history are attempts of one request.
 func identified(id string, history *History) Message {
 	return Message{Method: "GET", Head: []byte("GET /" + id + " HTTP/1.1\r\nHost: h\r\n"), ID: id, History: history}
 }
--- a/internal/edge/http1/message.go
+++ b/internal/edge/http1/message.go
@@ -25,11 +25,11 @@
 	// Prepare, if not nil, returns ExtraHeaders as they are at the time of the send. It is called
 	// directly before the send. An error means that the request must not be sent any more.
 	Prepare func() (extraHeaders []byte, err error)
-	// Withdrawn, if not nil, is closed when the request must not be sent any more. SendWithin, if
-	// above zero, is the time after which it must not be sent any more. Both end the wait of a
-	// request for a connection.
-	Withdrawn  <-chan struct{}
-	SendWithin time.Duration
+	// Withdrawn, if not nil, is closed when the request must not be sent any more. SendBy, if not
+	// zero, is the time from which on it must not be sent any more. Both end the wait of a request
+	// for a connection.
+	Withdrawn <-chan struct{}
+	SendBy    time.Time
 	// Body is the complete body.
 	Body []byte
 	// ID is the ID by which a Matcher recognises the response; empty if it recognises none. A
--- a/internal/edge/http1/pool.go
+++ b/internal/edge/http1/pool.go
@@ -83,8 +83,8 @@
 	p.client.metrics.waiting.Inc()
 	defer p.client.metrics.waiting.Dec()
 	var tooLate <-chan time.Time
-	if message.SendWithin > 0 {
-		timer := time.NewTimer(message.SendWithin)
+	if !message.SendBy.IsZero() {
+		timer := time.NewTimer(time.Until(message.SendBy))
 		defer timer.Stop()
 		tooLate = timer.C
 	}
--- a/internal/edge/http1/withdraw_test.go
+++ b/internal/edge/http1/withdraw_test.go
@@ -64,7 +64,7 @@
 	close(signal)
 	requireWithdrawn(t, <-ended, errLeafLeft)
 	message = request()
-	message.SendWithin = time.Millisecond
+	message.SendBy = time.Now().Add(time.Millisecond)
 	_, err := client.Do(ctx, b.target(), message, isMatch)
 	requireWithdrawn(t, err, errWithdrawn)
 	close(release)
