--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -3,8 +3,9 @@
 //
 // It sends every request at most once: unlike http.Transport it never retries a request. It bounds
 // the connections to each target and reuses them. A connection is not reused after surplus bytes, a
-// truncated body, a body without a length, or a cancelled request. Errors state whether a byte of
-// the request may have been sent.
+// truncated body, a body without a length, or a cancelled request, and never for another attempt of
+// a request that it has carried. A request that waits for a connection can be withdrawn. Errors
+// state whether a byte of the request may have been sent.
 //
 // The package owns the connections of each target and their metrics. It relies on net for the
 // connections, on net/http for parsing responses, and on leaf for the type of its errors.
