--- a/internal/decide/dispatch/stop.go
+++ b/internal/decide/dispatch/stop.go
@@ -1,8 +1,8 @@
 // Rule: planned stop. Once the end of the process is known, every query ends by then. From the time
 // of one attempt before that end on, a query gets no more attempts: its shards that have none in
-// flight are given up, and a query that has none in flight ends at once: with the answered shards if
-// they reach the minimum coverage, as not run if no attempt may have run, and otherwise as failed or
-// unknown. The time of an attempt is the quantile attemptTimeQuantile of the times from
+// flight are given up, and a query that has none in flight ends at once. It ends with the answered
+// shards if they reach the minimum coverage, as not run if no attempt may have run, and otherwise as
+// failed or unknown. The time of an attempt is a high quantile (attemptTimeQuantile) of the times from
 // the send of an attempt of the class to its answer.
 //
 // Inputs: the end of the process, the times of the answers of the class or, before the first one,
@@ -17,8 +17,8 @@
 
 import "slices"
 
-// attemptTimeQuantile is the quantile that is taken as the time of an attempt. A refusal costs the
-// caller little compared with a request that is cut off.
+// attemptTimeQuantile is the quantile of the times to an answer that is taken as the time of an
+// attempt. It is high because a refusal costs a caller little compared with a request that is cut off.
 const attemptTimeQuantile = 0.95
 
 // Stop announces the end of the process. It must be called at most once.
