scatter, forward, dispatch: a dead field goes, and one name for one thing

runningQuery.deadline had no reader left: the Dispatcher's SendLimits tell the deadline, which a planned stop moves. The field Carriers of a request is called like its type, History; the quantile of answerTime is answerTimeQuantile. No behaviour, bound or check changes.

--- a/internal/decide/dispatch/stop.go
+++ b/internal/decide/dispatch/stop.go
@@ -2,7 +2,7 @@
 // of one attempt before that end on, a query gets no more attempts: its shards that have none in
 // flight are given up, and a query that has none in flight ends at once. It ends with the answered
 // shards if they reach the minimum coverage, as not run if no attempt may have run, and otherwise as
-// failed or unknown. The time of an attempt is a high quantile (attemptTimeQuantile) of the times from
+// failed or unknown. The time of an attempt is a high quantile (answerTimeQuantile) of the times from
 // the send of an attempt of the class to its answer.
 //
 // Inputs: the end of the process, the times of the answers of the class or, before the first one,
@@ -17,9 +17,9 @@
 
 import "slices"
 
-// attemptTimeQuantile is the quantile of the times to an answer that is taken as the time of an
+// answerTimeQuantile is the quantile of the times to an answer that is taken as the time of an
 // attempt. It is high because a refusal costs a caller little compared with a request that is cut off.
-const attemptTimeQuantile = 0.95
+const answerTimeQuantile = 0.95
 
 // Stop announces the end of the process. It must be called at most once.
 func (d *Dispatcher) Stop(now, endAt Time) []Action {
@@ -55,7 +55,7 @@
 	if class.answerTime.SampleCount() == 0 {
 		return d.stopAt - seconds(class.serviceTime)
 	}
-	return d.stopAt - class.answerTime.Quantile(attemptTimeQuantile)
+	return d.stopAt - class.answerTime.Quantile(answerTimeQuantile)
 }
 
 // tooLateForStop reports whether an attempt of the query is expected to outlast the process.
--- a/internal/edge/combine/message.go
+++ b/internal/edge/combine/message.go
@@ -56,7 +56,7 @@
 
 func (q *queryHead) toRequest() *forward.Request {
 	return &forward.Request{
-		ID: q.ID, Method: q.Method, Head: q.Head, Body: q.Body, TopK: q.TopK, Floor: q.Floor, Carriers: new(http1.History),
+		ID: q.ID, Method: q.Method, Head: q.Head, Body: q.Body, TopK: q.TopK, Floor: q.Floor, History: new(http1.History),
 	}
 }
 
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -16,8 +16,8 @@
 	class := f.buildClass(matched)
 	objective := f.computeObjective(matched, class.Name, request)
 	request.Route = matched.Name
-	if request.Carriers == nil {
-		request.Carriers = new(http1.History)
+	if request.History == nil {
+		request.History = new(http1.History)
 	}
 	request.TopK, request.Floor = 0, nil
 	if len(matched.Shards) > 0 {
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -33,9 +33,9 @@
 	// TopK is the number of records that the answer holds, merged from all parts; zero if the
 	// answer is one part unchanged. The Forwarder sets it.
 	TopK int
-	// Carriers holds the connections that have carried an attempt of the request. The Forwarder sets
+	// History holds the connections that have carried an attempt of the request. The Forwarder sets
 	// it.
-	Carriers *http1.History
+	History *http1.History
 	// Floor is a record below which no record is likely to be in the answer; empty without an
 	// estimate. The Forwarder sets it.
 	Floor []byte
--- a/internal/scatter/running_query.go
+++ b/internal/scatter/running_query.go
@@ -8,8 +8,7 @@
 
 // runningQuery is a query that has been submitted and has unfinished work.
 type runningQuery[Q, P any] struct {
-	request  Request[Q]
-	deadline dispatch.Time
+	request Request[Q]
 	// parts holds the replies by attempt until the query finishes.
 	parts map[dispatch.AttemptID]P
 	// failure is the last answer with which a leaf itself failed; nil if none did.
@@ -43,7 +42,7 @@
 			return nil
 		}
 		c.lastQueryID++
-		query.submittedAt, query.deadline = now, now+request.Timeout
+		query.submittedAt = now
 		query.ctx, query.cancel = context.WithTimeout(context.Background(), request.Timeout+request.OutcomeWait)
 		query.references = 1
 		c.queries[c.lastQueryID] = query
