http1, event: surplus bytes by their place, and the connection of each attempt in the line on a request

The counter has a label: before, behind, idle. An attempt in the line on a request has conn_port, conn_sent and skipped, and one that met responses to other requests is logged although it was answered.

--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -75,6 +75,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Connection tells on which connection the response arrived.
+	Connection leaf.ConnectionUse
 }
 
 // Matcher reports whether a response belongs to the request that was sent.
@@ -110,7 +112,7 @@
 	}
 	exchange := &exchange{method: message.Method, match: match, done: make(chan result, 1)}
 	if sent, err := connection.send(ctx, exchange, &message); err != nil {
-		return nil, &leaf.TransportError{Step: StepSend, Peer: target.Address, Sent: sent, Err: err}
+		return nil, &leaf.TransportError{Step: StepSend, Peer: target.Address, Sent: sent, Connection: exchange.use, Err: err}
 	}
 	select {
 	case outcome := <-exchange.done:
@@ -118,7 +120,7 @@
 	case <-ctx.Done():
 	}
 	if connection.abandon(exchange) {
-		return nil, &leaf.TransportError{Step: StepReceive, Peer: target.Address, Sent: true, Err: ctx.Err()}
+		return nil, &leaf.TransportError{Step: StepReceive, Peer: target.Address, Sent: true, Connection: exchange.use, Err: ctx.Err()}
 	}
 	return c.finish(target, <-exchange.done)
 }
@@ -128,7 +130,7 @@
 	if outcome.err != nil {
 		c.metrics.brokenExchanges.Inc()
 		return nil, &leaf.TransportError{
-			Step: StepReceive, Peer: target.Address, Sent: true, Closed: outcome.closed, Err: outcome.err,
+			Step: StepReceive, Peer: target.Address, Sent: true, Closed: outcome.closed, Connection: outcome.use, Err: outcome.err,
 		}
 	}
 	return outcome.response, nil
--- a/internal/edge/http1/client_test.go
+++ b/internal/edge/http1/client_test.go
@@ -29,8 +29,11 @@
 	connections atomic.Int32
 	requests    atomic.Int32
 	running     sync.WaitGroup
+	socket      atomic.Pointer[net.Conn] // accepted last
 }
 
+func (b *backend) lastSocket() net.Conn { return *b.socket.Load() }
+
 func newBackend(t *testing.T, reply func(connection, request int) string) *backend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -45,6 +48,7 @@
 				return
 			}
 			number := int(b.connections.Add(1))
+			b.socket.Store(&socket)
 			b.running.Go(func() { b.serve(socket, number, reply) })
 		}
 	})
--- a/internal/edge/http1/connection.go
+++ b/internal/edge/http1/connection.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/leaf"
 )
 
 // exchange is one request on a connection, until its response.
@@ -20,11 +22,13 @@
 	method string
 	match  Matcher
 	done   chan result
+	use    leaf.ConnectionUse // without Skipped
 }
 
 type result struct {
 	response *Response
 	err      error
+	use      leaf.ConnectionUse // set with err
 	// closed is set if the peer closed or reset the connection before the first byte of the
 	// response.
 	closed bool
@@ -40,6 +44,7 @@
 
 	mutex   sync.Mutex
 	lastID  string // Message.ID of the last request
+	sent    int    // requests sent
 	current *exchange
 	busy    bool // in use, or claimed
 	closed  bool
@@ -89,6 +94,8 @@
 	if !closed {
 		c.current = next
 		c.lastID = message.ID
+		c.sent++
+		next.use = leaf.ConnectionUse{LocalPort: localPort(c.socket), Request: c.sent}
 	}
 	c.mutex.Unlock()
 	if closed {
@@ -116,12 +123,12 @@
 		current := c.currentExchange()
 		if current == nil {
 			if err == nil {
-				c.pool.client.metrics.surplusResponses.Inc()
+				c.pool.client.metrics.surplusResponses.WithLabelValues(surplusIdle).Inc()
 			}
 			return
 		}
 		if err != nil {
-			current.done <- result{err: err, closed: closedByPeer(err)}
+			current.done <- result{err: err, use: current.use, closed: closedByPeer(err)}
 			return
 		}
 		if !c.handleResponse(current) {
@@ -130,6 +137,15 @@
 	}
 }
 
+// localPort returns the port of a connection at this node, or zero if it has none.
+func localPort(socket net.Conn) uint16 {
+	address, ok := socket.LocalAddr().(*net.TCPAddr)
+	if !ok {
+		return 0
+	}
+	return address.AddrPort().Port()
+}
+
 // closedByPeer reports whether a read failed because the peer closed or reset the connection.
 func closedByPeer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
@@ -146,10 +162,14 @@
 func (c *connection) handleResponse(current *exchange) bool {
 	response, idle, err := c.receiveMatching(current)
 	if err != nil {
-		current.done <- result{err: err}
+		current.done <- result{err: err, use: current.use}
 		return false
 	}
-	reusable := idle > 0 && c.reader.Buffered() == 0 && c.markIdle(idle)
+	surplus := c.reader.Buffered() > 0
+	if surplus {
+		c.pool.client.metrics.surplusResponses.WithLabelValues(surplusBehind).Inc()
+	}
+	reusable := idle > 0 && !surplus && c.markIdle(idle)
 	current.done <- result{response: response}
 	return reusable
 }
@@ -166,9 +186,11 @@
 			if skipped > 0 {
 				idle = 0
 			}
+			response.Connection = current.use
+			response.Connection.Skipped = skipped
 			return response, idle, nil
 		}
-		c.pool.client.metrics.surplusResponses.Inc()
+		c.pool.client.metrics.surplusResponses.WithLabelValues(surplusBefore).Inc()
 		if idle == 0 || skipped >= c.pool.client.config.MaxSkippedResponses {
 			return nil, 0, errResponseMismatch
 		}
--- a/internal/edge/http1/metrics.go
+++ b/internal/edge/http1/metrics.go
@@ -9,10 +9,18 @@
 // metrics counts connection events.
 type metrics struct {
 	dials, dialFailures, brokenExchanges prometheus.Counter
-	surplusResponses, replaced           prometheus.Counter
+	replaced                             prometheus.Counter
+	surplusResponses                     *prometheus.CounterVec
 	waiting                              prometheus.Gauge
 }
 
+// The places of surplus bytes, as values of the label "place".
+const (
+	surplusBefore = "before"
+	surplusBehind = "behind"
+	surplusIdle   = "idle"
+)
+
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	create := telemetry.NewFactory(registerer)
 	return &metrics{
@@ -22,8 +30,9 @@
 			"Connections to leaves that could not be opened."),
 		brokenExchanges: create.Counter("micaplank_http1_broken_exchanges_total",
 			"Requests that were sent to leaves and got no complete response of their own."),
-		surplusResponses: create.Counter("micaplank_http1_surplus_responses_total",
-			"Responses of leaves that belong to no request in progress on their connection, or other bytes that arrive there unasked."),
+		surplusResponses: create.CounterVec("micaplank_http1_surplus_responses_total",
+			"Responses of leaves that belong to no request in progress on their connection, or other bytes that arrive there unasked, by place: before (the awaited response), behind (directly behind a response), idle (on an idle connection).",
+			"place"),
 		replaced: create.Counter("micaplank_http1_replaced_connections_total",
 			"Connections to leaves that were closed because they had carried an earlier attempt of the request that needed one."),
 		waiting: create.Gauge("micaplank_http1_waiting_requests",
--- a/internal/edge/node/request_log.go
+++ b/internal/edge/node/request_log.go
@@ -47,7 +47,7 @@
 )
 
 // loggedAttempts returns the attempts that explain an answer: all attempts of a request to one
-// leaf; of a request to many shards, those that were extra or were not answered.
+// leaf; of a request to many shards, those that were extra, were not answered, or met responses to other requests.
 func loggedAttempts(answer forward.Answer) []event.Attempt {
 	limit := maxLoggedAttempts
 	if answer.Total > 1 && answer.Answered == answer.Total {
@@ -55,13 +55,14 @@
 	}
 	logged := []event.Attempt{}
 	for _, attempt := range answer.Attempts {
-		unremarkable := attempt.End == scatter.EndAnswered && !attempt.Extra
+		unremarkable := attempt.End == scatter.EndAnswered && !attempt.Extra && attempt.Connection.Skipped == 0
 		if unremarkable && answer.Total > 1 || len(logged) == limit {
 			continue
 		}
 		logged = append(logged, event.Attempt{
 			Shard: attempt.Shard, Leaf: attempt.BootID, Address: attempt.Leaf.String(), Cause: string(attempt.Cause),
 			AtMS: attempt.SentAfter.Milliseconds(), TookMS: attempt.Duration.Milliseconds(), End: string(attempt.End), Closed: attempt.Closed, Detail: attempt.Detail,
+			ConnPort: int(attempt.Connection.LocalPort), ConnSent: attempt.Connection.Request, Skipped: attempt.Connection.Skipped,
 			InFlight: attempt.Basis.InFlight, Limit: attempt.Basis.Limit, Others: roundToHundredths(attempt.Basis.OthersInFlight),
 			AgeMS: attempt.Basis.ReportAge.Milliseconds(), Pace: attempt.Basis.Pace, Slowness: roundToHundredths(attempt.Basis.Slowness), Budget: roundToHundredths(attempt.Basis.Budget),
 		})
--- a/internal/edge/node/request_log_test.go
+++ b/internal/edge/node/request_log_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/edge/forward"
+	"github.com/micaplank/micaplank/internal/leaf"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
@@ -41,6 +42,11 @@
 	unanswered.End, unanswered.SentAfter, unanswered.Basis.Slowness = scatter.EndOpen, 54*time.Millisecond, 1.23456
 	hedge := plain
 	hedge.Extra, hedge.Cause = true, dispatch.CauseHedge
+	misplaced := plain
+	misplaced.Connection = leaf.ConnectionUse{LocalPort: 4711, Request: 9, Skipped: 1}
+	if logged := loggedAttempts(forward.Answer{Total: 3, Attempts: []scatter.AttemptTrace{plain, misplaced}}); len(logged) != 1 || logged[0].ConnPort != 4711 || logged[0].ConnSent != 9 || logged[0].Skipped != 1 {
+		t.Errorf("attempts of 3 shards: got %+v, want the one that met another response, with its connection", logged)
+	}
 	logged := loggedAttempts(forward.Answer{Total: 3, Attempts: []scatter.AttemptTrace{plain, unanswered, hedge}})
 	if len(logged) != 2 || logged[0].End != "open" || logged[0].AtMS != 54 || logged[0].Slowness != 1.23 || logged[1].Cause != "hedge" {
 		t.Errorf("attempts of 3 shards: got %+v, want the open one and the hedge", logged)
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -45,6 +45,9 @@
 	End      string  `json:"end" event:"end" doc:"answered, refused, failed (the leaf reported a failure), lost (the leaf may have run it), unsent, or open"`
 	Closed   bool    `json:"closed,omitempty" event:"closed" doc:"true if the leaf closed or reset the connection before the first byte of its answer, as it happens when the process of the leaf ends; omitted if false"`
 	Detail   string  `json:"detail,omitempty" event:"detail" doc:"error or refusal"`
+	ConnPort int     `json:"conn_port,omitempty" event:"conn_port" doc:"port at this node of the connection to the leaf; omitted if unknown"`
+	ConnSent int     `json:"conn_sent,omitempty" event:"conn_sent" doc:"number of the attempt on that connection, from 1"`
+	Skipped  int     `json:"skipped,omitempty" event:"skipped" doc:"responses to other requests that arrived on that connection in place of the answer; omitted if none"`
 	InFlight int     `json:"in_flight" event:"in_flight" doc:"attempts from this node in flight to the leaf before this attempt"`
 	Limit    int     `json:"limit" event:"limit" doc:"limit of concurrent attempts from this node to the leaf"`
 	Others   float64 `json:"others" event:"others" doc:"estimated attempts from other nodes in flight to the leaf"`
--- a/internal/leaf/errors.go
+++ b/internal/leaf/errors.go
@@ -21,6 +21,16 @@
 	StepVerify  Step = "leaf_verify"
 )
 
+// ConnectionUse tells on which connection to its leaf a call ran. It is zero if that is unknown.
+type ConnectionUse struct {
+	// LocalPort is the port of the connection at this node.
+	LocalPort uint16
+	// Request is the number of the request on the connection, from 1.
+	Request int
+	// Skipped is the number of responses to other requests that arrived before the response.
+	Skipped int
+}
+
 // TransportError is the error of a call that returned no usable reply.
 type TransportError struct {
 	Step Step
@@ -42,6 +52,8 @@
 	// Withdrawn is set if the node decided not to send the request after all, so that the error does
 	// not indicate a fault of the leaf.
 	Withdrawn bool
+	// Connection tells on which connection the request was sent.
+	Connection ConnectionUse
 	// Err is the cause. It carries the attributes step and peer.
 	Err error
 }
--- a/internal/scatter/attempt_end.go
+++ b/internal/scatter/attempt_end.go
@@ -69,6 +69,19 @@
 	entry.Duration = endedAt - entry.SentAfter
 	entry.Aborted = aborted
 	entry.Closed = err != nil && classifyFailure(err).ConnectionClosed
+	entry.Connection = connectionOf(response, err)
+}
+
+// connectionOf returns the connection on which an attempt ran, as far as its end tells.
+func connectionOf[P any](response *Response[P], err error) leaf.ConnectionUse {
+	if err == nil {
+		return response.Connection
+	}
+	var transport *leaf.TransportError
+	if errors.As(err, &transport) {
+		return transport.Connection
+	}
+	return leaf.ConnectionUse{}
 }
 
 // classifyEnd returns how an attempt ended, and the error text or the reason of the refusal.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -65,7 +65,9 @@
 	Snapshot catalog.Snapshot
 	BootID   string
 	Load     leaf.LoadSummary
-	Part     P
+	// Connection tells on which connection the reply arrived.
+	Connection leaf.ConnectionUse
+	Part       P
 }
 
 // Guard is called immediately before each send and returns an error if the node must not send. This
@@ -152,6 +154,8 @@
 	Closed bool
 	// Detail is the error text of a failed attempt or the reason of a refusal.
 	Detail string
+	// Connection tells on which connection the attempt ran.
+	Connection leaf.ConnectionUse
 }
 
 // AttemptEnd is how an attempt ended.
