leafanswer, http1: a response that holds bytes of another one has failed

What callers saw: a status line inside a header, two values of a header that has one, the status of one answer with the body of another, a body of the right length that holds another answer, or one that goes on behind its end.

Cause: the client of the leaves took for the answer whatever could be parsed, carried the id and had the stated length. A leaf that writes a second answer while a later one is on its way, begins an answer twice, or sends a second one behind an answer without a length, puts bytes of one answer into another, and nothing looked for that. Class: a message is trusted for its envelope.

Change: leafanswer.Bytes.Flaw names the signs: a status line inside the head, a header of the protocol with two values, a response inside the body (any status line, if only the end of the connection ends the body), and bytes behind a body of stated length that begin no response.

--- /dev/null
+++ b/internal/decide/leafanswer/intact.go
@@ -0,0 +1,133 @@
+package leafanswer
+
+import "bytes"
+
+// Framing is how the end of a body is known.
+type Framing int
+
+// The framings of a body.
+const (
+	FramedByLength Framing = iota // also if there is no body
+	FramedByChunks
+	FramedByClose // the body ends with its connection
+)
+
+// Bytes describes a response as it arrived.
+type Bytes struct {
+	// Reason is the reason phrase of the status line.
+	Reason string
+	Header map[string][]string
+	// SingleValued lists the headers, in canonical form, that have one value at most.
+	SingleValued []string
+	Framing      Framing
+	Body         []byte
+	// Behind holds the first bytes that have arrived behind the body, if any.
+	Behind []byte
+	// IDHeader begins the line of the head in which each answer carries the ID of its request, as
+	// in "Name:".
+	IDHeader []byte
+}
+
+// Flaw is a sign that a response holds bytes of another one.
+type Flaw string
+
+// The flaws of a response.
+const (
+	FlawNone           Flaw = ""
+	FlawHead           Flaw = "status line inside the head"
+	FlawRepeatedHeader Flaw = "header with several values"
+	FlawBody           Flaw = "response inside the body"
+	FlawBehind         Flaw = "bytes behind the body that begin no response"
+)
+
+// Flaw returns the first flaw of a response.
+func (b Bytes) Flaw() Flaw {
+	switch {
+	case b.hasStatusLineInHead():
+		return FlawHead
+	case b.hasRepeatedHeader():
+		return FlawRepeatedHeader
+	case b.hasResponseInBody():
+		return FlawBody
+	case b.hasRestBehind():
+		return FlawBehind
+	}
+	return FlawNone
+}
+
+func (b Bytes) hasStatusLineInHead() bool {
+	if indexStatusLine([]byte(b.Reason)) >= 0 {
+		return true
+	}
+	for _, values := range b.Header {
+		for _, value := range values {
+			if indexStatusLine([]byte(value)) >= 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (b Bytes) hasRepeatedHeader() bool {
+	for _, name := range b.SingleValued {
+		if len(b.Header[name]) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// hasResponseInBody reports whether the body holds the beginning of a response. A body may hold the
+// text of a status line, so that a response is recognised by the ID of a request as well, unless
+// nothing else shows where the body ends.
+func (b Bytes) hasResponseInBody() bool {
+	at := indexStatusLine(b.Body)
+	return at >= 0 && (b.Framing == FramedByClose || bytes.Contains(bytes.ToLower(b.Body[at:]), bytes.ToLower(b.IDHeader)))
+}
+
+// hasRestBehind reports whether a body of the stated length is followed by bytes that begin no
+// response. Bytes that were inserted into a body leave as many of its own behind it.
+func (b Bytes) hasRestBehind() bool {
+	if b.Framing != FramedByLength || len(b.Body) == 0 {
+		return false
+	}
+	behind := bytes.TrimLeft(b.Behind, "\r\n")
+	begin := []byte(protocolName)
+	return !bytes.HasPrefix(behind, begin) && !bytes.HasPrefix(begin, behind)
+}
+
+// MaxBehind is the number of bytes of Bytes.Behind that Flaw needs.
+const MaxBehind = len("\r\n") + len(protocolName)
+
+// protocolName begins each status line.
+const protocolName = "HTTP/1."
+
+// statusLineSize is the size of a status line up to its status.
+const statusLineSize = len(protocolName) + len("1 200")
+
+// indexStatusLine returns the index of the first status line in text, or -1.
+func indexStatusLine(text []byte) int {
+	for offset := 0; ; offset++ {
+		at := bytes.Index(text[offset:], []byte(protocolName))
+		if at < 0 {
+			return -1
+		}
+		offset += at
+		if beginsStatusLine(text[offset:]) {
+			return offset
+		}
+	}
+}
+
+// beginsStatusLine reports whether the text behind protocolName has the form of a minor version and
+// a status.
+func beginsStatusLine(text []byte) bool {
+	if len(text) < statusLineSize {
+		return false
+	}
+	rest := text[len(protocolName):statusLineSize]
+	return isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[2]) && isDigit(rest[3]) && isDigit(rest[4])
+}
+
+func isDigit(char byte) bool { return char >= '0' && char <= '9' }
--- /dev/null
+++ b/internal/decide/leafanswer/intact_test.go
@@ -0,0 +1,62 @@
+package leafanswer
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	testIDHeader   = "Id:"
+	testSingleName = "Stamp"
+)
+
+// TestFlaw checks which responses count as spoiled by another one.
+func TestFlaw(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		bytes Bytes
+		want  Flaw
+	}{
+		{"whole answer", Bytes{Reason: "OK", Header: map[string][]string{"Stamp": {"s"}}, Body: []byte("body")}, FlawNone},
+		{"another answer behind it", Bytes{Body: []byte("body"), Behind: []byte("HTTP/1.1 ")}, FlawNone},
+		{"beginning of another answer behind it", Bytes{Body: []byte("body"), Behind: []byte("HTT")}, FlawNone},
+		{"line end behind it", Bytes{Body: []byte("body"), Behind: []byte("\r\n")}, FlawNone},
+		{"rest of the body behind it", Bytes{Body: []byte("body"), Behind: []byte("dy")}, FlawBehind},
+		{"rest behind chunks", Bytes{Framing: FramedByChunks, Body: []byte("body"), Behind: []byte("dy")}, FlawNone},
+		{"bytes behind an answer without a body", Bytes{Behind: []byte("dy")}, FlawNone},
+		{"text of a status line in the body", Bytes{Body: []byte("see HTTP/1.1 200 OK")}, FlawNone},
+		{"the same without a length", Bytes{Framing: FramedByClose, Body: []byte("see HTTP/1.1 200 OK")}, FlawBody},
+		{"protocol name in a body without a length", Bytes{Framing: FramedByClose, Body: []byte("HTTP/1.1 is old")}, FlawNone},
+		{"answer in the body", Bytes{Body: []byte("boHTTP/1.1 200 OK\r\nId: 7\r\n\r\ndy")}, FlawBody},
+		{"answer in a reason phrase", Bytes{Reason: "OHTTP/1.1 500 Error"}, FlawHead},
+		{"answer in a header", Bytes{Header: map[string][]string{"Any": {"x", "sHTTP/1.0 200 OK"}}}, FlawHead},
+		{"header named twice", Bytes{Header: map[string][]string{"Stamp": {"s", "s"}}}, FlawRepeatedHeader},
+		{"other header named twice", Bytes{Header: map[string][]string{"Any": {"s", "s"}}}, FlawNone},
+	} {
+		test.bytes.IDHeader, test.bytes.SingleValued = []byte(testIDHeader), []string{testSingleName}
+		if got := test.bytes.Flaw(); got != test.want {
+			t.Errorf("%s: got flaw %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+// TestInsertedBytesAreNoticed guards against a body of the right length that holds bytes of another
+// answer: whatever beginning of an answer stands in it, a flaw is found.
+func TestInsertedBytesAreNoticed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.StringMatching(`[a-z]{1,40}`).Draw(t, "body")
+		other := "HTTP/1.1 200 OK\r\nStamp: s\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"
+		inserted := other[:rapid.IntRange(1, len(other)).Draw(t, "size")]
+		at := rapid.IntRange(0, len(body)-1).Draw(t, "at")
+		arrived := body[:at] + inserted + body[at:]
+		received := Bytes{
+			Body: []byte(arrived[:len(body)]), Behind: []byte(arrived[len(body):]),
+			IDHeader: []byte(testIDHeader), SingleValued: []string{testSingleName},
+		}
+		if received.Flaw() == FlawNone && !strings.HasPrefix(arrived[len(body):], protocolName) {
+			t.Fatalf("body %q with %q behind it: got no flaw", received.Body, received.Behind)
+		}
+	})
+}
--- a/internal/decide/leafanswer/leafanswer.go
+++ b/internal/decide/leafanswer/leafanswer.go
@@ -1,8 +1,16 @@
 // Package leafanswer decides which complete answers of a leaf are used.
 //
-// Rule: an answer with a status of 500 or more is a failure of the leaf. An answer with a status of
-// 300 to 499 is the leaf's verdict on the request and is used. A success is used if it carries the
-// leaf's signature and its body is not encoded.
+// Rule for the bytes (Bytes.Flaw): a response is spoiled if another one stands inside it, or if its
+// head names twice what it has once. The request that it was for has then failed, and may have run.
+//
+// Inputs: the head and the body of a response, how its end was known, and what had arrived behind it.
+//
+// Reason: a faulty leaf may send bytes of one answer in the middle of another one. The ID of the
+// request may then be right, and the body as long as stated, and yet the answer is not the leaf's.
+//
+// Rule for an answer: one with a status of 500 or more is a failure of the leaf. One with a status
+// of 300 to 499 is the leaf's verdict on the request and is used. A success is used if it carries
+// the leaf's signature and its body is not encoded.
 //
 // Inputs: the HTTP status of an answer of a leaf that ran the request, whether the answer carries
 // the leaf's signature, and whether its body has a content encoding.
--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -23,6 +23,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/micaplank/micaplank/internal/decide/leafanswer"
 	"github.com/micaplank/micaplank/internal/leaf"
 )
 
@@ -73,14 +74,22 @@
 // Response is a complete response.
 type Response struct {
 	Status int
+	// Reason is the reason phrase of the status line.
+	Reason string
 	Header http.Header
 	Body   []byte
+	// Framing is how the end of the body was known.
+	Framing leafanswer.Framing
+	// Behind holds the first bytes that had arrived behind the response, leafanswer.MaxBehind at
+	// most. They belong to no request.
+	Behind []byte
 	// Connection tells on which connection the response arrived.
 	Connection leaf.ConnectionUse
 }
 
-// Matcher reports whether a response belongs to the request that was sent.
-type Matcher func(*Response) bool
+// Matcher reports whether a response belongs to the request that was sent. After an error, which
+// means that the response is not sound, the request has failed and its connection is closed.
+type Matcher func(*Response) (bool, error)
 
 // Client keeps connections to targets. It is safe for concurrent use.
 type Client struct {
--- a/internal/edge/http1/client_test.go
+++ b/internal/edge/http1/client_test.go
@@ -93,7 +93,7 @@
 	return Message{Method: http.MethodGet, Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n")}
 }
 
-func isMatch(response *Response) bool { return response.Header.Get("Id") != "other" }
+func isMatch(response *Response) (bool, error) { return response.Header.Get("Id") != "other", nil }
 
 func doGet(t *testing.T, client *Client, target Target) (*Response, error) {
 	t.Helper()
@@ -311,9 +311,9 @@
 	client := newClient(t, 1)
 	for round := range rounds {
 		ctx, cancel := context.WithCancel(context.Background())
-		cancelAtResponse := func(*Response) bool {
+		cancelAtResponse := func(*Response) (bool, error) {
 			cancel()
-			return true
+			return true, nil
 		}
 		var earlier sync.WaitGroup
 		earlier.Go(func() { _, _ = client.Do(ctx, b.target(), request(), cancelAtResponse) })
--- a/internal/edge/http1/conncheck.go
+++ b/internal/edge/http1/conncheck.go
@@ -10,18 +10,28 @@
 // five busy processes per core and without this check, a request sent 5 ms after the close can be
 // lost.
 func (c *connection) hasNoPendingInput() bool {
+	_, err := c.peekSocket(make([]byte, 1))
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+}
+
+// peekSocket copies the bytes that have arrived on the socket and were not read, without consuming
+// them, and returns their number. It does not block: without such bytes the error is EAGAIN, and nil
+// after the peer's close. A connection that is not a kernel socket has no such bytes.
+func (c *connection) peekSocket(buffer []byte) (count int, err error) {
 	socket, ok := c.socket.(syscall.Conn)
 	if !ok {
-		return true // not a kernel socket: only the reading goroutine can tell
+		return 0, syscall.EAGAIN // only the reading goroutine can tell
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false // the connection is closed
+		return 0, err // the connection is closed
 	}
-	var peeked error
+	var peekErr error
 	err = raw.Control(func(descriptor uintptr) {
-		var next [1]byte
-		_, _, peeked = syscall.Recvfrom(int(descriptor), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		count, _, peekErr = syscall.Recvfrom(int(descriptor), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && (errors.Is(peeked, syscall.EAGAIN) || errors.Is(peeked, syscall.EINTR))
+	if err != nil {
+		return 0, err // the connection is closed
+	}
+	return max(count, 0), peekErr
 }
--- a/internal/edge/http1/connection.go
+++ b/internal/edge/http1/connection.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/micaplank/micaplank/internal/decide/leafanswer"
 	"github.com/micaplank/micaplank/internal/leaf"
 )
 
@@ -165,7 +167,7 @@
 		current.done <- result{err: err, use: current.use}
 		return false
 	}
-	surplus := c.reader.Buffered() > 0
+	surplus := len(response.Behind) > 0
 	if surplus {
 		c.pool.client.metrics.surplusResponses.WithLabelValues(surplusBehind).Inc()
 	}
@@ -182,7 +184,11 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if current.match(response) {
+		awaited, err := current.match(response)
+		if err != nil {
+			return nil, 0, err
+		}
+		if awaited {
 			if skipped > 0 {
 				idle = 0
 			}
@@ -211,11 +217,37 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		response := &Response{Status: received.StatusCode, Header: received.Header, Body: body}
+		response := &Response{
+			Status: received.StatusCode, Reason: received.Status, Header: received.Header, Body: body,
+			Framing: framingOf(received), Behind: c.peekBehind(),
+		}
 		return response, c.idleTimeout(received), nil
 	}
 }
 
+// framingOf returns how the end of a response's body is known.
+func framingOf(received *http.Response) leafanswer.Framing {
+	switch {
+	case len(received.TransferEncoding) > 0:
+		return leafanswer.FramedByChunks
+	case received.ContentLength >= 0:
+		return leafanswer.FramedByLength
+	default:
+		return leafanswer.FramedByClose
+	}
+}
+
+// peekBehind returns the first bytes that have arrived behind a response, without consuming them.
+func (c *connection) peekBehind() []byte {
+	if buffered := c.reader.Buffered(); buffered > 0 {
+		behind, _ := c.reader.Peek(min(buffered, leafanswer.MaxBehind)) // does not read, so it cannot fail
+		return slices.Clone(behind)
+	}
+	behind := make([]byte, leafanswer.MaxBehind)
+	count, _ := c.peekSocket(behind) // the next read reports an error
+	return behind[:count]
+}
+
 // readBody reads the complete body of a response, of at most limit bytes.
 func readBody(received *http.Response, limit int64) ([]byte, error) {
 	if received.Body == http.NoBody {
@@ -239,8 +271,7 @@
 // idleTimeout returns how long the connection may be idle after a response, or zero if it must not
 // be reused.
 func (c *connection) idleTimeout(received *http.Response) time.Duration {
-	framed := received.ContentLength >= 0 || len(received.TransferEncoding) > 0
-	if received.Close || !framed {
+	if received.Close || framingOf(received) == leafanswer.FramedByClose {
 		return 0
 	}
 	idle := c.pool.idleTimeout()
