http1: no connection carries an id again that it carried a short time ago

What callers could see: a second answer, with the id and the signature of an earlier request and another body, in the place of the answer to a later request with the same id.

Cause: a connection remembered the id of its last request alone, and the History of a request the connections of its own attempts. An id that a client uses again, or an attempt through a combiner whose session had ended, got the connection of the first one once another request had passed in between.

Evidence: TestRepeatedResponseIsNotTakenForLaterOne, two new rows, failed before: the response of the earlier request was taken.

--- a/internal/edge/http1/connection.go
+++ b/internal/edge/http1/connection.go
@@ -45,8 +45,8 @@
 	reader *bufio.Reader
 
 	mutex   sync.Mutex
-	lastID  string // Message.ID of the last request
-	sent    int    // requests sent
+	ids     recentIDs // of Message.ID
+	sent    int       // requests sent
 	current *exchange
 	busy    bool // in use, or claimed
 	closed  bool
@@ -63,7 +63,7 @@
 // to the message.
 func (c *connection) mayCarry(message *Message) bool {
 	c.mutex.Lock()
-	repeated := message.ID != "" && c.lastID == message.ID
+	repeated := c.ids.contains(message.ID)
 	c.mutex.Unlock()
 	return !repeated && !message.History.contains(c)
 }
@@ -95,7 +95,7 @@
 	closed := c.closed
 	if !closed {
 		c.current = next
-		c.lastID = message.ID
+		c.ids.add(message.ID)
 		c.sent++
 		next.use = leaf.ConnectionUse{LocalPort: localPort(c.socket), Request: c.sent}
 	}
--- a/internal/edge/http1/history_test.go
+++ b/internal/edge/http1/history_test.go
@@ -25,6 +25,8 @@
 		{"next attempt", []string{"a", "a"}, true},
 		{"attempt after another request", []string{"a", "b", "a"}, true},
 		{"ID that a client uses twice", []string{"a", "a"}, false},
+		{"ID that a client uses again after another request", []string{"a", "b", "a"}, false},
+		{"ID that a client uses again much later", []string{"a", "b", "c", "d", "e", "f", "g", "h", "a"}, false},
 	} {
 		for _, limit := range []int{1, 3} {
 			t.Run(fmt.Sprintf("%s, %d connections", test.name, limit), func(t *testing.T) {
--- a/internal/edge/http1/message.go
+++ b/internal/edge/http1/message.go
@@ -33,7 +33,7 @@
 	// Body is the complete body.
 	Body []byte
 	// ID is the ID by which a Matcher recognises the response; empty if it recognises none. A
-	// connection does not carry the same ID twice in a row.
+	// connection that carried it a short time ago does not carry it again; see recentIDCount.
 	ID string
 	// History, if not nil, holds the connections that have carried earlier attempts of the request.
 	// None of them carries this one.
