http1: a connection that is closed ends the request that was just sent on it

Cause: the reading goroutine found bytes or an end on an idle connection, and closed it a moment later. A request that got the connection and was sent in between was told nothing. Class: a check and what follows from it are two steps, and the state changes in between.

Change: the check for a request in progress is made again under the mutex that closes the connection. If there is one, what has arrived is handled as its response: a late response to another request is skipped, an end is reported.

--- a/internal/edge/http1/connection.go
+++ b/internal/edge/http1/connection.go
@@ -123,6 +123,9 @@
 			continue // the idle deadline expired, but the connection is in use again
 		}
 		current := c.currentExchange()
+		if current == nil && !c.closeUnlessSent() {
+			continue // a request was sent meanwhile, and what was read is handled as its response
+		}
 		if current == nil {
 			if err == nil {
 				c.pool.client.metrics.surplusResponses.WithLabelValues(surplusIdle).Inc()
@@ -328,6 +331,12 @@
 	return c.closeWhen(func() bool { return !c.busy })
 }
 
+// closeUnlessSent closes the connection unless a request was sent on it that has no response, and
+// reports whether it closed it. A request that has claimed it learns of that when it is sent.
+func (c *connection) closeUnlessSent() bool {
+	return c.closeWhen(func() bool { return c.current == nil })
+}
+
 // closeWhen closes the connection, and removes it from its pool once, if the condition holds. It
 // reports whether the condition held. The condition is checked under the mutex, so that no request
 // can claim the connection or send on it in between.
--- a/internal/edge/http1/surplus_test.go
+++ b/internal/edge/http1/surplus_test.go
@@ -1,6 +1,10 @@
 package http1
 
 import (
+	"context"
+	"errors"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,3 +64,35 @@
 		}
 	}
 }
+
+// TestSurplusLeavesNoRequestWithoutResult guards against a request that waits until its deadline on a
+// closed connection: a late response arrives on the idle connection in the moment in which the
+// request gets it, and whoever closes the connection does not know of the request.
+func TestSurplusLeavesNoRequestWithoutResult(t *testing.T) {
+	const rounds = 3000
+	b := newBackend(t, func(int, int) string { return okResponse })
+	client := newClient(t, 1)
+	for round := range rounds {
+		if _, err := doGet(t, client, b.target()); errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("round %d: request has waited until its deadline", round)
+		}
+		var late sync.WaitGroup
+		socket := b.lastSocket()
+		late.Go(func() {
+			spin(round % 50)
+			_, _ = socket.Write([]byte(otherResponse)) // fails if the connection is closed already
+		})
+		spin(25)
+		if _, err := doGet(t, client, b.target()); errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("round %d: request beside a late response has waited until its deadline", round)
+		}
+		late.Wait()
+	}
+}
+
+// spin takes a time in the order of the given number of microseconds.
+func spin(microseconds int) {
+	for end := time.Now().Add(time.Duration(microseconds) * time.Microsecond); time.Now().Before(end); {
+		runtime.Gosched()
+	}
+}
