--- a/internal/decide/leafanswer/flaw.go
+++ b/internal/decide/leafanswer/flaw.go
@@ -1,6 +1,10 @@
 package leafanswer
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+	"strings"
+)
 
 // Framing is how the end of a body is known.
 type Framing int
@@ -12,8 +16,8 @@
 	FramedByClose // the body ends with its connection
 )
 
-// Bytes describes a response as it arrived.
-type Bytes struct {
+// Received describes a response as it arrived.
+type Received struct {
 	// Reason is the reason phrase of the status line.
 	Reason string
 	Header map[string][]string
@@ -41,37 +45,39 @@
 )
 
 // Flaw returns the first flaw of a response.
-func (b Bytes) Flaw() Flaw {
+func (r Received) Flaw() Flaw {
 	switch {
-	case b.hasStatusLineInHead():
+	case r.hasStatusLineInHead():
 		return FlawHead
-	case b.hasRepeatedHeader():
+	case r.hasRepeatedHeader():
 		return FlawRepeatedHeader
-	case b.hasResponseInBody():
+	case r.hasResponseInBody():
 		return FlawBody
-	case b.hasRestBehind():
+	case r.hasRestBehind():
 		return FlawBehind
 	}
 	return FlawNone
 }
 
-func (b Bytes) hasStatusLineInHead() bool {
-	if indexStatusLine([]byte(b.Reason)) >= 0 {
+func (r Received) hasStatusLineInHead() bool {
+	if hasStatusLine(r.Reason) {
 		return true
 	}
-	for _, values := range b.Header {
-		for _, value := range values {
-			if indexStatusLine([]byte(value)) >= 0 {
-				return true
-			}
+	for _, values := range r.Header {
+		if slices.ContainsFunc(values, hasStatusLine) {
+			return true
 		}
 	}
 	return false
 }
 
-func (b Bytes) hasRepeatedHeader() bool {
-	for _, name := range b.SingleValued {
-		if len(b.Header[name]) > 1 {
+func hasStatusLine(text string) bool {
+	return strings.Contains(text, protocolName) && indexStatusLine([]byte(text)) >= 0
+}
+
+func (r Received) hasRepeatedHeader() bool {
+	for _, name := range r.SingleValued {
+		if len(r.Header[name]) > 1 {
 			return true
 		}
 	}
@@ -81,23 +87,23 @@
 // hasResponseInBody reports whether the body holds the beginning of a response. A body may hold the
 // text of a status line, so that a response is recognised by the ID of a request as well, unless
 // nothing else shows where the body ends.
-func (b Bytes) hasResponseInBody() bool {
-	at := indexStatusLine(b.Body)
-	return at >= 0 && (b.Framing == FramedByClose || bytes.Contains(bytes.ToLower(b.Body[at:]), bytes.ToLower(b.IDHeader)))
+func (r Received) hasResponseInBody() bool {
+	at := indexStatusLine(r.Body)
+	return at >= 0 && (r.Framing == FramedByClose || bytes.Contains(bytes.ToLower(r.Body[at:]), bytes.ToLower(r.IDHeader)))
 }
 
 // hasRestBehind reports whether a body of the stated length is followed by bytes that begin no
 // response. Bytes that were inserted into a body leave as many of its own behind it.
-func (b Bytes) hasRestBehind() bool {
-	if b.Framing != FramedByLength || len(b.Body) == 0 {
+func (r Received) hasRestBehind() bool {
+	if r.Framing != FramedByLength || len(r.Body) == 0 {
 		return false
 	}
-	behind := bytes.TrimLeft(b.Behind, "\r\n")
+	behind := bytes.TrimLeft(r.Behind, "\r\n")
 	begin := []byte(protocolName)
 	return !bytes.HasPrefix(behind, begin) && !bytes.HasPrefix(begin, behind)
 }
 
-// MaxBehind is the number of bytes of Bytes.Behind that Flaw needs.
+// MaxBehind is the number of bytes of Received.Behind that Flaw needs.
 const MaxBehind = len("\r\n") + len(protocolName)
 
 // protocolName begins each status line.
--- a/internal/decide/leafanswer/flaw_test.go
+++ b/internal/decide/leafanswer/flaw_test.go
@@ -12,31 +12,31 @@
 	testSingleName = "Stamp"
 )
 
-// TestFlaw checks which responses count as spoiled by another one.
+// TestFlaw checks which responses count as corrupted by another one.
 func TestFlaw(t *testing.T) {
 	for _, test := range []struct {
-		name  string
-		bytes Bytes
-		want  Flaw
+		name     string
+		received Received
+		want     Flaw
 	}{
-		{"whole answer", Bytes{Reason: "OK", Header: map[string][]string{"Stamp": {"s"}}, Body: []byte("body")}, FlawNone},
-		{"another answer behind it", Bytes{Body: []byte("body"), Behind: []byte("HTTP/1.1 ")}, FlawNone},
-		{"beginning of another answer behind it", Bytes{Body: []byte("body"), Behind: []byte("HTT")}, FlawNone},
-		{"line end behind it", Bytes{Body: []byte("body"), Behind: []byte("\r\n")}, FlawNone},
-		{"rest of the body behind it", Bytes{Body: []byte("body"), Behind: []byte("dy")}, FlawBehind},
-		{"rest behind chunks", Bytes{Framing: FramedByChunks, Body: []byte("body"), Behind: []byte("dy")}, FlawNone},
-		{"bytes behind an answer without a body", Bytes{Behind: []byte("dy")}, FlawNone},
-		{"text of a status line in the body", Bytes{Body: []byte("see HTTP/1.1 200 OK")}, FlawNone},
-		{"the same without a length", Bytes{Framing: FramedByClose, Body: []byte("see HTTP/1.1 200 OK")}, FlawBody},
-		{"protocol name in a body without a length", Bytes{Framing: FramedByClose, Body: []byte("HTTP/1.1 is old")}, FlawNone},
-		{"answer in the body", Bytes{Body: []byte("boHTTP/1.1 200 OK\r\nId: 7\r\n\r\ndy")}, FlawBody},
-		{"answer in a reason phrase", Bytes{Reason: "OHTTP/1.1 500 Error"}, FlawHead},
-		{"answer in a header", Bytes{Header: map[string][]string{"Any": {"x", "sHTTP/1.0 200 OK"}}}, FlawHead},
-		{"header named twice", Bytes{Header: map[string][]string{"Stamp": {"s", "s"}}}, FlawRepeatedHeader},
-		{"other header named twice", Bytes{Header: map[string][]string{"Any": {"s", "s"}}}, FlawNone},
+		{"whole answer", Received{Reason: "OK", Header: map[string][]string{"Stamp": {"s"}}, Body: []byte("body")}, FlawNone},
+		{"another answer behind it", Received{Body: []byte("body"), Behind: []byte("HTTP/1.1 ")}, FlawNone},
+		{"beginning of another answer behind it", Received{Body: []byte("body"), Behind: []byte("HTT")}, FlawNone},
+		{"line end behind it", Received{Body: []byte("body"), Behind: []byte("\r\n")}, FlawNone},
+		{"rest of the body behind it", Received{Body: []byte("body"), Behind: []byte("dy")}, FlawBehind},
+		{"rest behind chunks", Received{Framing: FramedByChunks, Body: []byte("body"), Behind: []byte("dy")}, FlawNone},
+		{"bytes behind an answer without a body", Received{Behind: []byte("dy")}, FlawNone},
+		{"text of a status line in the body", Received{Body: []byte("see HTTP/1.1 200 OK")}, FlawNone},
+		{"the same without a length", Received{Framing: FramedByClose, Body: []byte("see HTTP/1.1 200 OK")}, FlawBody},
+		{"protocol name in a body without a length", Received{Framing: FramedByClose, Body: []byte("HTTP/1.1 is old")}, FlawNone},
+		{"answer in the body", Received{Body: []byte("boHTTP/1.1 200 OK\r\nId: 7\r\n\r\ndy")}, FlawBody},
+		{"answer in a reason phrase", Received{Reason: "OHTTP/1.1 500 Error"}, FlawHead},
+		{"answer in a header", Received{Header: map[string][]string{"Any": {"x", "sHTTP/1.0 200 OK"}}}, FlawHead},
+		{"header named twice", Received{Header: map[string][]string{"Stamp": {"s", "s"}}}, FlawRepeatedHeader},
+		{"other header named twice", Received{Header: map[string][]string{"Any": {"s", "s"}}}, FlawNone},
 	} {
-		test.bytes.IDHeader, test.bytes.SingleValued = []byte(testIDHeader), []string{testSingleName}
-		if got := test.bytes.Flaw(); got != test.want {
+		test.received.IDHeader, test.received.SingleValued = []byte(testIDHeader), []string{testSingleName}
+		if got := test.received.Flaw(); got != test.want {
 			t.Errorf("%s: got flaw %q, want %q", test.name, got, test.want)
 		}
 	}
@@ -51,7 +51,7 @@
 		inserted := other[:rapid.IntRange(1, len(other)).Draw(t, "size")]
 		at := rapid.IntRange(0, len(body)-1).Draw(t, "at")
 		arrived := body[:at] + inserted + body[at:]
-		received := Bytes{
+		received := Received{
 			Body: []byte(arrived[:len(body)]), Behind: []byte(arrived[len(body):]),
 			IDHeader: []byte(testIDHeader), SingleValued: []string{testSingleName},
 		}
--- a/internal/decide/leafanswer/leafanswer.go
+++ b/internal/decide/leafanswer/leafanswer.go
@@ -1,6 +1,6 @@
 // Package leafanswer decides which complete answers of a leaf are used.
 //
-// Rule for the bytes (Bytes.Flaw): a response is spoiled if another one stands inside it, or if its
+// Rule for the bytes (Received.Flaw): a response is corrupt if another one stands inside it, or if its
 // head names twice what it has once. The request that it was for has then failed, and may have run.
 //
 // Inputs: the head and the body of a response, how its end was known, and what had arrived behind it.
