--- a/internal/decide/leafanswer/flaw.go
+++ b/internal/decide/leafanswer/flaw.go
@@ -21,7 +21,8 @@
 	// Reason is the reason phrase of the status line.
 	Reason string
 	Header map[string][]string
-	// SingleValued lists the headers, in canonical form, that have one value at most.
+	// SingleValued lists the headers, in canonical form, that have one value at most, and whose value
+	// never holds the name of the protocol.
 	SingleValued []string
 	Framing      Framing
 	Body         []byte
@@ -68,13 +69,20 @@
 			return true
 		}
 	}
+	for _, name := range r.SingleValued {
+		if slices.ContainsFunc(r.Header[name], hasProtocolName) {
+			return true
+		}
+	}
 	return false
 }
 
 func hasStatusLine(text string) bool {
-	return strings.Contains(text, protocolName) && indexStatusLine([]byte(text)) >= 0
+	return hasProtocolName(text) && indexStatusLine([]byte(text)) >= 0
 }
 
+func hasProtocolName(text string) bool { return strings.Contains(text, "HTTP/") }
+
 func (r Received) hasRepeatedHeader() bool {
 	for _, name := range r.SingleValued {
 		if len(r.Header[name]) > 1 {
--- a/internal/decide/leafanswer/flaw_test.go
+++ b/internal/decide/leafanswer/flaw_test.go
@@ -32,6 +32,8 @@
 		{"answer in the body", Received{Body: []byte("boHTTP/1.1 200 OK\r\nId: 7\r\n\r\ndy")}, FlawBody},
 		{"answer in a reason phrase", Received{Reason: "OHTTP/1.1 500 Error"}, FlawHead},
 		{"answer in a header", Received{Header: map[string][]string{"Any": {"x", "sHTTP/1.0 200 OK"}}}, FlawHead},
+		{"beginning of an answer in a header of the protocol", Received{Header: map[string][]string{"Stamp": {"sHTTP/"}}}, FlawHead},
+		{"name of the protocol in another header", Received{Header: map[string][]string{"Any": {"HTTP/1.1 proxy"}}}, FlawNone},
 		{"header named twice", Received{Header: map[string][]string{"Stamp": {"s", "s"}}}, FlawRepeatedHeader},
 		{"other header named twice", Received{Header: map[string][]string{"Any": {"s", "s"}}}, FlawNone},
 	} {
