--- a/Makefile
+++ b/Makefile
@@ -44,9 +44,9 @@
 # Seeds that are played in continuous integration: few nodes, half a minute of faults, and leaves that
 # answer twice.
 soak-short:
-	go build -o target/ ./platform/micaplank-edge ./platform/platformtest/soak ./platform/platformtest/stutter
+	go build -o target/ ./platform/micaplank-edge ./platform/platformtest/soak ./platform/platformtest/surplus
 	target/soak --seed 501 --duration 30s --nodes 8 --shards 4 --rate 60
-	target/stutter --seed 501 --duration 8s --rate 200 --ways second,copy,unframed --share 0.2 --split 0.2 --failures 0.05 --sheds 0.05 --leave 0.03
+	target/surplus --seed 501 --duration 8s --rate 200 --kinds second,copy,unframed --share 0.2 --split 0.2 --failures 0.05 --sheds 0.05 --leave 0.03
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
