--- a/internal/edge/http1/surplus_test.go
+++ b/internal/edge/http1/surplus_test.go
@@ -65,9 +65,7 @@
 	}
 }
 
-// TestSurplusLeavesNoRequestWithoutResult guards against a request that waits until its deadline on a
-// closed connection: a late response arrives on the idle connection in the moment in which the
-// request gets it, and whoever closes the connection does not know of the request.
+// Guards against a request that waits until its deadline on a connection that is being closed.
 func TestSurplusLeavesNoRequestWithoutResult(t *testing.T) {
 	const rounds = 3000
 	b := newBackend(t, func(int, int) string { return okResponse })
