--- a/internal/decide/leafanswer/flaw_test.go
+++ b/internal/decide/leafanswer/flaw_test.go
@@ -44,8 +44,7 @@
 	}
 }
 
-// TestInsertedBytesAreNoticed guards against a body of the right length that holds bytes of another
-// answer: whatever beginning of an answer stands in it, a flaw is found.
+// Guards against a body of the right length that holds the beginning of another answer.
 func TestInsertedBytesAreNoticed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		body := rapid.StringMatching(`[a-z]{1,40}`).Draw(t, "body")
--- a/internal/decide/leafanswer/leafanswer_test.go
+++ b/internal/decide/leafanswer/leafanswer_test.go
@@ -29,8 +29,7 @@
 	}
 }
 
-// TestOnlySoundSuccessReachesCaller guards against any way in which a success that is unsigned or
-// encoded, or a failure that is merged, is returned.
+// Guards against an unsigned or encoded success that is returned, and a failure that is merged.
 func TestOnlySoundSuccessReachesCaller(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		answer := Answer{
--- a/internal/edge/combine/combine_test.go
+++ b/internal/edge/combine/combine_test.go
@@ -169,8 +169,7 @@
 	}
 }
 
-// TestUnusablePartOfEarlierCombinerHasFailed guards against a part without records or signature: a
-// combiner of an earlier version reports a leaf's rejection as if it were an answer.
+// Guards against a leaf's rejection that a combiner of an earlier version reports as an answer.
 func TestUnusablePartOfEarlierCombinerHasFailed(t *testing.T) {
 	for _, test := range []struct {
 		response         fetchResponse
--- a/internal/edge/http1/surplus_test.go
+++ b/internal/edge/http1/surplus_test.go
@@ -13,8 +13,7 @@
 
 const otherResponse = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"
 
-// TestSurplusIsCountedByItsPlace guards against surplus bytes that leave no trace of where they
-// arrived, and against responses of which nobody can say what came before them on their connection.
+// Guards against surplus bytes that leave no trace of where they arrived.
 func TestSurplusIsCountedByItsPlace(t *testing.T) {
 	for _, test := range []struct {
 		place   string
@@ -45,8 +44,7 @@
 	}
 }
 
-// TestSurplusOnIdleConnectionIsCounted guards against a late second response that closes an idle
-// connection and is counted nowhere.
+// Guards against a late second response that closes an idle connection and is counted nowhere.
 func TestSurplusOnIdleConnectionIsCounted(t *testing.T) {
 	b := newBackend(t, func(int, int) string { return okResponse })
 	client := newClient(t, 1)
