--- a/internal/decide/quarantine/fleet_test.go
+++ b/internal/decide/quarantine/fleet_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // modelStore is a store with one key that several nodes write conditionally. Its revision only
@@ -16,6 +18,9 @@
 	revision uint64
 }
 
+// at returns a position in a store that was never restored.
+func at(revision uint64) position.Position { return position.Position{Revision: revision} }
+
 func (s *modelStore) currentRevision() uint64 {
 	if s.present {
 		return s.revision
@@ -25,7 +30,7 @@
 
 // write applies a change unless another write came first.
 func (s *modelStore) write(change Change) bool {
-	if change.ExpectedRevision != s.currentRevision() {
+	if change.Expected != at(s.currentRevision()) {
 		return false
 	}
 	s.present, s.record = !change.Remove, change.Record
@@ -50,7 +55,7 @@
 		return
 	}
 	if f.store.write(change) {
-		f.tables[node].MarkWritten(f.now, change, f.store.revision)
+		f.tables[node].MarkWritten(f.now, change, at(f.store.revision))
 		return
 	}
 	f.readStore(node)
@@ -59,10 +64,10 @@
 // readStore passes the state of the store to a node.
 func (f *fleet) readStore(node int) {
 	if f.store.present {
-		f.tables[node].ApplyStored(f.now, crashingContent, StoredRecord{Record: f.store.record, Revision: f.store.revision})
+		f.tables[node].ApplyStored(f.now, crashingContent, StoredRecord{Record: f.store.record, Written: at(f.store.revision)})
 		return
 	}
-	f.tables[node].Remove(f.now, crashingContent, f.store.revision)
+	f.tables[node].Remove(f.now, crashingContent, at(f.store.revision))
 }
 
 // newCrash returns a crash of a new incarnation of the leaf.
@@ -84,7 +89,7 @@
 			f.readStore(node)
 			return
 		}
-		table.MarkWritten(f.now, decision.Change, f.store.revision)
+		table.MarkWritten(f.now, decision.Change, at(f.store.revision))
 		f.trials++
 		table.RecordTrialCrash(f.now, crashingContent, f.newCrash(), 0.05)
 	}
--- a/internal/decide/quarantine/record.go
+++ b/internal/decide/quarantine/record.go
@@ -6,6 +6,8 @@
 	"maps"
 	"math"
 	"slices"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // Record is the shared state of a request under which leaves crashed.
@@ -75,27 +77,27 @@
 	return record, nil
 }
 
-// StoredRecord is a record together with its revision in the store.
+// StoredRecord is a record together with its position in the store.
 type StoredRecord struct {
 	Record
-	// Revision is the revision of the key; zero if the key does not exist.
-	Revision uint64
+	// Written is the position at which the key was written; zero if the key does not exist.
+	Written position.Position
 }
 
-// Change is a conditional write of a request's record. It applies only if the key is still at the
-// revision ExpectedRevision, or does not exist if that is zero.
+// Change is a conditional write of a request's record. It applies only if the key was last
+// written at the position Expected, or does not exist if that is zero.
 type Change struct {
-	Content          Content
-	ExpectedRevision uint64
-	Record           Record
+	Content  Content
+	Expected position.Position
+	Record   Record
 	// Remove deletes the key instead of writing the record.
 	Remove bool
 }
 
 // AppliedIn reports whether the store is already in the state that the change asks for.
 func (c Change) AppliedIn(current StoredRecord) bool {
-	if c.Remove || current.Revision == 0 {
-		return c.Remove && current.Revision == 0
+	if c.Remove || current.Written.IsZero() {
+		return c.Remove && current.Written.IsZero()
 	}
 	return current.equal(c.Record)
 }
--- a/internal/decide/quarantine/survivors_test.go
+++ b/internal/decide/quarantine/survivors_test.go
@@ -78,7 +78,7 @@
 	s := newHeldScenario(t, harmlessContent)
 	change, _ := s.table.PendingChange(harmlessContent)
 	otherNode := newScenario(t)
-	otherNode.table.ApplyStored(otherNode.now, harmlessContent, StoredRecord{Record: change.Record, Revision: 7})
+	otherNode.table.ApplyStored(otherNode.now, harmlessContent, StoredRecord{Record: change.Record, Written: at(7)})
 	otherNode.requireVerdict(harmlessContent, Refuse)
 	otherNode.now += announcementExpiry
 	if survivors := otherNode.table.DetectSurvivors(otherNode.now, otherNode.announcedLeaves(true)); len(survivors) != 5 {
@@ -88,13 +88,13 @@
 	if len(otherNode.table.PendingWrites()) > 0 {
 		t.Error("node writes survivors that it did not lose itself")
 	}
-	otherNode.table.ApplyStored(otherNode.now, harmlessContent, StoredRecord{Record: change.Record, Revision: 8})
+	otherNode.table.ApplyStored(otherNode.now, harmlessContent, StoredRecord{Record: change.Record, Written: at(8)})
 	otherNode.requireVerdict(harmlessContent, Run)
 	s.now += announcementExpiry
 	s.table.DetectSurvivors(s.now, s.announcedLeaves(true))
 	update, _ := s.table.PendingChange(harmlessContent)
 	lateNode := newScenario(t)
-	lateNode.table.ApplyStored(lateNode.now, harmlessContent, StoredRecord{Record: update.Record, Revision: 9})
+	lateNode.table.ApplyStored(lateNode.now, harmlessContent, StoredRecord{Record: update.Record, Written: at(9)})
 	lateNode.requireVerdict(harmlessContent, Run)
 }
 
@@ -102,7 +102,7 @@
 // crashes that trials observed, keeps the request held.
 func TestRecordWithoutTrialCrashesStaysHeld(t *testing.T) {
 	s := newScenario(t)
-	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Trials: 2, Held: true}, Revision: 5})
+	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Trials: 2, Held: true}, Written: at(5)})
 	s.now += announcementExpiry
 	s.table.DetectSurvivors(s.now, s.announcedLeaves(false))
 	s.requireVerdict(crashingContent, Refuse)
@@ -145,10 +145,10 @@
 	crashes := []Crash{{Leaf: crash, Request: fmt.Sprint(r.sent)}}
 	switch {
 	case decision.Verdict == Trial && crashed:
-		table.MarkWritten(r.now, decision.Change, r.store.revision)
+		table.MarkWritten(r.now, decision.Change, at(r.store.revision))
 		table.RecordTrialCrash(r.now, crashingContent, crashes, 0.05)
 	case decision.Verdict == Trial:
-		table.MarkWritten(r.now, decision.Change, r.store.revision)
+		table.MarkWritten(r.now, decision.Change, at(r.store.revision))
 		table.RecordInconclusiveTrial(r.now, crashingContent)
 	case crashed:
 		table.RecordCrashes(r.now, crashingContent, "r", crashes)
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -187,7 +187,7 @@
 func (t *Table) Expire(now time.Duration) {
 	t.incarnations.Expire(now)
 	for content, e := range t.entries {
-		if e.Revision == 0 && !e.pendingWrite && now >= e.changedAt+t.config.Retention {
+		if e.Written.IsZero() && !e.pendingWrite && now >= e.changedAt+t.config.Retention {
 			delete(t.entries, content)
 		}
 	}
@@ -234,7 +234,7 @@
 	if e == nil || e.cleared {
 		return false
 	}
-	if e.Revision == 0 && !e.pendingWrite {
+	if e.Written.IsZero() && !e.pendingWrite {
 		delete(t.entries, content)
 		return false
 	}
--- a/internal/decide/quarantine/table_store.go
+++ b/internal/decide/quarantine/table_store.go
@@ -1,9 +1,10 @@
 package quarantine
 
 import (
-	"math"
 	"slices"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // Lookup returns the record of a request; false if the table has none.
@@ -31,7 +32,7 @@
 	if e == nil || !e.pendingWrite {
 		return Change{}, false
 	}
-	if e.cleared && e.Revision == 0 {
+	if e.cleared && e.Written.IsZero() {
 		delete(t.entries, content)
 		return Change{}, false
 	}
@@ -39,18 +40,18 @@
 }
 
 func (e *entry) change(content Content) Change {
-	return Change{Content: content, ExpectedRevision: e.Revision, Record: e.Record, Remove: e.cleared}
+	return Change{Content: content, Expected: e.Written, Record: e.Record, Remove: e.cleared}
 }
 
-// MarkWritten records that a change was written at a revision of the store.
-func (t *Table) MarkWritten(now time.Duration, change Change, revision uint64) {
+// MarkWritten records that a change was written at a position of the store.
+func (t *Table) MarkWritten(now time.Duration, change Change, written position.Position) {
 	e := t.entries[change.Content]
 	switch {
 	case e == nil:
 	case change.Remove:
 		delete(t.entries, change.Content)
 	default:
-		e.Revision = max(e.Revision, revision)
+		e.Written = position.Max(e.Written, written)
 		e.pendingWrite = e.cleared || !e.equal(change.Record)
 	}
 }
@@ -69,7 +70,7 @@
 		t.updateHold(e)
 		return e.Held
 	}
-	if stored.Revision <= e.Revision {
+	if !e.Written.Before(stored.Written) {
 		return false
 	}
 	merged := mergeRecords(stored.Record, e.Record)
@@ -80,19 +81,19 @@
 		e.changedAt = now
 	}
 	wasHeld := e.Held
-	e.StoredRecord = StoredRecord{Record: merged, Revision: stored.Revision}
+	e.StoredRecord = StoredRecord{Record: merged, Written: stored.Written}
 	t.observeCrashes(now, e, false)
 	t.updateHold(e)
 	e.pendingWrite = e.cleared || !e.equal(stored.Record)
 	return e.Held && !wasHeld
 }
 
-// Remove records that the store no longer has a record of a request, as of the given revision; a
+// Remove records that the store no longer has a record of a request, as of the given position; a
 // record that was written later stays. A request that was held is tried before it runs again,
 // because the leaf software may still have the fault. Remove reports whether the request was held.
-func (t *Table) Remove(now time.Duration, content Content, revision uint64) bool {
+func (t *Table) Remove(now time.Duration, content Content, removed position.Position) bool {
 	e := t.entries[content]
-	if e == nil || e.Revision == 0 || e.Revision > revision {
+	if e == nil || e.Written.IsZero() || removed.Before(e.Written) {
 		return false
 	}
 	if !e.Held || e.cleared {
@@ -108,11 +109,28 @@
 	return true
 }
 
+// Forget records that the store has no record of a request now; see Remove.
+func (t *Table) Forget(now time.Duration, content Content) bool {
+	e := t.entries[content]
+	return e != nil && t.Remove(now, content, e.Written)
+}
+
 // ApplyAll applies a complete listing of the records in the store.
 func (t *Table) ApplyAll(now time.Duration, stored map[Content]StoredRecord) {
 	for content := range t.entries {
 		if _, ok := stored[content]; !ok {
-			t.Remove(now, content, math.MaxUint64)
+			t.Forget(now, content)
+		}
+	}
+	t.ApplySome(now, stored)
+}
+
+// ApplyRestored applies a complete listing of the records in a store that was restored from a
+// backup. The records that it lacks were lost, and stay pending until they are written again.
+func (t *Table) ApplyRestored(now time.Duration, stored map[Content]StoredRecord) {
+	for content, e := range t.entries {
+		if _, ok := stored[content]; !ok && !e.Written.IsZero() {
+			e.Written, e.pendingWrite = position.Position{}, true
 		}
 	}
 	t.ApplySome(now, stored)
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 var (
@@ -117,23 +119,23 @@
 // hold, also if another node writes its record again in the meantime.
 func TestAnswerClearsRequest(t *testing.T) {
 	s := newScenario(t)
-	s.table.ApplyStored(s.now, harmlessContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Trials: 2, Held: true}, Revision: 5})
+	s.table.ApplyStored(s.now, harmlessContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Trials: 2, Held: true}, Written: at(5)})
 	s.requireVerdict(harmlessContent, Refuse)
 	if !s.table.RecordAnswer(harmlessContent) {
 		t.Fatal("answer needs no write, want the record removed")
 	}
 	s.requireVerdict(harmlessContent, Run)
 	change, pending := s.table.PendingChange(harmlessContent)
-	if !pending || !change.Remove || change.ExpectedRevision != 5 {
+	if !pending || !change.Remove || change.Expected != at(5) {
 		t.Fatalf("change %+v, want a removal at revision 5", change)
 	}
-	s.table.ApplyStored(s.now, harmlessContent, StoredRecord{Record: Record{Crashes: s.newCrashes(4), Odds: 1}, Revision: 6})
+	s.table.ApplyStored(s.now, harmlessContent, StoredRecord{Record: Record{Crashes: s.newCrashes(4), Odds: 1}, Written: at(6)})
 	s.requireVerdict(harmlessContent, Run)
 	change, _ = s.table.PendingChange(harmlessContent)
-	if change.ExpectedRevision != 6 || !change.Remove {
+	if change.Expected != at(6) || !change.Remove {
 		t.Fatalf("change %+v after another write, want a removal at revision 6", change)
 	}
-	s.table.MarkWritten(s.now, change, 7)
+	s.table.MarkWritten(s.now, change, at(7))
 	if total, _ := s.table.Len(); total != 0 {
 		t.Errorf("%d requests after the removal was written, want 0", total)
 	}
@@ -143,16 +145,16 @@
 // freely, once its record has expired or an operator has deleted it.
 func TestRequestIsTriedAfterHoldEnds(t *testing.T) {
 	s := newScenario(t)
-	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Trials: 2, Held: true}, Revision: 5})
-	if !s.table.Remove(s.now, crashingContent, 9) {
+	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Trials: 2, Held: true}, Written: at(5)})
+	if !s.table.Remove(s.now, crashingContent, at(9)) {
 		t.Error("removed request was not held")
 	}
-	if decision := s.requireVerdict(crashingContent, Trial); decision.Change.ExpectedRevision != 0 || decision.Change.Record.Trials != 1 {
+	if decision := s.requireVerdict(crashingContent, Trial); decision.Change.Expected != at(0) || decision.Change.Record.Trials != 1 {
 		t.Errorf("trial %+v, want the first one, at no revision", decision)
 	}
 	s.table.RecordInconclusiveTrial(s.now, crashingContent)
-	s.table.MarkWritten(s.now, Change{Content: crashingContent, Record: s.table.entries[crashingContent].Record}, 9)
-	s.table.Remove(s.now, crashingContent, 9)
+	s.table.MarkWritten(s.now, Change{Content: crashingContent, Record: s.table.entries[crashingContent].Record}, at(9))
+	s.table.Remove(s.now, crashingContent, at(9))
 	s.requireVerdict(crashingContent, Run)
 }
 
@@ -160,7 +162,7 @@
 // that was lost has timed out.
 func TestTrialOfLostNodeTimesOut(t *testing.T) {
 	s := newScenario(t)
-	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 1, Trials: 1, Trial: "lost"}, Revision: 5})
+	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 1, Trials: 1, Trial: "lost"}, Written: at(5)})
 	s.requireVerdict(crashingContent, Refuse)
 	s.now += 5 * time.Second
 	if decision := s.requireVerdict(crashingContent, Trial); decision.Change.Record.Trials != 2 || decision.Change.Record.Trial != "self" {
@@ -221,8 +223,8 @@
 // revision.
 func TestOutdatedRemovalIsIgnored(t *testing.T) {
 	s := newScenario(t)
-	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Held: true}, Revision: 12})
-	if s.table.Remove(s.now, crashingContent, 10) {
+	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: Record{Crashes: s.newCrashes(3), Odds: 400, Held: true}, Written: at(12)})
+	if s.table.Remove(s.now, crashingContent, at(10)) {
 		t.Error("record of revision 12 removed as of revision 10")
 	}
 	s.requireVerdict(crashingContent, Refuse)
@@ -237,3 +239,21 @@
 		}
 	}
 }
+
+// TestHeldRequestIsWrittenAgainAfterRestore guards against a held request that runs again because the
+// store was restored from a backup without its record.
+func TestHeldRequestIsWrittenAgainAfterRestore(t *testing.T) {
+	s := newScenario(t)
+	held := Record{Crashes: s.newCrashes(3), Odds: 400, Trials: 2, Held: true}
+	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: held, Written: position.Position{Era: 1, Revision: 50}})
+	s.table.ApplyRestored(s.now, nil)
+	s.requireVerdict(crashingContent, Refuse)
+	change, pending := s.table.PendingChange(crashingContent)
+	if !pending || change.Remove || !change.Expected.IsZero() {
+		t.Fatalf("got pending %v, change %+v, want the record written as a new key", pending, change)
+	}
+	s.table.ApplyStored(s.now, crashingContent, StoredRecord{Record: change.Record, Written: position.Position{Era: 2, Revision: 7}})
+	if change, pending := s.table.PendingChange(crashingContent); pending {
+		t.Errorf("got pending change %+v after another node wrote the record at a lower revision, want none", change)
+	}
+}
--- a/internal/edge/forward/forward.go
+++ b/internal/edge/forward/forward.go
@@ -67,10 +67,10 @@
 	}
 }
 
-// Install puts a configuration into force if its version is higher than the one in force. It
-// reports whether it did. Calls must not overlap.
+// Install puts a configuration into force if its version is higher than the one in force, or was
+// reissued. It reports whether it did. Calls must not overlap.
 func (f *Forwarder) Install(table *route.Table) bool {
-	if current := f.table.Load(); current != nil && table.Config.Version <= current.Config.Version {
+	if current := f.table.Load(); current != nil && !table.Config.Reissued && table.Config.Version <= current.Config.Version {
 		return false
 	}
 	f.splitter.Retain(table.Config)
--- a/internal/edge/lease/lease.go
+++ b/internal/edge/lease/lease.go
@@ -45,6 +45,9 @@
 	// is none. The Holder renews this lease, and requests a new one and writes Key only after it
 	// has expired.
 	Previous uint64
+	// Found receives the lease under which a restored store holds the key; zero if it lacks the key.
+	// The Holder continues with it at once. It may be nil.
+	Found <-chan uint64
 	// TTL is how long the key stays in the store without a renewal.
 	TTL time.Duration
 	// MinBackoff and MaxBackoff bound the pause after an error.
@@ -78,6 +81,8 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case found := <-h.config.Found:
+			h.id, h.created = found, found != 0
 		}
 		timer.Stop()
 	}
--- a/internal/edge/lease/lease_test.go
+++ b/internal/edge/lease/lease_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -153,3 +154,48 @@
 	stop()
 	<-done
 }
+
+// TestLeaseIsTakenAgainAtOnceAfterRestore guards against a node that other nodes do not count because
+// the store was restored without its key, until its next renewal.
+func TestLeaseIsTakenAgainAtOnceAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &grantCounter{}
+		found := make(chan uint64, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		holder := NewHolder(Config{Key: "k", Found: found, TTL: time.Hour, MinBackoff: time.Millisecond, MaxBackoff: time.Second}, store, slog.New(slog.DiscardHandler))
+		go holder.Run(ctx)
+		synctest.Wait()
+		found <- 0
+		synctest.Wait()
+		if store.grants != 2 || store.creates != 2 {
+			t.Errorf("got %d leases and %d keys written, want 2 and 2", store.grants, store.creates)
+		}
+		found <- 9
+		synctest.Wait()
+		if store.renewed != 9 || store.grants != 2 {
+			t.Errorf("got lease %d renewed after %d leases, want 9 after 2", store.renewed, store.grants)
+		}
+	})
+}
+
+// grantCounter is a Store that counts its calls.
+type grantCounter struct {
+	grants, creates int
+	renewed         uint64
+}
+
+func (g *grantCounter) Grant(context.Context, time.Duration) (uint64, error) {
+	g.grants++
+	return uint64(g.grants), nil
+}
+
+func (g *grantCounter) Renew(_ context.Context, id uint64) error {
+	g.renewed = id
+	return nil
+}
+
+func (g *grantCounter) Create(context.Context, string, []byte, uint64) error {
+	g.creates++
+	return nil
+}
--- a/internal/edge/lease/shared.go
+++ b/internal/edge/lease/shared.go
@@ -46,6 +46,13 @@
 	return id, nil
 }
 
+// Reset forgets the lease: the next call of ID returns another one.
+func (s *Shared) Reset() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.id = 0
+}
+
 // Invalidate records that a lease has expired early: the next call of ID returns another one.
 func (s *Shared) Invalidate(id uint64) {
 	s.mutex.Lock()
--- a/internal/edge/mirror/convergence_test.go
+++ b/internal/edge/mirror/convergence_test.go
@@ -8,32 +8,34 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
-// TestStartsConverge generates random changes, outages, compactions, seeds that stop, start and
-// pause, and nodes that start. The revision of a node must never decrease, and all nodes must have
-// the same items once the store responds.
+// TestStartsConverge generates random changes, outages, compactions, restores of the store, seeds
+// that stop, start and pause, and nodes that start. The position of a node must never decrease, and
+// all nodes must have the same items once the store responds.
 func TestStartsConverge(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newTestFleet(t, 3)
 		f.sourcesTimeout = 5 * time.Millisecond
 		f.store.put("first")
-		nodes := make(map[*Shared]uint64) // the revision of each node
+		nodes := make(map[*Shared]position.Position) // the position of each node
 		step := func(node *Shared) {
 			revision, loaded := nodes[node]
-			var got uint64
+			var got position.Position
 			var err error
 			if loaded {
 				_, got, err = node.Watch(t.Context(), "", revision, 0)
 			}
-			if !loaded || errors.Is(err, ErrCompacted) {
+			if !loaded || errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 				_, got, err = node.Range(t.Context(), "")
 			}
 			if err != nil && !errors.Is(err, ErrStale) {
 				return
 			}
-			if got < revision {
-				rt.Fatalf("node went back from revision %d to %d", revision, got)
+			if got.Before(revision) {
+				rt.Fatalf("node went back from position %v to %v", revision, got)
 			}
 			nodes[node] = got
 		}
@@ -48,10 +50,11 @@
 			}
 		}
 		rt.Repeat(map[string]func(*rapid.T){
-			"put":    func(*rapid.T) { f.store.put(fmt.Sprint("k", len(f.store.events)%5)) },
-			"remove": func(*rapid.T) { f.store.remove(fmt.Sprint("k", len(f.store.events)%5)) },
-			"outage": func(rt *rapid.T) { f.store.setDown(rapid.Bool().Draw(rt, "down")) },
-			"forget": func(*rapid.T) { f.store.compact() },
+			"put":     func(*rapid.T) { f.store.put(fmt.Sprint("k", len(f.store.events)%5)) },
+			"remove":  func(*rapid.T) { f.store.remove(fmt.Sprint("k", len(f.store.events)%5)) },
+			"outage":  func(rt *rapid.T) { f.store.setDown(rapid.Bool().Draw(rt, "down")) },
+			"forget":  func(*rapid.T) { f.store.compact() },
+			"restore": func(rt *rapid.T) { f.store.restore(rapid.IntRange(0, 5).Draw(rt, "lost")) },
 			"start": func(rt *rapid.T) {
 				if len(nodes) < 8 {
 					step(f.newNode())
@@ -73,9 +76,10 @@
 		f.store.setDown(false)
 		stepAll()
 		stepAll()
+		stepAll()
 		for node, revision := range nodes {
-			if got, want := node.replica.list(), f.store.items(); revision != uint64(len(f.store.events)) || !reflect.DeepEqual(got, want) {
-				rt.Fatalf("node at revision %d of %d has items %v, want %v", revision, len(f.store.events), got, want)
+			if got, want := node.replica.list(), f.store.items(); revision != f.store.position() || !reflect.DeepEqual(got, want) {
+				rt.Fatalf("node at position %v of %v has items %v, want %v", revision, f.store.position(), got, want)
 			}
 		}
 	})
--- a/internal/edge/mirror/fleet_start_test.go
+++ b/internal/edge/mirror/fleet_start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/micaplank/micaplank/internal/position"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -20,7 +21,7 @@
 	rangeDuration time.Duration
 }
 
-func (s *serialStore) Range(ctx context.Context, prefix string) ([]Item, uint64, error) {
+func (s *serialStore) Range(ctx context.Context, prefix string) ([]Item, position.Position, error) {
 	s.link <- struct{}{}
 	time.Sleep(s.rangeDuration)
 	<-s.link
--- a/internal/edge/mirror/helpers_test.go
+++ b/internal/edge/mirror/helpers_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"github.com/micaplank/micaplank/internal/position"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,8 +18,9 @@
 // memoryStore is a Source over a list of events. It can be down, and compact its history.
 type memoryStore struct {
 	mutex             sync.Mutex
-	events            []Event
-	compactedRevision uint64 // the history up to this revision is compacted
+	era               uint64  // rises with each restore
+	events            []Event // of this era, and those that the backup holds
+	compactedRevision uint64  // the history up to this revision is compacted
 	down              bool
 	ranges            int
 	watches           int
@@ -35,6 +38,23 @@
 	m.events = append(m.events, event)
 }
 
+// restore drops the latest changes, as a restore from a backup does. The history begins anew.
+func (m *memoryStore) restore(lost int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.events = slices.Clip(m.events[:max(len(m.events)-lost, 0)])
+	m.compactedRevision = uint64(len(m.events))
+	m.era++
+}
+
+// position returns the position of the latest change.
+func (m *memoryStore) position() position.Position {
+	return position.Position{Era: m.era, Revision: uint64(len(m.events))}
+}
+
+// at returns a position in a store that was never restored.
+func at(revision uint64) position.Position { return position.Position{Revision: revision} }
+
 func (m *memoryStore) setDown(down bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -51,19 +71,28 @@
 // items returns the current items in the order of their keys.
 func (m *memoryStore) items() []Item {
 	var current replica
-	current.replace(nil, 0)
-	current.apply(m.events, uint64(len(m.events)))
+	current.replace(nil, position.Position{})
+	current.apply(m.eventsAfter(0), m.position())
 	return current.list()
 }
 
-func (m *memoryStore) Range(context.Context, string) ([]Item, uint64, error) {
+// eventsAfter returns the changes after a revision, with the era of the store.
+func (m *memoryStore) eventsAfter(revision uint64) []Event {
+	events := slices.Clone(m.events[revision:])
+	for index := range events {
+		events[index].Era = m.era
+	}
+	return events
+}
+
+func (m *memoryStore) Range(context.Context, string) ([]Item, position.Position, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.ranges++
 	if m.down {
-		return nil, 0, errStoreDown
+		return nil, position.Position{}, errStoreDown
 	}
-	return m.items(), uint64(len(m.events)), nil
+	return m.items(), m.position(), nil
 }
 
 // Peek returns the current items.
@@ -83,18 +112,21 @@
 }
 
 // Watch returns immediately, also without changes.
-func (m *memoryStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+func (m *memoryStore) Watch(_ context.Context, _ string, after position.Position, wait time.Duration) ([]Event, position.Position, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.watches++
 	m.waits = append(m.waits, wait)
 	if m.down {
-		return nil, 0, errStoreDown
+		return nil, after, errStoreDown
 	}
-	if after < m.compactedRevision {
-		return nil, 0, ErrCompacted
+	switch {
+	case after.Era != m.era:
+		return nil, after, ErrRestored
+	case after.Revision < m.compactedRevision:
+		return nil, after, ErrCompacted
 	}
-	return m.events[after:], uint64(len(m.events)), nil
+	return m.eventsAfter(after.Revision), m.position(), nil
 }
 
 // localPeers calls nodes in the same process. An unreachable node does not respond.
@@ -133,7 +165,7 @@
 
 var errUnreachable = errors.New("node is unreachable")
 
-func (p *localPeers) Watch(ctx context.Context, to netip.AddrPort, after uint64, _ time.Duration) (WatchResponse, error) {
+func (p *localPeers) Watch(ctx context.Context, to netip.AddrPort, after position.Position, _ time.Duration) (WatchResponse, error) {
 	if p.isUnreachable(to) {
 		return WatchResponse{}, errUnreachable
 	}
@@ -162,8 +194,8 @@
 	address          netip.AddrPort
 	watcher          *Shared
 	follower         *Shared
-	followerRevision uint64
-	watcherRevision  uint64
+	followerPosition position.Position
+	watcherPosition  position.Position
 }
 
 func newWatcherPair(t *testing.T) *watcherPair {
@@ -190,8 +222,8 @@
 
 // watch makes the watcher watch the store once.
 func (p *watcherPair) watch() error {
-	_, revision, err := p.watcher.Watch(p.Context(), "", p.watcherRevision, time.Minute)
-	p.watcherRevision = max(p.watcherRevision, revision)
+	_, reached, err := p.watcher.Watch(p.Context(), "", p.watcherPosition, time.Minute)
+	p.watcherPosition = position.Max(p.watcherPosition, reached)
 	return err
 }
 
@@ -199,9 +231,9 @@
 // the store that this took.
 func (p *watcherPair) follow() (events []Event, calls int, err error) {
 	watchesBefore := p.store.watches
-	events, revision, err := p.follower.Watch(p.Context(), "", p.followerRevision, time.Minute)
+	events, reached, err := p.follower.Watch(p.Context(), "", p.followerPosition, time.Minute)
 	if err == nil {
-		p.followerRevision = revision
+		p.followerPosition = reached
 	}
 	return events, p.store.watches - watchesBefore, err
 }
--- a/internal/edge/mirror/history.go
+++ b/internal/edge/mirror/history.go
@@ -1,26 +1,33 @@
 package mirror
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/micaplank/micaplank/internal/position"
+)
 
 // history holds the latest changes of the store in order. A watcher serves other nodes from it.
 type history struct {
 	// maxEvents bounds the number of changes.
 	maxEvents int
-	// started is set if all changes after since, up to revision, have been received.
-	started         bool
-	disconnected    bool // the store does not respond
-	since, revision uint64
-	events          []Event
-	// gaps are the revision ranges for which only the difference between both ends is recorded.
+	// started is set if all changes after since, up to reached, have been received.
+	started        bool
+	disconnected   bool              // the store does not respond
+	since, reached position.Position // of one era
+	// restored is set once the store was restored while this node followed it. Then a node that does
+	// not state its era may be in an earlier one.
+	restored bool
+	events   []Event
+	// gaps are the ranges of positions for which only the difference between both ends is recorded.
 	gaps []diffGap
 	// changed is closed when the history changes next.
 	changed chan struct{}
 }
 
-// diffGap is a range of revisions that was bridged by comparing the items at both ends. Keys that
-// were written and removed in between are missing from the difference, so a node at a revision
+// diffGap is a range of positions that was bridged by comparing the items at both ends. Keys that
+// were written and removed in between are missing from the difference, so a node at a position
 // inside the range cannot continue from it.
-type diffGap struct{ from, to uint64 }
+type diffGap struct{ from, to position.Position }
 
 func newHistory(maxEvents int) history {
 	return history{maxEvents: maxEvents, changed: make(chan struct{})}
@@ -31,10 +38,11 @@
 	h.changed = make(chan struct{})
 }
 
-// restart drops all changes and continues from a revision.
-func (h *history) restart(revision uint64) {
+// restart drops all changes and continues from a position.
+func (h *history) restart(from position.Position) {
+	h.restored = h.restored || h.started && from.Era != h.reached.Era
 	h.started, h.disconnected = true, false
-	h.since, h.revision = revision, revision
+	h.since, h.reached = from, from
 	h.events, h.gaps = nil, nil
 	h.notify()
 }
@@ -47,14 +55,14 @@
 	}
 }
 
-// append records the changes between two revisions.
-func (h *history) append(after uint64, events []Event, revision uint64) {
-	if !h.started || after != h.revision {
+// append records the changes between two positions of one era.
+func (h *history) append(after position.Position, events []Event, reached position.Position) {
+	if !h.started || after != h.reached {
 		h.restart(after)
 	}
 	reconnected := h.disconnected
 	h.disconnected = false
-	h.revision = revision
+	h.reached = reached
 	if len(events) == 0 && !reconnected {
 		return
 	}
@@ -63,10 +71,10 @@
 	h.notify()
 }
 
-// appendDiff records the difference between two revisions.
-func (h *history) appendDiff(after uint64, events []Event, revision uint64) {
-	h.append(after, events, revision)
-	h.gaps = append(h.gaps, diffGap{from: after, to: revision})
+// appendDiff records the difference between two positions of one era.
+func (h *history) appendDiff(after position.Position, events []Event, reached position.Position) {
+	h.append(after, events, reached)
+	h.gaps = append(h.gaps, diffGap{from: after, to: reached})
 }
 
 // maxHistoryBytes bounds the size of the values in the history. It holds several versions of a
@@ -85,27 +93,31 @@
 		size -= len(h.events[index].Value)
 	}
 	if surplus > 0 {
-		h.since = h.events[surplus-1].Revision
+		h.since.Revision = h.events[surplus-1].Revision
 		h.events = slices.Clone(h.events[surplus:])
-		h.gaps = slices.DeleteFunc(h.gaps, func(gap diffGap) bool { return gap.to <= h.since })
+		h.gaps = slices.DeleteFunc(h.gaps, func(gap diffGap) bool { return !h.since.Before(gap.to) })
 	}
 }
 
-// withinGap reports whether a revision lies inside a gap.
-func (h *history) withinGap(revision uint64) bool {
-	return slices.ContainsFunc(h.gaps, func(gap diffGap) bool { return gap.from < revision && revision < gap.to })
+// withinGap reports whether a position lies inside a gap.
+func (h *history) withinGap(asked position.Position) bool {
+	return slices.ContainsFunc(h.gaps, func(gap diffGap) bool { return gap.from.Before(asked) && asked.Before(gap.to) })
 }
 
-// eventsAfter returns the response to a node that has the changes up to a revision, and a channel
-// that is closed when the response may have changed.
-func (h *history) eventsAfter(revision uint64) (WatchResponse, <-chan struct{}) {
+// eventsAfter returns the response to a node that has the changes up to a position, and a channel
+// that is closed when the response may have changed. A refusal names the position of this node, from
+// which the other one learns of a restore of the store.
+func (h *history) eventsAfter(after position.Position) (WatchResponse, <-chan struct{}) {
+	if after.Era == 0 && !h.restored {
+		after.Era = h.reached.Era
+	}
 	switch {
-	case !h.started, revision < h.since, h.withinGap(revision):
-		return WatchResponse{State: WatchRefused}, h.changed
+	case !h.started, after.Era != h.reached.Era, after.Before(h.since), h.withinGap(after):
+		return h.refusal(), h.changed
 	case h.disconnected:
-		return WatchResponse{State: WatchDisconnected}, h.changed
+		return WatchResponse{State: WatchDisconnected, Era: h.reached.Era}, h.changed
 	}
-	first, _ := slices.BinarySearchFunc(h.events, revision+1, func(event Event, wanted uint64) int {
+	first, _ := slices.BinarySearchFunc(h.events, after.Revision+1, func(event Event, wanted uint64) int {
 		switch {
 		case event.Revision < wanted:
 			return -1
@@ -117,6 +129,12 @@
 	return WatchResponse{
 		State:    WatchCurrent,
 		Events:   slices.Clone(h.events[first:]),
-		Revision: max(h.revision, revision),
+		Revision: max(h.reached.Revision, after.Revision),
+		Era:      after.Era,
 	}, h.changed
 }
+
+// refusal returns the response to a node that this one cannot serve.
+func (h *history) refusal() WatchResponse {
+	return WatchResponse{State: WatchRefused, Revision: h.reached.Revision, Era: h.reached.Era}
+}
--- a/internal/edge/mirror/history_test.go
+++ b/internal/edge/mirror/history_test.go
@@ -42,7 +42,7 @@
 	if _, _, err := p.follower.Range(t.Context(), ""); err != nil {
 		t.Fatal(err)
 	}
-	p.followerRevision = 1
+	p.followerPosition = at(1)
 	p.store.remove("a")
 	p.store.compact()
 	_ = p.watch()
@@ -56,7 +56,7 @@
 // history, so that other nodes need not read the store when the watchers change.
 func TestPromotedFollowerKeepsHistory(t *testing.T) {
 	p := newWatcherPair(t)
-	oldRevision := p.followerRevision
+	oldRevision := p.followerPosition
 	p.store.put("a")
 	if err := p.watch(); err != nil {
 		t.Fatal(err)
@@ -76,12 +76,12 @@
 func TestHistoryIsBounded(t *testing.T) {
 	for _, test := range []struct{ size, maxEvents, want int }{{0, 3, 3}, {maxHistoryBytes / 2, 10, 2}, {2 * maxHistoryBytes, 10, 1}} {
 		h := newHistory(test.maxEvents)
-		h.restart(0)
+		h.restart(at(0))
 		for revision := uint64(1); revision <= 8; revision++ {
-			h.append(revision-1, []Event{{Item: Item{Revision: revision, Value: make([]byte, test.size)}}}, revision)
+			h.append(at(revision-1), []Event{{Item: Item{Revision: revision, Value: make([]byte, test.size)}}}, at(revision))
 		}
-		tooOld, _ := h.eventsAfter(uint64(7 - test.want))
-		complete, _ := h.eventsAfter(uint64(8 - test.want))
+		tooOld, _ := h.eventsAfter(at(uint64(7 - test.want)))
+		complete, _ := h.eventsAfter(at(uint64(8 - test.want)))
 		if tooOld.State != WatchRefused || complete.State != WatchCurrent || len(complete.Events) != test.want {
 			t.Errorf("%+v: before the bound %s, at the bound %s with %d changes, want %s, %s with %d", test, tooOld.State, complete.State, len(complete.Events), WatchRefused, WatchCurrent, test.want)
 		}
--- a/internal/edge/mirror/mirror.go
+++ b/internal/edge/mirror/mirror.go
@@ -18,11 +18,19 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
-// ErrCompacted means that the store no longer has the changes after the requested revision.
+// ErrCompacted means that the store no longer has the changes after the requested position.
 var ErrCompacted = errors.New("history compacted")
 
+// ErrRestored means that the store was restored from a backup after the requested position, so that
+// no list of changes leads from there to its current items.
+var ErrRestored = errors.New("store was restored from a backup")
+
+// errEarlierEra means that a response is from before a restore of the store that is already known.
+var errEarlierEra = errors.New("response is from before the restore of the store")
+
 // Item is a key with its value.
 type Item struct {
 	Key      string
@@ -30,6 +38,17 @@
 	Revision uint64 // of the last write
 	Created  uint64 // of the write that created the key
 	Lease    uint64 // the lease that the key is bound to; zero without a lease
+	Era      uint64 // of the store in which the item was read
+}
+
+// Position returns the position of the last write.
+func (i Item) Position() position.Position {
+	return position.Position{Era: i.Era, Revision: i.Revision}
+}
+
+// CreatedAt returns the position of the write that created the key.
+func (i Item) CreatedAt() position.Position {
+	return position.Position{Era: i.Era, Revision: i.Created}
 }
 
 // Event is a change: a written item, or the removal of a key.
@@ -38,15 +57,16 @@
 	Removed bool
 }
 
-// Source reads a store. Errors other than ErrCompacted and ErrStale are treated as temporary.
+// Source reads a store. Errors other than ErrCompacted, ErrRestored and ErrStale are treated as
+// temporary.
 type Source interface {
-	// Range returns all items under the prefix from an up-to-date read, and a revision that covers
-	// them: changes missing from the items have a higher revision. With ErrStale it also returns
+	// Range returns all items under the prefix from an up-to-date read, and a position that covers
+	// them: changes missing from the items have a later position. With ErrStale it also returns
 	// items, which may be outdated.
-	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
-	// Watch blocks until there are changes after the revision, or until wait has passed. It returns
-	// the changes and the revision from which to continue.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	Range(ctx context.Context, prefix string) ([]Item, position.Position, error)
+	// Watch blocks until there are changes after the position, or until wait has passed. It returns
+	// the changes and the position from which to continue, which is of the same era.
+	Watch(ctx context.Context, prefix string, after position.Position, wait time.Duration) ([]Event, position.Position, error)
 }
 
 // ReadInfo describes how the items of a Replace were read.
@@ -56,6 +76,11 @@
 	// Stale is set if there may be newer items: the store was unreachable, and the items are the
 	// copy of another node.
 	Stale bool
+	// Restored is set if the store was restored from a backup since the previous items: what was
+	// written after the backup is missing until its writers have written it again.
+	Restored bool
+	// From and To are the positions of the previous and of these items.
+	From, To position.Position
 }
 
 // Sink receives what is read. Its methods are called one at a time.
@@ -84,6 +109,9 @@
 	// BatchDelay is the delay after a call that returned changes. It batches changes in quick
 	// succession into one call.
 	BatchDelay time.Duration
+	// SettlingTime is the mean time after a restore of the store after which the range is read once
+	// more. What is missing then is not written again.
+	SettlingTime time.Duration
 }
 
 // Mirror follows one prefix.
@@ -92,7 +120,7 @@
 	source Source
 	sink   Sink
 
-	revision       uint64
+	position       position.Position
 	loaded         bool // the range has been read at least once
 	reload         bool // the range must be read again
 	failures       int
@@ -100,6 +128,8 @@
 	// catchingUp is set after an outage until a response shows that few of the missed changes are
 	// left.
 	catchingUp bool
+	// settledAt is when the range is read once more after a restore; zero if that is not due.
+	settledAt time.Time
 }
 
 // backlogThreshold is the number of changes in a response from which more changes are expected to
@@ -128,6 +158,9 @@
 }
 
 func (m *Mirror) poll(ctx context.Context) error {
+	if !m.settledAt.IsZero() && time.Now().After(m.settledAt) {
+		m.settledAt, m.reload = time.Time{}, true
+	}
 	if m.reload {
 		return m.loadRange(ctx)
 	}
@@ -135,22 +168,29 @@
 }
 
 func (m *Mirror) loadRange(ctx context.Context) error {
-	items, revision, err := m.source.Range(ctx, m.config.Prefix)
+	items, read, err := m.source.Range(ctx, m.config.Prefix)
 	stale := errors.Is(err, ErrStale)
-	if err != nil && !stale {
+	switch {
+	case err != nil && !stale:
 		return err
+	case m.loaded && read.Era < m.position.Era:
+		return errEarlierEra
 	}
 	if !stale {
 		m.recordSuccess()
 	}
-	m.sink.Replace(items, ReadInfo{Gap: m.loaded, Stale: stale})
-	m.revision, m.loaded, m.reload = revision, true, false
+	restored := m.loaded && read.Era > m.position.Era
+	m.sink.Replace(items, ReadInfo{Gap: m.loaded, Stale: stale, Restored: restored, From: m.position, To: read})
+	m.position, m.loaded, m.reload = read, true, false
+	if restored {
+		m.settledAt = time.Now().Add(m.config.SettlingTime/2 + rand.N(m.config.SettlingTime+1))
+	}
 	return err
 }
 
 func (m *Mirror) watch(ctx context.Context) error {
-	events, revision, err := m.source.Watch(ctx, m.config.Prefix, m.revision, m.config.WatchTimeout)
-	if errors.Is(err, ErrCompacted) {
+	events, reached, err := m.source.Watch(ctx, m.config.Prefix, m.position, m.config.WatchTimeout)
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 		m.recordSuccess()
 		m.reload = true
 		return nil
@@ -162,7 +202,7 @@
 	if reconnected || len(events) > 0 {
 		m.sink.Apply(events)
 	}
-	m.revision = max(m.revision, revision)
+	m.position = position.Max(m.position, reached)
 	m.catchingUp = (m.catchingUp || reconnected) && len(events) >= backlogThreshold
 	if len(events) > 0 && !m.catchingUp {
 		clock.Sleep(ctx, m.config.BatchDelay)
--- a/internal/edge/mirror/mirror_test.go
+++ b/internal/edge/mirror/mirror_test.go
@@ -10,15 +10,20 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 var errStoreDown = errors.New("store is down")
 
+// restoredItems are the items of a restored store, in an era.
+type restoredItems uint64
+
 // scriptedSource is a Source that returns scripted responses in order, and then ends the run.
 type scriptedSource struct {
-	answers []any // error, []Item or []Event
+	answers []any // error, []Item, restoredItems or []Event
 	stop    context.CancelFunc
 	calls   []string
 }
@@ -37,20 +42,24 @@
 	return answer, nil
 }
 
-func (s *scriptedSource) Range(_ context.Context, prefix string) ([]Item, uint64, error) {
+func (s *scriptedSource) Range(_ context.Context, prefix string) ([]Item, position.Position, error) {
 	answer, err := s.nextAnswer("range " + prefix)
 	if err != nil {
-		return nil, 0, err
+		return nil, position.Position{}, err
+	}
+	if era, ok := answer.(restoredItems); ok {
+		return []Item{{Key: "p/a"}}, position.Position{Era: uint64(era), Revision: 7}, nil
 	}
-	return answer.([]Item), 10, nil
+	return answer.([]Item), at(10), nil
 }
 
-func (s *scriptedSource) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]Event, uint64, error) {
-	answer, err := s.nextAnswer(fmt.Sprintf("watch %d", after))
+func (s *scriptedSource) Watch(_ context.Context, _ string, after position.Position, _ time.Duration) ([]Event, position.Position, error) {
+	answer, err := s.nextAnswer(fmt.Sprintf("watch %v", after))
 	if err != nil {
-		return nil, 0, err
+		return nil, after, err
 	}
-	return answer.([]Event), after + 1, nil
+	after.Revision++
+	return answer.([]Event), after, nil
 }
 
 // recordingSink is a Sink that records the calls that it receives.
@@ -61,6 +70,9 @@
 	if read.Stale {
 		text += " stale"
 	}
+	if read.Restored {
+		text += fmt.Sprintf(" restored from %v to %v", read.From, read.To)
+	}
 	*r = append(*r, text)
 }
 func (r *recordingSink) Apply(events []Event) {
@@ -70,11 +82,15 @@
 func (r *recordingSink) Reconnected(time.Duration) { *r = append(*r, "regained") }
 
 func runScript(answers ...any) (calls, received []string) {
+	return runScriptWith(time.Hour, answers...)
+}
+
+func runScriptWith(settlingTime time.Duration, answers ...any) (calls, received []string) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	source := &scriptedSource{answers: answers, stop: stop}
 	var sink recordingSink
-	New(Config{Prefix: "p/", MinBackoff: time.Microsecond, MaxBackoff: time.Millisecond}, source, &sink).Run(ctx)
+	New(Config{Prefix: "p/", MinBackoff: time.Microsecond, MaxBackoff: time.Millisecond, SettlingTime: settlingTime}, source, &sink).Run(ctx)
 	return source.calls, sink
 }
 
@@ -92,6 +108,8 @@
 		{"reconnection is reported before any change", []any{items, errStoreDown, noEvents}, "range p/, watch 10, watch 10, watch 11", "replace 1 gap=false, lost, regained, change 0"},
 		{"compacted history", []any{items, ErrCompacted, items}, "range p/, watch 10, range p/, watch 10", "replace 1 gap=false, replace 1 gap=true"},
 		{"compacted history after an outage", []any{items, errStoreDown, ErrCompacted, errStoreDown, items}, "range p/, watch 10, watch 10, range p/, range p/, watch 10", "replace 1 gap=false, lost, regained, lost, regained, replace 1 gap=true"},
+		{"restored store", []any{items, ErrRestored, restoredItems(2), events}, "range p/, watch 10, range p/, watch 2/7, watch 2/8", "replace 1 gap=false, replace 1 gap=true restored from 10 to 2/7, change 1"},
+		{"range of an earlier era", []any{restoredItems(2), ErrCompacted, restoredItems(1), restoredItems(2)}, "range p/, watch 2/7, range p/, range p/, watch 2/7", "replace 1 gap=false, lost, regained, replace 1 gap=true"},
 	} {
 		calls, received := runScript(test.answers...)
 		if !slices.Equal(calls, strings.Split(test.wantCalls, ", ")) {
@@ -102,3 +120,12 @@
 		}
 	}
 }
+
+// TestRestoredStoreIsReadOnceMore guards against keys that stay in use for good because a restored
+// store lacked them before their writers had written again.
+func TestRestoredStoreIsReadOnceMore(t *testing.T) {
+	calls, _ := runScriptWith(0, []Item{}, ErrRestored, restoredItems(2), restoredItems(2), []Event{})
+	if got, want := strings.Join(calls, ", "), "range p/, watch 10, range p/, range p/, watch 2/7, watch 2/8"; got != want {
+		t.Errorf("got calls %s, want %s", got, want)
+	}
+}
--- a/internal/edge/mirror/pack.go
+++ b/internal/edge/mirror/pack.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // maxUnpackedBytes bounds the unpacked size of a value that another node packed. It allows a
@@ -56,25 +58,25 @@
 	return size
 }
 
-// packedEvents caches the packed changes between two revisions, because followers ask for the same
+// packedEvents caches the packed changes between two positions, because followers ask for the same
 // changes at the same time.
 type packedEvents struct {
-	after, revision uint64
-	packed          []byte
+	after, reached position.Position
+	packed         []byte
 }
 
-// pack replaces the events of a response to a request for changes after a revision by their packed
+// pack replaces the events of a response to a request for changes after a position by their packed
 // form, unless they are small.
-func (p *packedEvents) pack(after uint64, response WatchResponse) (WatchResponse, error) {
+func (p *packedEvents) pack(after position.Position, response WatchResponse) (WatchResponse, error) {
 	if valueBytes(response.Events) < packThreshold {
 		return response, nil
 	}
-	if p.packed == nil || p.after != after || p.revision != response.Revision {
+	if p.packed == nil || p.after != after || p.reached != response.Position() {
 		packed, err := pack(response.Events)
 		if err != nil {
 			return WatchResponse{}, err
 		}
-		*p = packedEvents{after: after, revision: response.Revision, packed: packed}
+		*p = packedEvents{after: after, reached: response.Position(), packed: packed}
 	}
 	response.Events, response.Packed = nil, p.packed
 	return response, nil
--- a/internal/edge/mirror/pack_test.go
+++ b/internal/edge/mirror/pack_test.go
@@ -13,11 +13,11 @@
 	if err := p.watch(); err != nil {
 		t.Fatal(err)
 	}
-	response, err := p.watcher.Serve(t.Context(), p.followerRevision, 0)
+	response, err := p.watcher.Serve(t.Context(), p.followerPosition, 0)
 	if err != nil || len(response.Events) != 0 || len(response.Packed) == 0 || len(response.Packed) > packThreshold/4 {
 		t.Fatalf("%d events, %d packed bytes, error %v; want no events and 1 to %d packed bytes", len(response.Events), len(response.Packed), err, packThreshold/4)
 	}
-	if repeated, _ := p.watcher.Serve(t.Context(), p.followerRevision, 0); &repeated.Packed[0] != &response.Packed[0] {
+	if repeated, _ := p.watcher.Serve(t.Context(), p.followerPosition, 0); &repeated.Packed[0] != &response.Packed[0] {
 		t.Error("changes were packed again, want the packed bytes of the first response")
 	}
 	p.wantFollow(1, 0, nil)
@@ -25,7 +25,7 @@
 	if err := p.watch(); err != nil {
 		t.Fatal(err)
 	}
-	if response, err = p.watcher.Serve(t.Context(), p.followerRevision, 0); err != nil || len(response.Events) != 1 {
+	if response, err = p.watcher.Serve(t.Context(), p.followerPosition, 0); err != nil || len(response.Events) != 1 {
 		t.Errorf("%d events, error %v; want 1 unpacked event", len(response.Events), err)
 	}
 }
--- a/internal/edge/mirror/shared.go
+++ b/internal/edge/mirror/shared.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/event"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // Peers calls other nodes. An error means that there was no response.
@@ -19,8 +21,8 @@
 	Offer(ctx context.Context, source netip.AddrPort, wait time.Duration) (Offer, error)
 	// Snapshot fetches the copy of a node.
 	Snapshot(ctx context.Context, source netip.AddrPort) (Snapshot, error)
-	// Watch asks a watcher for the changes after a revision.
-	Watch(ctx context.Context, watcher netip.AddrPort, after uint64, wait time.Duration) (WatchResponse, error)
+	// Watch asks a watcher for the changes after a position.
+	Watch(ctx context.Context, watcher netip.AddrPort, after position.Position, wait time.Duration) (WatchResponse, error)
 }
 
 // Store is a Source that can also read possibly outdated items at a low cost.
@@ -117,11 +119,14 @@
 	backoffs      map[netip.AddrPort]watcherBackoff
 	lastFromStore bool      // the last response came from the store itself
 	nextProbeAt   time.Time // when the store may be asked next although a watcher cannot reach it
+	// restoredSource is a watcher that is in a later era of the store than this node, which copies
+	// its snapshot next; invalid if there is none.
+	restoredSource netip.AddrPort
 
 	// Serving: what other nodes receive.
 	serving        bool   // the current or latest watch of the store is that of a watcher
-	packedItems    []byte // the replica at packedRevision, in the form of pack
-	packedRevision uint64
+	packedItems    []byte // the replica at packedPosition, in the form of pack
+	packedPosition position.Position
 	packedResponse packedEvents // the last response to a follower that was packed
 }
 
@@ -155,41 +160,66 @@
 }
 
 // Range implements Source.
-func (s *Shared) Range(ctx context.Context, prefix string) ([]Item, uint64, error) {
+func (s *Shared) Range(ctx context.Context, prefix string) ([]Item, position.Position, error) {
 	s.mutex.Lock()
-	loaded := s.replica.items != nil
+	loaded, restoredSource := s.replica.items != nil, s.restoredSource
+	s.restoredSource = netip.AddrPort{}
 	s.mutex.Unlock()
-	if !loaded {
+	switch {
+	case !loaded:
 		return s.loadInitial(ctx, prefix)
+	case restoredSource.IsValid():
+		return s.loadRestored(ctx, prefix, restoredSource)
 	}
 	return s.readStore(ctx, prefix)
 }
 
+// loadRestored loads the items of a restored store from a watcher that has them, so that not all
+// nodes read the store at the same time. It reads the store if the watcher's copy is unusable.
+func (s *Shared) loadRestored(ctx context.Context, prefix string, watcher netip.AddrPort) ([]Item, position.Position, error) {
+	sourceCopy, err := s.fetchCopy(ctx, watcher)
+	if err != nil || sourceCopy.State != OfferCurrent || sourceCopy.Era <= s.era() {
+		return s.readStore(ctx, prefix)
+	}
+	s.adopt(sourceCopy, false)
+	event.Log(s.logger, event.SnapshotCopied{
+		Source: watcher, Revision: sourceCopy.Revision, Era: sourceCopy.Era, Age: s.clock.Now() - sourceCopy.lastContactAt,
+	})
+	return sourceCopy.items, sourceCopy.Position(), nil
+}
+
+// era returns the era of the replica.
+func (s *Shared) era() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.replica.position.Era
+}
+
 // readStore reads all items from the store. Followers of this node receive the difference to its
 // previous copy.
-func (s *Shared) readStore(ctx context.Context, prefix string) ([]Item, uint64, error) {
-	items, revision, err := s.store.Range(ctx, prefix)
+func (s *Shared) readStore(ctx context.Context, prefix string) ([]Item, position.Position, error) {
+	items, read, err := s.store.Range(ctx, prefix)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if err != nil {
 		s.history.markDisconnected()
-		return nil, 0, err
+		return nil, position.Position{}, err
 	}
 	s.lastContactAt = s.clock.Now()
-	if s.replica.items == nil || revision < s.replica.revision {
-		s.replica.replace(items, revision)
-		s.restartHistory(revision)
-		return items, revision, nil
+	if s.replica.items == nil || read.Era != s.replica.position.Era || read.Before(s.replica.position) {
+		s.replica.replace(items, read)
+		s.restartHistory(read)
+		return items, read, nil
 	}
-	previous, events := s.replica.revision, s.replica.diff(items, revision)
-	s.replica.replace(items, revision)
-	s.history.appendDiff(previous, events, revision)
-	return items, revision, nil
+	previous, events := s.replica.position, s.replica.diff(items, read)
+	s.replica.replace(items, read)
+	s.history.appendDiff(previous, events, read)
+	return items, read, nil
 }
 
-// restartHistory restarts the history at the revision of the replica.
-func (s *Shared) restartHistory(revision uint64) {
+// restartHistory restarts the history at the position of the replica.
+func (s *Shared) restartHistory(from position.Position) {
 	s.loadedAt = s.clock.Now()
 	s.serving = s.actsAsWatcher()
-	s.history.restart(revision)
+	s.history.restart(from)
 }
--- a/internal/edge/mirror/shared_test.go
+++ b/internal/edge/mirror/shared_test.go
@@ -1,12 +1,16 @@
 package mirror
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 func TestFollowerReceivesChangesFromWatcher(t *testing.T) {
@@ -53,11 +57,11 @@
 	}
 	p.wantFollow(1, 1, nil)
 	p.watcher.SetWatchers(true, nil)
-	p.watcher.history.restart(2)
+	p.watcher.history.restart(at(2))
 	if err := p.watch(); err != nil {
 		t.Fatal(err)
 	}
-	p.followerRevision = 1 // the history of the watcher begins later
+	p.followerPosition = at(1) // the history of the watcher begins later
 	p.wantFollow(1, 1, nil)
 }
 
@@ -129,7 +133,7 @@
 	} {
 		p := newWatcherPair(t)
 		responses := make(chan WatchResponse)
-		go func() { responses <- p.watcher.awaitChanges(t.Context(), 0, time.Hour) }()
+		go func() { responses <- p.watcher.awaitChanges(t.Context(), at(0), time.Hour) }()
 		trigger(p)
 		_ = p.watch()
 		response := <-responses
@@ -155,7 +159,7 @@
 			"watch":   func(*rapid.T) { _ = p.watch() },
 			"range": func(*rapid.T) {
 				if _, revision, err := p.watcher.Range(t.Context(), ""); err == nil {
-					p.watcherRevision = revision
+					p.watcherPosition = revision
 				}
 			},
 			"follow": func(*rapid.T) {
@@ -170,8 +174,8 @@
 						rt.Fatalf("received revisions %v, want them consecutive from 1", got)
 					}
 				}
-				if p.followerRevision != uint64(len(got)) {
-					rt.Fatalf("follower is at revision %d, want %d, after revisions %v", p.followerRevision, len(got), got)
+				if p.followerPosition != at(uint64(len(got))) {
+					rt.Fatalf("follower is at position %v, want %d, after revisions %v", p.followerPosition, len(got), got)
 				}
 			},
 		})
@@ -194,3 +198,53 @@
 	}
 	p.wantFollow(0, 0, nil)
 }
+
+// TestFollowerCopiesRestoredItemsFromWatcher guards against a fleet that reads a restored store all at
+// once.
+func TestFollowerCopiesRestoredItemsFromWatcher(t *testing.T) {
+	p := newWatcherPair(t)
+	for range 3 {
+		p.store.put("a")
+	}
+	if err := p.watch(); err != nil {
+		t.Fatal(err)
+	}
+	p.wantFollow(3, 0, nil)
+	p.store.restore(2)
+	for range 4 {
+		p.store.put("b")
+	}
+	p.wantFollow(0, 0, nil) // the watcher has not heard of the restore
+	if err := p.watch(); !errors.Is(err, ErrRestored) {
+		t.Fatalf("watch of the watcher: got error %v, want %v", err, ErrRestored)
+	}
+	if _, _, err := p.watcher.Range(t.Context(), ""); err != nil {
+		t.Fatal(err)
+	}
+	p.wantFollow(0, 0, ErrRestored)
+	ranges := p.store.ranges
+	items, reached, err := p.follower.Range(t.Context(), "")
+	if want := p.store.items(); err != nil || reached != p.store.position() || !reflect.DeepEqual(items, want) {
+		t.Errorf("got items %v at %v, error %v; want %v at %v", items, reached, err, want, p.store.position())
+	}
+	if p.store.ranges != ranges {
+		t.Errorf("the follower read the store, want a copy of the watcher")
+	}
+}
+
+// TestNodesOfTwoErasShareNoChanges guards against a node that mixes positions before and after a
+// restore, also one whose version does not state the era.
+func TestNodesOfTwoErasShareNoChanges(t *testing.T) {
+	p := newWatcherPair(t)
+	p.store.restore(0)
+	if _, _, err := p.watcher.Range(t.Context(), ""); err != nil {
+		t.Fatal(err)
+	}
+	p.store.put("a")
+	p.watcherPosition = p.store.position()
+	for _, after := range []position.Position{{Revision: 0}, {Era: 2}} {
+		if response := p.watcher.awaitChanges(t.Context(), after, 0); response.State != WatchRefused || response.Era != 1 {
+			t.Errorf("response to a node at %v: got %+v, want a refusal that names era 1", after, response)
+		}
+	}
+}
--- a/internal/edge/mirror/snapshot.go
+++ b/internal/edge/mirror/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // OfferState is the state of a node's copy of the store.
@@ -22,10 +24,18 @@
 type Offer struct {
 	State    OfferState
 	Revision uint64
+	// Era is the era of the store that Revision belongs to; zero from a node of a version that does
+	// not know eras.
+	Era uint64
 	// Age is the time since the store last responded to the node, directly or through a watcher.
 	Age time.Duration
 }
 
+// Position returns the position of the copy.
+func (o Offer) Position() position.Position {
+	return position.Position{Era: o.Era, Revision: o.Revision}
+}
+
 // Snapshot is a node's copy of the store.
 type Snapshot struct {
 	Offer
@@ -60,14 +70,14 @@
 	if s.replica.items == nil {
 		return Offer{State: OfferLoading}
 	}
-	offer := Offer{State: OfferCurrent, Revision: s.replica.revision, Age: s.clock.Now() - s.lastContactAt}
+	offer := Offer{State: OfferCurrent, Revision: s.replica.position.Revision, Era: s.replica.position.Era, Age: s.clock.Now() - s.lastContactAt}
 	if s.history.disconnected || offer.Age > s.config.MaxCopyAge {
 		offer.State = OfferDisconnected
 	}
 	return offer
 }
 
-// Snapshot returns the copy. It is packed once per revision.
+// Snapshot returns the copy. It is packed once per position.
 func (s *Shared) Snapshot() (Snapshot, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -75,12 +85,12 @@
 	if offer.State == OfferLoading {
 		return Snapshot{Offer: offer}, nil
 	}
-	if s.packedItems == nil || s.packedRevision != s.replica.revision {
+	if s.packedItems == nil || s.packedPosition != s.replica.position {
 		packed, err := pack(s.replica.list())
 		if err != nil {
 			return Snapshot{}, err
 		}
-		s.packedItems, s.packedRevision = packed, s.replica.revision
+		s.packedItems, s.packedPosition = packed, s.replica.position
 	}
 	return Snapshot{Offer: offer, Packed: s.packedItems}, nil
 }
--- a/internal/edge/mirror/sources.go
+++ b/internal/edge/mirror/sources.go
@@ -11,6 +11,7 @@
 	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/startup"
 	"github.com/micaplank/micaplank/internal/event"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // ErrStale comes with the items of a node that cannot reach the store: there may be newer items.
@@ -66,7 +67,7 @@
 
 // loadInitial loads all items for the first time: from a source, from the store, or, if the store
 // does not respond, from a source that cannot reach the store either.
-func (s *Shared) loadInitial(ctx context.Context, prefix string) ([]Item, uint64, error) {
+func (s *Shared) loadInitial(ctx context.Context, prefix string) ([]Item, position.Position, error) {
 	s.mutex.Lock()
 	nodesPrefix, planner := s.nodesPrefix, s.planner
 	s.mutex.Unlock()
@@ -79,30 +80,30 @@
 	}
 	plan := s.makePlan(planner, nodes)
 	if !plan.ReadsStore() {
-		items, revision, err := s.copyFromSource(ctx, plan.Sources, requireCurrent)
+		items, copied, err := s.copyFromSource(ctx, plan.Sources, requireCurrent)
 		if err == nil || ctx.Err() != nil {
-			return items, revision, err
+			return items, copied, err
 		}
 	}
-	items, revision, storeErr := s.readStore(ctx, prefix)
+	items, read, storeErr := s.readStore(ctx, prefix)
 	if storeErr == nil || ctx.Err() != nil {
-		return items, revision, storeErr
+		return items, read, storeErr
 	}
 	return s.loadWithoutStore(ctx, plan, storeErr)
 }
 
 // loadWithoutStore returns the copy of another node, or the error of the store if no node has one.
-func (s *Shared) loadWithoutStore(ctx context.Context, plan startup.Plan, storeErr error) ([]Item, uint64, error) {
-	items, revision, err := s.copyFromSource(ctx, plan.Sources, allowStale)
+func (s *Shared) loadWithoutStore(ctx context.Context, plan startup.Plan, storeErr error) ([]Item, position.Position, error) {
+	items, copied, err := s.copyFromSource(ctx, plan.Sources, allowStale)
 	if errors.Is(err, errNoSource) {
-		return nil, 0, storeErr
+		return nil, position.Position{}, storeErr
 	}
-	return items, revision, err
+	return items, copied, err
 }
 
 // copyFromSource adopts the copy of a source and returns its items. The error is ErrStale, in
 // addition to the items, if the source cannot reach the store.
-func (s *Shared) copyFromSource(ctx context.Context, sources []netip.AddrPort, policy copyPolicy) ([]Item, uint64, error) {
+func (s *Shared) copyFromSource(ctx context.Context, sources []netip.AddrPort, policy copyPolicy) ([]Item, position.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.SourcesTimeout)
 	defer cancel()
 	for source := range s.queryOffers(ctx, sources, policy) {
@@ -116,13 +117,13 @@
 		}
 		stale := sourceCopy.State == OfferDisconnected
 		s.adopt(sourceCopy, stale)
-		event.Log(s.logger, event.SnapshotCopied{Source: source, Revision: sourceCopy.Revision, Age: s.clock.Now() - sourceCopy.lastContactAt, Stale: stale})
+		event.Log(s.logger, event.SnapshotCopied{Source: source, Revision: sourceCopy.Revision, Era: sourceCopy.Era, Age: s.clock.Now() - sourceCopy.lastContactAt, Stale: stale})
 		if stale {
-			return sourceCopy.items, sourceCopy.Revision, ErrStale
+			return sourceCopy.items, sourceCopy.Position(), ErrStale
 		}
-		return sourceCopy.items, sourceCopy.Revision, nil
+		return sourceCopy.items, sourceCopy.Position(), nil
 	}
-	return nil, 0, errNoSource
+	return nil, position.Position{}, errNoSource
 }
 
 // peerCopy is the unpacked copy of another node.
@@ -155,8 +156,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lastContactAt = sourceCopy.lastContactAt
-	s.replica.replace(sourceCopy.items, sourceCopy.Revision)
-	s.restartHistory(sourceCopy.Revision)
+	s.replica.replace(sourceCopy.items, sourceCopy.Position())
+	s.restartHistory(sourceCopy.Position())
 	if stale {
 		s.history.markDisconnected()
 	}
--- a/internal/edge/mirror/sources_test.go
+++ b/internal/edge/mirror/sources_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/startup"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // testFleet is a store and nodes that ask each other.
@@ -77,7 +78,7 @@
 }
 
 // load makes a node load its items for the first time, and checks them against those in the store.
-func (f *testFleet) load(node *Shared, wantErr error) uint64 {
+func (f *testFleet) load(node *Shared, wantErr error) position.Position {
 	f.Helper()
 	items, revision, err := node.Range(f.Context(), "")
 	if !errors.Is(err, wantErr) {
@@ -182,7 +183,7 @@
 	f.load(f.startSeed(1), ErrStale)
 	node := f.newNode()
 	if got := f.load(node, ErrStale); got != revision {
-		t.Errorf("revision %d, want %d", got, revision)
+		t.Errorf("position %v, want %v", got, revision)
 	}
 	if offer := node.Offer(t.Context(), 0); offer.State != OfferDisconnected {
 		t.Errorf("node offers a copy in state %s, want %s", offer.State, OfferDisconnected)
--- a/internal/edge/mirror/watch.go
+++ b/internal/edge/mirror/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/event"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // ErrWatcherDisconnected means that a watcher was asked instead of the store, and that it has lost
@@ -37,22 +38,34 @@
 	// Packed replaces Events if the events are large. It holds them in the form of pack.
 	Packed   []byte
 	Revision uint64
+	// Era is the era of the store that Revision belongs to; zero from a node of a version that does
+	// not know eras.
+	Era uint64
+}
+
+// Position returns the position of the watcher.
+func (w WatchResponse) Position() position.Position {
+	return position.Position{Era: w.Era, Revision: w.Revision}
 }
 
 // Watch implements Source. All watchers together get no more time than one failing watcher may
 // take; after that the store is asked.
-func (s *Shared) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+func (s *Shared) Watch(ctx context.Context, prefix string, after position.Position, wait time.Duration) ([]Event, position.Position, error) {
 	deadline := time.Now().Add(s.config.WatchTimeout + s.config.ResponseSlack)
 	disconnected := false
 	for _, watcher := range s.candidateWatchers() {
 		response, err := s.queryWatcher(ctx, watcher, after, deadline)
-		if err == nil && response.State == WatchCurrent {
-			revision := max(response.Revision, after)
-			s.applyFromWatcher(after, response.Events, revision)
-			return response.Events, revision, nil
+		if err == nil && response.State == WatchCurrent && response.Era == after.Era {
+			reached := position.Max(response.Position(), after)
+			s.applyFromWatcher(after, response.Events, reached)
+			return response.Events, reached, nil
 		}
 		if ctx.Err() != nil {
-			return nil, 0, ctx.Err()
+			return nil, after, ctx.Err()
+		}
+		if err == nil && response.Era > after.Era {
+			s.setRestoredSource(watcher)
+			return nil, after, ErrRestored
 		}
 		if s.backOffWatcher(watcher, response.State == WatchDisconnected) {
 			event.Log(s.logger, event.WatcherFailed{Watcher: watcher, State: string(response.State), Error: err})
@@ -63,11 +76,18 @@
 		}
 	}
 	if disconnected && !s.shouldProbe() {
-		return nil, 0, ErrWatcherDisconnected
+		return nil, after, ErrWatcherDisconnected
 	}
 	return s.watchStore(ctx, prefix, after, wait)
 }
 
+// setRestoredSource records that a watcher is in a later era of the store than this node.
+func (s *Shared) setRestoredSource(watcher netip.AddrPort) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.restoredSource = watcher
+}
+
 // shouldProbe reports whether this node may ask the store although a watcher cannot reach it: the
 // store may still serve this node. Probes are rate-limited, so that an outage does not turn into a
 // call of each node per watch.
@@ -126,7 +146,7 @@
 	return append(available, disconnected...)
 }
 
-func (s *Shared) queryWatcher(ctx context.Context, watcher netip.AddrPort, after uint64, deadline time.Time) (WatchResponse, error) {
+func (s *Shared) queryWatcher(ctx context.Context, watcher netip.AddrPort, after position.Position, deadline time.Time) (WatchResponse, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	response, err := s.peers.Watch(ctx, watcher, after, s.config.WatchTimeout)
@@ -157,38 +177,38 @@
 // applyFromWatcher applies the response of a watcher. The history continues, so that this node can
 // become a watcher. Until then it does not serve other nodes, because nodes could otherwise ask
 // each other in a cycle.
-func (s *Shared) applyFromWatcher(after uint64, events []Event, revision uint64) {
+func (s *Shared) applyFromWatcher(after position.Position, events []Event, reached position.Position) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.serving, s.lastFromStore = false, false
-	s.applyChanges(after, events, revision)
+	s.applyChanges(after, events, reached)
 }
 
-// applyChanges applies the changes after a revision to the replica and the history.
-func (s *Shared) applyChanges(after uint64, events []Event, revision uint64) {
+// applyChanges applies the changes after a position to the replica and the history.
+func (s *Shared) applyChanges(after position.Position, events []Event, reached position.Position) {
 	s.lastContactAt = s.clock.Now()
-	s.replica.apply(events, revision)
-	s.history.append(after, events, revision)
+	s.replica.apply(events, reached)
+	s.history.append(after, events, reached)
 }
 
 // watchStore watches the store.
-func (s *Shared) watchStore(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+func (s *Shared) watchStore(ctx context.Context, prefix string, after position.Position, wait time.Duration) ([]Event, position.Position, error) {
 	s.mutex.Lock()
 	if s.serving = s.actsAsWatcher(); s.serving {
 		wait = min(wait, s.config.WatchTimeout)
 	}
 	s.mutex.Unlock()
-	events, revision, err := s.store.Watch(ctx, prefix, after, wait)
+	events, reached, err := s.store.Watch(ctx, prefix, after, wait)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch {
-	case errors.Is(err, ErrCompacted):
-		// The range is read next, and followers receive the difference.
+	case errors.Is(err, ErrCompacted), errors.Is(err, ErrRestored):
+		// The range is read next. Followers receive the difference, or copy the restored items.
 	case err != nil:
 		s.history.markDisconnected()
 	default:
 		s.lastFromStore = true
-		s.applyChanges(after, events, max(revision, after))
+		s.applyChanges(after, events, position.Max(reached, after))
 	}
-	return events, revision, err
+	return events, reached, err
 }
--- a/internal/edge/node/announcer.go
+++ b/internal/edge/node/announcer.go
@@ -25,6 +25,8 @@
 	// previousLease is the lease of an announcement by an earlier process of this node; zero if
 	// there is none. It is set before storeRead is closed.
 	previousLease uint64
+	// leaseFound receives the lease of the announcement in a restored store.
+	leaseFound chan uint64
 }
 
 // newAnnouncement returns the key and the value that announce this incarnation of the node.
@@ -43,7 +45,7 @@
 	var latest mirror.Item
 	for _, item := range items {
 		matches := a.decoder.Kind(item.Key) == KindNode && bytes.Equal(item.Value, value)
-		if matches && item.Revision > latest.Revision {
+		if matches && latest.Position().Before(item.Position()) {
 			latest = item
 		}
 	}
@@ -56,6 +58,16 @@
 	close(a.storeRead)
 }
 
+// renew makes run continue with the lease of the announcement that a restored store holds, or
+// announce the node again if that is zero.
+func (a *announcer) renew(leaseID uint64) {
+	select {
+	case <-a.leaseFound: // replaced by the later one
+	default:
+	}
+	a.leaseFound <- leaseID
+}
+
 // run keeps this node announced until ctx ends. It waits for the first read of the store: if an
 // earlier process on this machine left an announcement, its lease is renewed and no new key is
 // written. When many processes restart, this saves calls to the store and changes that every node
@@ -68,7 +80,7 @@
 	}
 	key, value := a.newAnnouncement()
 	lease.NewHolder(lease.Config{
-		Key: key, Value: value, Previous: a.previousLease,
+		Key: key, Value: value, Previous: a.previousLease, Found: a.leaseFound,
 		TTL: leaseTTL, MinBackoff: minBackoff, MaxBackoff: leaseBackoff,
 	}, a.leases, a.logger).Run(ctx)
 }
--- a/internal/edge/node/follower.go
+++ b/internal/edge/node/follower.go
@@ -11,10 +11,12 @@
 	"github.com/micaplank/micaplank/internal/decide/executors"
 	"github.com/micaplank/micaplank/internal/decide/quarantine"
 	"github.com/micaplank/micaplank/internal/decide/startup"
+	"github.com/micaplank/micaplank/internal/decide/supersede"
 	"github.com/micaplank/micaplank/internal/edge/mirror"
 	"github.com/micaplank/micaplank/internal/edge/registry"
 	"github.com/micaplank/micaplank/internal/edge/route"
 	"github.com/micaplank/micaplank/internal/event"
+	"github.com/micaplank/micaplank/internal/position"
 	"github.com/micaplank/micaplank/internal/roster"
 )
 
@@ -41,9 +43,9 @@
 
 // quarantineSink receives the quarantine records of the store.
 type quarantineSink interface {
-	replace(items map[quarantine.Content]quarantine.StoredRecord, stale bool)
+	replace(items map[quarantine.Content]quarantine.StoredRecord, read mirror.ReadInfo)
 	set(content quarantine.Content, record quarantine.StoredRecord)
-	remove(content quarantine.Content, revision uint64)
+	remove(content quarantine.Content, removed position.Position)
 	setStoreUnavailable(unavailable bool)
 }
 
@@ -58,6 +60,7 @@
 	metrics    *metrics
 	view       *view
 	announcer  *announcer
+	versions   supersede.Versions
 	config     configConsumer
 	rollouts   rolloutSink
 	quarantine quarantineSink
@@ -116,8 +119,12 @@
 // them; otherwise its first requests would be refused because no leaf is known.
 func (f *follower) Replace(items []mirror.Item, read mirror.ReadInfo) {
 	decoded := f.decode(items)
-	f.quarantine.replace(decoded.quarantined, read.Stale)
-	cordonsChanged := f.replaceView(decoded, f.announcer.findPreviousLease(items), read.Stale)
+	f.quarantine.replace(decoded.quarantined, read)
+	previousLease := f.announcer.findPreviousLease(items)
+	if read.Restored {
+		f.recordRestore(read, previousLease)
+	}
+	cordonsChanged := f.replaceView(decoded, previousLease, read.Stale || read.Restored)
 	if decoded.config != nil {
 		f.installConfig(decoded.config, decoded.configRevision)
 	}
@@ -131,14 +138,27 @@
 	}
 }
 
-// replaceView applies a full read to the view and publishes it. It returns the zones that were
-// cordoned or uncordoned.
-func (f *follower) replaceView(decoded decodedItems, previousLease uint64, stale bool) (cordonsChanged []string) {
+// recordRestore prepares the node for the items of a restored store. They lack what was written
+// after the backup, until it is written again.
+func (f *follower) recordRestore(read mirror.ReadInfo, announcedLease uint64) {
+	f.metrics.storeRestores.Inc()
+	event.Log(f.logger, event.StoreRestored{
+		FormerEra: read.From.Era, FormerRevision: read.From.Revision, Era: read.To.Era, Revision: read.To.Revision,
+	})
+	f.view.mutex.Lock()
+	f.view.leaves.RecordOutage(f.clock.Now())
+	f.view.mutex.Unlock()
+	f.announcer.renew(announcedLease)
+}
+
+// replaceView applies a full read to the view and publishes it. A read that is incomplete may lack
+// cordons and orders that are in force. It returns the zones that were cordoned or uncordoned.
+func (f *follower) replaceView(decoded decodedItems, previousLease uint64, incomplete bool) (cordonsChanged []string) {
 	f.view.mutex.Lock()
 	defer f.view.mutex.Unlock()
 	f.view.leaves.Replace(f.clock.Now(), decoded.leaves)
-	cordonsChanged = f.view.leaves.ReplaceCordons(f.clock.Now(), decoded.cordons, stale)
-	f.rollouts.replace(decoded.rollouts, stale)
+	cordonsChanged = f.view.leaves.ReplaceCordons(f.clock.Now(), decoded.cordons, incomplete)
+	f.rollouts.replace(decoded.rollouts, incomplete)
 	if !f.view.leavesLoaded {
 		f.announcer.start(previousLease)
 	}
--- a/internal/edge/node/follower_config.go
+++ b/internal/edge/node/follower_config.go
@@ -1,13 +1,15 @@
 package node
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/micaplank/micaplank/internal/edge/mirror"
 	"github.com/micaplank/micaplank/internal/edge/route"
 	"github.com/micaplank/micaplank/internal/event"
 )
 
-// decodeNewerConfig decodes a configuration. It returns nil if the configuration is invalid or not
-// newer than the one in force.
+// decodeNewerConfig decodes a configuration. It returns nil if the configuration is invalid or does
+// not supersede the one in force.
 func (f *follower) decodeNewerConfig(item mirror.Item) *route.Config {
 	config, err := f.decoder.Config(item)
 	if err == nil {
@@ -18,9 +20,10 @@
 		event.Log(f.logger, event.ConfigRejected{Key: item.Key, Revision: item.Revision, Error: err})
 		return nil
 	}
-	if f.config.Table() != nil && config.Version <= f.config.Version() {
+	if !f.versions.Accept(config.Version, xxhash.Sum64(item.Value), item.Era) {
 		return nil
 	}
+	config.Reissued = f.config.Table() != nil && config.Version <= f.config.Version()
 	return config
 }
 
--- a/internal/edge/node/follower_quarantine.go
+++ b/internal/edge/node/follower_quarantine.go
@@ -30,6 +30,6 @@
 	}
 	// A key that cannot be decoded was never applied.
 	if content, err := f.decoder.QuarantinedContent(change.Key); err == nil {
-		f.quarantine.remove(content, change.Revision)
+		f.quarantine.remove(content, change.Position())
 	}
 }
--- a/internal/edge/node/follower_test.go
+++ b/internal/edge/node/follower_test.go
@@ -70,7 +70,7 @@
 func (keyDecoder) Leaf(item mirror.Item) (registry.Leaf, error) {
 	service := strings.TrimPrefix(item.Key, "leaf/")
 	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(len(service)))
-	return registry.Leaf{ID: service, Service: service, Address: address, Slots: 1, Revision: item.Revision}, nil
+	return registry.Leaf{ID: service, Service: service, Address: address, Slots: 1, Written: item.Position()}, nil
 }
 
 // servingLeaves answers each attempt.
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -21,6 +21,7 @@
 	leavesRejected   prometheus.Counter
 	nodes            prometheus.Gauge
 	storeUp          prometheus.Gauge
+	storeRestores    prometheus.Counter
 	suspendedSeconds prometheus.Counter
 
 	mutex       sync.Mutex
@@ -54,6 +55,8 @@
 			"Nodes that share the extra load."),
 		storeUp: factory.Gauge("micaplank_frontend_store_up",
 			"Whether the store answers: 1 or 0."),
+		storeRestores: factory.Counter("micaplank_frontend_store_restores_total",
+			"Restores of the store from a backup, after which this node has read everything again."),
 		suspendedSeconds: factory.Counter("micaplank_frontend_suspended_seconds_total",
 			"Time for which the machine was suspended while this process ran."),
 	}
--- a/internal/edge/node/mirror_calls.go
+++ b/internal/edge/node/mirror_calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/micaplank/micaplank/internal/edge/mirror"
 	"github.com/micaplank/micaplank/internal/peer"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // These are the methods by which nodes ask each other for the content of the store. Nodes of
@@ -17,10 +18,13 @@
 	methodSnapshot = "mirror.snapshot" // the copy itself
 )
 
-// watchRequest asks for the changes after a revision.
+// watchRequest asks for the changes after a position.
 type watchRequest struct {
 	After uint64
 	Wait  time.Duration
+	// Era is the era of the store that After belongs to; zero from a node of a version that does not
+	// know eras.
+	Era uint64
 }
 
 // offerRequest asks a node for the state of its copy of the store.
@@ -36,9 +40,9 @@
 }
 
 // Watch implements mirror.Peers.
-func (p mirrorPeers) Watch(ctx context.Context, watcher netip.AddrPort, after uint64, wait time.Duration) (mirror.WatchResponse, error) {
+func (p mirrorPeers) Watch(ctx context.Context, watcher netip.AddrPort, after position.Position, wait time.Duration) (mirror.WatchResponse, error) {
 	var answer mirror.WatchResponse
-	err := p.client.Call(ctx, watcher, methodWatch, &watchRequest{After: after, Wait: wait}, &answer)
+	err := p.client.Call(ctx, watcher, methodWatch, &watchRequest{After: after.Revision, Era: after.Era, Wait: wait}, &answer)
 	return answer, err
 }
 
@@ -58,7 +62,7 @@
 
 // mirrorServer provides a copy of the store. It is implemented by mirror.Shared.
 type mirrorServer interface {
-	Serve(ctx context.Context, after uint64, wait time.Duration) (mirror.WatchResponse, error)
+	Serve(ctx context.Context, after position.Position, wait time.Duration) (mirror.WatchResponse, error)
 	Offer(ctx context.Context, wait time.Duration) mirror.Offer
 	Snapshot() (mirror.Snapshot, error)
 }
@@ -66,7 +70,7 @@
 // serveMirror answers the calls of other nodes from a copy of the store.
 func serveMirror(server *peer.Server, shared mirrorServer) {
 	peer.Register(server, methodWatch, func(ctx context.Context, _ netip.AddrPort, request *watchRequest) (*mirror.WatchResponse, error) {
-		answer, err := shared.Serve(ctx, request.After, request.Wait)
+		answer, err := shared.Serve(ctx, position.Position{Era: request.Era, Revision: request.After}, request.Wait)
 		return &answer, err
 	})
 	peer.Register(server, methodOffer, func(ctx context.Context, _ netip.AddrPort, request *offerRequest) (*mirror.Offer, error) {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -142,7 +142,7 @@
 		clock: n.clock, logger: n.logger, metrics: n.metrics, view: view,
 		announcer: &announcer{
 			self: n.self, decoder: n.ports.Decoder, leases: n.ports.Leases, logger: n.logger,
-			storeRead: make(chan struct{}),
+			storeRead: make(chan struct{}), leaseFound: make(chan uint64, 1),
 		},
 		config: n.forwarder, rollouts: n.rollouts, quarantine: n.quarantine,
 		publisher: n.publisher, terms: terms, delegate: n.delegate,
--- a/internal/edge/node/quarantine_outcomes.go
+++ b/internal/edge/node/quarantine_outcomes.go
@@ -160,6 +160,6 @@
 
 func (q *quarantineDriver) logHeld(content quarantine.Content, record quarantine.StoredRecord) {
 	event.Log(q.logger, event.RequestHeld{
-		Content: content, Route: record.Route, Leaves: crashedLeaves(record.Crashes), Trials: record.Trials, Odds: roundToHundredths(record.Odds), Revision: record.Revision,
+		Content: content, Route: record.Route, Leaves: crashedLeaves(record.Crashes), Trials: record.Trials, Odds: roundToHundredths(record.Odds), Revision: record.Written.Revision,
 	})
 }
--- a/internal/edge/node/quarantine_store.go
+++ b/internal/edge/node/quarantine_store.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"errors"
-	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/quarantine"
 	"github.com/micaplank/micaplank/internal/edge/lease"
+	"github.com/micaplank/micaplank/internal/edge/mirror"
 	"github.com/micaplank/micaplank/internal/event"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // write makes one change in the store and applies the resulting record to the table. If the change
@@ -24,9 +26,9 @@
 	}
 	switch {
 	case err == nil:
-		q.table.MarkWritten(now, change, current.Revision)
-	case errors.Is(err, ErrConflict) && current.Revision == 0:
-		q.table.Remove(now, change.Content, math.MaxUint64)
+		q.table.MarkWritten(now, change, current.Written)
+	case errors.Is(err, ErrConflict) && current.Written.IsZero():
+		q.table.Forget(now, change.Content)
 	case errors.Is(err, ErrConflict):
 		q.table.ApplyStored(now, change.Content, current)
 	}
@@ -139,14 +141,23 @@
 	return len(q.table.PendingWrites()) == 0
 }
 
+// rewriteSpread is the time within which the nodes write again what a restored store has lost. Most
+// of them find that another node has done so.
+const rewriteSpread = 2 * time.Second
+
 // replace applies the records of a full read. A stale read may lack records, so its records are
 // merged.
-func (q *quarantineDriver) replace(records map[quarantine.Content]quarantine.StoredRecord, stale bool) {
+func (q *quarantineDriver) replace(records map[quarantine.Content]quarantine.StoredRecord, read mirror.ReadInfo) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if stale {
+	switch {
+	case read.Stale:
 		q.table.ApplySome(q.clock.Now(), records)
-	} else {
+	case read.Restored:
+		q.lease.Reset()
+		q.table.ApplyRestored(q.clock.Now(), records)
+		time.AfterFunc(rand.N(rewriteSpread), q.wakeWriter)
+	default:
 		q.table.ApplyAll(q.clock.Now(), records)
 	}
 	q.notifyTableChange()
@@ -164,11 +175,11 @@
 	q.wakeWriter()
 }
 
-// remove applies the removal of a record from the store at a revision.
-func (q *quarantineDriver) remove(content quarantine.Content, revision uint64) {
+// remove applies the removal of a record from the store at a position.
+func (q *quarantineDriver) remove(content quarantine.Content, removed position.Position) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if q.table.Remove(q.clock.Now(), content, revision) {
+	if q.table.Remove(q.clock.Now(), content, removed) {
 		event.Log(q.logger, event.RequestReleased{Content: content})
 	}
 	q.notifyTableChange()
--- a/internal/edge/node/run.go
+++ b/internal/edge/node/run.go
@@ -23,6 +23,9 @@
 	// maxBackoff bounds the pause between two calls to a store that does not answer. A node that
 	// starts during an outage serves within half a second of the store's return.
 	maxBackoff = 500 * time.Millisecond
+	// restoreSettlingTime is the mean time after a restore of the store after which a key that the
+	// store lacks counts as removed. Operators, leaves and nodes have written theirs again by then.
+	restoreSettlingTime = 10 * time.Second
 	// leaseTTL is how long the announcement stays after its node has ended. A node that misses two
 	// renewals in a row stays announced.
 	leaseTTL = 30 * time.Second
@@ -98,6 +101,7 @@
 		MinBackoff: minBackoff, MaxBackoff: maxBackoff,
 		WatchTimeout: n.settings.Forward.WatchWait.Duration(),
 		BatchDelay:   n.settings.Forward.WatchGather.Duration(),
+		SettlingTime: restoreSettlingTime,
 	}, n.mirror, n.follower)
 }
 
--- a/internal/edge/node/wire_test.go
+++ b/internal/edge/node/wire_test.go
@@ -28,3 +28,18 @@
 		t.Errorf("got counts %+v, want 88 failed, 18 in the first bucket, no first and no overtaken attempts", counts)
 	}
 }
+
+// TestStoreMessagesOfFormerVersionAreDecoded checks that messages of a version that does not state
+// the era of the store are decoded with era zero.
+func TestStoreMessagesOfFormerVersionAreDecoded(t *testing.T) {
+	request := wiretest.DecodePreviousGob[watchRequest](t, "store.watch.request")
+	response := wiretest.DecodePreviousGob[mirror.WatchResponse](t, "store.watch.response")
+	offer := wiretest.DecodePreviousGob[mirror.Offer](t, "store.offer.response")
+	snapshot := wiretest.DecodePreviousGob[mirror.Snapshot](t, "store.snapshot.response")
+	if request.After == 0 || response.Revision == 0 || offer.Revision == 0 || snapshot.Revision == 0 {
+		t.Errorf("got no revision in %+v, %+v, %+v or %+v", request, response, offer, snapshot.Offer)
+	}
+	if request.Era != 0 || response.Era != 0 || offer.Era != 0 || snapshot.Era != 0 {
+		t.Errorf("got an era in %+v, %+v, %+v or %+v, want none", request, response, offer, snapshot.Offer)
+	}
+}
--- a/internal/edge/registry/incarnation_test.go
+++ b/internal/edge/registry/incarnation_test.go
@@ -10,7 +10,7 @@
 // leafStartedAt returns the leaf "a" with a start time in seconds; zero for none.
 func leafStartedAt(startSecond int, revision uint64) Leaf {
 	leaf := leafAt("a", "x", 1, 1)
-	leaf.Revision = revision
+	leaf.Written.Revision = revision
 	if startSecond > 0 {
 		leaf.StartedAt = time.Unix(int64(startSecond), 0)
 	}
--- a/internal/edge/registry/registry.go
+++ b/internal/edge/registry/registry.go
@@ -22,6 +22,7 @@
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
 	"github.com/micaplank/micaplank/internal/decide/removal"
 	"github.com/micaplank/micaplank/internal/leaf"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // Leaf is the announcement of a leaf.
@@ -39,11 +40,11 @@
 	Draining bool
 	// Cold is how much longer the leaf is slow after its start, as announced.
 	Cold time.Duration
-	// CreatedRevision is the revision at which the ID was first announced, or this incarnation of
-	// it if its start was observed here.
-	CreatedRevision uint64
-	// Revision is the revision of this announcement.
-	Revision uint64
+	// Created is the position in the store at which the ID was first announced, or this incarnation
+	// of it if its start was observed here.
+	Created position.Position
+	// Written is the position of this announcement.
+	Written position.Position
 }
 
 // Config is the policy of a Table: how long a leaf stays usable after its announcement has
@@ -102,13 +103,15 @@
 	restarted := exists && announced.StartedAt.After(current.StartedAt)
 	switch {
 	case restarted:
-		updated.CreatedRevision = announced.Revision
+		updated.Created = announced.Written
 	case exists:
-		updated.CreatedRevision = current.CreatedRevision
+		if announced.Written.Era == current.Written.Era {
+			updated.Created = current.Created
+		}
 		updated.Draining = announced.Draining || current.Draining
 		updated.coldUntil = current.coldUntil
 	}
-	if isNew := !exists || current.Revision != announced.Revision; isNew && announced.Cold > 0 {
+	if isNew := !exists || current.Written != announced.Written; isNew && announced.Cold > 0 {
 		updated.coldUntil = max(updated.coldUntil, now+announced.Cold)
 	}
 	t.entries[announced.ID] = updated
@@ -188,7 +191,7 @@
 	owners := make(map[netip.AddrPort]*leafEntry, len(t.entries))
 	for _, entry := range t.entries {
 		owner, owned := owners[entry.Address]
-		if !owned || cmp.Or(cmp.Compare(entry.CreatedRevision, owner.CreatedRevision), cmp.Compare(entry.ID, owner.ID)) > 0 {
+		if !owned || cmp.Or(entry.Created.Compare(owner.Created), cmp.Compare(entry.ID, owner.ID)) > 0 {
 			owners[entry.Address] = entry
 		}
 	}
--- a/internal/edge/registry/registry_test.go
+++ b/internal/edge/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 var config = Config{GracePeriod: 2 * time.Second, SettlingTime: 3 * time.Second}
@@ -20,7 +21,7 @@
 }
 
 func leafAt(id, service string, port int, created uint64) Leaf {
-	return Leaf{ID: id, Service: service, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)), Slots: 2, CreatedRevision: created}
+	return Leaf{ID: id, Service: service, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(port)), Slots: 2, Created: position.Position{Revision: created}}
 }
 
 // usableLeaves returns the usable leaves with the number of their service.
@@ -151,21 +152,21 @@
 		}
 	}
 	announced := leafAt("a", "x", 1, 1)
-	announced.Zone, announced.Revision, announced.Cold = "north", 1, 2*time.Second
+	announced.Zone, announced.Written.Revision, announced.Cold = "north", 1, 2*time.Second
 	table.Set(10*time.Second, announced)
 	check("announced as cold", 12*time.Second)
 	table.Replace(11*time.Second, []Leaf{announced})
 	check("same announcement again", 12*time.Second)
-	announced.Revision, announced.Cold = 2, 0
+	announced.Written.Revision, announced.Cold = 2, 0
 	table.Set(11*time.Second, announced)
 	check("announced as warm, which may be older", 12*time.Second)
 	table.SetCordon(20*time.Second, "north", true)
 	table.SetCordon(30*time.Second, "north", false)
 	check("zone uncordoned", 33*time.Second)
-	announced.Revision, announced.Cold = 3, time.Second
+	announced.Written.Revision, announced.Cold = 3, time.Second
 	table.Set(31*time.Second, announced)
 	check("announced as cold for less time than after the cordon", 33*time.Second)
-	announced.Revision, announced.Cold = 4, 5*time.Second
+	announced.Written.Revision, announced.Cold = 4, 5*time.Second
 	table.Set(31*time.Second, announced)
 	check("announced as cold for longer", 36*time.Second)
 }
--- a/internal/edge/registry/stage.go
+++ b/internal/edge/registry/stage.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	// A leaf that is created after the end of a rollout is unrelated to it.
-	return stage.Phase == rollout.PhaseShift || stage.Recorded == 0 || entry.CreatedRevision < stage.Recorded
+	return stage.Phase == rollout.PhaseShift || stage.Recorded == 0 || entry.Created.Revision < stage.Recorded
 }
 
 // hasUsableLeaf reports whether a service has a usable leaf of a version.
--- a/internal/edge/route/route.go
+++ b/internal/edge/route/route.go
@@ -17,7 +17,10 @@
 // Config is one version of the declared configuration. It must not be modified once it is in use.
 type Config struct {
 	// Version rises with each change, possibly by more than one.
-	Version  uint64
+	Version uint64
+	// Reissued is set if the operator has used the version, or a higher one, for another
+	// configuration before the store was restored from a backup.
+	Reissued bool
 	Routes   []Route
 	Services []Service
 	Limits   Limits
--- a/internal/event/page_test.go
+++ b/internal/event/page_test.go
@@ -10,7 +10,7 @@
 func allEvents() []Event {
 	return []Event{
 		Request{}, RequestLost{},
-		StoreSnapshotRead{}, SnapshotCopied{}, SnapshotCopyFailed{}, StoreLost{}, StoreRegained{}, WatcherFailed{},
+		StoreSnapshotRead{}, SnapshotCopied{}, SnapshotCopyFailed{}, StoreLost{}, StoreRegained{}, StoreRestored{}, WatcherFailed{},
 		ConfigInstalled{}, ConfigRejected{},
 		LeafChanged{}, LeafRejected{}, ZoneCordoned{},
 		RequestSuspected{}, TrialFailed{}, RequestHeld{}, RequestReleased{}, LeafSurvived{}, QuarantineNotWritten{}, QuarantineRejected{},
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -23,6 +23,7 @@
 type SnapshotCopied struct {
 	Source   netip.AddrPort `event:"source" doc:"address of the other node"`
 	Revision uint64         `event:"revision" doc:"revision of the snapshot"`
+	Era      uint64         `event:"era" doc:"era of the store that the snapshot was read in; 0 if the store states none"`
 	Age      time.Duration  `event:"age" doc:"time since the store last answered the other node"`
 	Stale    bool           `event:"stale" doc:"whether the other node has lost the store"`
 }
@@ -53,6 +54,19 @@
 	return Kind{"store lost", slog.LevelWarn, "The node keeps serving with the last known configuration and leaves."}
 }
 
+// StoreRestored reports that the store was restored from a backup.
+type StoreRestored struct {
+	FormerEra      uint64 `event:"former_era" doc:"era of the store that this node followed; 0 if the store stated none"`
+	FormerRevision uint64 `event:"former_revision" doc:"revision that this node had reached in it"`
+	Era            uint64 `event:"era" doc:"era of the store since the restore"`
+	Revision       uint64 `event:"revision" doc:"revision at which this node has read the store again"`
+}
+
+// Kind implements Event.
+func (StoreRestored) Kind() Kind {
+	return Kind{"store restored", slog.LevelWarn, "What was written after the backup is missing until its writers have written it again. The node keeps its configuration, and for some seconds the leaves and cordons that the store lacks."}
+}
+
 // StoreRegained reports that the store responds again.
 type StoreRegained struct {
 	Outage time.Duration `event:"away" doc:"how long the store did not respond"`
