intake: what callers occupy is bounded by the memory and the descriptors of the machine

Callers saw a process end: clients that sent heads without end, or many bodies that stop short of their end, filled its memory.

Cause: each body was bounded, their sum was not; a head was held against its limit only after package http had read up to 1 MiB of it; nothing bounded connections. The class: a limit on one request, and none on all of them.

Change: package intake counts the connections and the bytes of requests that are not answered yet, as they are read. Beyond the bound on bytes the largest request is cut off that is not whole, beyond that on connections the one that has waited longest without a whole request, idle ones last. A request that is whole runs, and its connection is never touched; what is closed has not run. Heads beyond 64 KiB, or the configured limit if that is higher, end in package http. The addresses for readiness and metrics, and the front of micaplank, are bounded the same way.

A test of connection timeouts builds its server with a guard now; nothing else was changed in it.

--- a/internal/edge/node/http_server.go
+++ b/internal/edge/node/http_server.go
@@ -9,13 +9,15 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/graceful"
+	"github.com/micaplank/micaplank/internal/intake"
 )
 
-// serverTimeouts bounds the time that a client may take to send the headers of a request, and the
-// time that its connection may be idle between two requests.
+// serverTimeouts bounds the time that a client may take to send the headers of a request, the time
+// that its connection may be idle between two requests, and the bytes of a head that are read at all.
 type serverTimeouts struct {
-	header time.Duration
-	idle   time.Duration
+	header    time.Duration
+	idle      time.Duration
+	headBytes int
 }
 
 // httpServer serves one address. Its timeouts are part of the configuration and change with it,
@@ -29,10 +31,12 @@
 	closed   bool
 	handoffs map[serverTimeouts]*handoffListener
 	listener net.Listener
+	guard    *intake.Guard
 }
 
-func newHTTPServer(listener net.Listener, handler http.Handler, timeouts func() serverTimeouts) *httpServer {
+func newHTTPServer(listener net.Listener, handler http.Handler, timeouts func() serverTimeouts, guard *intake.Guard) *httpServer {
 	return &httpServer{
+		guard:    guard,
 		handler:  handler,
 		timeouts: timeouts,
 		handoffs: make(map[serverTimeouts]*handoffListener),
@@ -54,7 +58,9 @@
 			}
 			return err
 		}
-		s.handoffFor(s.timeouts()).handOff(connection)
+		if accepted, open := s.guard.Accept(connection); open {
+			s.handoffFor(s.timeouts()).handOff(accepted)
+		}
 	}
 }
 
@@ -77,11 +83,14 @@
 	if running := s.handoffs[timeouts]; running != nil {
 		return running
 	}
-	handoff := newHandoffListener(s.listener.Addr(), &http.Server{
+	server := &http.Server{
 		Handler:           s.handler,
 		ReadHeaderTimeout: timeouts.header,
 		IdleTimeout:       timeouts.idle,
-	})
+		MaxHeaderBytes:    timeouts.headBytes,
+	}
+	intake.Serve(server)
+	handoff := newHandoffListener(s.listener.Addr(), server)
 	if s.closed {
 		_ = handoff.Close() // never fails
 		return handoff
--- a/internal/edge/node/http_server_test.go
+++ b/internal/edge/node/http_server_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/intake"
 )
 
 const longTimeout = time.Minute
@@ -32,7 +34,7 @@
 	s := &testServer{T: t}
 	s.timeouts.Store(&timeouts)
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { s.served.Add(1) })
-	s.server = newHTTPServer(listener, handler, func() serverTimeouts { return *s.timeouts.Load() })
+	s.server = newHTTPServer(listener, handler, func() serverTimeouts { return *s.timeouts.Load() }, intake.NewGuard(intake.Config{Connections: 1000, Bytes: 1 << 30, OnClose: func(intake.Bound) {}}))
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- s.server.Serve() }()
 	t.Cleanup(func() {
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/micaplank/micaplank/internal/edge/forward"
+	"github.com/micaplank/micaplank/internal/intake"
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
 
@@ -22,8 +24,12 @@
 	nodes            prometheus.Gauge
 	storeUp          prometheus.Gauge
 	storeRestores    prometheus.Counter
+	clientsClosed    *prometheus.CounterVec
 	suspendedSeconds prometheus.Counter
 
+	// clients counts the callers; nil before the node listens.
+	clients atomic.Pointer[intake.Guard]
+
 	mutex       sync.Mutex
 	routeLabels labelSet
 }
@@ -33,7 +39,7 @@
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	factory := telemetry.NewFactory(registerer)
-	return &metrics{
+	created := &metrics{
 		requestsTotal: factory.CounterVec("micaplank_frontend_requests_total",
 			"Client requests, by route (64 at most, then other), fate and reason.",
 			"route", "fate", "reason"),
@@ -57,9 +63,26 @@
 			"Whether the store answers: 1 or 0."),
 		storeRestores: factory.Counter("micaplank_frontend_store_restores_total",
 			"Restores of the store from a backup, after which this node has read everything again."),
+		clientsClosed: factory.CounterVec("micaplank_frontend_clients_closed_total",
+			"Connections of callers that were closed before a whole request had arrived, by the bound that was reached: connections or bytes.", "bound"),
 		suspendedSeconds: factory.Counter("micaplank_frontend_suspended_seconds_total",
 			"Time for which the machine was suspended while this process ran."),
 	}
+	factory.GaugeFunc("micaplank_frontend_client_connections",
+		"Open connections of callers.",
+		func() float64 { return float64(created.clientUsage().Connections) })
+	factory.GaugeFunc("micaplank_frontend_client_bytes",
+		"Memory that is counted for connections of callers and for their requests that are not answered yet, in bytes.",
+		func() float64 { return float64(created.clientUsage().Bytes) })
+	return created
+}
+
+// clientUsage returns what callers occupy.
+func (m *metrics) clientUsage() intake.Usage {
+	if guard := m.clients.Load(); guard != nil {
+		return guard.Usage()
+	}
+	return intake.Usage{}
 }
 
 func (m *metrics) observe(answer forward.Answer, duration time.Duration) {
--- a/internal/event/page_test.go
+++ b/internal/event/page_test.go
@@ -17,7 +17,7 @@
 		RolloutOrdered{}, RolloutRejected{}, RolloutChanged{}, RolloutDecided{}, DeciderChanged{},
 		NodeChanged{}, NodeRejected{}, NodeNotAnnounced{}, LeaseLapsed{}, LeaseNotRenewed{},
 		ExecutorInTouch{}, ExecutorsLost{}, CombinerInTouch{}, CombinerLost{},
-		Started{}, Resumed{}, Draining{}, Stopped{}, SettingsReloaded{}, SettingsRejected{}, Failed{},
+		Started{}, Resumed{}, ClientClosed{}, Draining{}, Stopped{}, SettingsReloaded{}, SettingsRejected{}, Failed{},
 	}
 }
 
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -19,6 +19,16 @@
 	return Kind{"started", slog.LevelInfo, "The process serves requests from now on."}
 }
 
+// ClientClosed reports that the connection of a caller was closed because callers occupy too much.
+type ClientClosed struct {
+	Bound string `event:"bound" doc:"bound that was reached: connections, or bytes of requests that are not answered yet"`
+}
+
+// Kind implements Event.
+func (ClientClosed) Kind() Kind {
+	return Kind{"client closed", slog.LevelInfo, "No whole request had arrived on the connection. The lines are limited in number; micaplank_frontend_clients_closed_total counts all."}
+}
+
 // Draining reports the start of a planned stop.
 type Draining struct {
 	InFlight int           `event:"in_flight" doc:"queries that run on this node"`
--- a/internal/selfhosted/node/build.go
+++ b/internal/selfhosted/node/build.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/intake"
 	"github.com/micaplank/micaplank/internal/leaf"
 	"github.com/micaplank/micaplank/internal/peer"
 	"github.com/micaplank/micaplank/internal/rows"
@@ -160,7 +161,24 @@
 		MaxBodyBytes: n.settings.Limits.BodyBytes,
 		CheckReady:   n.checkReady,
 	})
-	n.httpServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: readHeaderTimeout}
+	n.httpServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes}
+	intake.Serve(n.httpServer)
+	n.clientGuard = n.newClientGuard()
+}
+
+// maxHeadBytes bounds the head of a request. A statement is in the body.
+const maxHeadBytes = 64 << 10
+
+// newClientGuard returns the bounds on callers that this machine bears.
+func (n *Node) newClientGuard() *intake.Guard {
+	connections, bytes := intake.Limits(n.settings.Process.MemoryBytes, n.settings.Process.MaxDescriptors)
+	closed := telemetry.NewFactory(n.registry).CounterVec("micaplank_clients_closed_total",
+		"Connections of callers that were closed before a whole request had arrived, by the bound that was reached: connections or bytes.", "bound")
+	return intake.NewGuard(intake.Config{
+		Connections: connections, Bytes: bytes,
+		LargestRequest: func() int64 { return intake.RequestCost(maxHeadBytes, n.settings.Limits.BodyBytes) },
+		OnClose:        func(bound intake.Bound) { closed.WithLabelValues(string(bound)).Inc() },
+	})
 }
 
 // newRandom returns a random generator seeded with the incarnation and the peer port.
--- a/internal/selfhosted/node/node.go
+++ b/internal/selfhosted/node/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/clock"
+	"github.com/micaplank/micaplank/internal/intake"
 	"github.com/micaplank/micaplank/internal/leaf"
 	"github.com/micaplank/micaplank/internal/peer"
 	"github.com/micaplank/micaplank/internal/selfhosted/dissemination"
@@ -54,6 +55,7 @@
 	queryRunner   *query.Runner
 	gateway       *gateway.Gateway
 	httpServer    *http.Server
+	clientGuard   *intake.Guard
 	httpListener  net.Listener
 
 	drainOnce sync.Once
--- a/internal/selfhosted/node/run.go
+++ b/internal/selfhosted/node/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/micaplank/micaplank/internal/decide/shutdown"
 	"github.com/micaplank/micaplank/internal/graceful"
+	"github.com/micaplank/micaplank/internal/intake"
 	"github.com/micaplank/micaplank/internal/selfhosted/machines"
 	"github.com/micaplank/micaplank/internal/telemetry"
 )
@@ -40,7 +41,9 @@
 	n.backgroundTasks.Go(n.runMarkSync)
 	n.backgroundTasks.Go(func() { n.ledger.Run(n.backgroundContext) })
 	serveError := make(chan error, 1)
-	n.backgroundTasks.Go(func() { serveError <- ignoreServerClosed(n.httpServer.Serve(n.httpListener)) })
+	n.backgroundTasks.Go(func() {
+		serveError <- ignoreServerClosed(n.httpServer.Serve(intake.Listener{Listener: n.httpListener, Guard: n.clientGuard}))
+	})
 	n.logger.Info("listening", "http", n.HTTPAddress(), "peer", n.PeerAddress())
 	select {
 	case <-ctx.Done():
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,36 +34,39 @@
 
 // Process declares the machine resources that the process may use.
 type Process struct {
-	Cores       float64 `toml:"cores" comment:"Processor of the machine, as cores of ordinary speed, and the share of each that the process gets." validate:"gt=0" expect:"a number above 0"`
-	CoreShare   float64 `toml:"core_share" validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
-	MemoryBytes int64   `toml:"memory_bytes" comment:"Memory that the process may use; the garbage collector keeps below nine tenths of it. 0: no limit." validate:"gte=0" expect:"a whole number of bytes, 0 or above"`
+	Cores          float64 `toml:"cores" comment:"Processor of the machine, as cores of ordinary speed, and the share of each that the process gets." validate:"gt=0" expect:"a number above 0"`
+	CoreShare      float64 `toml:"core_share" validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
+	MaxDescriptors int     `toml:"max_descriptors" comment:"Descriptors that the process may open. 0: the limit of the process." validate:"gte=0" expect:"a whole number, 0 or above"`
+	MemoryBytes    int64   `toml:"memory_bytes" comment:"Memory that the process may use; the garbage collector keeps below nine tenths of it. 0: no limit." validate:"gte=0" expect:"a whole number of bytes, 0 or above"`
 }
 
 // Forward configures how micaplank-edge forwards opaque requests by a declared configuration.
 type Forward struct {
-	SettleShare     float64  `toml:"settle_share" comment:"Share of a route's objective after which an answer with enough coverage is given." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
-	ClientAllowance Duration `toml:"client_allowance" comment:"Time on the way between a caller and the node that counts for the objective and is not seen here." validate:"gte=0" expect:"a duration, 0 or above, such as \"6ms\""`
-	HedgeShare      float64  `toml:"hedge_share" comment:"Share of a route's objective after which an attempt counts as late, at the latest." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
-	HedgePercentile float64  `toml:"hedge_percentile" comment:"Quantile of recent latency after which an attempt counts as late." validate:"gt=0,lt=1" expect:"a number between 0 and 1"`
-	Linger          Duration `toml:"linger" comment:"How long an attempt that is not wanted any more may go on, so that its connection can be used again." validate:"gte=0" expect:"a duration, 0 or above, such as \"300ms\""`
-	ExtraRatio      float64  `toml:"extra_ratio" comment:"Extra attempts that all nodes together may cause at a service: this share of its requests, and extra_slack more, in any window." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
-	ExtraSlack      float64  `toml:"extra_slack" validate:"gte=0" expect:"a number, 0 or above"`
-	ExtraWindow     Duration `toml:"extra_window" comment:"Window in which extra_slack counts." validate:"gt=0" expect:"a duration above 0, such as \"10s\""`
-	ColdOvershoot   float64  `toml:"cold_overshoot" comment:"What all nodes together may send to a cold leaf in a second: this many times what its service declares, and cold_slack more." validate:"gt=0" expect:"a number above 0"`
-	ColdSlack       float64  `toml:"cold_slack" validate:"gte=0" expect:"a number, 0 or above"`
-	CanaryRatio     float64  `toml:"canary_ratio" comment:"What all nodes together may send to a version that is being rolled out: this share of its service's requests, and canary_slack more. Both 0: orders of roll-outs are not heeded." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
-	CanarySlack     float64  `toml:"canary_slack" validate:"gte=0" expect:"a number, 0 or above"`
-	QuarantineAfter int      `toml:"quarantine_after" comment:"Leaves that end under a request, of which none has answered it, before it is tried on one leaf alone, and refused if that ends, too. 0: never." validate:"gte=0,lte=8" expect:"a whole number from 0 to 8"`
-	ExtraNodes      int      `toml:"extra_nodes" comment:"Nodes that are taken to share extra_slack until they are counted." validate:"gte=1" expect:"a whole number, 1 or above"`
-	EqualNodes      int      `toml:"equal_nodes" comment:"Least number of nodes of one size, of 0.6 cores or more, of which two in each zone run the requests of many shards for all. 0: each runs its own." validate:"gte=0" expect:"a whole number, 0 or above"`
-	WatchWait       Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
-	WatchGather     Duration `toml:"watch_gather" comment:"Pause after changes before the next watch, so that changes in quick succession come together." validate:"gte=0" expect:"a duration, 0 or above, such as \"250ms\""`
-	LeafDoubt       Duration `toml:"leaf_doubt" comment:"How long a leaf is still used whose entry went around an outage of the store." validate:"gte=0" expect:"a duration, 0 or above, such as \"2s\""`
-	LeafHeartbeat   Duration `toml:"leaf_heartbeat" comment:"Time between two announcements of a leaf; after three of silence its entry goes." validate:"gt=0" expect:"a duration above 0, such as \"1.2s\""`
-	LeafSettling    Duration `toml:"leaf_settling" comment:"Time after an outage of the store in which leaves announce themselves again." validate:"gte=0" expect:"a duration, 0 or above, such as \"3s\""`
-	DrainDelay      Duration `toml:"drain_delay" comment:"Time of a planned stop in which connections are still taken, until callers have moved." validate:"gte=0" expect:"a duration, 0 or above, such as \"3500ms\""`
-	StopTimeout     Duration `toml:"stop_timeout" comment:"Time that the platform allows for a planned stop before it kills the process." validate:"gt=0" expect:"a duration above 0, such as \"6s\""`
-	IdleTimeout     Duration `toml:"idle_timeout" comment:"How long a caller's connection may rest, unless the configuration in force says." validate:"gt=0" expect:"a duration above 0, such as \"1m\""`
+	SettleShare       float64  `toml:"settle_share" comment:"Share of a route's objective after which an answer with enough coverage is given." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
+	ClientAllowance   Duration `toml:"client_allowance" comment:"Time on the way between a caller and the node that counts for the objective and is not seen here." validate:"gte=0" expect:"a duration, 0 or above, such as \"6ms\""`
+	HedgeShare        float64  `toml:"hedge_share" comment:"Share of a route's objective after which an attempt counts as late, at the latest." validate:"gt=0,lte=1" expect:"a number above 0, at most 1"`
+	HedgePercentile   float64  `toml:"hedge_percentile" comment:"Quantile of recent latency after which an attempt counts as late." validate:"gt=0,lt=1" expect:"a number between 0 and 1"`
+	Linger            Duration `toml:"linger" comment:"How long an attempt that is not wanted any more may go on, so that its connection can be used again." validate:"gte=0" expect:"a duration, 0 or above, such as \"300ms\""`
+	ExtraRatio        float64  `toml:"extra_ratio" comment:"Extra attempts that all nodes together may cause at a service: this share of its requests, and extra_slack more, in any window." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
+	ExtraSlack        float64  `toml:"extra_slack" validate:"gte=0" expect:"a number, 0 or above"`
+	ExtraWindow       Duration `toml:"extra_window" comment:"Window in which extra_slack counts." validate:"gt=0" expect:"a duration above 0, such as \"10s\""`
+	ColdOvershoot     float64  `toml:"cold_overshoot" comment:"What all nodes together may send to a cold leaf in a second: this many times what its service declares, and cold_slack more." validate:"gt=0" expect:"a number above 0"`
+	ColdSlack         float64  `toml:"cold_slack" validate:"gte=0" expect:"a number, 0 or above"`
+	CanaryRatio       float64  `toml:"canary_ratio" comment:"What all nodes together may send to a version that is being rolled out: this share of its service's requests, and canary_slack more. Both 0: orders of roll-outs are not heeded." validate:"gte=0,lte=1" expect:"a number from 0 to 1"`
+	CanarySlack       float64  `toml:"canary_slack" validate:"gte=0" expect:"a number, 0 or above"`
+	QuarantineAfter   int      `toml:"quarantine_after" comment:"Leaves that end under a request, of which none has answered it, before it is tried on one leaf alone, and refused if that ends, too. 0: never." validate:"gte=0,lte=8" expect:"a whole number from 0 to 8"`
+	ExtraNodes        int      `toml:"extra_nodes" comment:"Nodes that are taken to share extra_slack until they are counted." validate:"gte=1" expect:"a whole number, 1 or above"`
+	EqualNodes        int      `toml:"equal_nodes" comment:"Least number of nodes of one size, of 0.6 cores or more, of which two in each zone run the requests of many shards for all. 0: each runs its own." validate:"gte=0" expect:"a whole number, 0 or above"`
+	WatchWait         Duration `toml:"watch_wait" comment:"Longest wait of one watch of the store." validate:"gt=0" expect:"a duration above 0, such as \"2500ms\""`
+	WatchGather       Duration `toml:"watch_gather" comment:"Pause after changes before the next watch, so that changes in quick succession come together." validate:"gte=0" expect:"a duration, 0 or above, such as \"250ms\""`
+	LeafDoubt         Duration `toml:"leaf_doubt" comment:"How long a leaf is still used whose entry went around an outage of the store." validate:"gte=0" expect:"a duration, 0 or above, such as \"2s\""`
+	LeafHeartbeat     Duration `toml:"leaf_heartbeat" comment:"Time between two announcements of a leaf; after three of silence its entry goes." validate:"gt=0" expect:"a duration above 0, such as \"1.2s\""`
+	LeafSettling      Duration `toml:"leaf_settling" comment:"Time after an outage of the store in which leaves announce themselves again." validate:"gte=0" expect:"a duration, 0 or above, such as \"3s\""`
+	DrainDelay        Duration `toml:"drain_delay" comment:"Time of a planned stop in which connections are still taken, until callers have moved." validate:"gte=0" expect:"a duration, 0 or above, such as \"3500ms\""`
+	StopTimeout       Duration `toml:"stop_timeout" comment:"Time that the platform allows for a planned stop before it kills the process." validate:"gt=0" expect:"a duration above 0, such as \"6s\""`
+	ClientConnections int      `toml:"client_connections" comment:"Connections of callers that are open at once at most; beyond it, one is closed that has sent no whole request. 0: half of process.max_descriptors, and what a sixth of process.memory_bytes bears." validate:"gte=0" expect:"a whole number, 0 or above"`
+	ClientBytes       int64    `toml:"client_bytes" comment:"Memory for requests of callers that are not answered yet; beyond it, the largest is cut off that is not whole. 0: a third of process.memory_bytes." validate:"gte=0" expect:"a whole number of bytes, 0 or above"`
+	IdleTimeout       Duration `toml:"idle_timeout" comment:"How long a caller's connection may rest, unless the configuration in force says." validate:"gt=0" expect:"a duration above 0, such as \"1m\""`
 }
 
 // Listen holds the addresses on which the node listens.
