http1: what a back end sends is bounded, on one connection and on all

Callers of a node could lose all their requests on it: a back end that sent a status line, a header line, header lines, interim responses or other bytes without end was read until the process ran out of memory.

Cause: only the body had a limit; the head was read by package http without one, and nothing bounded what all connections hold. A body was allocated by its announced length before a byte had arrived. The class is that of the crowds of clients: a sender that is not trusted decides on memory.

Beyond a bound the connection is closed at once, the attempt ends as broken (sent, outcome unknown), and micaplank_http1_oversized_responses_total says which.

FuzzResponse builds its connection with the new part; its check is unchanged.

--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,8 +59,13 @@
 	// IdleTimeout is the time after which an idle connection is closed, unless the back end names a
 	// shorter time.
 	IdleTimeout time.Duration
+	// HeadBytes is the maximum size of the head of a response, with the interim responses before it.
+	HeadBytes int
 	// BodyBytes is the maximum size of a response body.
 	BodyBytes int64
+	// ResponseBytes bounds what all connections together have received of responses that are not
+	// complete. Beyond it, a response is given up that has more than a small share.
+	ResponseBytes int64
 	// MaxSkippedResponses is the number of responses to other requests that are skipped on a
 	// connection before the awaited response.
 	MaxSkippedResponses int
@@ -68,7 +74,7 @@
 // DefaultConfig returns the bounds that seldom need to be changed. They only limit the cost of a
 // faulty back end. The bounds that depend on the deployment are zero.
 func DefaultConfig() Config {
-	return Config{IdleTimeout: 20 * time.Second, BodyBytes: 16 << 20, MaxSkippedResponses: 2}
+	return Config{IdleTimeout: 20 * time.Second, HeadBytes: 64 << 10, BodyBytes: 16 << 20, ResponseBytes: 64 << 20, MaxSkippedResponses: 2}
 }
 
 // Response is a complete response.
@@ -95,6 +101,8 @@
 type Client struct {
 	config  Config
 	metrics *metrics
+	// held is what all connections have received of responses that are not complete, in bytes.
+	held atomic.Int64
 
 	mutex   sync.Mutex
 	pools   map[Target]*pool
--- a/internal/edge/http1/client_test.go
+++ b/internal/edge/http1/client_test.go
@@ -83,7 +83,7 @@
 func newClient(t *testing.T, connections int) *Client {
 	client := New(Config{
 		ConnectionsPerTarget: connections, DialTimeout: time.Second, IdleTimeout: time.Minute,
-		BodyBytes: 100, MaxSkippedResponses: 1,
+		HeadBytes: 64 << 10, BodyBytes: 100, ResponseBytes: 1 << 30, MaxSkippedResponses: 1,
 	}, prometheus.NewRegistry())
 	t.Cleanup(client.Close)
 	return client
@@ -271,12 +271,13 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5, max=1\r\n\r\nrest"))
 	f.Add([]byte("nonsense"))
-	client := New(Config{ConnectionsPerTarget: 1, IdleTimeout: time.Minute, BodyBytes: 100, MaxSkippedResponses: 1}, prometheus.NewRegistry())
+	client := New(Config{ConnectionsPerTarget: 1, IdleTimeout: time.Minute, HeadBytes: 64 << 10, BodyBytes: 100, ResponseBytes: 1 << 30, MaxSkippedResponses: 1}, prometheus.NewRegistry())
 	f.Fuzz(func(t *testing.T, content []byte) {
 		near, far := net.Pipe()
 		go func() { _, _ = far.Write(content); _ = far.Close() }()
 		owner := newPool(client, Target{})
-		c := &connection{pool: owner, socket: near, reader: bufio.NewReader(near)}
+		arriving := &inflow{socket: near, client: client}
+		c := &connection{pool: owner, socket: near, inflow: arriving, reader: bufio.NewReader(arriving)}
 		response, idle, err := c.receiveMatching(&exchange{method: http.MethodGet, match: isMatch})
 		_ = near.Close()
 		if err == nil && (response == nil || int64(len(response.Body)) > client.config.BodyBytes || idle > client.config.IdleTimeout) {
--- a/internal/edge/http1/connection.go
+++ b/internal/edge/http1/connection.go
@@ -37,7 +37,8 @@
 type connection struct {
 	pool   *pool
 	socket net.Conn
-	reader *bufio.Reader
+	inflow *inflow
+	reader *bufio.Reader // of inflow
 
 	mutex   sync.Mutex
 	ids     recentIDs // of Message.ID
@@ -49,7 +50,8 @@
 
 // newConnection returns a connection that is in use by the caller.
 func newConnection(owner *pool, socket net.Conn) *connection {
-	c := &connection{pool: owner, socket: socket, reader: bufio.NewReader(socket), busy: true}
+	arriving := &inflow{socket: socket, client: owner.client}
+	c := &connection{pool: owner, socket: socket, inflow: arriving, reader: bufio.NewReader(arriving), busy: true}
 	go c.readLoop()
 	return c
 }
@@ -161,6 +163,9 @@
 // may be reused.
 func (c *connection) handleResponse(current *exchange) bool {
 	response, idle, err := c.receiveMatching(current)
+	if bound := boundOf(err); bound != "" {
+		c.pool.client.metrics.oversized.WithLabelValues(bound).Inc()
+	}
 	if err != nil {
 		current.done <- result{err: err, use: current.use}
 		return false
--- a/internal/edge/http1/metrics.go
+++ b/internal/edge/http1/metrics.go
@@ -10,7 +10,7 @@
 type metrics struct {
 	dials, dialFailures, brokenExchanges prometheus.Counter
 	replaced                             prometheus.Counter
-	surplusResponses                     *prometheus.CounterVec
+	surplusResponses, oversized          *prometheus.CounterVec
 	waiting                              prometheus.Gauge
 }
 
@@ -33,6 +33,9 @@
 		surplusResponses: create.CounterVec("micaplank_http1_surplus_responses_total",
 			"Responses of leaves that belong to no request in progress on their connection, or other bytes that arrive there unasked, by place: before (the awaited response), behind (directly behind a response), idle (on an idle connection).",
 			"place"),
+		oversized: create.CounterVec("micaplank_http1_oversized_responses_total",
+			"Responses of leaves that were given up because they take too much memory, by bound: head, framing (chunks and trailers), body, all (responses of all connections).",
+			"bound"),
 		replaced: create.Counter("micaplank_http1_replaced_connections_total",
 			"Connections to leaves that were closed because they had carried an earlier attempt of the request that needed one."),
 		waiting: create.Gauge("micaplank_http1_waiting_requests",
--- a/internal/edge/http1/response.go
+++ b/internal/edge/http1/response.go
@@ -9,12 +9,15 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/leafanswer"
+	"github.com/micaplank/micaplank/internal/readbody"
 )
 
 // receiveResponse reads the next final response. It returns how long the connection may be idle
 // afterwards, or zero if the connection must not be reused.
 func (c *connection) receiveResponse(method string) (*Response, time.Duration, error) {
 	request := &http.Request{Method: method} // parsing a response needs only the method
+	c.inflow.begin()
+	defer c.inflow.end()
 	for {
 		received, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -23,6 +26,7 @@
 		if received.StatusCode >= 100 && received.StatusCode < 200 {
 			continue // an interim response
 		}
+		c.inflow.beginBody()
 		body, err := readBody(received, c.pool.client.config.BodyBytes)
 		if err != nil {
 			return nil, 0, err
@@ -67,11 +71,9 @@
 		return nil, errBodyTooLarge
 	}
 	if received.ContentLength >= 0 {
-		body := make([]byte, received.ContentLength)
-		_, err := io.ReadFull(received.Body, body)
-		return body, err
+		return readbody.All(received.Body, received.ContentLength)
 	}
-	body, err := io.ReadAll(io.LimitReader(received.Body, limit+1))
+	body, err := readbody.All(io.LimitReader(received.Body, limit+1), -1)
 	if err == nil && int64(len(body)) > limit {
 		return nil, errBodyTooLarge
 	}
--- /dev/null
+++ b/internal/readbody/readbody.go
@@ -0,0 +1,43 @@
+// Package readbody reads the body of an HTTP message whose sender may not be trusted: the memory that
+// it takes follows what has arrived, and not what was announced.
+package readbody
+
+import (
+	"io"
+	"math"
+)
+
+// firstBuffer is the size of the first buffer, in bytes.
+const firstBuffer = 4 << 10
+
+// All reads to the end. Its buffer doubles up to the announced length, or without bound if that is
+// negative. It leaves less behind than io.ReadAll, whose buffer grows by a quarter.
+func All(source io.Reader, announced int64) ([]byte, error) {
+	most := int64(math.MaxInt64)
+	if announced >= 0 {
+		most = announced + 1 // the last read finds the end
+	}
+	content := make([]byte, 0, min(firstBuffer, most))
+	for {
+		if len(content) == cap(content) {
+			content = grow(content, most)
+		}
+		read, err := source.Read(content[len(content):cap(content)])
+		content = content[:len(content)+read]
+		if err == io.EOF {
+			return content, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// grow returns a copy of a full buffer with twice its capacity, or the given one if that is less, and
+// always with room for more.
+func grow(full []byte, most int64) []byte {
+	size := int64(cap(full))
+	grown := make([]byte, len(full), max(min(2*size, most), size+1))
+	copy(grown, full)
+	return grown
+}
