--- a/internal/readbody/readbody.go
+++ b/internal/readbody/readbody.go
@@ -33,11 +33,14 @@
 	}
 }
 
-// grow returns a copy of a full buffer with twice its capacity, or the given one if that is less, and
-// always with room for more.
+// grow returns a copy of a full buffer with twice its capacity, or with the given one if that is less
+// and leaves room for more.
 func grow(full []byte, most int64) []byte {
-	size := int64(cap(full))
-	grown := make([]byte, len(full), max(min(2*size, most), size+1))
+	size := 2 * int64(cap(full))
+	if most > int64(cap(full)) {
+		size = min(size, most)
+	}
+	grown := make([]byte, len(full), size)
 	copy(grown, full)
 	return grown
 }
