leafanswer, http1: a response whose status is none of HTTP is no answer

Callers could get status 600 of a faulty leaf as an answer, and waited until their deadline when it sent 101, which was taken for an interim response.

Cause: a status was held against its class only; package http takes any three digits. Change: one rule (leafanswer.IsStatus), held where a response is read, so that it holds on every path (one leaf, parts, combiners).

--- a/internal/decide/leafanswer/leafanswer.go
+++ b/internal/decide/leafanswer/leafanswer.go
@@ -8,6 +8,9 @@
 // Reason: a faulty leaf may send bytes of one answer in the middle of another one. The ID of the
 // request may then be right, and the body as long as stated, and yet the answer is not the leaf's.
 //
+// Rule for a status (IsStatus): a response whose status is none of HTTP is no answer. The request may
+// have run.
+//
 // Rule for an answer (Answer.Use): a success, of status 200 to 299, is used if it carries the leaf's
 // signature and its body is not encoded; no other success ever reaches a caller. A status of 300 to
 // 499 is the leaf's verdict on the request and is returned, but is no part of an answer that is
@@ -23,6 +26,15 @@
 
 import "net/http"
 
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
+// IsStatus reports whether a number is a status that a leaf may send. 101 is none, since no request
+// asks for another protocol.
+func IsStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // Answer describes an answer of a leaf that ran the request.
 type Answer struct {
 	// Status is the HTTP status.
--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -39,6 +39,7 @@
 var (
 	errClosed           = errors.New("client is closed")
 	errBodyTooLarge     = errors.New("response body exceeds the limit")
+	errInvalidStatus    = errors.New("status of the response is none of the protocol")
 	errResponseMismatch = errors.New("response belongs to another request")
 )
 
--- a/internal/edge/http1/response.go
+++ b/internal/edge/http1/response.go
@@ -23,7 +23,10 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if received.StatusCode >= 100 && received.StatusCode < 200 {
+		if !leafanswer.IsStatus(received.StatusCode) {
+			return nil, 0, errInvalidStatus
+		}
+		if received.StatusCode < http.StatusOK {
 			continue // an interim response
 		}
 		c.inflow.beginBody()
