mirror: a node that states no era is compared in the era of its watcher everywhere

A watcher that is behind a node of an earlier version refused it only if both stated an era, so that the node waited for changes that others had. One function assumes the era now, before every comparison. TestNodeThatStatesNoEraIsServedUntilRestore is new.

--- a/internal/edge/mirror/history.go
+++ b/internal/edge/mirror/history.go
@@ -108,9 +108,6 @@
 // that is closed when the response may have changed. A refusal names the position of this node, from
 // which the other one learns of a restore of the store.
 func (h *history) eventsAfter(after position.Position) (WatchResponse, <-chan struct{}) {
-	if after.Era == 0 && !h.restored {
-		after.Era = h.reached.Era
-	}
 	switch {
 	case !h.started, after.Era != h.reached.Era, after.Before(h.since), h.withinGap(after):
 		return h.refusal(), h.changed
@@ -134,6 +131,15 @@
 	}, h.changed
 }
 
+// assumeEra returns the position of a node, with the era of this history if the node does not state
+// one and cannot be in another.
+func (h *history) assumeEra(after position.Position) position.Position {
+	if after.Era == 0 && !h.restored {
+		after.Era = h.reached.Era
+	}
+	return after
+}
+
 // refusal returns the response to a node that this one cannot serve.
 func (h *history) refusal() WatchResponse {
 	return WatchResponse{State: WatchRefused, Revision: h.reached.Revision, Era: h.reached.Era}
--- a/internal/edge/mirror/serve.go
+++ b/internal/edge/mirror/serve.go
@@ -34,6 +34,7 @@
 	defer timer.Stop()
 	for {
 		s.mutex.Lock()
+		after = s.history.assumeEra(after)
 		response, changed := s.history.eventsAfter(after)
 		if !s.serving {
 			response = s.history.refusal()
--- a/internal/edge/mirror/shared_test.go
+++ b/internal/edge/mirror/shared_test.go
@@ -248,3 +248,25 @@
 		}
 	}
 }
+
+// TestNodeThatStatesNoEraIsServedUntilRestore guards against a fleet of two versions whose nodes all
+// read the store, and against a node that is sent to a watcher which is behind it.
+func TestNodeThatStatesNoEraIsServedUntilRestore(t *testing.T) {
+	p := newWatcherPair(t)
+	p.store.era = 1
+	if _, _, err := p.watcher.Range(t.Context(), ""); err != nil {
+		t.Fatal(err)
+	}
+	p.watcher.history.restored = false // the watcher has read only this era
+	p.watcherPosition = p.store.position()
+	p.store.put("a")
+	if err := p.watch(); err != nil {
+		t.Fatal(err)
+	}
+	if response := p.watcher.awaitChanges(t.Context(), at(0), 0); response.State != WatchCurrent || len(response.Events) != 1 {
+		t.Errorf("node at revision 0: got %+v, want one change", response)
+	}
+	if response := p.watcher.awaitChanges(t.Context(), at(9), 0); response.State != WatchRefused {
+		t.Errorf("node at a later revision: got %+v, want a refusal", response)
+	}
+}
