intake: what a closed connection occupies counts until the server has let go of it

Cause: a request that was cut off was taken off the count at once, although its goroutine and buffer live until it is scheduled; others filled that memory again meanwhile. Change: it counts as closing until the server closes the connection, and connections that are open read on only when there is room. Closed ones never wait, so that the count always falls.

TestClosedRequestCountsUntilItIsReleased fails with the wait switched off.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -53,11 +53,17 @@
 	mutex       sync.Mutex
 	connections map[*Conn]struct{}
 	bytes       int64
+	// closing is what connections occupy that were closed because of a bound, until the server has
+	// let go of them. released is signalled when it falls.
+	closing  int64
+	released sync.Cond
 }
 
 // NewGuard returns a Guard without connections.
 func NewGuard(config Config) *Guard {
-	return &Guard{config: config, connections: make(map[*Conn]struct{})}
+	guard := &Guard{config: config, connections: make(map[*Conn]struct{})}
+	guard.released.L = &guard.mutex
+	return guard
 }
 
 // phase is what a connection does.
@@ -82,7 +88,9 @@
 	since time.Time
 	// served is set after the first answer.
 	served bool
-	closed bool
+	// closed is set once the connection is not counted any more, and closing if it was closed because
+	// of a bound and the server still holds it.
+	closed, closing bool
 }
 
 // Usage is what the clients occupy.
@@ -109,6 +117,9 @@
 		closed = append(closed, g.remove(g.longestWaiting(accepted), BoundConnections))
 	}
 	open := !accepted.closed
+	if !open {
+		g.release(accepted) // no server holds it
+	}
 	g.mutex.Unlock()
 	g.close(closed)
 	return accepted, open
@@ -147,12 +158,40 @@
 	return max(g.config.Bytes, g.config.LargestRequest()+int64(len(g.connections))*connectionCost)
 }
 
-// remove stops counting a connection.
+// remove stops counting a connection, which is to be closed because of a bound.
 func (g *Guard) remove(conn *Conn, bound Bound) victim {
+	g.forget(conn)
+	conn.closing = true
+	g.closing += conn.cost
+	g.released.Broadcast() // its reader may wait
+	return victim{conn, bound}
+}
+
+// forget stops counting a connection.
+func (g *Guard) forget(conn *Conn) {
 	conn.closed = true
 	g.bytes -= conn.cost
 	delete(g.connections, conn)
-	return victim{conn, bound}
+}
+
+// release records that the server has let go of a connection that was closed because of a bound.
+func (g *Guard) release(conn *Conn) {
+	if conn.closing {
+		conn.closing = false
+		g.closing -= conn.cost
+		g.released.Broadcast()
+	}
+}
+
+// awaitRelease waits until the memory of closed connections has been released, so that those which
+// are still open do not fill it a second time. It returns false if the connection was closed meanwhile.
+func (g *Guard) awaitRelease(conn *Conn) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for !conn.closed && conn.phase != phaseRunning && g.closing > 0 && g.bytes+g.closing > g.bytesBound() {
+		g.released.Wait()
+	}
+	return !conn.closed || conn.phase == phaseRunning
 }
 
 // close closes connections. It must be called without the mutex.
@@ -194,6 +233,9 @@
 
 // Read implements net.Conn. It counts what it reads until the request is whole.
 func (c *Conn) Read(buffer []byte) (int, error) {
+	if !c.guard.awaitRelease(c) {
+		return 0, net.ErrClosed
+	}
 	read, err := c.Conn.Read(buffer)
 	c.guard.mutex.Lock()
 	var closed []victim
@@ -212,8 +254,9 @@
 func (c *Conn) Close() error {
 	c.guard.mutex.Lock()
 	if !c.closed {
-		c.guard.remove(c, "")
+		c.guard.forget(c)
 	}
+	c.guard.release(c)
 	c.guard.mutex.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 )
 
 // guardedServer is an HTTP server behind a Guard.
@@ -144,3 +145,34 @@
 	}
 	s.eventually(func() bool { return s.guard.Usage() == Usage{} })
 }
+
+// TestClosedRequestCountsUntilItIsReleased guards against open connections that fill the memory of
+// closed ones before their server has let go of it.
+func TestClosedRequestCountsUntilItIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		guard := NewGuard(Config{Connections: 10, Bytes: 60_000, OnClose: func(Bound) {}})
+		accept := func() *Conn {
+			near, far := net.Pipe()
+			go func() { _, _ = far.Write(make([]byte, 10_000)) }()
+			accepted, _ := guard.Accept(near)
+			accepted.setPhase(phaseBody)
+			return accepted
+		}
+		large := accept()
+		if read, err := large.Read(make([]byte, 10_000)); read != 10_000 || err != nil {
+			t.Fatalf("got %d bytes, error %v, want 10000", read, err)
+		}
+		waiting := accept() // which takes the memory beyond its bound, so that the large one is closed
+		done := make(chan struct{})
+		go func() { _, _ = waiting.Read(make([]byte, 10)); close(done) }()
+		synctest.Wait()
+		select {
+		case <-done:
+			t.Error("the open connection was read, want it to wait for the memory of the closed one")
+		default:
+		}
+		_ = large.Close()
+		<-done
+		_ = waiting.Close()
+	})
+}
