--- a/internal/edge/http1/client.go
+++ b/internal/edge/http1/client.go
@@ -78,6 +78,19 @@
 	return Config{IdleTimeout: 20 * time.Second, HeadBytes: 64 << 10, BodyBytes: 16 << 20, ResponseBytes: 64 << 20, MaxSkippedResponses: 2}
 }
 
+// responseMemoryShare is the share of a machine's memory that responses may take which are not
+// complete: an eighth.
+const responseMemoryShare = 8
+
+// LimitMemory bounds the responses by the memory of the machine in bytes; zero sets no bound.
+func (c *Config) LimitMemory(memoryBytes int64) {
+	if memoryBytes == 0 {
+		return
+	}
+	c.ResponseBytes = memoryBytes / responseMemoryShare
+	c.BodyBytes = min(c.BodyBytes, c.ResponseBytes/2)
+}
+
 // Response is a complete response.
 type Response struct {
 	Status int
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -7,6 +7,15 @@
 	"net/http"
 )
 
+// connKey is the key under which the context of a request holds its Conn.
+type connKey struct{}
+
+// Serve makes a server serve connections that were accepted by a Guard.
+func Serve(server *http.Server) {
+	server.ConnContext = withConn
+	server.Handler = trackRequests(server.Handler)
+}
+
 func withConn(ctx context.Context, connection net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, connection)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,7 +9,6 @@
 
 import (
 	"net"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -288,12 +287,3 @@
 	}
 	c.phase, c.since, c.served = phaseHead, time.Now(), true
 }
-
-// connKey is the key under which the context of a request holds its Conn.
-type connKey struct{}
-
-// Serve makes a server serve connections that were accepted by a Guard.
-func Serve(server *http.Server) {
-	server.ConnContext = withConn
-	server.Handler = trackRequests(server.Handler)
-}
