--- a/review/rig2/load.go
+++ b/review/rig2/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -23,9 +24,11 @@
 	// Pause is the time between two requests to one node.
 	Pause time.Duration
 
-	clients []*platformtest.Client
-	cancel  context.CancelFunc
-	senders sync.WaitGroup
+	clients  []*platformtest.Client
+	mutex    sync.Mutex
+	statuses map[int]int // answers by status, zero without an answer
+	cancel   context.CancelFunc
+	senders  sync.WaitGroup
 }
 
 // Add adds a node that gets requests.
@@ -61,4 +64,17 @@
 	l.Case.Note("send %s %s", id, target)
 	reply, err := client.Send(context.Background(), method, target, id, clientWaits, body)
 	l.Case.Note("answer %s: status %d, error %v", id, reply.Status, err)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.statuses == nil {
+		l.statuses = make(map[int]int)
+	}
+	l.statuses[reply.Status]++
+}
+
+// Statuses returns the number of answers by status, after Stop; zero stands for no answer.
+func (l *Load) Statuses() map[int]int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return maps.Clone(l.statuses)
 }
