rollout: an order and its phase outlive a restore of the store

Cause: orders and records were told apart by bare revisions, which a restored store issues again.

Change: an order is known by number and version, its position by era and revision. In a later era the same version and duration are the same order, so that age, evidence, phase and allowance stay; a bare comparison of positions would have renewed them. An order that the copy lacks stays in force until the operator has written it, or the second read lacks it. Nodes hold apart what they know of a phase and what the store holds; the decider writes again what the store has lost, and learns phases from reports. Messages state the version of an order; recorded forms of former versions decode. Whether a leaf is newer than the end of a roll-out is compared within an era.

TestConcurrentDecidersOnlyAdvancePhases reported the phase of a former order under the number of the order in force, which no node does; since deciders learn phases from reports, its reports now state the phase of that order. Its checks are unchanged.

--- a/internal/decide/rollout/benchmark_test.go
+++ b/internal/decide/rollout/benchmark_test.go
@@ -63,7 +63,7 @@
 			table := NewTable()
 			for order := range size.orders {
 				service := fmt.Sprint("shard-", order)
-				table.SetOrder(0, Order{Service: service, Version: "v2", Duration: time.Hour, Revision: 7})
+				table.SetOrder(0, Order{Service: service, Version: "v2", Duration: time.Hour, Written: testPosition(7)})
 				table.SetRecord(Record{Service: service, Order: 7, Version: "v2", Phase: PhaseTrial, Revision: 8})
 			}
 			decider := NewDecider(table, "d")
--- a/internal/decide/rollout/counts.go
+++ b/internal/decide/rollout/counts.go
@@ -97,9 +97,11 @@
 // Subject identifies what counts refer to.
 type Subject struct {
 	Service string
-	// Order is the revision of the order in force during the attempts.
-	Order uint64
-	Route string
+	// Order and Version identify the order in force during the attempts. Nodes of a previous version
+	// leave the version empty.
+	Order   uint64
+	Version string
+	Route   string
 	// Target reports whether the leaf runs the version of the order.
 	Target bool
 	// Zone and Leaf identify the leaf. Nodes of a previous version leave them empty for leaves of
@@ -149,14 +151,26 @@
 }
 
 // Retain drops the counts of all orders except the given ones, by service.
-func (c *Counter) Retain(orders map[string]uint64) {
+func (c *Counter) Retain(orders map[string]Order) {
 	for subject := range c.rows {
-		if orders[subject.Service] != subject.Order {
+		if order, ok := orders[subject.Service]; !ok || !order.Is(subject.Order, subject.Version) {
 			delete(c.rows, subject)
 		}
 	}
 }
 
+// Renumber changes the number of the order to which the counts of a service belong.
+func (c *Counter) Renumber(service string, number uint64) {
+	renumbered := make(map[Subject]*Counts, len(c.rows))
+	for subject, counts := range c.rows {
+		if subject.Service == service {
+			subject.Order = number
+		}
+		renumbered[subject] = counts
+	}
+	c.rows = renumbered
+}
+
 // ChangedRows returns the counts that differ from the last reported ones, sorted by subject.
 func (c *Counter) ChangedRows(reported map[Subject]Counts) []Row {
 	rows := make([]Row, 0, len(c.rows))
--- a/internal/decide/rollout/decider.go
+++ b/internal/decide/rollout/decider.go
@@ -70,16 +70,18 @@
 	d.lastReportAt = now
 	d.recordReport(now, report)
 	for _, progress := range report.Orders {
-		d.table.Merge(now, progress.Service, progress.Order, progress.Age, Record{}, progress.Bad)
+		if rollout := d.table.Lookup(progress.Service); rollout != nil {
+			d.table.Merge(now, progress.state(report.Node, rollout.Order))
+		}
 	}
 	for _, progress := range report.Orders {
 		rollout := d.table.Lookup(progress.Service)
-		if rollout == nil || rollout.Order.Revision != progress.Order {
+		if rollout == nil || !rollout.Order.Is(progress.Order, progress.Version) {
 			continue
 		}
 		reply.Grants = append(reply.Grants, Grant{
-			Service: progress.Service, Order: progress.Order, Open: rollout.isGrantOpen(now), Bad: rollout.Bad,
-			Age: rollout.Age(now), Record: rollout.Record,
+			Service: progress.Service, Order: progress.Order, Version: rollout.Order.Version,
+			Open: rollout.isGrantOpen(now), Bad: rollout.Bad, Age: rollout.Age(now), Record: rollout.Record,
 		})
 	}
 	return reply
@@ -117,23 +119,25 @@
 // next Tick.
 func TickPause(took time.Duration) time.Duration { return tickPauseFactor * took }
 
-// Tick evaluates the targets of all open rollouts, and returns the transitions to write. A
-// transition that was not applied, or whose result is unknown, is returned again.
+// Tick evaluates the targets of all open rollouts, and returns the transitions to write, also of
+// phases that a restored store has lost. A transition that was not applied, or whose result is
+// unknown, is returned again.
 func (d *Decider) Tick(now time.Duration, clock time.Time, supply func(service string) Supply) []Transition {
 	d.expire(now)
 	var transitions []Transition
 	counts := d.aggregateCounts()
-	for _, service := range d.table.OpenServices() {
+	for _, service := range d.table.UnsettledServices() {
 		rollout := d.table.Lookup(service)
 		eval := d.evaluationFor(now, service, rollout)
-		routes, available := counts[service], supply(service)
-		eval.markStale(routes, available.Usable)
-		if rollout.Bad == "" {
-			rollout.Bad = eval.evaluate(now, routes)
+		phase, reason := PhaseNone, ""
+		if rollout.IsOpen() {
+			phase, reason = d.evaluateTarget(now, rollout, eval, counts[service], supply(service))
+		}
+		if phase == PhaseNone && rollout.isRecordLost() {
+			phase, reason = rollout.Phase(), rollout.Record.Reason
 		}
-		phase, reason := d.nextPhase(now, rollout, eval, sumAttempts(routes), available)
-		if phase == PhaseShift {
-			phase, reason = eval.confirmShift(rollout, routes, rollout.Age(now) >= rollout.Order.Duration)
+		if d.table.isOrderLost(rollout) {
+			continue
 		}
 		if phase != PhaseTrial && phase != PhaseRolledBack && now-d.reportingSince < minGatheringTime {
 			continue
@@ -147,25 +151,39 @@
 	return transitions
 }
 
+// evaluateTarget evaluates the target of an open rollout, and returns the phase to move to with the
+// reason; PhaseNone to stay in the current phase.
+func (d *Decider) evaluateTarget(now time.Duration, rollout *Rollout, eval *evaluation, routes map[string]*sample, available Supply) (Phase, string) {
+	eval.markStale(routes, available.Usable)
+	if rollout.Bad == "" {
+		rollout.Bad = eval.evaluate(now, routes)
+	}
+	phase, reason := d.nextPhase(now, rollout, eval, sumAttempts(routes), available)
+	if phase == PhaseShift {
+		return eval.confirmShift(rollout, routes, rollout.Age(now) >= rollout.Order.Duration)
+	}
+	return phase, reason
+}
+
 // transition returns the transition to a phase.
 func (r *Rollout) transition(phase Phase, reason string, orderedAt time.Time) Transition {
 	record := Record{
-		Service: r.Order.Service, Order: r.Order.Revision, Version: r.Version(),
+		Service: r.Order.Service, Order: r.Order.Number(), Version: r.Version(),
 		Phase: phase, Reason: reason, OrderedAt: orderedAt,
 	}
-	if r.Order.Revision == 0 {
-		record.Order = r.Record.Order
+	if !r.Order.Exists() {
+		record.Order = max(r.Record.Order, r.Stored.Order)
 	}
-	return Transition{Record: record, ExpectedRevision: r.Record.Revision, Order: r.Order.Revision}
+	return Transition{Record: record, Expected: r.Stored.Written(), Order: r.Order.Written}
 }
 
 // expire drops the state of orders that ended or were replaced, and of nodes that have not reported
 // for reportRetention. Counts under an order that is not known yet stay, because nodes do not
 // report them again.
 func (d *Decider) expire(now time.Duration) {
-	open := d.table.OpenServices()
+	unsettled := d.table.UnsettledServices()
 	for service := range d.evaluations {
-		if !slices.Contains(open, service) {
+		if !slices.Contains(unsettled, service) {
 			delete(d.evaluations, service)
 		}
 	}
@@ -175,7 +193,7 @@
 			continue
 		}
 		for subject := range report.rows {
-			if rollout := d.table.Lookup(subject.Service); rollout != nil && subject.Order < rollout.Order.Revision {
+			if rollout := d.table.Lookup(subject.Service); rollout != nil && subject.Order < rollout.Order.Number() {
 				delete(report.rows, subject)
 			}
 		}
@@ -184,8 +202,8 @@
 
 func (d *Decider) evaluationFor(now time.Duration, service string, rollout *Rollout) *evaluation {
 	eval, ok := d.evaluations[service]
-	if !ok || eval.order != rollout.Order.Revision {
-		eval = &evaluation{order: rollout.Order.Revision, phaseSince: now, stale: make(map[routeLeaf]Counts)}
+	if !ok || eval.order != rollout.Generation {
+		eval = &evaluation{order: rollout.Generation, phaseSince: now, stale: make(map[routeLeaf]Counts)}
 		d.evaluations[service] = eval
 	}
 	if phase := rollout.Phase(); eval.phase != phase {
@@ -200,7 +218,7 @@
 	for _, report := range d.reports {
 		for subject, counts := range report.rows {
 			rollout := d.table.Lookup(subject.Service)
-			if rollout == nil || rollout.Order.Revision != subject.Order {
+			if rollout == nil || !rollout.Order.Is(subject.Order, subject.Version) {
 				continue
 			}
 			routes, ok := services[subject.Service]
--- a/internal/decide/rollout/decider_test.go
+++ b/internal/decide/rollout/decider_test.go
@@ -16,7 +16,7 @@
 }
 
 func (m *modelStore) advance(transition Transition) bool {
-	if transition.Order != m.order || transition.ExpectedRevision != m.record.Revision {
+	if transition.Order.Revision != m.order || transition.Expected.Revision != m.record.Revision {
 		return false
 	}
 	m.revision++
@@ -25,6 +25,14 @@
 	return true
 }
 
+// phase returns the phase of the order in force.
+func (m *modelStore) phase() Phase {
+	if m.record.Order != m.order {
+		return PhaseNone
+	}
+	return m.record.Phase
+}
+
 // TestConcurrentDecidersOnlyAdvancePhases guards against conflicting decisions when two nodes
 // decide at once: reports reach either decider or none, writes and their answers are lost, and
 // orders are replaced and withdrawn. The stored record must only advance, and an order that has
@@ -52,13 +60,13 @@
 				if store.order == 0 {
 					tables[index].Withdraw(testService)
 				} else {
-					tables[index].SetOrder(now, Order{Service: testService, Version: fmt.Sprint("v", version), Duration: 6 * time.Second, Revision: store.order})
+					tables[index].SetOrder(now, Order{Service: testService, Version: fmt.Sprint("v", version), Duration: 6 * time.Second, Written: testPosition(store.order)})
 				}
 				if store.record.Phase != PhaseNone {
 					tables[index].SetRecord(store.record)
 				}
 			default:
-				report := Report{Node: "a", Orders: []Progress{{Service: testService, Order: store.order, Phase: store.record.Phase}}}
+				report := Report{Node: "a", Orders: []Progress{{Service: testService, Order: store.order, Version: fmt.Sprint("v", version), Phase: store.phase()}}}
 				if rapid.IntRange(0, 9).Draw(t, "bad") == 0 {
 					report.Orders[0].Bad = "reported as bad"
 				}
@@ -130,7 +138,7 @@
 // counts received by another decider, and that it moves no traffic before minGatheringTime.
 func TestDeciderIgnoresReportBasedOnOtherDecider(t *testing.T) {
 	table := NewTable()
-	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: 10 * time.Second, Revision: 1})
+	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: 10 * time.Second, Written: testPosition(1)})
 	table.SetRecord(newTestRecord(1, PhaseBurst, 2))
 	decider := NewDecider(table, "new")
 	progress := []Progress{{Service: testService, Order: 1, Phase: PhaseBurst}}
@@ -151,7 +159,7 @@
 // reports is idle at the control, or completionGrace has passed after the deadline.
 func TestShiftCompletesOnceControlIsIdle(t *testing.T) {
 	table := NewTable()
-	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: 10 * time.Second, Revision: 1})
+	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: 10 * time.Second, Written: testPosition(1)})
 	table.SetRecord(newTestRecord(1, PhaseShift, 2))
 	decider := NewDecider(table, "d")
 	nextPhase := func(now time.Duration) Phase {
--- a/internal/decide/rollout/evaluation.go
+++ b/internal/decide/rollout/evaluation.go
@@ -28,7 +28,7 @@
 
 // evaluation is the state of a Decider for one order.
 type evaluation struct {
-	order uint64
+	order uint64 // generation
 	// phase is the current phase, which the rollout entered at phaseSince.
 	phase      Phase
 	phaseSince time.Duration
--- a/internal/decide/rollout/out_of_use_test.go
+++ b/internal/decide/rollout/out_of_use_test.go
@@ -17,7 +17,7 @@
 
 func newOutOfUseScenario(t *testing.T) *outOfUseScenario {
 	table := NewTable()
-	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: 8 * time.Second, Revision: 1})
+	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: 8 * time.Second, Written: testPosition(1)})
 	return &outOfUseScenario{T: t, decider: NewDecider(table, "d"), counter: NewCounter(), usable: map[string]bool{"a": true, "b": true}}
 }
 
--- a/internal/decide/rollout/report.go
+++ b/internal/decide/rollout/report.go
@@ -26,7 +26,10 @@
 // Progress is the progress of a node with one order.
 type Progress struct {
 	Service string
+	// Order is the number of the order, and Version its version. Nodes of a previous version leave
+	// the version empty.
 	Order   uint64
+	Version string
 	Phase   Phase
 	// Age is the time since the order.
 	Age time.Duration
@@ -50,7 +53,9 @@
 // Grant is the decider's permission and state for one order.
 type Grant struct {
 	Service string
+	// Order and Version identify the order as in Progress.
 	Order   uint64
+	Version string
 	// Open allows the node to spend its allowance.
 	Open bool
 	// Bad describes why the target is bad; empty while there is no evidence.
@@ -60,6 +65,14 @@
 	Record Record
 }
 
+// state returns the progress of a node in the form of a Grant that is not open.
+func (p Progress) state(node string, order Order) Grant {
+	return Grant{
+		Service: p.Service, Order: p.Order, Version: p.Version, Age: p.Age, Bad: p.Bad,
+		Record: Record{Service: p.Service, Order: p.Order, Version: order.Version, Phase: p.Phase, Reason: "as node " + node + " reports"},
+	}
+}
+
 const (
 	// GrantTTL is the lifetime of a grant, from the moment at which the node sent the report that
 	// the grant answers. It is longer than the failover to another decider, for which a node needs
--- a/internal/decide/rollout/report_test.go
+++ b/internal/decide/rollout/report_test.go
@@ -62,11 +62,11 @@
 	decider := NewDecider(table, "d")
 	decider.Report(0, Report{Node: "n", Rows: rows})
 	decider.Tick(0, time.Time{}, nil)
-	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: time.Second, Revision: 1})
+	table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: time.Second, Written: testPosition(1)})
 	if totals := sumAttempts(decider.aggregateCounts()[testService]); totals.target != 1 {
 		t.Errorf("attempts %+v, want 1 at the target", totals)
 	}
-	counter.Retain(map[string]uint64{testService: 2})
+	counter.Retain(map[string]Order{testService: {Service: testService, Written: testPosition(2)}})
 	if left := counter.ChangedRows(nil); len(left) != 0 {
 		t.Errorf("rows %+v of a former order, want none", left)
 	}
--- a/internal/decide/rollout/rollout.go
+++ b/internal/decide/rollout/rollout.go
@@ -30,6 +30,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // Order is an operator's request to move a service to a version.
@@ -39,8 +41,27 @@
 	Version string
 	// Duration is the time from the order to its deadline.
 	Duration time.Duration
-	// Revision is the revision of the store at which the order was written.
-	Revision uint64
+	// Written is the position in the store at which the order was written; zero if there is no order.
+	Written position.Position
+}
+
+// Exists reports whether there is an order.
+func (o Order) Exists() bool { return !o.Written.IsZero() }
+
+// Number returns the revision at which the order was written. A restored store issues revisions
+// again, so that only number and version together identify an order.
+func (o Order) Number() uint64 { return o.Written.Revision }
+
+// Is reports whether an order is identified by a number and a version. The version is empty in
+// messages of nodes of a previous version.
+func (o Order) Is(number uint64, version string) bool {
+	return number == o.Number() && (version == "" || version == o.Version)
+}
+
+// isRepeatedBy reports whether another order is the same one in a restored store: it was in the
+// backup, or the operator has written it again.
+func (o Order) isRepeatedBy(other Order) bool {
+	return o.Exists() && other.Written.Era > o.Written.Era && other.Version == o.Version && other.Duration == o.Duration
 }
 
 // Phase is the progress of a rollout.
@@ -59,6 +80,9 @@
 // phaseRanks orders the phases: a rollout only moves to a phase of higher rank.
 var phaseRanks = map[Phase]int{PhaseTrial: 1, PhaseBurst: 2, PhaseShift: 3, PhaseCompleted: 4, PhaseRolledBack: 4}
 
+// isOpen reports whether a phase has begun that is not final.
+func (p Phase) isOpen() bool { return p != PhaseNone && !p.Ended() }
+
 // Ended reports whether the phase is final.
 func (p Phase) Ended() bool { return p == PhaseCompleted || p == PhaseRolledBack }
 
@@ -68,7 +92,8 @@
 // Record is the persistent state of a rollout in the store.
 type Record struct {
 	Service string `json:"service"`
-	// Order is the revision of the order that the record belongs to.
+	// Order is the number of the order that the record belongs to. It is zero if the order was
+	// withdrawn and a restore of the store has lost the record.
 	Order   uint64 `json:"order"`
 	Version string `json:"version"`
 	Phase   Phase  `json:"phase"`
@@ -76,17 +101,38 @@
 	Reason string `json:"reason"`
 	// OrderedAt is the approximate time of day of the order, for nodes that start later.
 	OrderedAt time.Time `json:"ordered_at"`
-	// Revision is the revision at which the record was written; zero if another node sent the
-	// record.
+	// Revision and Era are the position in the store at which the record was written; zero if this
+	// is not known.
 	Revision uint64 `json:"-"`
+	Era      uint64 `json:"-"`
+}
+
+// Written returns the position in the store at which the record was written; zero if this is not
+// known.
+func (r Record) Written() position.Position {
+	return position.Position{Era: r.Era, Revision: r.Revision}
+}
+
+// SetWritten sets the position in the store at which the record was written.
+func (r *Record) SetWritten(at position.Position) { r.Era, r.Revision = at.Era, at.Revision }
+
+// isSamePhase reports whether two records hold the same phase of the same order.
+func (r Record) isSamePhase(other Record) bool {
+	return r.isOfSameOrder(other) && r.Phase == other.Phase
+}
+
+// isOfSameOrder reports whether two records belong to the same order.
+func (r Record) isOfSameOrder(other Record) bool {
+	return r.Order == other.Order && r.Version == other.Version
 }
 
 // Encode returns the record as it is stored.
 func (r Record) Encode() ([]byte, error) { return json.Marshal(r) }
 
 // DecodeRecord decodes a stored record.
-func DecodeRecord(value []byte, revision uint64) (Record, error) {
-	record := Record{Revision: revision}
+func DecodeRecord(value []byte, written position.Position) (Record, error) {
+	var record Record
+	record.SetWritten(written)
 	if err := json.Unmarshal(value, &record); err != nil {
 		return Record{}, fmt.Errorf("decode roll-out record: %w", err)
 	}
@@ -110,8 +156,8 @@
 type Transition struct {
 	// Record is the record to write.
 	Record Record
-	// ExpectedRevision is the revision of the record that it replaces; zero if there is none.
-	ExpectedRevision uint64
-	// Order is the revision of the order; zero if the order was withdrawn.
-	Order uint64
+	// Expected is the position of the record that it replaces; zero if there is none.
+	Expected position.Position
+	// Order is the position of the order; zero if the order was withdrawn.
+	Order position.Position
 }
--- a/internal/decide/rollout/simulation_test.go
+++ b/internal/decide/rollout/simulation_test.go
@@ -96,11 +96,11 @@
 
 func (s simulation) run(seed uint64) simulationResult {
 	random := rand.New(rand.NewPCG(seed, 1))
-	order := Order{Service: testService, Version: "v2", Duration: s.duration, Revision: 1}
+	order := Order{Service: testService, Version: "v2", Duration: s.duration, Written: testPosition(1)}
 	nodes := make([]*simulatedNode, s.nodes)
 	for index := range nodes {
 		node := &simulatedNode{name: fmt.Sprint(index), table: NewTable(), counter: NewCounter()}
-		node.table.Replace(0, time.Time{}, nil, nil, false)
+		node.table.Replace(0, time.Time{}, Listing{})
 		node.table.SetOrder(0, order)
 		node.allowance = NewAllowance(testBounds, 1/float64(s.nodes), s.duration, random.Float64)
 		nodes[index] = node
@@ -201,7 +201,7 @@
 		{Service: testService, Order: 1, Phase: rollout.Phase(), Age: rollout.Age(now)},
 	}})
 	for _, grant := range reply.Grants {
-		n.table.Merge(now, grant.Service, grant.Order, grant.Age, grant.Record, grant.Bad)
+		n.table.Merge(now, grant)
 		if grant.Open {
 			n.allowance.Grant(now + GrantTTL)
 		}
--- a/internal/decide/rollout/steps.go
+++ b/internal/decide/rollout/steps.go
@@ -35,7 +35,7 @@
 	age, deadline := rollout.Age(now), rollout.Order.Duration
 	shiftTime := min(maxShiftTime, deadline/2)
 	switch {
-	case rollout.Order.Revision == 0:
+	case !rollout.Order.Exists():
 		return PhaseRolledBack, "the order was withdrawn"
 	case rollout.Bad != "":
 		return PhaseRolledBack, rollout.Bad
@@ -104,7 +104,7 @@
 			continue
 		}
 		for _, progress := range report.orders {
-			if progress.Service != rollout.Order.Service || progress.Order != rollout.Order.Revision {
+			if progress.Service != rollout.Order.Service || !rollout.Order.Is(progress.Order, progress.Version) {
 				continue
 			}
 			nodes++
--- a/internal/decide/rollout/table_test.go
+++ b/internal/decide/rollout/table_test.go
@@ -5,8 +5,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/micaplank/micaplank/internal/position"
 )
 
+// testPosition returns a position in a store that was never restored.
+func testPosition(revision uint64) position.Position { return position.Position{Revision: revision} }
+
 func newTestRecord(order uint64, phase Phase, revision uint64) Record {
 	return Record{Service: testService, Order: order, Version: "v2", Phase: phase, Revision: revision}
 }
@@ -24,10 +29,10 @@
 			case 0:
 				table.SetRecord(received)
 			case 1:
-				table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: time.Second, Revision: received.Order})
+				table.SetOrder(0, Order{Service: testService, Version: "v2", Duration: time.Second, Written: testPosition(received.Order)})
 				order = max(order, received.Order)
 			case 2:
-				table.Replace(0, time.Time{}, nil, []Record{received}, true)
+				table.Replace(0, time.Time{}, Listing{Records: []Record{received}, Stale: true})
 			}
 			rollout := table.Lookup(testService)
 			if rollout.Record.Order < last.Order || rollout.Record.Order == last.Order && phaseRanks[rollout.Record.Phase] < phaseRanks[last.Phase] {
@@ -44,24 +49,24 @@
 func TestOrderFoundAtStartTakesAgeFromRecord(t *testing.T) {
 	table := NewTable()
 	clock := time.Unix(1000, 0)
-	order := Order{Service: testService, Version: "v2", Duration: 10 * time.Second, Revision: 7}
+	order := Order{Service: testService, Version: "v2", Duration: 10 * time.Second, Written: testPosition(7)}
 	stored := newTestRecord(7, PhaseTrial, 8)
 	stored.OrderedAt = clock.Add(-4 * time.Second)
-	table.Replace(time.Minute, clock, []Order{order}, []Record{stored}, false)
+	table.Replace(time.Minute, clock, Listing{Orders: []Order{order}, Records: []Record{stored}})
 	rollout := table.Lookup(testService)
 	if !rollout.FoundAtStart || rollout.Age(time.Minute) != 4*time.Second || rollout.Phase() != PhaseTrial {
 		t.Errorf("roll-out %+v, age %s, want a trial found at the start, of age 4s", rollout, rollout.Age(time.Minute))
 	}
-	table.SetOrder(time.Minute, Order{Service: "other", Version: "v2", Duration: time.Second, Revision: 9})
+	table.SetOrder(time.Minute, Order{Service: "other", Version: "v2", Duration: time.Second, Written: testPosition(9)})
 	if other := table.Lookup("other"); other.FoundAtStart || other.Age(time.Minute) != 0 {
 		t.Errorf("roll-out %+v, want a new one of age 0", other)
 	}
-	table.Replace(time.Minute, clock, nil, nil, true)
-	if rollout.Order.Revision == 0 {
+	table.Replace(time.Minute, clock, Listing{Stale: true})
+	if !rollout.Order.Exists() {
 		t.Error("stale listing withdrew an order")
 	}
-	table.Replace(time.Minute, clock, nil, nil, false)
-	if rollout.Order.Revision != 0 || rollout.Version() != "v2" || !rollout.IsOpen() {
+	table.Replace(time.Minute, clock, Listing{})
+	if rollout.Order.Exists() || rollout.Version() != "v2" || !rollout.IsOpen() {
 		t.Errorf("withdrawn roll-out %+v, want it open with version v2", rollout)
 	}
 }
--- a/internal/edge/node/follower.go
+++ b/internal/edge/node/follower.go
@@ -10,6 +10,7 @@
 	"github.com/micaplank/micaplank/internal/clock"
 	"github.com/micaplank/micaplank/internal/decide/executors"
 	"github.com/micaplank/micaplank/internal/decide/quarantine"
+	"github.com/micaplank/micaplank/internal/decide/rollout"
 	"github.com/micaplank/micaplank/internal/decide/startup"
 	"github.com/micaplank/micaplank/internal/decide/supersede"
 	"github.com/micaplank/micaplank/internal/edge/mirror"
@@ -33,10 +34,10 @@
 // rolloutSink receives rollout orders and records from the store. The boolean results report
 // whether the topology has to be published again.
 type rolloutSink interface {
-	decode(items []mirror.Item) rolloutItems
+	decode(items []mirror.Item, read mirror.ReadInfo) rollout.Listing
 	// replace is called with the mutex of the view held, applyOrderEvent and applyRecordEvent
 	// without it.
-	replace(decoded rolloutItems, stale bool)
+	replace(listing rollout.Listing)
 	applyOrderEvent(change mirror.Event) bool
 	applyRecordEvent(change mirror.Event) bool
 }
@@ -81,16 +82,16 @@
 	leaves         []registry.Leaf
 	nodes          map[string]roster.Member // by key
 	cordons        []string                 // cordoned zones
-	rollouts       rolloutItems
+	rollouts       rollout.Listing
 	quarantined    map[quarantine.Content]quarantine.StoredRecord
 }
 
 // decode decodes all items of a full read. Items that cannot be decoded are logged and skipped.
-func (f *follower) decode(items []mirror.Item) decodedItems {
+func (f *follower) decode(items []mirror.Item, read mirror.ReadInfo) decodedItems {
 	decoded := decodedItems{
 		nodes:       make(map[string]roster.Member),
 		quarantined: make(map[quarantine.Content]quarantine.StoredRecord),
-		rollouts:    f.rollouts.decode(items),
+		rollouts:    f.rollouts.decode(items, read),
 	}
 	for _, item := range items {
 		switch f.decoder.Kind(item.Key) {
@@ -118,7 +119,7 @@
 // Replace implements mirror.Sink. The leaves are published before the configuration that may name
 // them; otherwise its first requests would be refused because no leaf is known.
 func (f *follower) Replace(items []mirror.Item, read mirror.ReadInfo) {
-	decoded := f.decode(items)
+	decoded := f.decode(items, read)
 	f.quarantine.replace(decoded.quarantined, read)
 	previousLease := f.announcer.findPreviousLease(items)
 	if read.Restored {
@@ -152,13 +153,13 @@
 }
 
 // replaceView applies a full read to the view and publishes it. A read that is incomplete may lack
-// cordons and orders that are in force. It returns the zones that were cordoned or uncordoned.
+// cordons that are in force. It returns the zones that were cordoned or uncordoned.
 func (f *follower) replaceView(decoded decodedItems, previousLease uint64, incomplete bool) (cordonsChanged []string) {
 	f.view.mutex.Lock()
 	defer f.view.mutex.Unlock()
 	f.view.leaves.Replace(f.clock.Now(), decoded.leaves)
 	cordonsChanged = f.view.leaves.ReplaceCordons(f.clock.Now(), decoded.cordons, incomplete)
-	f.rollouts.replace(decoded.rollouts, incomplete)
+	f.rollouts.replace(decoded.rollouts)
 	if !f.view.leavesLoaded {
 		f.announcer.start(previousLease)
 	}
--- a/internal/edge/node/ports.go
+++ b/internal/edge/node/ports.go
@@ -14,6 +14,7 @@
 	"github.com/micaplank/micaplank/internal/edge/mirror"
 	"github.com/micaplank/micaplank/internal/edge/registry"
 	"github.com/micaplank/micaplank/internal/edge/route"
+	"github.com/micaplank/micaplank/internal/position"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
@@ -70,10 +71,10 @@
 
 // Rollouts writes the steps of rollouts.
 type Rollouts interface {
-	// Advance writes a step if the store still has the revisions that the step names, and returns
-	// the revision of the new record. If it fails with an error other than ErrConflict, the write
+	// Advance writes a step if the store still has the order and the record at the positions that
+	// the step names, and returns the position of the new record. If it fails with an error other than ErrConflict, the write
 	// may have happened or may still happen.
-	Advance(ctx context.Context, step rollout.Transition) (uint64, error)
+	Advance(ctx context.Context, step rollout.Transition) (position.Position, error)
 }
 
 // Quarantine writes the quarantine records of requests.
--- a/internal/edge/node/rollout.go
+++ b/internal/edge/node/rollout.go
@@ -67,9 +67,10 @@
 	decider *rollout.Decider
 	// allowances holds the allowances of the services with an open order.
 	allowances map[string]allowance
-	// open is set while a rollout has steps left; it is accessed without the mutex.
-	open atomic.Bool
-	// wake signals the reporting loop that a rollout has opened.
+	// unsettled is set while a rollout has steps left, or the store has lost one; it is accessed
+	// without the mutex.
+	unsettled atomic.Bool
+	// wake signals the reporting loop that a rollout has become unsettled.
 	wake chan struct{}
 
 	// reporting chooses the node to report to.
@@ -89,14 +90,14 @@
 
 // allowance records the order for which the Dispatcher has an allowance.
 type allowance struct {
-	order uint64
-	burst bool
+	generation uint64
+	burst      bool
 }
 
 func newRolloutDriver(ports rolloutPorts, configured settings.Forward, registerer prometheus.Registerer) *rolloutDriver {
 	bounds := rollout.Bounds{Ratio: configured.CanaryRatio, Slack: configured.CanarySlack}
 	table := rollout.NewTable()
-	incarnation := ports.self.Name + "/" + ulid.Make().String()
+	incarnation := newIncarnation(ports.self)
 	return &rolloutDriver{
 		rolloutPorts: ports,
 		enabled:      bounds != rollout.Bounds{} && ports.store != nil,
@@ -113,10 +114,12 @@
 	}
 }
 
+func newIncarnation(self roster.Member) string { return self.Name + "/" + ulid.Make().String() }
+
 func (r *rolloutDriver) logPhase(state *rollout.Rollout) {
 	event.Log(r.logger, event.RolloutChanged{
 		Service: state.Record.Service, Target: state.Record.Version, Phase: string(state.Phase()),
-		Reason: state.Record.Reason, Age: state.Age(r.clock.Now()).Round(time.Millisecond), Order: state.Order.Revision,
+		Reason: state.Record.Reason, Age: state.Age(r.clock.Now()).Round(time.Millisecond), Order: state.Order.Number(),
 	})
 }
 
@@ -125,13 +128,19 @@
 func (r *rolloutDriver) applyTableChange() {
 	open := r.table.OpenServices()
 	r.metrics.open.Set(float64(len(open)))
-	r.open.Store(len(open) > 0)
-	orders := make(map[string]uint64, len(open))
+	orders := make(map[string]rollout.Order, len(open))
 	for _, service := range open {
-		orders[service] = r.table.Lookup(service).Order.Revision
+		orders[service] = r.table.Lookup(service).Order
 	}
 	r.counter.Retain(orders)
-	if len(open) == 0 {
+	r.updateUnsettled()
+}
+
+// updateUnsettled starts or ends the reports. The caller holds the mutex of the view.
+func (r *rolloutDriver) updateUnsettled() {
+	unsettled := len(r.table.UnsettledServices()) > 0
+	r.unsettled.Store(unsettled)
+	if !unsettled {
 		r.reporting.Reset()
 		return
 	}
@@ -154,9 +163,13 @@
 		if state.Version() == "" {
 			continue
 		}
-		stages[service] = registry.Stage{
-			Order: state.Order.Revision, Version: state.Version(), Phase: state.Phase(), Recorded: state.Record.Revision,
+		stage := registry.Stage{
+			Version: state.Version(), Phase: state.Phase(), Recorded: state.RecordedAt(),
+		}
+		if state.Order.Exists() {
+			stage.Order = state.Generation
 		}
+		stages[service] = stage
 	}
 	return stages
 }
@@ -180,7 +193,7 @@
 	}
 	for _, service := range open {
 		state := r.table.Lookup(service)
-		if state.Order.Revision != 0 && !state.Phase().Shifted() {
+		if state.Order.Exists() && !state.Phase().Shifted() {
 			r.giveAllowance(state, len(participants))
 		}
 	}
@@ -188,14 +201,14 @@
 
 // giveAllowance sets the allowance of an order, and starts its burst once it reaches that phase.
 func (r *rolloutDriver) giveAllowance(state *rollout.Rollout, participants int) {
-	service, order := state.Order.Service, state.Order.Revision
+	service := state.Order.Service
 	issued := r.allowances[service]
-	if issued.order != order {
+	if issued.generation != state.Generation {
 		part := rollout.SlackShare(participants, state.FoundAtStart)
 		now := r.clock.Now()
 		deadline := now - state.Age(now) + state.Order.Duration
 		r.dispatcher.SetAllowance(r.view.index.Assign(service), rollout.NewAllowance(r.bounds, part, deadline, rand.Float64))
-		issued = allowance{order: order}
+		issued = allowance{generation: state.Generation}
 	}
 	if state.Phase() == rollout.PhaseBurst && !issued.burst {
 		r.dispatcher.Burst(r.view.index.Assign(service))
@@ -207,7 +220,7 @@
 // observe counts the attempts of a request whose services are being rolled out. It locks the mutex
 // of the view.
 func (r *rolloutDriver) observe(answer forward.Answer, duration time.Duration) {
-	if !r.open.Load() {
+	if !r.unsettled.Load() {
 		return
 	}
 	r.view.mutex.Lock()
@@ -221,7 +234,7 @@
 func (r *rolloutDriver) countAttempt(answer *forward.Answer, attempt *scatter.AttemptTrace, duration time.Duration) {
 	service := r.view.index.Name(attempt.Shard)
 	state := r.table.Lookup(service)
-	if state == nil || !state.IsOpen() || state.Order.Revision == 0 {
+	if state == nil || !state.IsOpen() || !state.Order.Exists() {
 		return
 	}
 	version, zone, exists := r.view.leaves.VersionAndZone(attempt.BootID)
@@ -229,7 +242,7 @@
 		return // the leaf was removed while the attempt ran
 	}
 	subject := rollout.Subject{
-		Service: service, Order: state.Order.Revision, Route: answer.Route,
+		Service: service, Order: state.Order.Number(), Version: state.Order.Version, Route: answer.Route,
 		Target: version == state.Order.Version, Zone: zone, Leaf: attempt.BootID,
 	}
 	switch {
--- a/internal/edge/node/rollout_reports.go
+++ b/internal/edge/node/rollout_reports.go
@@ -21,13 +21,13 @@
 // finds the next decider before its grants expire.
 const reportTimeout = 600 * time.Millisecond
 
-// run reports and writes steps while rollouts are open, until ctx ends.
+// run reports and writes steps while rollouts are unsettled, until ctx ends.
 func (r *rolloutDriver) run(ctx context.Context) {
 	if !r.enabled {
 		return
 	}
 	for {
-		if !r.open.Load() {
+		if !r.unsettled.Load() {
 			select {
 			case <-r.wake:
 			case <-ctx.Done():
@@ -71,11 +71,11 @@
 		r.reporting.Reset()
 	}
 	report := rollout.Report{Node: r.incarnation, Decider: r.reporting.Decider(), Rows: r.counter.ChangedRows(r.reporting.AcknowledgedCounts())}
-	for _, service := range r.table.OpenServices() {
+	for _, service := range r.table.UnsettledServices() {
 		state := r.table.Lookup(service)
 		others := r.view.leaves.Supply(service).Others
 		report.Orders = append(report.Orders, rollout.Progress{
-			Service: service, Order: state.Order.Revision, Phase: state.Phase(), Age: state.Age(now), Bad: state.Bad,
+			Service: service, Order: state.Order.Number(), Version: state.Order.Version, Phase: state.Phase(), Age: state.Age(now), Bad: state.Bad,
 			Busy: r.dispatcher.InFlightAt(func(boot string) bool { return others[boot] }),
 		})
 	}
@@ -153,9 +153,9 @@
 // applyGrant applies the decider's reply for one order, and reports whether the phase changed. The
 // caller holds the mutex of the view.
 func (r *rolloutDriver) applyGrant(sent time.Duration, grant rollout.Grant) bool {
-	changed := r.table.Merge(r.clock.Now(), grant.Service, grant.Order, grant.Age, grant.Record, grant.Bad)
+	changed := r.table.Merge(r.clock.Now(), grant)
 	state := r.table.Lookup(grant.Service)
-	if grant.Open && state.Order.Revision == grant.Order && state.Bad == "" {
+	if grant.Open && state.Order.Is(grant.Order, grant.Version) && state.Bad == "" {
 		r.dispatcher.Grant(r.view.index.Assign(grant.Service), sent+rollout.GrantTTL)
 	}
 	if state.Bad != "" {
@@ -196,9 +196,9 @@
 
 // writeStep writes one step and applies the resulting record. It locks the mutex of the view.
 func (r *rolloutDriver) writeStep(ctx context.Context, step rollout.Transition) {
-	revision, err := r.store.Advance(ctx, step)
+	written, err := r.store.Advance(ctx, step)
 	record := step.Record
-	record.Revision = revision
+	record.SetWritten(written)
 	r.view.mutex.Lock()
 	defer r.view.mutex.Unlock()
 	delete(r.writing, record.Service)
@@ -215,6 +215,6 @@
 	r.metrics.steps.WithLabelValues(string(record.Phase), result).Inc()
 	event.Log(r.logger, event.RolloutDecided{
 		Service: record.Service, Target: record.Version, Phase: string(record.Phase), Reason: record.Reason,
-		Nodes: r.decider.Nodes(), Revision: revision, Error: err,
+		Nodes: r.decider.Nodes(), Revision: written.Revision, Error: err,
 	})
 }
--- a/internal/edge/node/rollout_store.go
+++ b/internal/edge/node/rollout_store.go
@@ -8,15 +8,9 @@
 	"github.com/micaplank/micaplank/internal/event"
 )
 
-// rolloutItems holds the orders and records of one full read of the store.
-type rolloutItems struct {
-	orders  []rollout.Order
-	records []rollout.Record
-}
-
 // decode decodes the rollouts of a full read. It works without the mutex of the view.
-func (r *rolloutDriver) decode(items []mirror.Item) rolloutItems {
-	var decoded rolloutItems
+func (r *rolloutDriver) decode(items []mirror.Item, read mirror.ReadInfo) rollout.Listing {
+	decoded := rollout.Listing{Era: read.To.Era, Stale: read.Stale, Restored: read.Restored}
 	if !r.enabled {
 		return decoded
 	}
@@ -24,11 +18,11 @@
 		switch r.decoder.Kind(item.Key) {
 		case KindRolloutOrder:
 			if order, ok := r.decodeOrder(item); ok {
-				decoded.orders = append(decoded.orders, order)
+				decoded.Orders = append(decoded.Orders, order)
 			}
 		case KindRolloutRecord:
 			if record, ok := r.decodeRecord(item); ok {
-				decoded.records = append(decoded.records, record)
+				decoded.Records = append(decoded.Records, record)
 			}
 		}
 	}
@@ -55,12 +49,18 @@
 
 // replace applies the rollouts of a full read. The caller holds the mutex of the view, and
 // publishes afterwards.
-func (r *rolloutDriver) replace(decoded rolloutItems, stale bool) {
+func (r *rolloutDriver) replace(listing rollout.Listing) {
 	if !r.enabled {
 		return
 	}
 	previousPhases := r.phases()
-	r.table.Replace(r.clock.Now(), time.Now(), decoded.orders, decoded.records, stale)
+	changes := r.table.Replace(r.clock.Now(), time.Now(), listing)
+	if listing.Restored {
+		r.restartDecider()
+	}
+	for service, change := range changes {
+		r.applyOrderChange(service, change)
+	}
 	for _, service := range r.table.Services() {
 		if state := r.table.Lookup(service); state.Phase() != previousPhases[service] {
 			r.logPhase(state)
@@ -83,29 +83,56 @@
 	if !r.enabled {
 		return false
 	}
-	service := r.decoder.RolloutService(change.Key)
-	order, ok := rollout.Order{Service: service}, true
-	if !change.Removed {
-		order, ok = r.decodeOrder(change.Item)
+	if change.Removed {
+		return r.withdraw(r.decoder.RolloutService(change.Key), change.Revision)
 	}
+	order, ok := r.decodeOrder(change.Item)
 	if !ok {
 		return false
 	}
 	r.view.mutex.Lock()
 	defer r.view.mutex.Unlock()
-	applied := false
-	if change.Removed {
-		applied = r.table.Withdraw(service)
-	} else {
-		applied = r.table.SetOrder(r.clock.Now(), order)
+	effect := r.table.SetOrder(r.clock.Now(), order)
+	if effect == rollout.OrderUnchanged {
+		return false
+	}
+	r.applyOrderChange(order.Service, effect)
+	r.applyTableChange()
+	return true
+}
+
+// withdraw applies the removal of an order, and reports whether there was one. It locks the mutex of
+// the view.
+func (r *rolloutDriver) withdraw(service string, revision uint64) bool {
+	r.view.mutex.Lock()
+	defer r.view.mutex.Unlock()
+	if !r.table.Withdraw(service) {
+		return false
 	}
-	if applied {
-		event.Log(r.logger, event.RolloutOrdered{
-			Service: service, Target: order.Version, Duration: order.Duration, Withdrawn: change.Removed, Revision: change.Revision,
-		})
-		r.applyTableChange()
+	event.Log(r.logger, event.RolloutOrdered{Service: service, Withdrawn: true, Revision: revision})
+	r.applyTableChange()
+	return true
+}
+
+// applyOrderChange applies the effect of an order on the table. The counts of this node move to the
+// new number of a repeated order. The caller holds the mutex of the view.
+func (r *rolloutDriver) applyOrderChange(service string, change rollout.OrderChange) {
+	order := r.table.Lookup(service).Order
+	repeated := change == rollout.OrderRepeated
+	event.Log(r.logger, event.RolloutOrdered{
+		Service: service, Target: order.Version, Duration: order.Duration, Repeated: repeated,
+		Era: order.Written.Era, Revision: order.Written.Revision,
+	})
+	if repeated {
+		r.counter.Renumber(service, order.Number())
+		r.restartDecider()
 	}
-	return applied
+}
+
+// restartDecider makes all nodes report their complete counts again, by the numbers that orders have
+// in a restored store. The caller holds the mutex of the view.
+func (r *rolloutDriver) restartDecider() {
+	r.decider = rollout.NewDecider(r.table, newIncarnation(r.self))
 }
 
 // applyRecordEvent applies a record, and reports whether the phase changed. The removal of a record
@@ -127,6 +154,7 @@
 // the view.
 func (r *rolloutDriver) setRecord(record rollout.Record) bool {
 	if !r.table.SetRecord(record) {
+		r.updateUnsettled()
 		return false
 	}
 	r.logPhase(r.table.Lookup(record.Service))
--- a/internal/edge/node/wire_test.go
+++ b/internal/edge/node/wire_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/rollout"
 	"github.com/micaplank/micaplank/internal/edge/mirror"
+	"github.com/micaplank/micaplank/internal/position"
 	"github.com/micaplank/micaplank/internal/wiretest"
 )
 
@@ -27,6 +29,25 @@
 	if counts := report.Rows[0].Counts; counts.Failed != 88 || counts.Took[0] != 18 || counts.First != 0 || counts.Overtaken != 0 {
 		t.Errorf("got counts %+v, want 88 failed, 18 in the first bucket, no first and no overtaken attempts", counts)
 	}
+	if subject, progress := report.Rows[0].Subject, report.Orders[0]; subject.Order == 0 || subject.Version != "" || progress.Order == 0 || progress.Version != "" {
+		t.Errorf("got subject %+v and progress %+v, want both with the number and without the version of an order", subject, progress)
+	}
+}
+
+// TestReplyOfFormerVersionIsDecoded checks that a reply of a version that states neither the version
+// of an order nor the era of a record is decoded, and that its grant is applied.
+func TestReplyOfFormerVersionIsDecoded(t *testing.T) {
+	grant := wiretest.DecodePreviousGob[rollout.Reply](t, "rollout.report.response").Grants[0]
+	if grant.Version != "" || grant.Record.Era != 0 || grant.Bad == "" {
+		t.Errorf("got grant %+v, want evidence, no version and no era", grant)
+	}
+	table := rollout.NewTable()
+	order := rollout.Order{Service: grant.Service, Version: "v2", Duration: time.Second, Written: position.Position{Era: 3, Revision: grant.Order}}
+	table.SetOrder(0, order)
+	table.Merge(0, grant)
+	if got := table.Lookup(grant.Service).Bad; got != grant.Bad {
+		t.Errorf("got evidence %q, want %q", got, grant.Bad)
+	}
 }
 
 // TestStoreMessagesOfFormerVersionAreDecoded checks that messages of a version that does not state
--- a/internal/edge/registry/incarnation_test.go
+++ b/internal/edge/registry/incarnation_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/rollout"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // leafStartedAt returns the leaf "a" with a start time in seconds; zero for none.
@@ -119,7 +120,7 @@
 	previous.Version, target.Version = "v1", "v2"
 	table.Set(0, previous)
 	table.Set(0, target)
-	table.SetStages(map[string]Stage{"x": {Order: 7, Version: "v2", Phase: rollout.PhaseCompleted, Recorded: 8}})
+	table.SetStages(map[string]Stage{"x": {Order: 7, Version: "v2", Phase: rollout.PhaseCompleted, Recorded: position.Position{Revision: 8}}})
 	if _, usable := usableLeaves(table.Topology())["a@10000"]; usable {
 		t.Error("leaf of the old version is usable after the rollout, want it excluded")
 	}
--- a/internal/edge/registry/stage.go
+++ b/internal/edge/registry/stage.go
@@ -1,16 +1,20 @@
 package registry
 
-import "github.com/micaplank/micaplank/internal/decide/rollout"
+import (
+	"github.com/micaplank/micaplank/internal/decide/rollout"
+	"github.com/micaplank/micaplank/internal/position"
+)
 
 // Stage is the progress of a version's rollout at a service.
 type Stage struct {
-	// Order is the revision of the order; zero if it was withdrawn.
+	// Order numbers the orders of the service that this node has received; zero if the order was
+	// withdrawn.
 	Order   uint64
 	Version string
 	Phase   rollout.Phase
-	// Recorded is the revision at which the phase was written; zero if only another node has
-	// reported it.
-	Recorded uint64
+	// Recorded is the position in the store at which the phase was written; zero if this is not
+	// known.
+	Recorded position.Position
 }
 
 // SetStages replaces the stages of all services.
@@ -67,8 +71,13 @@
 	if !stage.Phase.Shifted() || !t.hasUsableLeaf(entry.Service, stage.Version) {
 		return false
 	}
-	// A leaf that is created after the end of a rollout is unrelated to it.
-	return stage.Phase == rollout.PhaseShift || stage.Recorded == 0 || entry.Created.Revision < stage.Recorded
+	return stage.Phase == rollout.PhaseShift || !entry.isCreatedAfter(stage.Recorded)
+}
+
+// isCreatedAfter reports whether a leaf is known to be created after the end of a rollout, so that it
+// is unrelated to it. Revisions of two eras of the store tell nothing about their order.
+func (e *leafEntry) isCreatedAfter(recorded position.Position) bool {
+	return !recorded.IsZero() && e.Created.Era == recorded.Era && e.Created.Revision >= recorded.Revision
 }
 
 // hasUsableLeaf reports whether a service has a usable leaf of a version.
--- a/internal/edge/registry/stage_test.go
+++ b/internal/edge/registry/stage_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/micaplank/micaplank/internal/decide/rollout"
+	"github.com/micaplank/micaplank/internal/position"
 )
 
 // newTwoVersionTable returns a Table with the leaf "old" of v1 and the leaf "new" of v2 of the
@@ -46,8 +47,8 @@
 		{"trial", Stage{Order: 5, Version: "v2", Phase: rollout.PhaseTrial}, []string{"old"}, []string{"new"}},
 		{"burst", Stage{Order: 5, Version: "v2", Phase: rollout.PhaseBurst}, []string{"old"}, []string{"new"}},
 		{"shift", Stage{Order: 5, Version: "v2", Phase: rollout.PhaseShift}, []string{"new"}, nil},
-		{"completed", Stage{Order: 5, Version: "v2", Phase: rollout.PhaseCompleted, Recorded: 9}, []string{"new"}, nil},
-		{"completed before the leaf came", Stage{Order: 0, Version: "v2", Phase: rollout.PhaseCompleted, Recorded: 1}, []string{"old", "new"}, nil},
+		{"completed", Stage{Order: 5, Version: "v2", Phase: rollout.PhaseCompleted, Recorded: position.Position{Revision: 9}}, []string{"new"}, nil},
+		{"completed before the leaf came", Stage{Order: 0, Version: "v2", Phase: rollout.PhaseCompleted, Recorded: position.Position{Revision: 1}}, []string{"old", "new"}, nil},
 		{"rolled back", Stage{Order: 5, Version: "v2", Phase: rollout.PhaseRolledBack}, []string{"old"}, nil},
 		{"withdrawn", Stage{Version: "v2", Phase: rollout.PhaseTrial}, []string{"old"}, []string{"new"}},
 		{"another version", Stage{Order: 5, Version: "v3", Phase: rollout.PhaseTrial}, []string{"old", "new"}, nil},
--- a/internal/event/rollouts.go
+++ b/internal/event/rollouts.go
@@ -11,6 +11,8 @@
 	Target    string        `event:"target" doc:"version to which the traffic moves"`
 	Duration  time.Duration `event:"duration" doc:"time from the order to its deadline"`
 	Withdrawn bool          `event:"withdrawn" doc:"whether the order was withdrawn"`
+	Repeated  bool          `event:"repeated" doc:"whether it is the order in force, which a restored store holds under this revision"`
+	Era       uint64        `event:"era" doc:"era of the store, which rises with each restore from a backup"`
 	Revision  uint64        `event:"revision" doc:"revision of the store"`
 }
 
