forward: a part is fetched again if the least record of the answer falls

Cause: records that a combiner left out and that count after all are fetched down to the k-th record of all parts, and the part was then taken for complete. If the fetch from another zone failed in the same round, its parts were left out and the k-th record fell; what lies between was not looked for.

Change: a fetched part keeps its floor as the bound of what is missing, and is fetched once more if the k-th record falls below it; records that came before are not added twice. All fetches for an answer end within 0.2 s.

--- a/internal/edge/forward/answer.go
+++ b/internal/edge/forward/answer.go
@@ -66,15 +66,22 @@
 	answer.Missing = len(matched.Shards) - len(parts)
 }
 
-// droppedRecordsTimeout bounds the fetch of records that a combiner dropped and that belong to the
-// answer after all. It is a few times the latency to another zone and bounds the delay of the
-// answer.
-const droppedRecordsTimeout = 100 * time.Millisecond
+const (
+	// droppedRecordsTimeout bounds the fetch of records that combiners dropped and that belong to the
+	// answer after all. It is a few times the latency to another zone.
+	droppedRecordsTimeout = 100 * time.Millisecond
+	// mergeTimeout bounds all fetches for one answer, and thereby its delay. Beyond the first fetch
+	// it leaves time for others, which follow only if one failed.
+	mergeTimeout = 2 * droppedRecordsTimeout
+)
 
 // mergeTopK returns the k greatest records of the parts, and the parts that they were merged from.
 // It fetches dropped records that may belong to the result, and excludes a part if that fetch
-// fails. The flag missed is set if any dropped record had to be fetched.
+// fails. The k-th record may then fall, so that further records of other parts are fetched. The flag
+// missed is set if any dropped record had to be fetched.
 func mergeTopK(ctx context.Context, k int, parts []scatter.ShardPart[Part]) (used []scatter.ShardPart[Part], greatest []byte, missed bool) {
+	ctx, cancel := context.WithTimeout(ctx, mergeTimeout)
+	defer cancel()
 	used = parts
 	for {
 		greatest = records.Greatest(k, partBodies(used))
@@ -123,9 +130,7 @@
 			continue
 		}
 		group.Go(func() {
-			dropped, err := part.FetchDropped(ctx, floor)
-			part.Body, part.Dropped = slices.Concat(part.Body, dropped), nil
-			keep[index] = err == nil
+			keep[index] = part.fetchDownTo(ctx, floor) == nil
 		})
 	}
 	group.Wait()
--- a/internal/edge/forward/result.go
+++ b/internal/edge/forward/result.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/micaplank/micaplank/internal/decide/dispatch"
+	"github.com/micaplank/micaplank/internal/edge/records"
 	"github.com/micaplank/micaplank/internal/scatter"
 )
 
@@ -17,12 +19,29 @@
 	Body   []byte
 	// Signature is the signature that the leaf attached to the response.
 	Signature string
-	// Dropped is the greatest record that a combiner dropped from Body because it is unlikely to be
-	// in the answer; empty if Body is complete.
+	// Dropped is a record that none of those that are missing in Body exceeds. A combiner dropped
+	// them because they are unlikely to be in the answer. It is empty if Body is complete.
 	Dropped []byte
 	// FetchDropped fetches the dropped records that are not below a floor, until ctx ends. It is
 	// set if Dropped is. After an error the records cannot be fetched again.
 	FetchDropped func(ctx context.Context, floor []byte) ([]byte, error)
+	// fetchedFloor is the floor of the last fetch; nil before the first one.
+	fetchedFloor []byte
+}
+
+// fetchDownTo adds the dropped records that are not below a floor to the body; a nil floor excludes
+// none. It must not be called again after an error.
+func (p *Part) fetchDownTo(ctx context.Context, floor []byte) error {
+	fetched, err := p.FetchDropped(ctx, floor)
+	if err != nil {
+		return err
+	}
+	if p.fetchedFloor != nil {
+		fetched = records.Below(fetched, p.fetchedFloor)
+	}
+	p.Body = slices.Concat(p.Body, fetched)
+	p.Dropped, p.fetchedFloor = floor, floor
+	return nil
 }
 
 // Fate is the final state of a client's request. It is derived from the Outcome of the request's
--- a/internal/edge/records/top.go
+++ b/internal/edge/records/top.go
@@ -98,6 +98,17 @@
 	return above
 }
 
+// Below returns the records of a part that are below a limit.
+func Below(part, limit []byte) []byte {
+	var below []byte
+	for ; len(part) >= Size; part = part[Size:] {
+		if bytes.Compare(part[:Size], limit) < 0 {
+			below = append(below, part[:Size]...)
+		}
+	}
+	return below
+}
+
 // Covers reports whether greatest, the k greatest records of some parts, remains correct if a
 // record no greater than dropped is added.
 func Covers(greatest []byte, k int, dropped []byte) bool {
