--- a/internal/decide/rollout/decider.go
+++ b/internal/decide/rollout/decider.go
@@ -71,7 +71,7 @@
 	d.recordReport(now, report)
 	for _, progress := range report.Orders {
 		if rollout := d.table.Lookup(progress.Service); rollout != nil {
-			d.table.Merge(now, progress.state(report.Node, rollout.Order))
+			d.table.Merge(now, progress.toGrant(report.Node, rollout.Order))
 		}
 	}
 	for _, progress := range report.Orders {
@@ -202,8 +202,8 @@
 
 func (d *Decider) evaluationFor(now time.Duration, service string, rollout *Rollout) *evaluation {
 	eval, ok := d.evaluations[service]
-	if !ok || eval.order != rollout.Generation {
-		eval = &evaluation{order: rollout.Generation, phaseSince: now, stale: make(map[routeLeaf]Counts)}
+	if !ok || eval.generation != rollout.Generation {
+		eval = &evaluation{generation: rollout.Generation, phaseSince: now, stale: make(map[routeLeaf]Counts)}
 		d.evaluations[service] = eval
 	}
 	if phase := rollout.Phase(); eval.phase != phase {
--- a/internal/decide/rollout/evaluation.go
+++ b/internal/decide/rollout/evaluation.go
@@ -28,7 +28,7 @@
 
 // evaluation is the state of a Decider for one order.
 type evaluation struct {
-	order uint64 // generation
+	generation uint64 // of the order
 	// phase is the current phase, which the rollout entered at phaseSince.
 	phase      Phase
 	phaseSince time.Duration
--- a/internal/decide/rollout/report.go
+++ b/internal/decide/rollout/report.go
@@ -65,8 +65,8 @@
 	Record Record
 }
 
-// state returns the progress of a node in the form of a Grant that is not open.
-func (p Progress) state(node string, order Order) Grant {
+// toGrant returns the progress of a node with an order as a Grant that is not open; see Table.Merge.
+func (p Progress) toGrant(node string, order Order) Grant {
 	return Grant{
 		Service: p.Service, Order: p.Order, Version: p.Version, Age: p.Age, Bad: p.Bad,
 		Record: Record{Service: p.Service, Order: p.Order, Version: order.Version, Phase: p.Phase, Reason: "as node " + node + " reports"},
--- a/internal/decide/rollout/restore_test.go
+++ b/internal/decide/rollout/restore_test.go
@@ -47,8 +47,7 @@
 	s.backup = &backup
 }
 
-// restore sets the store back to its backup, after which the operator writes the wanted order again
-// if the backup lacks it.
+// restore sets the store back to its backup; see writeAgain.
 func (s *restorableStore) restore() {
 	if s.backup == nil {
 		return
@@ -68,8 +67,11 @@
 	return position.Position{Era: s.now.Era, Revision: at.Revision}
 }
 
-func (s *restorableStore) isComplete() bool {
-	return s.order.Exists() == s.wanted.Exists() && s.order.Version == s.wanted.Version
+// writeAgain writes the order that the operator wants if the store lacks it.
+func (s *restorableStore) writeAgain() {
+	if s.order.Exists() != s.wanted.Exists() || s.order.Version != s.wanted.Version {
+		s.writeOrder()
+	}
 }
 
 func (s *restorableStore) advance(transition Transition) bool {
@@ -134,68 +136,91 @@
 	}
 }
 
-// TestRolloutAcrossRestores guards against rollouts that stand still, begin anew or change their
-// outcome because the store was restored from a backup: nodes read at different times, the operator
-// orders and withdraws, nodes start, and steps are written or lost. In the end the store must hold
-// the order's outcome, and no version that ended as bad may be open under the same order.
+// step writes the steps that a node decides on, unless the writes are lost.
+func (n *restorableNode) step(now time.Duration, store *restorableStore, lost bool) {
+	supply := func(string) Supply { return Supply{Target: 2, Control: 2, Mixed: true} }
+	for _, transition := range n.decider.Tick(now, time.Time{}.Add(now), supply) {
+		if !lost && store.advance(transition) {
+			n.table.SetRecord(store.record)
+		}
+	}
+}
+
+// findBad records evidence against the target of an open rollout.
+func (n *restorableNode) findBad() {
+	if state := n.table.Lookup(testService); state != nil && state.IsOpen() && state.Order.Exists() {
+		state.Bad = "found to be bad"
+	}
+}
+
+// drawStoreStep changes the store.
+func drawStoreStep(t *rapid.T, store *restorableStore) {
+	switch rapid.IntRange(0, 4).Draw(t, "change") {
+	case 0:
+		store.decide(fmt.Sprint("v", rapid.IntRange(2, 4).Draw(t, "version")))
+	case 1:
+		store.wanted = Order{Service: testService}
+		store.writeOrder()
+	case 2:
+		store.backUp()
+	case 3:
+		store.restore()
+	case 4:
+		store.writeAgain()
+	}
+}
+
+// drawNodeStep lets a node read, or two nodes exchange a report.
+func drawNodeStep(t *rapid.T, now time.Duration, store *restorableStore, nodes []*restorableNode) {
+	node := rapid.SampledFrom(nodes).Draw(t, "node")
+	switch rapid.IntRange(0, 4).Draw(t, "step") {
+	case 0:
+		node.findBad()
+	case 1, 2:
+		node.read(now, store)
+	default:
+		rapid.SampledFrom(nodes).Draw(t, "reporter").report(now, node)
+		node.step(now, store, rapid.IntRange(0, 3).Draw(t, "lost") == 0)
+	}
+}
+
+// TestRolloutAcrossRestores guards against rollouts that stand still, begin anew or end differently
+// because the store was restored from a backup: nodes read at different times, the operator orders
+// and withdraws, and steps are written or lost. In the end the order in the store must be in force at
+// all nodes, and must have ended as the store says.
 func TestRolloutAcrossRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &restorableStore{}
 		nodes := []*restorableNode{newRestorableNode(store), newRestorableNode(store)}
 		now := time.Duration(0)
-		supply := func(string) Supply { return Supply{Target: 2, Control: 2, Mixed: true} }
-		step := func(node *restorableNode, lost bool) {
-			for _, transition := range node.decider.Tick(now, time.Time{}.Add(now), supply) {
-				if !lost && store.advance(transition) {
-					node.table.SetRecord(store.record)
-				}
-			}
-		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond
-			node, other := nodes[rapid.IntRange(0, 1).Draw(t, "node")], nodes[rapid.IntRange(0, 1).Draw(t, "other")]
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
-			case 0:
-				store.decide(fmt.Sprint("v", rapid.IntRange(2, 4).Draw(t, "version")))
-			case 1:
-				store.wanted = Order{Service: testService}
-				store.writeOrder()
-			case 2:
-				store.backUp()
-			case 3:
-				store.restore()
-			case 4:
-				if !store.isComplete() {
-					store.writeOrder()
-				}
-			case 5:
-				if state := node.table.Lookup(testService); state != nil && state.IsOpen() && state.Order.Exists() {
-					state.Bad = "found to be bad"
-				}
-			case 6, 7:
-				node.read(now, store)
-			default:
-				other.report(now, node)
-				step(node, rapid.IntRange(0, 3).Draw(t, "lost") == 0)
-			}
-		}
-		if !store.isComplete() {
-			store.writeOrder()
-		}
-		for range 40 {
-			now += 500 * time.Millisecond
-			for _, node := range nodes {
-				node.read(now, store)
+			if rapid.Bool().Draw(t, "at the store") {
+				drawStoreStep(t, store)
+			} else {
+				drawNodeStep(t, now, store, nodes)
 			}
-			for _, node := range nodes {
-				node.report(now, nodes[0])
-			}
-			step(nodes[0], false)
 		}
+		settle(now, store, nodes)
 		requireSettled(t, store, nodes)
 	})
 }
 
+// settle plays a store without further changes, which all nodes read, until a rollout has ended.
+func settle(now time.Duration, store *restorableStore, nodes []*restorableNode) {
+	store.writeAgain()
+	for range 40 {
+		now += 500 * time.Millisecond
+		for _, node := range nodes {
+			node.read(now, store)
+		}
+		for _, node := range nodes {
+			node.report(now, nodes[0])
+		}
+		nodes[0].step(now, store, false)
+	}
+}
+
 // requireSettled checks that the order in the store is in force at all nodes and has ended in the
 // same way everywhere.
 func requireSettled(t *rapid.T, store *restorableStore, nodes []*restorableNode) {
--- a/internal/edge/node/ports.go
+++ b/internal/edge/node/ports.go
@@ -72,8 +72,8 @@
 // Rollouts writes the steps of rollouts.
 type Rollouts interface {
 	// Advance writes a step if the store still has the order and the record at the positions that
-	// the step names, and returns the position of the new record. If it fails with an error other than ErrConflict, the write
-	// may have happened or may still happen.
+	// the step names, and returns the position of the new record. If it fails with an error other
+	// than ErrConflict, the write may have happened or may still happen.
 	Advance(ctx context.Context, step rollout.Transition) (position.Position, error)
 }
 
--- a/internal/edge/node/rollout_store.go
+++ b/internal/edge/node/rollout_store.go
@@ -117,12 +117,14 @@
 // applyOrderChange applies the effect of an order on the table. The counts of this node move to the
 // new number of a repeated order. The caller holds the mutex of the view.
 func (r *rolloutDriver) applyOrderChange(service string, change rollout.OrderChange) {
-	order := r.table.Lookup(service).Order
-	repeated := change == rollout.OrderRepeated
-	event.Log(r.logger, event.RolloutOrdered{
-		Service: service, Target: order.Version, Duration: order.Duration, Repeated: repeated,
-		Era: order.Written.Era, Revision: order.Written.Revision,
-	})
+	state := r.table.Lookup(service)
+	order, repeated := state.Order, change == rollout.OrderRepeated
+	if repeated || !state.FoundAtStart {
+		event.Log(r.logger, event.RolloutOrdered{
+			Service: service, Target: order.Version, Duration: order.Duration, Repeated: repeated,
+			Era: order.Written.Era, Revision: order.Written.Revision,
+		})
+	}
 	if repeated {
 		r.counter.Renumber(service, order.Number())
 		r.restartDecider()
